Set up the package, the tables, the messages and the seams

Cause: several subsystems are to be built side by side and need agreed types. Conclusion: the seams stand; every later part plugs into one of them.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# The daily verbs. Every target that needs packages sets up its own environment.
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: help setup demo test lint format types check
+
+help: ## List the targets
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
+
+$(STAMP): requirements.lock
+	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	@touch $@
+
+setup: $(STAMP) ## Make the virtual environment from requirements.lock
+
+test: setup ## Run the tests (fixed seeds, virtual time)
+	$(BIN)/python -m pytest -n 6
+
+lint: setup ## Check format and lint
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup ## Check the types
+	$(BIN)/mypy
+
+format: setup ## Format and mend what the linter can
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: lint types test ## All that .ci/run does
--- /dev/null
+++ b/sesameford/settings.py
@@ -0,0 +1,157 @@
+"""The daemon's settings file, checked into frozen data classes.
+
+Only what a process can't learn from the tree stands here: who it is, where it
+listens, who its peers are, its data folder and its keys.
+"""
+
+import re
+from pathlib import Path
+from typing import Literal
+
+from msgspec import Struct, ValidationError, convert, field
+from yaml import YAMLError
+
+from sesameford.errors import SettingsError
+from sesameford.yaml_text import load_yaml
+
+
+class Listen(Struct, frozen=True, forbid_unknown_fields=True):
+    """The addresses that the daemon listens on, by IP number."""
+
+    callers: str
+    operators: str
+    peers: str
+
+
+class Peer(Struct, frozen=True, forbid_unknown_fields=True):
+    """Another instance of the system; ``has_disk`` says that it is a replica."""
+
+    instance_id: str
+    data_centre: str
+    peers: str
+    has_disk: bool = False
+
+
+class Tls(Struct, frozen=True, forbid_unknown_fields=True):
+    """Files of the deployment's own authority and this instance's identity."""
+
+    authority_file: str
+    certificate_file: str
+    key_file: str
+
+
+class Logging(Struct, frozen=True, forbid_unknown_fields=True):
+    """How log records are written."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    format: Literal["json", "text"] = "json"
+
+
+class Tracing(Struct, frozen=True, forbid_unknown_fields=True):
+    """Where spans go: a file of JSON lines, an OTLP address, or nowhere."""
+
+    file: str | None = None
+    otlp_url: str | None = None
+
+
+class OperatorKey(Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator's name and the SHA-256 of the operator's key, in hexadecimal."""
+
+    name: str
+    key_digest: str
+
+
+class DaemonSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one daemon."""
+
+    instance_id: str
+    data_centre: str
+    listen: Listen
+    peers: tuple[Peer, ...] = ()
+    operators: tuple[OperatorKey, ...] = ()
+    data_folder: str | None = None
+    shared_key_file: str | None = None
+    platform_key_digest: str | None = None
+    tls: Tls | None = None
+    logging: Logging = field(default_factory=Logging)
+    tracing: Tracing = field(default_factory=Tracing)
+
+
+_ADDRESS = re.compile(r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+_VALIDATION_PATH = re.compile(
+    r"^(?P<what>.*?)(?: - at `\$?\.?(?P<path>[^`]*)`)?$", re.S
+)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an ``IP:port`` address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def load_settings(file: Path) -> DaemonSettings:
+    """Read and check a daemon's settings file.
+
+    Args:
+        file: A YAML file.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        SettingsError: The file can't be read or says something not allowed.
+    """
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(file), "(file)", str(error), "a readable file") from (
+            error
+        )
+    return parse_settings(text, str(file))
+
+
+def parse_settings(text: str, source: str) -> DaemonSettings:
+    """Check the text of a settings file.
+
+    Args:
+        text: YAML.
+        source: The name to give in errors.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        SettingsError: It names the path of the field, what was found and what
+            is allowed.
+    """
+    try:
+        raw = load_yaml(text)
+    except YAMLError as error:
+        found = " ".join(str(error).split())
+        raise SettingsError(source, "(text)", found, "YAML") from error
+    try:
+        settings = convert(raw, DaemonSettings)
+    except ValidationError as error:
+        match = _VALIDATION_PATH.match(str(error))
+        path = (match and match["path"]) or "(top)"
+        found = match["what"] if match else str(error)
+        raise SettingsError(source, path, found, "see docs/SETTINGS.md") from error
+    _check_addresses(settings, source)
+    return settings
+
+
+def _check_addresses(settings: DaemonSettings, source: str) -> None:
+    """Refuse addresses that are not an IP number and a port."""
+    addresses = {
+        "listen.callers": settings.listen.callers,
+        "listen.operators": settings.listen.operators,
+        "listen.peers": settings.listen.peers,
+    }
+    for position, peer in enumerate(settings.peers):
+        addresses[f"peers[{position}].peers"] = peer.peers
+    for path, address in addresses.items():
+        if not _ADDRESS.match(address) or split_address(address)[1] > 65535:
+            raise SettingsError(source, path, repr(address), "an IP number and a port")
+    ids = [settings.instance_id, *(peer.instance_id for peer in settings.peers)]
+    if len(set(ids)) != len(ids):
+        raise SettingsError(source, "peers", "an instance id twice", "each id once")
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that sesameford meets: targets and faulty networks."""
