--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,355 @@
+"""A stand-in for a model engine.
+
+``python -m standins.engine --port 9001 --target-id e1 --data-centre a --models m1``
+"""
+
+import asyncio
+import json
+import os
+import time
+from argparse import Namespace
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from standins.batch import Batch, LaggingLoad, PrefixCache, Progress
+from standins.marks import Marks, answer_text, prompt_of, read_marks
+from standins.shell import make_parser, run_target
+
+CRASH_EXIT_CODE = 70
+_KEPT_STREAMS = 2_000
+_LOAD_SAMPLE_SECONDS = 0.1
+_SILENT_AFTER_EVENTS = 2
+_ORDER_KINDS = ("load", "unload", "adapter", "version", "role")
+
+
+@dataclass(slots=True)
+class _Stream:
+    """The events of one attempt, kept so that it can be resumed."""
+
+    attempt_id: str
+    marks: Marks
+    model: str
+    cached_tokens: int
+    events: list[bytes] = field(default_factory=list)
+    output_tokens: int = 0
+    over: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def wake(self) -> None:
+        """Let all readers go on; the next wait starts anew."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Engine:
+    """The HTTP shell around a batch, a prefix cache and the counts."""
+
+    def __init__(self, options: Namespace) -> None:
+        self.models = set(options.models.split(","))
+        self.batch = Batch(
+            options.capacity,
+            options.tokens_per_second,
+            options.prompt_tokens_per_second,
+            options.event_seconds,
+        )
+        self._cache = PrefixCache(options.cache_blocks)
+        self._load = LaggingLoad(options.load_lag_seconds)
+        self._waiting_limit = options.waiting_limit
+        self._checks_fencing = options.checks_fencing
+        self._load_seconds = options.load_seconds
+        self._streams: dict[str, _Stream] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._kv: dict[str, bytes] = {}
+        self._fencing_number = 0
+        self._orders: dict[str, dict[str, Any]] = {}
+        self._runs: dict[str, Counter[str]] = {}
+        self._service: dict[str, Counter[str]] = {}
+        self._refuse_next = 0
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=64_000_000)
+        app.add_routes(
+            [
+                web.post("/v1/completions", self._complete),
+                web.post("/v1/chat/completions", self._complete),
+                web.get("/v1/streams/{attempt_id}", self._resume),
+                web.delete("/v1/streams/{attempt_id}", self._cancel),
+                web.get("/load", self._report_load),
+                web.get("/cache-events", self._report_cache_events),
+                web.post("/orders", self._take_order),
+                web.get("/kv/{prefix}", self._export_kv),
+                web.put("/kv/{prefix}", self._import_kv),
+                web.get("/counts", self._report_counts),
+                web.post("/faults", self._take_faults),
+            ]
+        )
+        app.on_startup.append(self._start_sampling)
+        return app
+
+    def is_busy(self) -> bool:
+        """Return whether anything runs or waits."""
+        return bool(self.batch.running or self.batch.waiting)
+
+    async def _start_sampling(self, _app: web.Application) -> None:
+        """Note the load now and then, for the lagging report."""
+        loop = asyncio.get_running_loop()
+
+        def sample() -> None:
+            self._load.record(self.batch.running, self.batch.waiting, time.monotonic())
+            loop.call_later(_LOAD_SAMPLE_SECONDS, sample)
+
+        sample()
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        """Run a completion, always streamed."""
+        body = json.loads(await request.read())
+        prompt = prompt_of(body)
+        marks = read_marks(prompt, body.get("max_tokens"))
+        model = str(body.get("model"))
+        full = self.batch.waiting >= self._waiting_limit
+        if full or self._refuse_next or "refuse" in marks.flags:
+            self._refuse_next = max(0, self._refuse_next - 1)
+            return _not_started("busy")
+        if model not in self.models:
+            return _not_started(f"model {model} is not loaded")
+        attempt_id = request.headers.get("X-Attempt-Id") or os.urandom(8).hex()
+        if attempt_id in self._streams:
+            return web.json_response({"error": "this attempt id has run"}, status=409)
+        now_seconds = time.monotonic()
+        cached_tokens = self._cache.use(prompt, now_seconds)
+        stream = _Stream(attempt_id, marks, model, cached_tokens)
+        self._streams[attempt_id] = stream
+        self._forget_old_streams()
+        self._runs.setdefault(marks.mark, Counter())["started"] += 1
+        uncached = max(0, marks.prompt_tokens - cached_tokens)
+        self.batch.submit(attempt_id, uncached, marks.output_tokens, now_seconds)
+        self._schedule()
+        limit = _SILENT_AFTER_EVENTS if "silent" in marks.flags else None
+        return await self._relay(request, stream, 0, limit)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        """Go on with a stream after the last event that the reader has."""
+        stream = self._streams.get(request.match_info["attempt_id"])
+        if stream is None:
+            return web.json_response({"error": "unknown stream"}, status=404)
+        position = int(request.headers.get("Last-Event-ID", "-1")) + 1
+        return await self._relay(request, stream, position, None)
+
+    async def _cancel(self, request: web.Request) -> web.StreamResponse:
+        """Stop a run; fine if it is over."""
+        stream = self._streams.get(request.match_info["attempt_id"])
+        if stream is None:
+            return web.json_response({"error": "unknown stream"}, status=404)
+        self._advance()
+        if self.batch.cancel(stream.attempt_id, time.monotonic()):
+            self._runs[stream.marks.mark]["cancelled"] += 1
+            stream.over = True
+            stream.wake()
+            self._schedule()
+        return web.Response(status=204)
+
+    async def _relay(
+        self,
+        request: web.Request,
+        stream: _Stream,
+        position: int,
+        limit: int | None,
+    ) -> web.StreamResponse:
+        """Write events from a position on until the stream is over."""
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        while True:
+            changed = stream.changed
+            if limit is not None and len(stream.events) > limit:
+                await response.write(b"".join(stream.events[position:limit]))
+                await asyncio.sleep(3600)
+            if position < len(stream.events):
+                chunk = b"".join(stream.events[position:])
+                position = len(stream.events)
+                await response.write(chunk)
+            if stream.over and position >= len(stream.events):
+                break
+            if stream.changed is changed:
+                await changed.wait()
+        await response.write_eof()
+        return response
+
+    def _schedule(self) -> None:
+        """Wake up when the batch has something to say next."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due_seconds = self.batch.next_due_seconds()
+        if due_seconds is not None:
+            delay = max(0.0, due_seconds - time.monotonic())
+            self._timer = asyncio.get_running_loop().call_later(delay, self._tick)
+
+    def _tick(self) -> None:
+        """Pass on what the batch has done."""
+        self._advance()
+        self._schedule()
+
+    def _advance(self) -> None:
+        """Turn the batch's progress into events."""
+        for progress in self.batch.advance(time.monotonic()):
+            stream = self._streams[progress.attempt_id]
+            if "crash" in stream.marks.flags:
+                os._exit(CRASH_EXIT_CODE)
+            self._append(stream, progress)
+            stream.wake()
+
+    def _append(self, stream: _Stream, progress: Progress) -> None:
+        """Add the events of one step of a run, and book its service."""
+        marks = stream.marks
+        service = self._service.setdefault(marks.customer, Counter())
+        if not stream.output_tokens:
+            service["prompt_tokens"] += marks.prompt_tokens
+            service["cached_prompt_tokens"] += stream.cached_tokens
+        service["output_tokens"] += progress.output_tokens - stream.output_tokens
+        text = answer_text(marks.mark, stream.output_tokens, progress.output_tokens)
+        reason = "stop" if progress.finished else None
+        choice = {"index": 0, "text": text, "finish_reason": reason}
+        choice["delta"] = {"content": text}
+        _add_event(stream, {"model": stream.model, "choices": [choice]})
+        stream.output_tokens = progress.output_tokens
+        if progress.finished:
+            self._finish(stream)
+
+    def _finish(self, stream: _Stream) -> None:
+        """Add the usage and the end mark."""
+        usage = {
+            "prompt_tokens": stream.marks.prompt_tokens,
+            "completion_tokens": stream.output_tokens,
+            "total_tokens": stream.marks.prompt_tokens + stream.output_tokens,
+            "prompt_tokens_details": {"cached_tokens": stream.cached_tokens},
+        }
+        _add_event(stream, {"model": stream.model, "choices": [], "usage": usage})
+        stream.events.append(b"id: %d\ndata: [DONE]\n\n" % len(stream.events))
+        stream.over = True
+        self._runs[stream.marks.mark]["completed"] += 1
+        self._service[stream.marks.customer]["completed"] += 1
+
+    def _forget_old_streams(self) -> None:
+        """Keep only the latest streams that are over."""
+        surplus = len(self._streams) - _KEPT_STREAMS
+        if surplus > 0:
+            over = [key for key, stream in self._streams.items() if stream.over]
+            for key in over[:surplus]:
+                del self._streams[key]
+
+    async def _report_load(self, _request: web.Request) -> web.Response:
+        """Say what the load was some time ago."""
+        running, waiting, age = self._load.report(time.monotonic())
+        return web.json_response(
+            {
+                "running": running,
+                "waiting": waiting,
+                "capacity_slots": self.batch.capacity_slots,
+                "age_seconds": age,
+            }
+        )
+
+    async def _report_cache_events(self, request: web.Request) -> web.Response:
+        """Say what was stored and evicted, late and with gaps."""
+        after = int(request.query.get("after", "0"))
+        events = self._cache.events(after, time.monotonic())
+        return web.json_response({"events": [asdict(event) for event in events]})
+
+    async def _take_order(self, request: web.Request) -> web.Response:
+        """Load or unload a model, or change an adapter, version or role."""
+        order = json.loads(await request.read())
+        if order["order_id"] in self._orders:
+            return web.json_response({"status": "done before"})
+        if order["kind"] not in _ORDER_KINDS:
+            return web.json_response({"error": "unknown kind"}, status=400)
+        if self._checks_fencing and order["fencing_number"] < self._fencing_number:
+            return web.json_response(
+                {"error": "old fencing number"},
+                status=409,
+                headers={"X-Refused": "fencing"},
+            )
+        self._fencing_number = max(self._fencing_number, order["fencing_number"])
+        self._orders[order["order_id"]] = order
+        if order["kind"] == "load":
+            await asyncio.sleep(self._load_seconds)
+            self.models.add(order["subject"])
+        elif order["kind"] == "unload":
+            self.models.discard(order["subject"])
+        return web.json_response({"status": "done"})
+
+    async def _export_kv(self, request: web.Request) -> web.Response:
+        """Return the KV cache of a prefix."""
+        prefix = request.match_info["prefix"]
+        if prefix not in self._cache:
+            return web.json_response({"error": "not cached"}, status=404)
+        return web.Response(body=self._kv.get(prefix, prefix.encode()))
+
+    async def _import_kv(self, request: web.Request) -> web.Response:
+        """Take the KV cache of a prefix."""
+        prefix = request.match_info["prefix"]
+        self._kv[prefix] = await request.read()
+        self._cache.store(prefix, time.monotonic())
+        return web.Response(status=204)
+
+    async def _report_counts(self, request: web.Request) -> web.Response:
+        """Say what ran, by customer, and by mark unless ``?marks=0``."""
+        self._tick()
+        report: dict[str, Any] = {
+            "kind": "model",
+            "capacity_slots": self.batch.capacity_slots,
+            "busy_slot_seconds": self.batch.busy_slot_seconds,
+            "running": self.batch.running,
+            "waiting": self.batch.waiting,
+            "service": self._service,
+            "orders": list(self._orders.values()),
+        }
+        if request.query.get("marks") != "0":
+            report["marks"] = self._runs
+        return web.json_response(report)
+
+    async def _take_faults(self, request: web.Request) -> web.Response:
+        """Refuse the next requests: ``{"refuse_next": n}``."""
+        faults = json.loads(await request.read())
+        self._refuse_next = int(faults.get("refuse_next", 0))
+        return web.Response(status=204)
+
+
+def _add_event(stream: _Stream, data: dict[str, Any]) -> None:
+    """Add one server-sent event with its number."""
+    event = b"id: %d\ndata: %s\n\n" % (len(stream.events), json.dumps(data).encode())
+    stream.events.append(event)
+
+
+def _not_started(why: str) -> web.Response:
+    """Return the refusal that proves that nothing was started."""
+    return web.json_response(
+        {"error": why}, status=503, headers={"X-Not-Started": "true"}
+    )
+
+
+def main() -> None:
+    """Run a stand-in engine until SIGTERM."""
+    parser = make_parser("A stand-in for a model engine.")
+    parser.add_argument("--models", required=True, help="names, separated by commas")
+    parser.add_argument(
+        "--tokens-per-second", type=float, default=200.0, help="of each request"
+    )
+    parser.add_argument("--prompt-tokens-per-second", type=float, default=20_000.0)
+    parser.add_argument("--event-seconds", type=float, default=0.05)
+    parser.add_argument("--cache-blocks", type=int, default=512)
+    parser.add_argument("--waiting-limit", type=int, default=64)
+    parser.add_argument("--load-lag-seconds", type=float, default=1.0)
+    parser.add_argument("--load-seconds", type=float, default=0.5)
+    parser.add_argument("--checks-fencing", action="store_true")
+    options = parser.parse_args()
+    engine = Engine(options)
+    models = tuple(options.models.split(","))
+    run_target(options, "model", models, engine.make_app(), engine.is_busy)
+
+
+if __name__ == "__main__":
+    main()
