Replace the first guess of fair service's messages

Cause: grants per target with their own expiry need a renewal each, which grows with the targets. Change: one report and one answer per pair of instances, each numbered, rows only where something changed, a full form for gaps; the lease of everything held runs from the report that the answer names. Conclusion: the types first, so that others can code against them.

--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -60,57 +60,135 @@
 # --- fair service --------------------------------------------------------------
 
 
-class CustomerTotals(Struct, frozen=True, array_like=True):
-    """One customer's totals at one router."""
+class ServedRow(Struct, frozen=True, array_like=True):
+    """A customer's service through the sender, counted since the term began."""
 
     customer_id: str
     served_cost_units: float
-    in_flight_cost_units: float
+
+
+class DemandRow(Struct, frozen=True, array_like=True):
+    """What waits at the sender for one customer and resource; zeros end it."""
+
+    customer_id: str
+    resource: str
     waiting_requests: int
     waiting_cost_units: float
 
 
-class RouterReport(Struct, frozen=True, tag=True):
-    """A router's totals for those customers whose account changed.
+class AdjustmentRow(Struct, frozen=True, array_like=True):
+    """A lift or clamp of a customer's virtual time; the larger version holds."""
 
-    ``resource`` names the model or service that the work waits for.
-    """
+    customer_id: str
+    version: int
+    virtual_time: float
 
-    resource: str
-    totals: tuple[CustomerTotals, ...]
 
+class HoldingRow(Struct, frozen=True, array_like=True):
+    """How many slots of a target the sender keeps and how many of them run."""
 
-class SlotGrant(Struct, frozen=True, tag=True):
-    """A router may run this many requests at once on a target until the expiry.
+    target_id: str
+    slots: int
+    running: int
 
-    ``epoch`` grows with each allocator of a data centre; grants of an older epoch
-    are ignored. ``grant_sequence`` orders the grants of one epoch.
-    """
 
-    epoch: int
-    grant_sequence: int
+class PoolReport(Struct, frozen=True, array_like=True):
+    """Rows of one pool that changed; a pool is resources that share targets."""
+
+    pool: str
+    served: tuple[ServedRow, ...] = ()
+    demands: tuple[DemandRow, ...] = ()
+    adjustments: tuple[AdjustmentRow, ...] = ()
+    virtual_times: tuple[tuple[str, float], ...] = ()
+
+
+class WantedRow(Struct, frozen=True, array_like=True):
+    """How fast requests of a customer with limits enter, for splitting them."""
+
+    customer_id: str
+    requests_per_second: float
+
+
+class PaceRow(Struct, frozen=True, array_like=True):
+    """Completions on a target since the term began, for its window."""
+
     target_id: str
-    target_incarnation: int
-    slots: int
-    expires_in_seconds: float
+    completions: int
+    cost_units: float
+    busy_seconds: float
 
 
-class SlotReturn(Struct, frozen=True, tag=True):
-    """A router uses only this many of its granted slots; take the rest back."""
+class ShareReport(Struct, frozen=True, tag=True):
+    """What a router tells its allocator, and an allocator those of other places.
+
+    ``term`` grows whenever the sender starts anew with this receiver;
+    ``sequence`` counts within it. ``full`` says that rows left out are zero.
+    ``grants_seen`` is the last ``SlotGrants`` applied without a gap.
+    ``data_centre`` is set by an allocator that reports for its whole place.
+    """
+
+    term: int
+    sequence: int
+    grants_seen: int
+    data_centre: str = ""
+    full: bool = False
+    wants_full: bool = False
+    pools: tuple[PoolReport, ...] = ()
+    holdings: tuple[HoldingRow, ...] = ()
+    wanted: tuple[WantedRow, ...] = ()
+    paces: tuple[PaceRow, ...] = ()
+
+
+class GrantRow(Struct, frozen=True, array_like=True):
+    """The receiver may run this many requests at once on a target."""
 
-    epoch: int
-    grant_sequence: int
     target_id: str
     slots: int
 
 
-class FairShareNews(Struct, frozen=True, tag=True):
-    """The allocator's view: smallest backlogged virtual time and those near it."""
+class StandingRow(Struct, frozen=True, array_like=True):
+    """A customer's virtual time, and what of the receiver's service is in it."""
 
-    epoch: int
-    resource: str
+    customer_id: str
+    virtual_time: float
+    counted_cost_units: float
+
+
+class PoolNews(Struct, frozen=True, array_like=True):
+    """Whether work waits for slots in a pool, and from which virtual time on.
+
+    ``marginal_rise_per_second`` is how fast the marginal virtual time grows.
+    """
+
+    pool: str
+    contended: bool
     marginal_virtual_time: float
-    virtual_times: tuple[tuple[str, float], ...]
+    marginal_rise_per_second: float
+    standings: tuple[StandingRow, ...] = ()
+
+
+class LimitShareRow(Struct, frozen=True, array_like=True):
+    """The receiver's fraction of a customer's fleet-wide limits."""
+
+    customer_id: str
+    fraction: float
+
+
+class SlotGrants(Struct, frozen=True, tag=True):
+    """An allocator's answer to a report: renewal, grants and news.
+
+    The receiver's lease on all that it holds runs from when it sent the report
+    ``report_seen``, so that neither delay nor one-way loss can stretch it.
+    """
+
+    term: int
+    sequence: int
+    report_seen: int
+    full: bool = False
+    wants_full: bool = False
+    grants: tuple[GrantRow, ...] = ()
+    pools: tuple[PoolNews, ...] = ()
+    limits: tuple[LimitShareRow, ...] = ()
 
 
 # --- replicated log ------------------------------------------------------------
@@ -174,10 +252,8 @@
     | TargetNews
     | TreeUpdate
     | TreeWanted
-    | RouterReport
-    | SlotGrant
-    | SlotReturn
-    | FairShareNews
+    | ShareReport
+    | SlotGrants
     | LogPayload
     | ProposalRequest
     | ProposalReply
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -6,14 +6,20 @@
 
 from sesameford.codec import decode_envelope, encode_envelope
 from sesameford.errors import PeerError
-from sesameford.messages import CustomerTotals, Envelope, Heartbeat, RouterReport
+from sesameford.messages import (
+    Envelope,
+    Heartbeat,
+    PoolReport,
+    ServedRow,
+    ShareReport,
+)
 from sesameford.tables import InstanceState
 
 
 def test_an_envelope_survives_the_wire():
     messages = (
         Heartbeat("a", InstanceState.READY, 7),
-        RouterReport("m", (CustomerTotals("c", 1.0, 2.0, 3, 4.0),)),
+        ShareReport(1, 2, 3, pools=(PoolReport("m", (ServedRow("c", 4.0),)),)),
     )
     envelope = Envelope("e1", 1, 2, messages)
     assert decode_envelope(encode_envelope(envelope)) == envelope
