--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of sesameford on one machine."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for those who work on sesameford: demo, load and capacity."""
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,424 @@
+"""Starts daemons and stand-ins as plain processes on loopback, and reaps them.
+
+A daemon starts no process itself; the demo and the bench do, through this module.
+Every process that it ends is its own child, ended by its id.
+"""
+
+import asyncio
+import os
+import secrets
+import signal
+import socket
+import sys
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from hashlib import sha256
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import yaml
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from tools.relay import Relay
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+OPERATOR = "demo"
+_READY_SECONDS = 40.0
+_STOP_SECONDS = 45.0
+_POLL_SECONDS = 0.1
+
+
+class FleetError(Exception):
+    """A process of the fleet did not do what was asked of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What a deployment consists of; instances and targets go round the places."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    instances: int
+    replicas: int
+    engines: int
+    services: int
+    models: tuple[str, ...] = ("letters",)
+    service_names: tuple[str, ...] = ("roster",)
+    one_way_seconds: float = 0.001
+    engine_slots: int = 8
+    tokens_per_second: float = 200.0
+    service_slots: int = 8
+
+
+DESK = Shape("desk", ("a", "b", "c"), 8, 3, 9, 3, one_way_seconds=0.0012)
+CONSORTIUM = Shape(
+    "consortium",
+    ("a", "b", "c", "d"),
+    8,
+    5,
+    6,
+    4,
+    models=("summaries",),
+    service_names=("records",),
+    one_way_seconds=0.0005,
+)
+
+
+@dataclass(slots=True)
+class Member:
+    """A process of the fleet and how to reach it."""
+
+    member_id: str
+    kind: str
+    data_centre: str
+    command: tuple[str, ...]
+    log_file: Path
+    url: str
+    operators_url: str = ""
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id of the running process."""
+        assert self.process is not None
+        return self.process.pid
+
+    @property
+    def alive(self) -> bool:
+        """Return whether its process runs."""
+        return self.process is not None and self.process.returncode is None
+
+
+@dataclass(frozen=True, slots=True)
+class Keys:
+    """Keys made for one run."""
+
+    operator: str = field(default_factory=lambda: secrets.token_hex(16))
+    platform: str = field(default_factory=lambda: secrets.token_hex(16))
+    shared: str = field(default_factory=lambda: secrets.token_hex(32))
+
+
+def digest_of(key: str) -> str:
+    """Return the digest under which a key stands in settings."""
+    return sha256(key.encode()).hexdigest()
+
+
+def free_ports(count: int) -> Sequence[int]:
+    """Return ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((HOST, 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+class Fleet:
+    """The daemons, stand-ins and links of one run.
+
+    Args:
+        shape: What to start.
+        folder: An empty folder for settings, logs, traces and data.
+    """
+
+    def __init__(self, shape: Shape, folder: Path) -> None:
+        self.shape = shape
+        self.folder = folder
+        self.keys = Keys()
+        self.instances: dict[str, Member] = {}
+        self.targets: dict[str, Member] = {}
+        self._relays: dict[tuple[str, str], Relay] = {}
+        self._relay_ports: dict[tuple[str, str], int] = {}
+        self._peer_addresses: dict[str, str] = {}
+        self.exit_codes: dict[str, int] = {}
+
+    async def __aenter__(self) -> "Fleet":
+        try:
+            await self.start()
+        except BaseException:
+            await self.reap()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.reap()
+
+    @property
+    def operators_file(self) -> Path:
+        """Return the file that holds the operator's key, for the tool."""
+        return self.folder / "operator.key"
+
+    async def start(self) -> None:
+        """Write all settings and start everything."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        _write_secret(self.folder / "shared.key", self.keys.shared)
+        _write_secret(self.operators_file, self.keys.operator)
+        self._plan_instances()
+        self._plan_relays()
+        for relay in self._relays.values():
+            await relay.start()
+        for member in self.instances.values():
+            self._write_settings(member)
+        self._plan_targets()
+        for member in self.members():
+            await self.launch(member)
+
+    def members(self) -> Iterator[Member]:
+        """Return every daemon and stand-in."""
+        yield from self.instances.values()
+        yield from self.targets.values()
+
+    async def launch(self, member: Member) -> None:
+        """Start a member's process."""
+        with member.log_file.open("ab") as log:
+            member.process = await asyncio.create_subprocess_exec(
+                *member.command,
+                cwd=ROOT,
+                env=os.environ | {"PYTHONPATH": str(ROOT)},
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def wait_ready(self, members: Sequence[Member] | None = None) -> None:
+        """Wait until every instance says that it is ready.
+
+        Raises:
+            FleetError: One ended or stayed not ready; the text names its log.
+        """
+        async with ClientSession(timeout=ClientTimeout(total=2)) as session:
+            for member in members or list(self.instances.values()):
+                await self._wait_one(session, member)
+
+    async def _wait_one(self, session: ClientSession, member: Member) -> None:
+        """Wait until one instance says that it is ready."""
+        give_up_at = asyncio.get_running_loop().time() + _READY_SECONDS
+        said = "nothing"
+        while asyncio.get_running_loop().time() < give_up_at:
+            if not member.alive:
+                raise FleetError(f"{member.member_id} ended, see {member.log_file}")
+            try:
+                async with session.get(f"{member.url}/readyz") as response:
+                    if response.status == 200:
+                        return
+                    said = f"{response.status} {(await response.text())[:200]}"
+            except (ClientError, TimeoutError, OSError) as error:
+                said = str(error)
+            await asyncio.sleep(_POLL_SECONDS)
+        raise FleetError(
+            f"{member.member_id} is not ready ({said}), see {member.log_file}"
+        )
+
+    async def kill(self, member: Member) -> None:
+        """End a process at once, as a crash does."""
+        if member.alive:
+            assert member.process is not None
+            member.process.kill()
+            await member.process.wait()
+
+    async def stop(self, member: Member) -> int:
+        """Ask a process to stop and return its exit code.
+
+        Raises:
+            FleetError: It did not stop in time and was killed.
+        """
+        assert member.process is not None
+        if member.alive:
+            member.process.send_signal(signal.SIGTERM)
+        try:
+            code = await asyncio.wait_for(member.process.wait(), _STOP_SECONDS)
+        except TimeoutError as error:
+            await self.kill(member)
+            raise FleetError(
+                f"{member.member_id} did not stop, see {member.log_file}"
+            ) from error
+        self.exit_codes[member.member_id] = code
+        return code
+
+    async def stop_all(self) -> Mapping[str, int]:
+        """Stop the targets, then the instances, gracefully; return exit codes."""
+        for group in (self.targets, self.instances):
+            alive = [member for member in group.values() if member.alive]
+            await asyncio.gather(*(self.stop(member) for member in alive))
+        return self.exit_codes
+
+    async def restart_empty(self, member: Member, down_seconds: float) -> None:
+        """Kill an instance and start it again; it keeps only its data folder."""
+        await self.kill(member)
+        await asyncio.sleep(down_seconds)
+        await self.launch(member)
+
+    def cut(self, data_centre: str) -> None:
+        """Separate a data centre from all others, silently."""
+        for relay in self._relays_of(data_centre):
+            relay.cut()
+
+    def heal(self, data_centre: str) -> None:
+        """Join a data centre to the others again."""
+        for relay in self._relays_of(data_centre):
+            relay.heal()
+
+    def instances_in(self, data_centre: str) -> Sequence[Member]:
+        """Return the instances of a data centre."""
+        return [
+            member
+            for member in self.instances.values()
+            if member.data_centre == data_centre
+        ]
+
+    async def reap(self) -> None:
+        """Kill what still runs, and close the links."""
+        for member in self.members():
+            await self.kill(member)
+        for relay in self._relays.values():
+            await relay.stop()
+
+    def _relays_of(self, data_centre: str) -> Iterator[Relay]:
+        """Return the links that lead into or out of a data centre."""
+        for (source, destination_id), relay in self._relays.items():
+            into = self.instances[destination_id].data_centre == data_centre
+            if source == data_centre or into:
+                yield relay
+
+    def _plan_instances(self) -> None:
+        """Choose names, places and ports of the daemons."""
+        ports = iter(free_ports(3 * self.shape.instances))
+        places = self.shape.data_centres
+        for position in range(self.shape.instances):
+            place = places[position % len(places)]
+            member_id = f"r{position + 1}-{place}"
+            settings_file = self.folder / f"{member_id}.yaml"
+            self.instances[member_id] = Member(
+                member_id=member_id,
+                kind="instance",
+                data_centre=place,
+                command=(
+                    sys.executable,
+                    "-m",
+                    "sesameford.daemon",
+                    "--settings",
+                    str(settings_file),
+                ),
+                log_file=self.folder / f"{member_id}.log",
+                url=f"http://{HOST}:{next(ports)}",
+                operators_url=f"http://{HOST}:{next(ports)}",
+            )
+            self._peer_addresses[member_id] = f"{HOST}:{next(ports)}"
+
+    def _plan_relays(self) -> None:
+        """Put a link before each instance for each other data centre."""
+        pairs = [
+            (source, member)
+            for member in self.instances.values()
+            for source in self.shape.data_centres
+            if source != member.data_centre
+        ]
+        for port, (source, member) in zip(free_ports(len(pairs)), pairs, strict=True):
+            host, far_port = self._peer_addresses[member.member_id].split(":")
+            self._relays[source, member.member_id] = Relay(
+                HOST, port, (host, int(far_port)), self.shape.one_way_seconds
+            )
+            self._relay_ports[source, member.member_id] = port
+
+    def _write_settings(self, member: Member) -> None:
+        """Write the settings file of a daemon."""
+        replicas = list(self.instances)[: self.shape.replicas]
+        member_id = member.member_id
+        settings: dict[str, Any] = {
+            "instance_id": member_id,
+            "data_centre": member.data_centre,
+            "listen": {
+                "callers": member.url.removeprefix("http://"),
+                "operators": member.operators_url.removeprefix("http://"),
+                "peers": self._peer_addresses[member_id],
+            },
+            "peers": [
+                {
+                    "instance_id": peer.member_id,
+                    "data_centre": peer.data_centre,
+                    "peers": self._address_from(member.data_centre, peer),
+                    "has_disk": peer.member_id in replicas,
+                }
+                for peer in self.instances.values()
+                if peer is not member
+            ],
+            "operators": [
+                {"name": OPERATOR, "key_digest": digest_of(self.keys.operator)}
+            ],
+            "shared_key_file": str(self.folder / "shared.key"),
+            "platform_key_digest": digest_of(self.keys.platform),
+            "logging": {"level": "INFO", "format": "json"},
+            "tracing": {"file": str(self.folder / f"{member_id}.spans.jsonl")},
+        }
+        if member_id in replicas:
+            data_folder = self.folder / f"{member_id}.data"
+            data_folder.mkdir()
+            settings["data_folder"] = str(data_folder)
+        file = self.folder / f"{member_id}.yaml"
+        file.write_text(yaml.safe_dump(settings, sort_keys=False), encoding="utf-8")
+
+    def _address_from(self, data_centre: str, peer: Member) -> str:
+        """Return where an instance in a data centre reaches a peer."""
+        if peer.data_centre == data_centre:
+            return self._peer_addresses[peer.member_id]
+        return f"{HOST}:{self._relay_ports[data_centre, peer.member_id]}"
+
+    def _plan_targets(self) -> None:
+        """Choose names, places and ports of the stand-ins."""
+        shape = self.shape
+        ports = iter(free_ports(shape.engines + shape.services))
+        for position in range(shape.engines):
+            arguments: tuple[str, ...] = (
+                f"--models={','.join(shape.models)}",
+                f"--capacity={shape.engine_slots}",
+                f"--tokens-per-second={shape.tokens_per_second}",
+            )
+            self._plan_target("engine", position, next(ports), arguments)
+        for position in range(shape.services):
+            arguments = (
+                f"--serves={','.join(shape.service_names)}",
+                f"--capacity={shape.service_slots}",
+            )
+            self._plan_target("service", position, next(ports), arguments)
+
+    def _plan_target(
+        self, kind: str, position: int, port: int, arguments: tuple[str, ...]
+    ) -> None:
+        """Plan one stand-in, which announces itself in its own data centre."""
+        place = self.shape.data_centres[position % len(self.shape.data_centres)]
+        member_id = f"{kind}{position + 1}-{place}"
+        near = [member.operators_url for member in self.instances_in(place)]
+        self.targets[member_id] = Member(
+            member_id=member_id,
+            kind=kind,
+            data_centre=place,
+            command=(
+                sys.executable,
+                "-m",
+                f"standins.{kind}",
+                f"--port={port}",
+                f"--target-id={member_id}",
+                f"--data-centre={place}",
+                f"--platform-key={self.keys.platform}",
+                "--announce",
+                *near,
+                *arguments,
+            ),
+            log_file=self.folder / f"{member_id}.log",
+            url=f"http://{HOST}:{port}",
+        )
+
+
+def _write_secret(file: Path, secret: str) -> None:
+    """Write a key that only this user may read."""
+    file.touch(mode=0o600)
+    file.write_text(secret + "\n", encoding="utf-8")
