--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -264,11 +264,17 @@
 
 
 class Envelope(Struct, frozen=True):
-    """What one instance sends another in one datagram of the link."""
+    """What one instance sends another in one datagram of the link.
+
+    ``acknowledged`` is the incarnation and sequence of the newest envelope that the
+    sender has from the receiver, so that either side notices when what it sends no
+    longer arrives although it still hears the other.
+    """
 
     sender_id: str
     incarnation: int
     sequence: int
+    acknowledged: tuple[int, int]
     messages: tuple[Message, ...]
 
 
--- /dev/null
+++ b/sesameford/metrics.py
@@ -0,0 +1,73 @@
+"""Everything that an instance counts, under its public name."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+SECONDS_BUCKETS = (
+    0.001,
+    0.003,
+    0.01,
+    0.03,
+    0.1,
+    0.3,
+    1.0,
+    3.0,
+    10.0,
+    30.0,
+    100.0,
+    float("inf"),
+)
+
+
+class Metrics:
+    """The metrics of one instance and the registry that renders them."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = self._counter(
+            "sesameford_requests_total", "Answered requests by customer and outcome"
+        )
+        self.refusals = self._counter(
+            "sesameford_refusals_total", "Requests told not-run, by reason"
+        )
+        self.cost_units = self._counter(
+            "sesameford_cost_units_total", "Cost units of service by customer"
+        )
+        self.retries = self._counter(
+            "sesameford_retries_total", "Attempts made again, by reason"
+        )
+        self.control_bytes = self._counter(
+            "sesameford_control_bytes_total", "Bytes between instances, by direction"
+        )
+        self.control_cpu_seconds = self._counter(
+            "sesameford_control_cpu_seconds_total", "Processor time spent on control"
+        )
+        self.waiting = self._gauge(
+            "sesameford_waiting_requests", "Requests that wait here"
+        )
+        self.running = self._gauge(
+            "sesameford_running_attempts", "Attempts that run from here"
+        )
+        self.revision = self._gauge(
+            "sesameford_tree_revision", "Revision of the tree in force here"
+        )
+        self.live_instances = self._gauge(
+            "sesameford_live_instances", "Other instances heard of late"
+        )
+        self.usable_targets = self._gauge(
+            "sesameford_usable_targets", "Targets that may get new work"
+        )
+        self.wait_seconds = self._histogram(
+            "sesameford_wait_seconds", "From arrival to dispatch"
+        )
+        self.first_byte_seconds = self._histogram(
+            "sesameford_first_byte_seconds", "From dispatch to the first byte"
+        )
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(name, doc, registry=self.registry, buckets=SECONDS_BUCKETS)
--- /dev/null
+++ b/sesameford/model_adapter.py
@@ -0,0 +1,100 @@
+"""Speaks the completions dialect with a model engine."""
+
+from typing import Any
+
+from aiohttp import ClientConnectorError, ClientError, ClientResponse, ClientSession
+from msgspec.json import encode
+
+from sesameford.errors import TargetLostError, TargetRefusedError
+from sesameford.tables import Attempt, Target
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+NOT_STARTED_HEADER = "X-Not-Started"
+
+
+def engine_body(body: dict[str, Any]) -> bytes:
+    """Return the body for the engine: always streamed, always with usage."""
+    options = body.get("stream_options")
+    options = {**options} if isinstance(options, dict) else {}
+    options["include_usage"] = True
+    return encode({**body, "stream": True, "stream_options": options})
+
+
+async def open_completion(
+    session: ClientSession,
+    target: Target,
+    attempt: Attempt,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+) -> ClientResponse:
+    """Send a completion request and return the answer at its headers.
+
+    Raises:
+        TargetRefusedError: The engine provably did not start the request.
+        TargetLostError: The exchange broke; the request may have run.
+    """
+    headers = {
+        **headers,
+        ATTEMPT_HEADER: attempt.attempt_id,
+        "Content-Type": "application/json",
+    }
+    return await send_request(session, "POST", target.url + path, body, headers)
+
+
+async def resume_completion(
+    session: ClientSession, target: Target, attempt: Attempt, last_event_id: int
+) -> ClientResponse:
+    """Ask the engine for the rest of a stream, on a new connection.
+
+    Raises:
+        TargetRefusedError: The engine can't be reached.
+        TargetLostError: It does not know the stream or the exchange broke.
+    """
+    url = f"{target.url}/v1/streams/{attempt.attempt_id}"
+    headers = {"Last-Event-ID": str(last_event_id), "Connection": "close"}
+    response = await send_request(session, "GET", url, None, headers)
+    if response.status != 200:
+        response.close()
+        raise TargetLostError(f"resume was answered with status {response.status}")
+    return response
+
+
+async def cancel_completion(
+    session: ClientSession, target: Target, attempt_id: str
+) -> None:
+    """Tell the engine to stop an attempt; a failure to tell is left alone."""
+    url = f"{target.url}/v1/streams/{attempt_id}"
+    try:
+        async with session.delete(url):
+            pass
+    except (ClientError, TimeoutError, OSError):
+        return
+
+
+async def send_request(
+    session: ClientSession,
+    method: str,
+    url: str,
+    body: bytes | None,
+    headers: dict[str, str],
+) -> ClientResponse:
+    """Send one request and return the answer at its headers.
+
+    Raises:
+        TargetRefusedError: No connection came about, or the target says that it
+            did not start the request.
+        TargetLostError: Anything else went wrong; the request may have run.
+    """
+    try:
+        response = await session.request(
+            method, url, data=body, headers=headers, allow_redirects=False
+        )
+    except ClientConnectorError as error:
+        raise TargetRefusedError(f"no connection: {error}") from error
+    except (ClientError, TimeoutError, OSError) as error:
+        raise TargetLostError(f"the exchange broke: {error!r}") from error
+    if response.status == 503 and response.headers.get(NOT_STARTED_HEADER) == "true":
+        response.close()
+        raise TargetRefusedError("the target did not start the request")
+    return response
--- /dev/null
+++ b/sesameford/peers.py
@@ -0,0 +1,213 @@
+"""Links between instances: pynng over TCP, one pushing socket a peer.
+
+Every link is treated as one that loses, doubles and reorders. Messages that are
+not urgent leave together a few times a second, because a send costs far more
+processor time than the bytes in it.
+"""
+
+import asyncio
+import hmac
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+from hashlib import sha256
+
+from pynng import Pull0, Push0, TLSConfig
+from pynng.exceptions import NNGException, TryAgain
+
+from sesameford.codec import MAX_ENVELOPE_BYTES, decode_envelope, encode_envelope
+from sesameford.errors import PeerError
+from sesameford.messages import Envelope, Message, Outgoing
+from sesameford.peer_state import PeerState, should_redial, take_envelope
+from sesameford.settings import DaemonSettings, Peer
+
+logger = logging.getLogger(__name__)
+
+FLUSH_SECONDS = 0.25
+URGENT_FLUSH_SECONDS = 0.005
+SEND_BUFFER_MESSAGES = 64
+MAC_BYTES = 32
+
+OnMessage = Callable[[str, int, Message], None]
+
+
+def seal(key: bytes, payload: bytes) -> bytes:
+    """Return a payload behind its keyed digest."""
+    return hmac.digest(key, payload, sha256) + payload
+
+
+def unseal(key: bytes, sealed: bytes) -> bytes:
+    """Return the payload of sealed bytes.
+
+    Raises:
+        PeerError: The digest is not of this key; the sender is no peer.
+    """
+    digest, payload = sealed[:MAC_BYTES], sealed[MAC_BYTES:]
+    if not hmac.compare_digest(digest, hmac.digest(key, payload, sha256)):
+        raise PeerError("a message without the deployment's key was refused")
+    return payload
+
+
+class PeerLinks:
+    """The sockets to and from all peers of one instance."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        incarnation: int,
+        key: bytes,
+        on_message: OnMessage,
+        now: Callable[[], float],
+        tls: tuple[TLSConfig, TLSConfig] | None = None,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._key = key
+        self._on_message = on_message
+        self._now = now
+        self._tls = tls
+        self._scheme = "tls+tcp" if tls else "tcp"
+        self._peers = {peer.instance_id: peer for peer in settings.peers}
+        self._states = {peer_id: PeerState(now()) for peer_id in self._peers}
+        self._sockets: dict[str, Push0] = {}
+        self._pending: dict[str, list[Message]] = {peer: [] for peer in self._peers}
+        self._listener: Pull0 | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._urgent: asyncio.TimerHandle | None = None
+        self._cut_off_from: frozenset[str] = frozenset()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.refused_messages = 0
+
+    async def start(self) -> None:
+        """Listen, dial every peer and begin to send batches.
+
+        Raises:
+            PeerError: The address can't be listened on.
+        """
+        address = f"{self._scheme}://{self._settings.listen.peers}"
+        self._listener = Pull0(
+            recv_max_size=MAX_ENVELOPE_BYTES + MAC_BYTES,
+            tls_config=self._tls[0] if self._tls else None,
+        )
+        try:
+            self._listener.listen(address)
+        except NNGException as error:
+            raise PeerError(f"can't listen on {address}: {error}") from error
+        for peer in self._peers.values():
+            self._dial(peer)
+        self._tasks = [
+            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._flush_regularly()),
+        ]
+
+    async def stop(self) -> None:
+        """Send what is pending and close all sockets."""
+        self.flush()
+        await asyncio.sleep(URGENT_FLUSH_SECONDS)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for socket in self._sockets.values():
+            socket.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    def send(self, outgoing: Outgoing) -> None:
+        """Put a message into the next batch, or send at once if it is urgent."""
+        receivers = (
+            list(self._peers)
+            if outgoing.receiver_id is None
+            else [outgoing.receiver_id]
+        )
+        for receiver_id in receivers:
+            if receiver_id in self._pending:
+                self._pending[receiver_id].append(outgoing.message)
+        if outgoing.urgent and self._urgent is None:
+            loop = asyncio.get_running_loop()
+            self._urgent = loop.call_later(URGENT_FLUSH_SECONDS, self.flush)
+
+    def flush(self) -> None:
+        """Send every pending message now."""
+        if self._urgent is not None:
+            self._urgent.cancel()
+            self._urgent = None
+        for peer_id, messages in self._pending.items():
+            if messages:
+                self._pending[peer_id] = []
+                self._send_envelope(peer_id, tuple(messages))
+
+    def _send_envelope(self, peer_id: str, messages: tuple[Message, ...]) -> None:
+        state = self._states[peer_id]
+        envelope = Envelope(
+            sender_id=self._settings.instance_id,
+            incarnation=self._incarnation,
+            sequence=state.next_sequence,
+            acknowledged=state.heard,
+            messages=messages,
+        )
+        self._states[peer_id] = replace(state, next_sequence=state.next_sequence + 1)
+        try:
+            sealed = seal(self._key, encode_envelope(envelope))
+            self._sockets[peer_id].send(sealed, block=False)
+            self.sent_bytes += len(sealed)
+        except TryAgain:
+            # The peer reads nothing: it is down or cut off. What waits for it is
+            # dropped, since totals of a later time will say all of it again.
+            logger.debug("peer %s takes no messages", peer_id)
+        except (NNGException, PeerError) as error:
+            logger.warning("could not send to peer %s: %s", peer_id, error)
+
+    async def _flush_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_SECONDS)
+            self.flush()
+            now_seconds = self._now()
+            for peer_id, peer in self._peers.items():
+                if should_redial(self._states[peer_id], now_seconds):
+                    self._dial(peer)
+
+    def _dial(self, peer: Peer) -> None:
+        old = self._sockets.pop(peer.instance_id, None)
+        if old is not None:
+            old.close()
+        socket = Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=100,
+            reconnect_time_max=1000,
+            tls_config=self._tls[1] if self._tls else None,
+        )
+        socket.dial(f"{self._scheme}://{peer.peers}", block=False)
+        self._sockets[peer.instance_id] = socket
+        state = self._states[peer.instance_id]
+        self._states[peer.instance_id] = replace(state, dialled_at_seconds=self._now())
+
+    async def _receive(self) -> None:
+        assert self._listener is not None
+        while True:
+            try:
+                sealed = await self._listener.arecv()
+            except NNGException as error:
+                logger.warning("receiving from peers failed: %s", error)
+                await asyncio.sleep(URGENT_FLUSH_SECONDS)
+                continue
+            self.received_bytes += len(sealed)
+            try:
+                self._take(decode_envelope(unseal(self._key, sealed)))
+            except PeerError as error:
+                self.refused_messages += 1
+                logger.warning("%s", error)
+
+    def _take(self, envelope: Envelope) -> None:
+        state = self._states.get(envelope.sender_id)
+        if state is None:
+            raise PeerError(f"{envelope.sender_id!r} is no peer of this instance")
+        new_state = take_envelope(state, envelope, self._incarnation, self._now())
+        if new_state is None:
+            return
+        self._states[envelope.sender_id] = new_state
+        for message in envelope.messages:
+            try:
+                self._on_message(envelope.sender_id, envelope.incarnation, message)
+            except Exception:
+                logger.exception("a message of %s failed", envelope.sender_id)
--- /dev/null
+++ b/sesameford/router.py
@@ -0,0 +1,164 @@
+"""Joins callers that wait with the scheduler's decisions."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from sesameford.effective import CustomerSettings, EffectiveTree
+from sesameford.errors import NotRunError
+from sesameford.members import Members
+from sesameford.messages import Outgoing
+from sesameford.metrics import Metrics
+from sesameford.scheduling import Scheduler
+from sesameford.tables import Attempt, Outcome, Request, Target, Usage
+from sesameford.targets import TargetRegistry
+
+logger = logging.getLogger(__name__)
+
+DEADLINE_RETRY_SECONDS = 1.0
+
+
+class Router:
+    """The tables of one instance and the waits of its callers."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        registry: TargetRegistry,
+        members: Members,
+        metrics: Metrics,
+        send: Callable[[Outgoing], None],
+        now: Callable[[], float],
+    ) -> None:
+        self.scheduler = scheduler
+        self.registry = registry
+        self.members = members
+        self.metrics = metrics
+        self.tree = EffectiveTree()
+        self.customers_by_digest: dict[str, CustomerSettings] = {}
+        self._send = send
+        self._now = now
+        self._waiters: dict[str, asyncio.Future[Attempt]] = {}
+        self._targets: dict[str, Target] = {}
+        self._pump_is_due = False
+
+    def configure(self, tree: EffectiveTree) -> None:
+        """Take a tree into force."""
+        self.tree = tree
+        self.customers_by_digest = {
+            digest: customer
+            for customer in tree.customers.values()
+            for digest in customer.key_digests
+        }
+        self.metrics.revision.set({}, tree.revision)
+        self.scheduler.configure(tree, self._now())
+        self.wake()
+
+    def target(self, attempt: Attempt) -> Target | None:
+        """Return the target of an attempt while it is the same incarnation."""
+        target = self._targets.get(attempt.target_id)
+        if target is None or target.incarnation != attempt.target_incarnation:
+            return None
+        return target
+
+    async def first_attempt(self, request: Request) -> Attempt:
+        """Queue a request and wait until it may run.
+
+        Raises:
+            NotRunError: A limit is reached, or the deadline passed while it waited.
+        """
+        self.scheduler.submit(request, self._now())
+        return await self._wait(request)
+
+    async def next_attempt(
+        self, request: Request, attempt: Attempt, reason: str
+    ) -> Attempt:
+        """Queue a request again whose attempt did not run, and wait.
+
+        Raises:
+            NotRunError: The deadline passed while it waited.
+        """
+        self.metrics.retries.inc({"reason": reason})
+        self.scheduler.retried(attempt.attempt_id, attempt.target_id, self._now())
+        return await self._wait(request)
+
+    def settle(self, attempt: Attempt, usage: Usage, outcome: Outcome) -> None:
+        """End an attempt and free its place."""
+        self.scheduler.settled(attempt.attempt_id, usage, outcome, self._now())
+        self.wake()
+
+    def progress(self, attempt: Attempt, usage: Usage) -> None:
+        """Tell the scheduler what a running attempt has used so far."""
+        self.scheduler.progressed(attempt.attempt_id, usage, self._now())
+
+    def wake(self) -> None:
+        """Decide soon, once for all events of this turn of the loop."""
+        if not self._pump_is_due:
+            self._pump_is_due = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def tick(self) -> None:
+        """Bring the tables up to date and decide."""
+        now_seconds = self._now()
+        self._targets = self.registry.usable(self.tree.targets, now_seconds)
+        live = self.members.live(now_seconds)
+        self.scheduler.observe_targets(self._targets, now_seconds)
+        self.scheduler.observe_instances(live, now_seconds)
+        self.metrics.live_instances.set({}, len(live))
+        self.metrics.usable_targets.set({}, len(self._targets))
+        self.metrics.waiting.set({}, self.scheduler.waiting_requests())
+        self.metrics.running.set({}, self.scheduler.running_attempts())
+        for request_id in self.scheduler.expired(now_seconds):
+            self._refuse(
+                request_id,
+                NotRunError(
+                    "deadline",
+                    "no place became free before the deadline",
+                    503,
+                    DEADLINE_RETRY_SECONDS,
+                ),
+            )
+        self.wake()
+
+    def refuse_waiting(self, error: NotRunError) -> None:
+        """Hand back every waiting request as not run, for a planned stop."""
+        for request_id in list(self._waiters):
+            self.scheduler.withdraw(request_id, self._now())
+            self._refuse(request_id, error)
+
+    async def _wait(self, request: Request) -> Attempt:
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[Attempt] = loop.create_future()
+        self._waiters[request.request_id] = waiter
+        self.wake()
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            # The caller went away. Where its place was given in the same turn of
+            # the loop, the attempt would count as running for ever and the slot be
+            # lost, so it is ended here.
+            self.scheduler.withdraw(request.request_id, self._now())
+            if waiter.done() and not waiter.cancelled() and not waiter.exception():
+                self.settle(waiter.result(), Usage(), Outcome.NOT_RUN)
+            raise
+        finally:
+            self._waiters.pop(request.request_id, None)
+
+    def _refuse(self, request_id: str, error: NotRunError) -> None:
+        waiter = self._waiters.get(request_id)
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(error)
+
+    def _pump(self) -> None:
+        self._pump_is_due = False
+        now_seconds = self._now()
+        for attempt in self.scheduler.decide(now_seconds):
+            waiter = self._waiters.get(attempt.request_id)
+            if waiter is None or waiter.done():
+                self.settle(attempt, Usage(), Outcome.NOT_RUN)
+            else:
+                waiter.set_result(attempt)
+        for outgoing in self.scheduler.outgoing(now_seconds):
+            self._send(outgoing)
+        for outgoing in self.registry.outgoing():
+            self._send(outgoing)
--- /dev/null
+++ b/sesameford/service_adapter.py
@@ -0,0 +1,79 @@
+"""Speaks plain HTTP with a service."""
+
+from aiohttp import ClientError, ClientResponse, ClientSession
+
+from sesameford.effective import ServiceSettings
+from sesameford.errors import TargetLostError
+from sesameford.model_adapter import ATTEMPT_HEADER, send_request
+from sesameford.tables import Attempt, Target
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+# Headers that belong to one connection, not to the message.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "authorization",
+    }
+)
+
+
+def is_repeatable(service: ServiceSettings, method: str, path: str) -> bool:
+    """Return whether a call may run more than once.
+
+    Args:
+        service: Its routes overrule the method's default, the longest prefix first.
+        method: The HTTP method.
+        path: The path behind the service's name, with a leading slash.
+    """
+    fitting = [
+        route
+        for route in service.routes
+        if route.method in (method, "*") and path.startswith(route.path_prefix)
+    ]
+    if fitting:
+        return max(fitting, key=lambda route: len(route.path_prefix)).repeatable
+    return method in IDEMPOTENT_METHODS
+
+
+async def open_call(
+    session: ClientSession,
+    target: Target,
+    attempt: Attempt,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+) -> ClientResponse:
+    """Send a call to a service and return the answer at its headers.
+
+    Raises:
+        TargetRefusedError: The service provably did not start the call.
+        TargetLostError: The exchange broke; the call may have run.
+    """
+    headers = {
+        **{k: v for k, v in headers.items() if k.lower() not in HOP_HEADERS},
+        ATTEMPT_HEADER: attempt.attempt_id,
+    }
+    return await send_request(session, method, target.url + path, body or None, headers)
+
+
+async def read_whole(response: ClientResponse) -> bytes:
+    """Return the body of an answer, complete or not at all.
+
+    Raises:
+        TargetLostError: The connection ended before the length or end mark.
+    """
+    try:
+        return await response.read()
+    except (ClientError, TimeoutError, OSError) as error:
+        response.close()
+        raise TargetLostError(f"the answer was cut: {error!r}") from error
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -21,7 +21,7 @@
         Heartbeat("a", InstanceState.READY, 7),
         ShareReport(1, 2, 3, pools=(PoolReport("m", (ServedRow("c", 4.0),)),)),
     )
-    envelope = Envelope("e1", 1, 2, messages)
+    envelope = Envelope("e1", 1, 2, (3, 4), messages)
     assert decode_envelope(encode_envelope(envelope)) == envelope
 
 
