--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,122 @@
+"""Requests that crash targets: few targets lost, no innocent punished."""
+
+from itertools import count
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesameford.suspects import Standing, Suspects, name_death
+
+POISON = b"poison"
+
+
+def spread(routers, now_seconds):
+    for sender in routers:
+        for news in sender.news(now_seconds):
+            for receiver in routers:
+                receiver.received(news, now_seconds)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    entries=st.lists(st.integers(0, 3), min_size=20, max_size=20),
+    company=st.integers(0, 6),
+)
+def test_a_poison_request_resent_twenty_times_costs_two_targets(entries, company):
+    """A request crashes each target that runs it, and its caller sends it again
+    through whatever router the balancer picks. Without a shared memory of it every
+    resend would take another target down."""
+    routers = [Suspects(300.0) for _ in range(4)]
+    incarnation = count(1)
+    lost = 0
+    innocents = [b"innocent-%d" % number for number in range(company)]
+    for number, entry in enumerate(entries):
+        now_seconds = float(number)
+        standing = routers[entry].standing(POISON, now_seconds)
+        if standing is not Standing.QUARANTINED:
+            lost += 1
+            death = name_death("t", next(incarnation))
+            alone = standing is Standing.SUSPECT
+            routers[entry].died(death, [POISON], now_seconds)
+            if not alone:
+                routers[(entry + 1) % 4].died(death, innocents, now_seconds)
+        spread(routers, now_seconds)
+    assert lost == 2
+    for router in routers:
+        assert router.standing(POISON, 20.0) is Standing.QUARANTINED
+        for innocent in innocents:
+            assert router.standing(innocent, 20.0) is Standing.SUSPECT
+            router.completed(innocent, 20.0)
+            assert router.standing(innocent, 20.0) is Standing.CLEAR
+
+
+def test_two_suspects_on_one_target_are_told_apart_before_one_is_refused():
+    """Two routers try one suspect each on the same target at once, and it dies. One
+    of the two requests is innocent, and refusing it would punish its caller."""
+    suspects = Suspects(300.0)
+    for death in ("t/1", "t/2"):
+        suspects.died(death, [POISON, b"innocent"], 0.0)
+    assert suspects.standing(POISON, 1.0) is Standing.SUSPECT
+    assert suspects.standing(b"innocent", 1.0) is Standing.SUSPECT
+    suspects.completed(b"innocent", 2.0)
+    suspects.died("t/3", [POISON], 3.0)
+    assert suspects.standing(b"innocent", 4.0) is Standing.CLEAR
+    assert suspects.standing(POISON, 4.0) is Standing.QUARANTINED
+
+
+def test_a_quarantine_ends_doubles_and_can_be_lifted():
+    suspects = Suspects(300.0)
+    for death in ("t/1", "t/2"):
+        suspects.died(death, [POISON], 0.0)
+    assert suspects.quarantined(100.0) == [(POISON, 200.0)]
+    assert suspects.standing(POISON, 301.0) is Standing.SUSPECT
+    suspects.died("t/3", [POISON], 302.0)
+    assert suspects.quarantine_left_seconds(POISON, 302.0) == 600.0
+    suspects.configure(300.0, lifted=[POISON])
+    assert suspects.standing(POISON, 303.0) is Standing.CLEAR
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["died", "completed"]),
+        st.integers(0, 2),
+        st.sampled_from([b"a", b"b", b"c"]),
+        st.integers(1, 4),
+    ),
+    max_size=25,
+)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(_STEPS, st.randoms(use_true_random=False))
+def test_routers_agree_whatever_order_the_news_takes(steps, random):
+    """Links lose, double and reorder. If routers came to different ends, a poison
+    request would be refused at one door and let in at the next."""
+    routers = [Suspects(300.0) for _ in range(3)]
+    for kind, entry, digest, death in steps:
+        if kind == "died":
+            routers[entry].died(f"t/{death}", [digest], 0.0)
+        else:
+            routers[entry].completed(digest, 0.0)
+    for router in routers:
+        router.repeat_all()
+    mail = [
+        (receiver, news)
+        for sender in routers
+        for news in sender.news(1.0)
+        for receiver in routers
+    ]
+    mail += random.sample(mail, len(mail) // 2)
+    random.shuffle(mail)
+    for receiver, news in mail:
+        receiver.received(news, 1.0)
+    for digest in (b"a", b"b", b"c"):
+        assert len({router.standing(digest, 2.0) for router in routers}) == 1
+
+
+def test_the_table_is_bounded():
+    suspects = Suspects(300.0, max_suspects=10)
+    suspects.died("t/1", [b"%d" % number for number in range(100)], 0.0)
+    known = [b"%d" % number for number in range(100)]
+    standings = [suspects.standing(digest, 1.0) for digest in known]
+    assert standings.count(Standing.SUSPECT) == 10
