--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,148 @@
+"""The command-line tool, run against an instance's operators' port."""
+
+import json
+
+import pytest
+
+from sesameford.control import main, make_parser, run_command
+from sesameford.control_client import ControlError
+from sesameford.control_memory import memory_file, read_memory
+from tests.operators_fixture import KEY
+
+TREE = "customers: {children: {a: {share: 2}}}\n"
+UNREACHABLE = "http://127.0.0.1:9"
+
+
+@pytest.fixture(autouse=True)
+def operators_key(monkeypatch):
+    monkeypatch.setenv("SESAMEFORD_OPERATOR_KEY", KEY)
+
+
+@pytest.fixture
+def tree(tmp_path):
+    file = tmp_path / "tree.yaml"
+    file.write_text(TREE)
+    return file
+
+
+async def run(instance, *arguments, servers=None):
+    """Return the exit code of a command."""
+    line = list(arguments)
+    for server in servers or [instance.url]:
+        line += ["--server", server]
+    line += ["--timeout-seconds", "1"]
+    try:
+        return await run_command(make_parser().parse_args(line))
+    except ControlError as error:
+        return error.exit_code
+
+
+async def test_apply_get_diff_status_history(instance, tree, capsys):
+    assert await run(instance, "diff", str(tree)) == 1
+    assert await run(instance, "apply", str(tree)) == 0
+    assert await run(instance, "diff", str(tree)) == 0
+    assert await run(instance, "get") == 0
+    assert await run(instance, "get", "customers/a") == 0
+    assert await run(instance, "get", "--effective", "customers/a") == 0
+    assert await run(instance, "get", "--effective", "customers/b") == 2
+    assert await run(instance, "status") == 0
+    capsys.readouterr()
+    assert await run(instance, "history", "--output", "json") == 0
+    assert [one["operator"] for one in json.loads(capsys.readouterr().out)] == ["meera"]
+
+
+async def test_a_tree_in_force_is_applied_again_with_success(instance, tree, capsys):
+    await run(instance, "apply", str(tree))
+    memory_file(tree).unlink()
+    capsys.readouterr()
+    assert await run(instance, "apply", str(tree), "--output", "json") == 0
+    assert json.loads(capsys.readouterr().out)["changed"] is False
+
+
+async def test_any_instance_works(instance, tree):
+    servers = [UNREACHABLE, instance.url]
+    assert await run(instance, "apply", str(tree), servers=servers) == 0
+    assert await run(instance, "apply", str(tree), servers=[UNREACHABLE]) == 4
+
+
+async def test_a_lost_answer_is_asked_for_again(instance, tree):
+    """The connection breaks after the change was accepted.
+
+    The tool sends it again under the same id and reports the first answer.
+    """
+    instance.lose_answers = 1
+    assert await run(instance, "apply", str(tree)) == 0
+    assert instance.machine.store.revision == 1
+    assert instance.proposals == 2
+
+
+async def test_a_tool_that_gave_up_finds_its_change_id_again(instance, tree, capsys):
+    """No answer comes until the tool gives up; the operator runs it again later.
+
+    Meanwhile another change was accepted on top. A new change id would be told of
+    a conflict with the operator's own change.
+    """
+    instance.lose_answers = 1_000
+    assert await run(instance, "apply", str(tree)) == 4
+    assert instance.machine.store.revision == 1
+    assert read_memory(memory_file(tree)).pending is not None
+    instance.lose_answers = 0
+    other = tree.with_name("other.yaml")
+    other.write_text("customers: {children: {b: {}}}")
+    assert await run(instance, "apply", str(other)) == 0
+    capsys.readouterr()
+    assert await run(instance, "apply", str(tree), "--output", "json") == 0
+    assert json.loads(capsys.readouterr().out)["revision"] == 1
+    assert read_memory(memory_file(tree)).pending is None
+
+
+async def test_a_file_that_is_behind_is_a_conflict(instance, tree):
+    """A colleague applies a change between two of ours.
+
+    Without the revision that our file is based on, the second would undo theirs.
+    """
+    await run(instance, "apply", str(tree))
+    other = tree.with_name("other.yaml")
+    other.write_text("customers: {children: {b: {}}}")
+    await run(instance, "apply", str(other))
+    tree.write_text(TREE.replace("2", "3"))
+    assert await run(instance, "apply", str(tree)) == 3
+    assert await run(instance, "apply", str(tree), "--base-revision", "2") == 0
+
+
+async def test_without_a_quorum_the_exit_code_is_4(instance, tree):
+    """Too few replicas are up; the change may be tried again later as it is."""
+    instance.quorum = False
+    assert await run(instance, "apply", str(tree)) == 4
+    instance.quorum = True
+    assert await run(instance, "apply", str(tree)) == 0
+
+
+async def test_waiting_names_who_is_behind(instance, tree, capsys):
+    assert await run(instance, "apply", str(tree), "--wait") == 0
+    assert "unknown: e2" in capsys.readouterr().out
+    instance.lagging = True
+    tree.write_text("{}")
+    wait = ("apply", str(tree), "--wait", "--wait-seconds", "0.2")
+    assert await run(instance, *wait) == 6
+    assert "e1" in capsys.readouterr().err
+
+
+async def test_a_wrong_key_is_told(instance, tree, monkeypatch):
+    monkeypatch.setenv("SESAMEFORD_OPERATOR_KEY", "wrong")
+    assert await run(instance, "status") == 5
+    assert await run(instance, "apply", str(tree)) == 5
+
+
+def test_validate_asks_nobody(tree, capsys):
+    assert main(["validate", str(tree)]) == 0
+    tree.write_text("customers: {children: {a: {share: -1}}}")
+    assert main(["validate", str(tree)]) == 2
+    assert "customers/a.share: found -1" in capsys.readouterr().err
+    assert main(["validate", str(tree.with_name("none.yaml"))]) == 2
+
+
+def test_help_lists_the_exit_codes(capsys):
+    with pytest.raises(SystemExit):
+        main(["--help"])
+    assert "exit codes" in capsys.readouterr().out
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,195 @@
+"""The operators' port refuses what is wrong and changes nothing then."""
+
+import json
+
+import pytest
+from aiohttp import ClientSession
+
+from tests.operators_fixture import KEY, PLATFORM_KEY
+
+TREE = "customers: {children: {a: {share: 2}}}"
+ANNOUNCEMENT = {
+    "target_id": "t1",
+    "incarnation": 1,
+    "sequence": 1,
+    "kind": "model",
+    "serves": ["m"],
+    "url": "http://127.0.0.1:1",
+    "data_centre": "a",
+    "capacity_slots": 8,
+    "lease_seconds": 2.0,
+}
+
+
+async def call(instance, method, path, body=None, key=KEY):
+    """Return status and decoded body of a request."""
+    headers = {} if key is None else {"Authorization": f"Bearer {key}"}
+    data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+    async with (
+        ClientSession() as session,
+        session.request(
+            method, instance.url + path, data=data, headers=headers
+        ) as response,
+    ):
+        return response.status, await response.json(content_type=None)
+
+
+def change(declared=TREE, change_id="c1", base_revision=0):
+    return {
+        "change_id": change_id,
+        "base_revision": base_revision,
+        "declared": declared,
+    }
+
+
+async def test_a_change_is_accepted_read_and_listed(instance):
+    answer = await call(instance, "POST", "/tree/changes", change())
+    assert answer == (200, {"change_id": "c1", "revision": 1, "changed": True})
+    status, tree = await call(instance, "GET", "/tree")
+    assert (status, tree["revision"]) == (200, 1)
+    assert "share: 2.0" in tree["declared"]
+    _, values = await call(instance, "GET", "/tree/effective?path=customers/a")
+    assert values["values"]["share"] == {"value": 2.0, "branch": "customers/a"}
+    _, history = await call(instance, "GET", "/tree/history")
+    assert [(one["operator"], one["paths"]) for one in history] == [
+        ("meera", ["customers", "customers/a"])
+    ]
+
+
+async def test_of_two_changes_with_equal_base_one_is_told_of_the_other(instance):
+    """Two operators start from the same revision and send at the same time.
+
+    Were both accepted, the second would undo the first one's work unseen.
+    """
+    await call(instance, "POST", "/tree/changes", change())
+    other = change("customers: {children: {b: {}}}", "c2")
+    status, body = await call(instance, "POST", "/tree/changes", other, key="other")
+    assert (status, body["reason"], body["present_revision"]) == (409, "conflict", 1)
+    assert instance.machine.store.revision == 1
+
+
+async def test_a_resend_gets_the_first_answer(instance):
+    """An answer is lost on the way and the operator's tool sends again.
+
+    Without its change id it would be told of a conflict with itself.
+    """
+    first = await call(instance, "POST", "/tree/changes", change())
+    await call(instance, "POST", "/tree/changes", change("{}", "c2", 1))
+    assert await call(instance, "POST", "/tree/changes", change()) == first
+    assert instance.machine.store.revision == 2
+    status, body = await call(instance, "POST", "/tree/changes", change("{}", "c1", 2))
+    assert (status, body["reason"]) == (400, "refused")
+
+
+async def test_a_tree_already_in_force_is_no_change(instance):
+    await call(instance, "POST", "/tree/changes", change())
+    again = change(change_id="c2")
+    answer = await call(instance, "POST", "/tree/changes", again)
+    assert answer == (200, {"change_id": "c2", "revision": 1, "changed": False})
+
+
+async def test_without_a_quorum_a_change_is_refused_and_reading_goes_on(instance):
+    """A data centre is cut off from the majority of replicas.
+
+    The operator hears why, and that the change may be sent again.
+    """
+    await call(instance, "POST", "/tree/changes", change())
+    instance.quorum = False
+    other = change("{}", "c2", 1)
+    status, body = await call(instance, "POST", "/tree/changes", other)
+    assert (status, body["reason"]) == (503, "no-quorum")
+    assert (await call(instance, "GET", "/tree"))[0] == 200
+    assert len((await call(instance, "GET", "/tree/history"))[1]) == 1
+
+
+@pytest.mark.parametrize("key", [None, "", "wrong", "\u00e9", PLATFORM_KEY])
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [
+        ("POST", "/tree/changes"),
+        ("GET", "/tree"),
+        ("GET", "/tree/effective"),
+        ("GET", "/tree/history"),
+        ("GET", "/status"),
+    ],
+)
+async def test_without_an_operators_key_nothing_is_told(instance, method, path, key):
+    status, body = await call(instance, method, path, change(), key=key)
+    assert status == 401
+    assert body["reason"] in ("no-key", "wrong-key")
+    assert instance.proposals == 0
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "reason"),
+    [
+        (b"", 400, "bad-body"),
+        (b"{", 400, "bad-body"),
+        (b"\xff", 400, "bad-body"),
+        (b"[" * 100_000, 400, "bad-body"),
+        ({"change_id": "c"}, 400, "bad-body"),
+        ({**change(), "colour": "red"}, 400, "bad-body"),
+        (change(base_revision=-1), 400, "bad-body"),
+        (change(base_revision=2**62), 400, "bad-body"),
+        (change(change_id=""), 400, "bad-body"),
+        (change(change_id="a\nb"), 400, "bad-body"),
+        (change("customers: {children: {a: {share: -1}}}"), 422, "bad-tree"),
+        (change("a: 1\na: 2"), 422, "bad-tree"),
+        (change(base_revision=5), 409, "conflict"),
+        (b" " * 33_000_001, 413, "body-too-large"),
+    ],
+)
+async def test_a_bad_change_changes_nothing(instance, body, status, reason):
+    found, answer = await call(instance, "POST", "/tree/changes", body)
+    assert (found, answer["reason"]) == (status, reason)
+    assert instance.machine.store.revision == 0
+
+
+async def test_a_bad_tree_names_path_found_and_allowed(instance):
+    bad = change("customers: {children: {a: {share: -1}}}")
+    _, body = await call(instance, "POST", "/tree/changes", bad)
+    assert body["path"] == "customers/a.share"
+    assert body["found"] == "-1"
+    assert "above 0" in body["allowed"]
+
+
+async def test_targets_announce_and_leave(instance):
+    path = "/targets/announce"
+    good = await call(instance, "POST", path, ANNOUNCEMENT, PLATFORM_KEY)
+    assert good == (200, {"target_id": "t1"})
+    assert instance.announced[0].lease_remaining_seconds == 2.0
+    assert (await call(instance, "POST", path, ANNOUNCEMENT, PLATFORM_KEY))[0] == 409
+    assert (await call(instance, "POST", path, ANNOUNCEMENT, KEY))[0] == 401
+    leave = {"target_id": "t1", "incarnation": 1, "sequence": 2, "why": "stop"}
+    path = "/targets/leave"
+    assert (await call(instance, "POST", path, leave, PLATFORM_KEY))[0] == 200
+    leave["sequence"] = 0
+    assert (await call(instance, "POST", path, leave, PLATFORM_KEY))[0] == 409
+    assert (await call(instance, "POST", path, leave, KEY))[0] == 401
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"kind": "engine"},
+        {"capacity_slots": 0},
+        {"lease_seconds": 1e9},
+        {"lease_seconds": "2"},
+        {"url": "ftp://x"},
+        {"serves": []},
+        {"incarnation": -1},
+        {"colour": "red"},
+    ],
+)
+async def test_a_bad_announcement_is_refused(instance, wrong):
+    body = {**ANNOUNCEMENT, **wrong}
+    status, answer = await call(
+        instance, "POST", "/targets/announce", body, PLATFORM_KEY
+    )
+    assert (status, answer["reason"]) == (400, "bad-body")
+    assert not instance.announced
+
+
+async def test_an_unknown_node_or_query_is_refused(instance):
+    assert (await call(instance, "GET", "/tree/effective?path=customers/x"))[0] == 404
+    assert (await call(instance, "GET", "/tree/history?before=x"))[0] == 400
