--- a/tools/client.py
+++ b/tools/client.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -54,6 +54,7 @@
     work: Work,
     timeout_seconds: float = 60.0,
     headers: Mapping[str, str] | None = None,
+    on_first_byte: Callable[[], None] = lambda: None,
 ) -> Answer:
     """Send a completion and check the answer against the request.
 
@@ -64,6 +65,7 @@
         work: What to ask for.
         timeout_seconds: When to give up.
         headers: More headers to send.
+        on_first_byte: Called when the first part of the answer is here.
 
     Returns:
         What came, checked token by token.
@@ -92,7 +94,9 @@
             outcome = response.headers.get("Sesameford-Outcome", "")
             request_id = response.headers.get("Sesameford-Request-Id", "")
             async for chunk in response.content.iter_any():
-                first_at = first_at or time.monotonic()
+                if not first_at:
+                    first_at = time.monotonic()
+                    on_first_byte()
                 chunks.append(chunk)
     except (ClientError, TimeoutError, OSError) as error:
         outcome = outcome or "unknown"
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,363 @@
+"""An open-loop load generator: what comes does not wait for what came before.
+
+Costs are heavy-tailed over two decades, hints are wrong by up to four times, large
+customers enter on one or two instances, customers come and go. All choices come
+from a seed, so that two variants meet the same load.
+"""
+
+import asyncio
+import math
+import random
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from hdrh.histogram import HdrHistogram
+
+from tools.client import Answer, Work, ask
+from tools.fleet import Shape
+from tools.trees import LARGE_SHARE, Customer
+
+COST_MEDIAN_TOKENS = 55.0
+COST_SIGMA = 1.1
+COST_LOW_TOKENS, COST_HIGH_TOKENS = 8, 800
+HINT_FACTOR = 4.0
+LARGE_CUSTOMERS, SMALL_CUSTOMERS, LIGHT_CUSTOMERS = 3, 10, 3
+PROMPT_CHARACTERS = (64, 640)
+_HISTOGRAM_HIGH = 120_000_000
+_IDLE_STEP_SECONDS = 0.1
+_SERVICE_FRACTION = 0.05
+_SERVICE_DELAY_SECONDS = 0.02
+OVERDUE_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """A part of a run.
+
+    ``load`` is demand as a multiple of the capacity. In ``churn`` every second
+    customer is away for some seconds in turn. ``flood`` names a customer that asks
+    for ten times as much.
+    """
+
+    name: str
+    seconds: float
+    load: float
+    flood: str = ""
+    churn: bool = False
+    is_network_whole: bool = True
+
+
+def draw_tokens(source: random.Random) -> int:
+    """Return a heavy-tailed number of output tokens."""
+    drawn = source.lognormvariate(math.log(COST_MEDIAN_TOKENS), COST_SIGMA)
+    return int(min(COST_HIGH_TOKENS, max(COST_LOW_TOKENS, drawn)))
+
+
+def mean_tokens() -> float:
+    """Return the mean of `draw_tokens`."""
+    source = random.Random(0)
+    return sum(draw_tokens(source) for _ in range(20_000)) / 20_000
+
+
+def make_customers(instance_ids: Sequence[str], seed: int) -> Sequence[Customer]:
+    """Return 16 customers: few large ones on one or two instances, many small.
+
+    The light ones ask for half of their portion and are never backlogged for long.
+    """
+    source = random.Random(seed)
+    customers = []
+    for position in range(LARGE_CUSTOMERS):
+        entries = tuple(source.sample(list(instance_ids), 1 + position % 2))
+        customers.append(
+            Customer(f"large{position + 1}", "large", LARGE_SHARE, entries)
+        )
+    for group, count in (("small", SMALL_CUSTOMERS), ("light", LIGHT_CUSTOMERS)):
+        for position in range(count):
+            entries = tuple(source.sample(list(instance_ids), 2))
+            customers.append(Customer(f"{group}{position + 1}", group, 1.0, entries))
+    return customers
+
+
+@dataclass(slots=True)
+class Backlog:
+    """How many requests of a customer got no first token yet."""
+
+    waiting: dict[int, float] = field(default_factory=dict)
+    was_empty: bool = True
+
+    def sample(self, now_seconds: float) -> bool:
+        """Return whether requests waited ever since the last sample.
+
+        A request that was only just sent is not waiting yet, so the oldest one must
+        be there for a moment.
+        """
+        oldest = min(self.waiting.values(), default=now_seconds)
+        backlogged = not self.was_empty and now_seconds - oldest > OVERDUE_SECONDS
+        self.was_empty = not self.waiting
+        return backlogged
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request of the load and what came of it; no answer means given up."""
+
+    mark: str
+    customer: str
+    instance_id: str
+    phase: str
+    sent_at_seconds: float
+    output_tokens: int
+    answer: Answer | None
+
+
+@dataclass(slots=True)
+class _Arrivals:
+    """Counters and results of one run."""
+
+    sent: list[Sent] = field(default_factory=list)
+    backlogs: dict[str, Backlog] = field(default_factory=dict)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    next_number: int = 0
+
+
+class Load:
+    """Sends the load of one run.
+
+    Args:
+        shape: The deployment.
+        customers: Who asks.
+        urls: Callers' addresses by instance.
+        seed: The source of all choices.
+    """
+
+    def __init__(
+        self,
+        shape: Shape,
+        customers: Sequence[Customer],
+        urls: Mapping[str, str],
+        seed: int,
+    ) -> None:
+        self._shape = shape
+        self._customers = customers
+        self._urls = urls
+        self._seed = seed
+        self._state = _Arrivals()
+        self._phase = Phase("idle", 0.0, 0.0)
+        self._stopping = False
+        self.down: set[str] = set()
+        self.first_token = HdrHistogram(1, _HISTOGRAM_HIGH, 3)
+        self.total = HdrHistogram(1, _HISTOGRAM_HIGH, 3)
+        slots = shape.engines * shape.engine_slots
+        capacity = slots * shape.tokens_per_second / mean_tokens()
+        shares = sum(customer.share for customer in customers)
+        self._request_rate_per_share = capacity / shares
+
+    @property
+    def sent(self) -> Sequence[Sent]:
+        """Return every request that has ended."""
+        return self._state.sent
+
+    def set_phase(self, phase: Phase) -> None:
+        """Change what is asked from now on."""
+        self._phase = phase
+
+    def backlogged(self, now_seconds: float) -> frozenset[str]:
+        """Return the customers who had waiting work since the last call."""
+        return frozenset(
+            name
+            for name, backlog in self._state.backlogs.items()
+            if backlog.sample(now_seconds)
+        )
+
+    def waiting(self) -> int:
+        """Return how many requests got no first token yet."""
+        return sum(len(backlog.waiting) for backlog in self._state.backlogs.values())
+
+    async def run(self, stopped: asyncio.Event) -> None:
+        """Send until told to stop, then give up what is still open.
+
+        Args:
+            stopped: Set when the load shall end.
+        """
+        connector = TCPConnector(limit=0)
+        async with ClientSession(connector=connector) as session:
+            arrivals = [
+                asyncio.create_task(self._customer(session, customer))
+                for customer in self._customers
+            ]
+            await stopped.wait()
+            self._stopping = True
+            for task in arrivals:
+                task.cancel()
+            await asyncio.gather(*arrivals, return_exceptions=True)
+
+            async def finish(seconds: float) -> None:
+                if self._state.tasks:
+                    await asyncio.wait(list(self._state.tasks), timeout=seconds)
+
+            await finish(4.0)
+            for task in list(self._state.tasks):
+                task.cancel()
+            await finish(2.0)
+
+    def _rate(self, customer: Customer, now_seconds: float) -> float:
+        """Return how many requests a second a customer sends now."""
+        phase = self._phase
+        rate = self._request_rate_per_share * customer.share * phase.load
+        if customer.branch == "light":
+            rate *= 0.3
+        if phase.churn and _is_away(customer.name, now_seconds):
+            return 0.0
+        return rate * 10 if phase.flood == customer.name else rate
+
+    async def _customer(self, session: ClientSession, customer: Customer) -> None:
+        """Send one customer's requests at exponential intervals."""
+        source = random.Random(f"{self._seed}-{customer.name}")
+        self._state.backlogs[customer.name] = Backlog()
+        due_seconds = time.monotonic()
+        while True:
+            rate = self._rate(customer, time.monotonic())
+            if rate <= 0:
+                await asyncio.sleep(_IDLE_STEP_SECONDS)
+                due_seconds = time.monotonic()
+                continue
+            due_seconds += source.expovariate(rate)
+            await asyncio.sleep(max(0.0, due_seconds - time.monotonic()))
+            task = asyncio.create_task(self._one(session, customer, source))
+            self._state.tasks.add(task)
+            task.add_done_callback(self._state.tasks.discard)
+
+    async def _one(
+        self, session: ClientSession, customer: Customer, source: random.Random
+    ) -> None:
+        """Send one request and note what came."""
+        number = self._state.next_number
+        self._state.next_number += 1
+        phase = self._phase.name
+        instance_id = self._entry(customer, source)
+        if source.random() < _SERVICE_FRACTION:
+            await self._call_service(session, customer, instance_id, number)
+            return
+        tokens = draw_tokens(source)
+        wrong = HINT_FACTOR ** source.uniform(-1, 1)
+        work = Work(
+            mark=f"q{number}",
+            customer=customer.name,
+            model=source.choice(self._shape.models),
+            output_tokens=tokens,
+            filler=customer.name.ljust(source.randint(*PROMPT_CHARACTERS), "."),
+            hint_cost_units=tokens * wrong,
+        )
+        backlog = self._state.backlogs[customer.name]
+        sent_at_seconds = time.monotonic()
+        backlog.waiting[number] = sent_at_seconds
+
+        def started() -> None:
+            backlog.waiting.pop(number, None)
+            backlog.was_empty = backlog.was_empty or not backlog.waiting
+
+        answer: Answer | None = None
+        try:
+            answer = await ask(
+                session,
+                self._urls[instance_id],
+                customer.key,
+                work,
+                on_first_byte=started,
+            )
+        finally:
+            started()
+            self._state.sent.append(
+                Sent(
+                    work.mark,
+                    customer.name,
+                    instance_id,
+                    phase,
+                    sent_at_seconds,
+                    tokens,
+                    answer,
+                )
+            )
+        if answer.complete:
+            self.first_token.record_value(int(answer.first_token_seconds * 1e6) + 1)
+            self.total.record_value(int(answer.total_seconds * 1e6) + 1)
+
+    async def _call_service(
+        self, session: ClientSession, customer: Customer, instance_id: str, number: int
+    ) -> None:
+        """Send a mailing, which must not be sent twice."""
+        name = self._shape.service_names[0]
+        url = f"{self._urls[instance_id]}/services/{name}/mailing"
+        query = f"?mark=s{number}&customer={customer.name}"
+        phase, sent_at_seconds = self._phase.name, time.monotonic()
+        answer: Answer | None = None
+        try:
+            answer = await call_service(
+                session, url + query, customer.key, f"s{number}", _SERVICE_DELAY_SECONDS
+            )
+        finally:
+            self._state.sent.append(
+                Sent(
+                    f"s{number}",
+                    customer.name,
+                    instance_id,
+                    phase,
+                    sent_at_seconds,
+                    0,
+                    answer,
+                )
+            )
+
+    def _entry(self, customer: Customer, source: random.Random) -> str:
+        """Return where a request enters, as the platform's balancer would choose."""
+        choice = source.choice(customer.entries)
+        if choice not in self.down:
+            return choice
+        return source.choice([one for one in self._urls if one not in self.down])
+
+
+async def call_service(
+    session: ClientSession,
+    url: str,
+    key: str,
+    mark: str,
+    delay_seconds: float,
+    method: str = "POST",
+) -> Answer:
+    """Call a plain service and check that the echo is of this call."""
+    started_at = time.monotonic()
+    status, outcome, request_id, echo = 0, "unknown", "", {}
+    try:
+        async with session.request(
+            method,
+            url,
+            json={"delay": delay_seconds},
+            headers={"Authorization": f"Bearer {key}"},
+            timeout=ClientTimeout(total=60.0),
+        ) as response:
+            status = response.status
+            outcome = response.headers.get("Sesameford-Outcome", "")
+            request_id = response.headers.get("Sesameford-Request-Id", "")
+            echo = await response.json(content_type=None)
+    except (ClientError, TimeoutError, OSError, ValueError) as error:
+        echo = {"reason": repr(error)}
+    elapsed = time.monotonic() - started_at
+    echoed = echo.get("mark", mark) if status == 200 else mark
+    return Answer(
+        status=status,
+        outcome=outcome,
+        complete=status == 200 and echo.get("mark") == mark,
+        crossed=echoed != mark,
+        first_token_seconds=elapsed,
+        total_seconds=elapsed,
+        request_id=request_id,
+        reason=str(echo.get("reason", "")),
+    )
+
+
+def _is_away(name: str, now_seconds: float) -> bool:
+    """Return whether a customer of a churning phase sends nothing now."""
+    offset = sum(name.encode()) % 7
+    return int(now_seconds / 3.0 + offset) % 3 == 0
--- /dev/null
+++ b/tools/trees.py
@@ -0,0 +1,61 @@
+"""Declared trees and customers for the demo and the bench."""
+
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import yaml
+
+from tools.fleet import Shape, digest_of
+
+LARGE_SHARE = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer, its bearer key and the instances where its calls enter.
+
+    ``name`` is the last part of its path in the tree, without a slash.
+    """
+
+    name: str
+    branch: str
+    share: float
+    entries: tuple[str, ...]
+    key: str = field(default_factory=lambda: secrets.token_hex(16))
+
+
+def make_tree(
+    shape: Shape, customers: Sequence[Customer], scheduler: str, **branch: Any
+) -> str:
+    """Return the YAML of a tree for a deployment.
+
+    Args:
+        shape: Its models and services.
+        customers: Who may call.
+        scheduler: ``leased`` or ``independent``.
+        branch: Fields that all customers inherit.
+
+    Returns:
+        The text for ``sesamefordctl apply``.
+    """
+    branches: dict[str, dict[str, Any]] = {}
+    for customer in customers:
+        node = branches.setdefault(
+            customer.branch, {"share": customer.share, "children": {}}
+        )
+        leaf: dict[str, Any] = {"key_digests": [digest_of(customer.key)]}
+        if customer.share != node["share"]:
+            leaf["share"] = customer.share
+        node["children"][customer.name] = leaf
+    no_repeat = {"method": "POST", "path_prefix": "/mailing", "repeatable": False}
+    tree = {
+        "fleet": {"scheduler": scheduler},
+        "customers": {**branch, "children": branches},
+        "models": {"children": {model: {} for model in shape.models}},
+        "services": {
+            "children": {name: {"routes": [no_repeat]} for name in shape.service_names}
+        },
+    }
+    return yaml.safe_dump(tree, sort_keys=False)
