Add the replicated log: core, storage, state machines and shell

Cause: the settings tree, the claims and the leases need one agreed, durable order among the instances with disks.

--- a/sesameford/errors.py
+++ b/sesameford/errors.py
@@ -95,6 +95,10 @@
     """No majority of replicas answers, so nothing can be agreed."""
 
 
+class ProposalRefusedError(LogError):
+    """A proposal can never be accepted, such as under an id used before."""
+
+
 class StorageError(LogError):
     """The data folder can't be trusted or written.
 
--- /dev/null
+++ b/sesameford/log_apply.py
@@ -0,0 +1,124 @@
+"""Feeds committed entries to the state machines, each proposal once."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.msgpack import Decoder, Encoder
+
+from sesameford.errors import LogError
+from sesameford.log_messages import Command, Entry
+from sesameford.proposals import AcceptedProposal, ProposalTable, command_digest
+from sesameford.state_machine import StateMachine
+
+
+class _MachineSnapshots(Struct, frozen=True, array_like=True):
+    """The state of all machines and of the table of proposals."""
+
+    proposals: bytes
+    machines: dict[str, bytes]
+
+
+_encoder = Encoder()
+_decoder = Decoder(_MachineSnapshots)
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """What became of one committed proposal.
+
+    ``first`` is False for a resend, which changed nothing. ``refused`` says that
+    the id was used before for another command, or that no machine has the name.
+    """
+
+    index: int
+    command: Command
+    answer: bytes
+    first: bool
+    refused: bool
+
+
+class Applier:
+    """The state machines of one replica.
+
+    Args:
+        machines: Each with its own name.
+        proposals: The table that recognises resends.
+    """
+
+    def __init__(
+        self, machines: Sequence[StateMachine], proposals: ProposalTable | None = None
+    ) -> None:
+        self._machines = {machine.name: machine for machine in machines}
+        self._initial = {name: m.snapshot() for name, m in self._machines.items()}
+        self.proposals = ProposalTable() if proposals is None else proposals
+        self.applied_index = 0
+
+    def apply(self, entry: Entry) -> Applied | None:
+        """Apply the next committed entry.
+
+        Args:
+            entry: It must follow the last one.
+
+        Returns:
+            What became of a proposal, or None for an entry of the log's own.
+
+        Raises:
+            LogError: The entry does not follow the last one.
+        """
+        if entry.index != self.applied_index + 1:
+            raise LogError(f"entry {entry.index} follows {self.applied_index}")
+        self.applied_index = entry.index
+        if not isinstance(entry.content, Command):
+            return None
+        return self._apply_command(entry.index, entry.content)
+
+    def known(self, command: Command) -> Applied | None:
+        """Return the first answer of a proposal that was applied before."""
+        row = self.proposals.find(command.proposal_id)
+        if row is None:
+            return None
+        same = row.digest == command_digest(command.machine, command.command)
+        answer = row.answer if same else b"the id was used for another command"
+        return Applied(row.index, command, answer, first=False, refused=not same)
+
+    def snapshot(self) -> bytes:
+        """Return the state after ``applied_index``."""
+        machines = {name: m.snapshot() for name, m in self._machines.items()}
+        return _encoder.encode(_MachineSnapshots(self.proposals.snapshot(), machines))
+
+    def restore(self, index: int, snapshot: bytes) -> None:
+        """Replace the state by that of a snapshot.
+
+        A machine that the snapshot does not know yet begins anew.
+
+        Args:
+            index: The last index that the snapshot covers.
+            snapshot: What ``snapshot`` made on some replica.
+
+        Raises:
+            LogError: The bytes are no snapshot.
+        """
+        try:
+            found = _decoder.decode(snapshot)
+        except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+            raise LogError(f"no snapshot of machines: {error}") from error
+        self.proposals.restore(found.proposals)
+        for name, machine in self._machines.items():
+            machine.restore(found.machines.get(name, self._initial[name]))
+        self.applied_index = index
+
+    def _apply_command(self, index: int, command: Command) -> Applied:
+        """Give a command to its machine, unless its id was accepted before."""
+        known = self.known(command)
+        if known is not None:
+            return known
+        machine = self._machines.get(command.machine)
+        if machine is None:
+            answer = f"no state machine {command.machine}".encode()
+            return Applied(index, command, answer, first=True, refused=True)
+        answer = machine.apply(index, command.command)
+        digest = command_digest(command.machine, command.command)
+        row = AcceptedProposal(command.proposal_id, digest, index, answer)
+        self.proposals.add(row)
+        return Applied(index, command, answer, first=True, refused=False)
--- /dev/null
+++ b/tests/test_log_service.py
@@ -0,0 +1,146 @@
+"""The log's shell: proposals from any instance, restarts, disks that fail."""
+
+from asyncio import create_task
+
+import pytest
+
+from sesameford.errors import NoQuorumError, ProposalRefusedError
+from tests.log_fakes import Fleet
+
+
+def three(tmp_path, others=()):
+    disks = {name: tmp_path / name for name in ("a", "b", "c")}
+    return Fleet({**disks, **dict.fromkeys(others)})
+
+
+async def proposed(fleet, instance_id, proposal_id, command):
+    task = create_task(
+        fleet.services[instance_id].propose(proposal_id, "list", command)
+    )
+    await fleet.run(8, until=task.done)
+    return await task
+
+
+async def test_a_single_instance_agrees_with_itself(tmp_path):
+    fleet = Fleet({"only": tmp_path / "only"})
+    assert await proposed(fleet, "only", "p1", b"x") == b"1"
+    await fleet.services["only"].stop()
+    fleet.start("only")
+    assert await proposed(fleet, "only", "p1", b"x") == b"1"
+    assert await proposed(fleet, "only", "p2", b"y") == b"2"
+    assert fleet.machines["only"].commands == [b"x", b"y"]
+
+
+async def test_any_instance_proposes(tmp_path):
+    fleet = three(tmp_path, others=("router",))
+    for position, instance_id in enumerate(("router", "a", "b", "c", "router")):
+        answer = await proposed(
+            fleet, instance_id, f"p{position}", instance_id.encode()
+        )
+        assert answer == b"%d" % (position + 1)
+    await fleet.run(1)
+    assert fleet.machines["a"].commands == fleet.machines["c"].commands
+    assert fleet.services["router"].role() == "none"
+    assert fleet.services["router"].leader_id() == fleet.leader()
+
+
+async def test_many_proposals_share_a_sync(tmp_path):
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "first", b"0")
+    leader = fleet.services[fleet.leader()]
+    syncs = 0
+    storage = leader._replica.storage
+    sync = storage.sync
+
+    def counted():
+        nonlocal syncs
+        syncs += 1
+        sync()
+
+    storage.sync = counted
+    tasks = [create_task(leader.propose(f"q{n}", "list", b"%d" % n)) for n in range(64)]
+    await fleet.run(2, until=lambda: all(task.done() for task in tasks))
+    assert sorted(int(task.result()) for task in tasks) == list(range(2, 66))
+    assert syncs <= 4
+
+
+async def test_the_leader_is_lost_and_a_resend_gets_the_first_answer(tmp_path):
+    """The leader's instance dies just after it accepted a change, so its answer is
+    lost. The operator sends the change again through another instance and must
+    hear the first answer instead of having the change twice."""
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "p1", b"x")
+    lost = fleet.leader()
+    fleet.cut.add(lost)
+    other = next(name for name in "abc" if name != lost)
+    assert await proposed(fleet, other, "p1", b"x") == b"1"
+    assert await proposed(fleet, other, "p2", b"y") == b"2"
+    fleet.cut.clear()
+    await fleet.run(3)
+    assert fleet.machines[lost].commands == [b"x", b"y"]
+
+
+async def test_without_a_majority_a_proposal_is_refused(tmp_path):
+    """Two of three replicas are cut off. An operator's change must be refused with
+    the reason within seconds instead of hanging."""
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "p1", b"x")
+    fleet.cut.update({"b", "c"})
+    with pytest.raises(NoQuorumError):
+        await proposed(fleet, "a", "p2", b"y")
+    assert fleet.services["a"].role() != "leader"
+    fleet.cut.clear()
+    assert await proposed(fleet, "a", "p2", b"y") == b"2"
+
+
+async def test_an_id_is_not_used_for_another_command(tmp_path):
+    fleet = three(tmp_path, others=("router",))
+    await proposed(fleet, "router", "p1", b"x")
+    with pytest.raises(ProposalRefusedError):
+        await proposed(fleet, "router", "p1", b"other")
+
+
+async def test_a_planned_stop_of_the_leader_holds_nothing_up(tmp_path):
+    """A leader is stopped as planned, for an upgrade. Without a hand-over, changes
+    and keyed requests would stand still for an election timeout."""
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "p1", b"x")
+    old = fleet.leader()
+    await fleet.services.pop(old).stop()
+    assert await fleet.run(0.5, until=lambda: fleet.leader() not in (None, old))
+
+
+async def test_a_replica_with_an_emptied_disk_comes_back_as_another(tmp_path):
+    """A replica's disk is replaced. It comes back under the same instance id with
+    nothing on it; it must catch up first, and vote again only as a new identity."""
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "p1", b"x")
+    before = {row.instance_id: row for row in fleet.services["a"].status().members}
+    await fleet.services.pop("c").stop()
+    fleet.disks["c"] = tmp_path / "c-new"
+    await proposed(fleet, "a", "p2", b"y")
+    fleet.start("c")
+
+    def is_back():
+        rows = {row.instance_id: row for row in fleet.services["a"].status().members}
+        return rows["c"].voter and rows["c"].incarnation != before["c"].incarnation
+
+    assert await fleet.run(10, until=is_back)
+    await fleet.run(1)
+    assert fleet.machines["c"].commands == [b"x", b"y"]
+
+
+async def test_voters_follow_what_operators_want(tmp_path):
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "p1", b"x")
+    for service in fleet.services.values():
+        service.set_wanted_voters(frozenset({"a", "b"}))
+
+    def voters():
+        rows = fleet.services["a"].status().members
+        return {row.instance_id for row in rows if row.voter}
+
+    assert await fleet.run(5, until=lambda: voters() == {"a", "b"})
+    for service in fleet.services.values():
+        service.set_wanted_voters(None)
+    assert await fleet.run(5, until=lambda: voters() == {"a", "b", "c"})
