--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -12,7 +12,7 @@
 from dataclasses import replace
 from hashlib import sha256
 
-from pynng import Pull0, Push0, TLSConfig
+from pynng import Pull0, Push0
 from pynng.exceptions import NNGException, TryAgain
 
 from sesameford.codec import MAX_ENVELOPE_BYTES, decode_envelope, encode_envelope
@@ -20,6 +20,7 @@
 from sesameford.messages import Envelope, Message, Outgoing
 from sesameford.peer_state import PeerState, should_redial, take_envelope
 from sesameford.settings import DaemonSettings, Peer
+from sesameford.tls import TlsFiles, make_dialler_config, make_listener_config
 
 logger = logging.getLogger(__name__)
 
@@ -58,7 +59,7 @@
         key: bytes,
         on_message: OnMessage,
         now: Callable[[], float],
-        tls: tuple[TLSConfig, TLSConfig] | None = None,
+        tls: TlsFiles | None = None,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -74,7 +75,6 @@
         self._listener: Pull0 | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._urgent: asyncio.TimerHandle | None = None
-        self._cut_off_from: frozenset[str] = frozenset()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.refused_messages = 0
@@ -85,15 +85,7 @@
         Raises:
             PeerError: The address can't be listened on.
         """
-        address = f"{self._scheme}://{self._settings.listen.peers}"
-        self._listener = Pull0(
-            recv_max_size=MAX_ENVELOPE_BYTES + MAC_BYTES,
-            tls_config=self._tls[0] if self._tls else None,
-        )
-        try:
-            self._listener.listen(address)
-        except NNGException as error:
-            raise PeerError(f"can't listen on {address}: {error}") from error
+        self._listener = self._listen()
         for peer in self._peers.values():
             self._dial(peer)
         self._tasks = [
@@ -158,6 +150,28 @@
         except (NNGException, PeerError) as error:
             logger.warning("could not send to peer %s: %s", peer_id, error)
 
+    def _listen(self) -> Pull0:
+        address = f"{self._scheme}://{self._settings.listen.peers}"
+        listener = Pull0(
+            recv_max_size=MAX_ENVELOPE_BYTES + MAC_BYTES,
+            tls_config=make_listener_config(self._tls) if self._tls else None,
+        )
+        try:
+            listener.listen(address)
+        except NNGException as error:
+            raise PeerError(f"can't listen on {address}: {error}") from error
+        return listener
+
+    def reload_tls(self, files: TlsFiles) -> None:
+        """Listen and dial anew under a new identity; messages between are lost."""
+        self._tls = files
+        old, self._listener = self._listener, None
+        if old is not None:
+            old.close()
+        self._listener = self._listen()
+        for peer in self._peers.values():
+            self._dial(peer)
+
     async def _flush_regularly(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_SECONDS)
@@ -175,7 +189,9 @@
             send_buffer_size=SEND_BUFFER_MESSAGES,
             reconnect_time_min=100,
             reconnect_time_max=1000,
-            tls_config=self._tls[1] if self._tls else None,
+            tls_config=(
+                make_dialler_config(self._tls, peer.instance_id) if self._tls else None
+            ),
         )
         socket.dial(f"{self._scheme}://{peer.peers}", block=False)
         self._sockets[peer.instance_id] = socket
@@ -183,12 +199,12 @@
         self._states[peer.instance_id] = replace(state, dialled_at_seconds=self._now())
 
     async def _receive(self) -> None:
-        assert self._listener is not None
         while True:
+            assert self._listener is not None
             try:
                 sealed = await self._listener.arecv()
             except NNGException as error:
-                logger.warning("receiving from peers failed: %s", error)
+                logger.warning("receiving from peers was broken off: %s", error)
                 await asyncio.sleep(URGENT_FLUSH_SECONDS)
                 continue
             self.received_bytes += len(sealed)
