Run the thin path as a daemon

Cause: the parts of the path had nothing that composes them. Change: an instance composes tables, links, router, callers' and operators' ports, the tree and the planned stop; sesamefordd runs it under aiomisc on uvloop; the tree spreads whole to instances that are behind.

--- /dev/null
+++ b/sesameford/daemon.py
@@ -0,0 +1,95 @@
+"""``sesamefordd``: the daemon. One instance of the system, one loop, one thread."""
+
+import asyncio
+import signal
+import sys
+from argparse import ArgumentParser
+from collections.abc import Sequence
+from pathlib import Path
+
+import uvloop
+from aiomisc import Service, entrypoint
+
+from sesameford import __version__
+from sesameford.errors import PeerError, SettingsError, StorageError
+from sesameford.instance import Instance
+from sesameford.logs import configure_logging
+from sesameford.settings import DaemonSettings, load_settings
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+EXIT_BAD_STORAGE = 3
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class InstanceService(Service):
+    """Runs an instance under aiomisc's entry point until its planned stop is over."""
+
+    settings: DaemonSettings
+    source: str
+
+    async def start(self) -> None:
+        """Compose and start the instance, and take stop signals from here on."""
+        self.instance = Instance(self.settings, self.source)
+        for number in STOP_SIGNALS:
+            self.loop.add_signal_handler(number, self.instance.ask_stop)
+        await self.instance.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close what is open."""
+        await self.instance.close()
+
+    async def finished(self) -> None:
+        """Wait until a planned stop has let all running requests end."""
+        await self.instance.stopped.wait()
+
+
+def make_parser() -> ArgumentParser:
+    """Return the command line's parser."""
+    parser = ArgumentParser(
+        prog="sesamefordd",
+        description="Run one instance of sesameford.",
+        epilog="Exit status: 0 after a planned stop, 2 for bad settings, "
+        "3 for a data folder that can't be trusted.",
+    )
+    parser.add_argument(
+        "--settings", type=Path, required=True, help="the instance's YAML file"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"%(prog)s {__version__}"
+    )
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon and return its exit status."""
+    options = make_parser().parse_args(arguments)
+    try:
+        settings = load_settings(options.settings)
+        if not options.check:
+            _run(settings, str(options.settings))
+    except (SettingsError, PeerError) as error:
+        print(f"sesamefordd: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    except StorageError as error:
+        print(f"sesamefordd: {error}", file=sys.stderr)
+        return EXIT_BAD_STORAGE
+    return EXIT_OK
+
+
+def _run(settings: DaemonSettings, source: str) -> None:
+    """Run an instance until its planned stop is over."""
+    configure_logging(settings)
+    service = InstanceService(settings=settings, source=source)
+    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+    # aiomisc would end the services at the first signal and cut what still runs
+    # after a minute. The signals are the instance's own business instead.
+    with entrypoint(service, log_config=False, catch_signals=(), pool_size=1) as loop:
+        loop.run_until_complete(service.finished())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sesameford/instance.py
@@ -0,0 +1,387 @@
+"""One instance of the system: its tables, its systems and the links between them."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from hashlib import sha256
+from pathlib import Path
+from time import monotonic, time, time_ns
+from typing import Any
+
+from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
+from opentelemetry.sdk.trace import TracerProvider
+
+from sesameford.callers import CallersDeps, make_callers_app
+from sesameford.effective import EffectiveTree
+from sesameford.errors import NotRunError, SettingsError
+from sesameford.independent import make_independent_scheduler
+from sesameford.members import HEARD_WITHIN_SECONDS, Members
+from sesameford.messages import (
+    Heartbeat,
+    Message,
+    Outgoing,
+    TargetNews,
+    TreeUpdate,
+)
+from sesameford.metrics import Metrics
+from sesameford.operators import OperatorsDeps, make_operators_routes
+from sesameford.peers import PeerLinks
+from sesameford.processor_time import ProcessorTime
+from sesameford.relay import RelayDeps
+from sesameford.router import Router
+from sesameford.settings import DaemonSettings, split_address
+from sesameford.status import InstanceStatus, StatusReport, TargetStatus
+from sesameford.stops import (
+    StopLoad,
+    StopState,
+    StopStep,
+    accepts_requests,
+    advance_stop,
+    ask_stop,
+    is_ready,
+)
+from sesameford.tables import InstanceState
+from sesameford.targets import TargetRegistry
+from sesameford.tls import (
+    TlsFiles,
+    make_client_context,
+    make_reloader,
+    make_server_context,
+    read_files,
+)
+from sesameford.traces import make_tracer, make_tracer_provider
+from sesameford.tree_changes import TreeMachine
+from sesameford.tree_holder import TreeHolder
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.05
+HEARTBEAT_SECONDS = 0.5
+TLS_RELOAD_SECONDS = 5.0
+CONNECT_TIMEOUT_SECONDS = 2.0
+CALLERS_BODY_LIMIT_BYTES = 16_000_000
+OPERATORS_BODY_LIMIT_BYTES = 64_000_000
+MAX_HEADER_BYTES = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class _Contexts:
+    """TLS contexts of HTTP, None where TLS is not given."""
+
+    server: Any = None
+    client: Any = None
+
+
+class Instance:
+    """Composes the parts of one instance and runs its systems each tick."""
+
+    def __init__(self, settings: DaemonSettings, source: str) -> None:
+        self._settings = settings
+        self._source = source
+        self.incarnation = time_ns() // 1_000_000
+        # The loop's own clock stands still within a turn and counts milliseconds.
+        self._now: Callable[[], float] = monotonic
+        self._control_time = ProcessorTime()
+        self.metrics = Metrics()
+        self.registry = TargetRegistry()
+        self.members = Members()
+        self._stop = StopState()
+        self.stopped = asyncio.Event()
+        self._tls = read_files(settings.tls, source) if settings.tls else None
+        self.peers = PeerLinks(
+            settings,
+            self.incarnation,
+            _link_key(settings, source),
+            self._on_message,
+            self._now,
+            self._tls,
+        )
+        self.router = Router(
+            make_independent_scheduler(
+                settings.instance_id,
+                self.incarnation,
+                settings.data_centre,
+                self.incarnation,
+            ),
+            self.registry,
+            self.members,
+            self.metrics,
+            self.peers.send,
+            self._now,
+        )
+        self.tree = TreeHolder(self.peers.send, self._configure)
+        self._machine = TreeMachine(self.tree.committed)
+        self._log_index = 0
+        self._provider: TracerProvider | None = None
+        self._exit = AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Open the listeners and begin to run the systems.
+
+        Raises:
+            SettingsError: An address can't be listened on.
+            PeerError: The same for the address of the links.
+        """
+        contexts = self._make_contexts()
+        self._provider = make_tracer_provider(self._settings)
+        tracer = make_tracer(self._provider)
+        session = await self._exit.enter_async_context(_make_session(contexts.client))
+        relay = RelayDeps(self.router, session, tracer, self._now)
+        callers = make_callers_app(
+            CallersDeps(
+                relay,
+                tracer,
+                self._settings.instance_id,
+                self.incarnation,
+                self._is_ready,
+                lambda: accepts_requests(self._stop),
+            ),
+            CALLERS_BODY_LIMIT_BYTES,
+        )
+        operators = web.Application(client_max_size=OPERATORS_BODY_LIMIT_BYTES)
+        operators.add_routes(make_operators_routes(self._operators_deps()))
+        await self.peers.start()
+        listen = self._settings.listen
+        await self._serve(operators, listen.operators, "operators", contexts.server)
+        await self._serve(callers, listen.callers, "callers", contexts.server)
+        self._tasks = [
+            asyncio.create_task(self._run_regularly(TICK_SECONDS, self._tick)),
+            asyncio.create_task(self._run_regularly(HEARTBEAT_SECONDS, self._beat)),
+        ]
+        logger.info("started", extra={"incarnation": self.incarnation})
+
+    def ask_stop(self) -> None:
+        """Begin a planned stop; asked again it cuts nothing."""
+        self._stop = ask_stop(self._stop, self._now())
+        logger.info("a stop was asked for", extra={"asked": self._stop.asked})
+        self._beat()
+        self.peers.flush()
+
+    async def close(self) -> None:
+        """Close all that ``start`` opened."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.stop()
+        await self._exit.aclose()
+        if self._provider is not None:
+            self._provider.shutdown()
+
+    def _is_ready(self) -> bool:
+        is_current = self.tree.store.revision >= self.members.highest_revision()
+        return is_ready(self._stop) and self.tree.store.revision > 0 and is_current
+
+    def _state(self) -> InstanceState:
+        if not is_ready(self._stop):
+            return InstanceState.DRAINING
+        return InstanceState.READY if self._is_ready() else InstanceState.STARTING
+
+    def _configure(self, tree: EffectiveTree) -> None:
+        self.router.configure(tree)
+
+    def _make_contexts(self) -> _Contexts:
+        tls = self._settings.tls
+        if tls is None:
+            return _Contexts()
+        contexts = _Contexts(make_server_context(tls), make_client_context(tls))
+        reload = make_reloader(
+            tls, self._source, (contexts.server, contexts.client), self._renew_links
+        )
+        self._tasks.append(
+            asyncio.create_task(self._run_regularly(TLS_RELOAD_SECONDS, reload))
+        )
+        return contexts
+
+    def _renew_links(self, files: TlsFiles) -> None:
+        self.peers.reload_tls(files)
+
+    async def _serve(
+        self, app: web.Application, address: str, name: str, context: Any
+    ) -> None:
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            shutdown_timeout=1.0,
+        )
+        await runner.setup()
+        self._exit.push_async_callback(runner.cleanup)
+        host, port = split_address(address)
+        try:
+            await web.TCPSite(runner, host, port, ssl_context=context).start()
+        except OSError as error:
+            raise SettingsError(
+                self._source, f"listen.{name}", str(error), "a free address"
+            ) from error
+
+    async def _run_regularly(
+        self, every_seconds: float, system: Callable[[], None]
+    ) -> None:
+        while True:
+            await asyncio.sleep(every_seconds)
+            try:
+                with self._control_time.measured():
+                    system()
+            except Exception:
+                # One broken turn must not end all later ones: the instance would
+                # look alive and decide nothing any more.
+                logger.exception("a system failed")
+
+    def _tick(self) -> None:
+        self.router.tick()
+        now_seconds = self._now()
+        load = StopLoad(
+            self.router.scheduler.running_attempts(),
+            self.router.scheduler.waiting_requests(),
+            0,
+        )
+        delay_seconds = self.router.tree.fleet.balancer_delay_seconds
+        self._stop = advance_stop(self._stop, load, delay_seconds, now_seconds)
+        if self._stop.step is StopStep.FINISHING:
+            self.router.refuse_waiting(
+                NotRunError("stopping", "this instance is stopping", 503, 1.0)
+            )
+        if self._stop.step is StopStep.STOPPED:
+            self.stopped.set()
+
+    def _beat(self) -> None:
+        beat = Heartbeat(
+            self._settings.data_centre, self._state(), self.tree.store.revision
+        )
+        self.peers.send(Outgoing(None, beat))
+        metrics = self.metrics
+        metrics.control_bytes.set({"direction": "sent"}, self.peers.sent_bytes)
+        metrics.control_bytes.set({"direction": "received"}, self.peers.received_bytes)
+        metrics.control_cpu_seconds.set({}, self._control_time.seconds)
+
+    def _on_message(self, sender_id: str, incarnation: int, message: Message) -> None:
+        with self._control_time.measured():
+            now_seconds = self._now()
+            match message:
+                case Heartbeat():
+                    self.members.heard(sender_id, incarnation, message, now_seconds)
+                    self.tree.heard_revision(sender_id, message.revision)
+                case TargetNews():
+                    if self.registry.heard(message, now_seconds):
+                        self.router.tick()
+                case TreeUpdate():
+                    self.tree.received(message)
+                case _:
+                    self.router.scheduler.received(
+                        sender_id, incarnation, message, now_seconds
+                    )
+                    self.router.wake()
+
+    async def _propose(self, proposal_id: str, machine: str, command: bytes) -> bytes:
+        self._log_index += 1
+        return self._machine.apply(self._log_index, command)
+
+    def _operators_deps(self) -> OperatorsDeps:
+        return OperatorsDeps(
+            operators=self._settings.operators,
+            platform_key_digest=self._settings.platform_key_digest,
+            store=lambda: self.tree.store,
+            propose=self._propose,
+            caught_up=self.tree.caught_up,
+            local_history=self._machine.history,
+            status=self._status,
+            announce=self._announce,
+            leave=self._leave,
+            wall_seconds=time,
+        )
+
+    def _announce(self, news: TargetNews) -> bool:
+        taken = self.registry.announced(news, self._now())
+        self.router.tick()
+        return taken
+
+    def _leave(self, target_id: str, incarnation: int, sequence: int) -> bool:
+        left = self.registry.left(target_id, incarnation, sequence, self._now())
+        self.router.tick()
+        return left
+
+    def _status(self) -> StatusReport:
+        now_seconds = self._now()
+        heard = {one.instance_id: one for one in self.members.all()}
+        others = []
+        for peer in self._settings.peers:
+            one = heard.get(peer.instance_id)
+            ago_seconds = now_seconds - one.heard_at_seconds if one else None
+            others.append(
+                InstanceStatus(
+                    peer.instance_id,
+                    peer.data_centre,
+                    one.state if one else None,
+                    one.revision if one else None,
+                    ago_seconds,
+                    ago_seconds is not None and ago_seconds <= HEARD_WITHIN_SECONDS,
+                )
+            )
+        own = InstanceStatus(
+            self._settings.instance_id,
+            self._settings.data_centre,
+            self._state(),
+            self.tree.store.revision,
+            0.0,
+            True,
+        )
+        targets = [
+            TargetStatus(
+                target.target_id,
+                target.data_centre,
+                target.kind,
+                target.serves,
+                target.capacity_slots,
+                0,
+                target.lease_expires_at_seconds - now_seconds,
+                target.leaving,
+            )
+            for target in self.registry.known()
+        ]
+        return StatusReport(
+            instance_id=self._settings.instance_id,
+            data_centre=self._settings.data_centre,
+            state=self._state(),
+            revision=self.tree.store.revision,
+            instances=(own, *others),
+            targets=tuple(targets),
+        )
+
+
+def _make_session(context: Any) -> ClientSession:
+    """Return the session for targets: no limits of its own, no total timeout."""
+    connector = TCPConnector(limit=0, ssl=context if context is not None else True)
+    timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
+    return ClientSession(
+        connector=connector, timeout=timeout, auto_decompress=False, cookie_jar=None
+    )
+
+
+def _link_key(settings: DaemonSettings, source: str) -> bytes:
+    """Return the key that seals messages between instances.
+
+    Raises:
+        SettingsError: There are peers but neither a shared key nor TLS.
+    """
+    if settings.shared_key_file is not None:
+        try:
+            key = Path(settings.shared_key_file).read_bytes().strip()
+        except OSError as error:
+            raise SettingsError(
+                source, "shared_key_file", str(error), "a readable file"
+            ) from error
+        if len(key) < 16:
+            raise SettingsError(
+                source, "shared_key_file", "a short key", "16 bytes or more"
+            )
+        return sha256(key).digest()
+    if settings.peers and settings.tls is None:
+        raise SettingsError(
+            source, "(top)", "peers without tls or shared_key_file", "one of the two"
+        )
+    return b"tls"
