Test the callers' port with good and bad input

Change: a router in the test's process before a counting target; eleven kinds of bad completion, a wrong content length, an unknown service, a stopping instance. Conclusion: kept as the frame for later tests of this port.

--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,162 @@
+"""The callers' port: good requests are served, bad ones get a clear error.
+
+Whatever is wrong with a request, its caller hears what, that it was not run, and
+no target has run anything.
+"""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+
+from tests.callers_fixture import KEY, CallersPort
+
+GOOD_KEY = {"Authorization": f"Bearer {KEY}"}
+PROMPT = {"model": "letters", "prompt": "Hello"}
+
+
+@asynccontextmanager
+async def open_port(**options):
+    port = await CallersPort(**options).start()
+    try:
+        yield port
+    finally:
+        await port.close()
+
+
+async def test_a_whole_completion():
+    async with open_port() as port:
+        answer = await port.client.post(
+            "/v1/completions", json=PROMPT, headers=GOOD_KEY
+        )
+        body = await answer.json()
+    assert answer.status == 200
+    assert answer.headers["Sesameford-Outcome"] == "ran"
+    assert body["choices"][0] == {
+        "index": 0,
+        "text": "Dear fans",
+        "finish_reason": "stop",
+    }
+    assert body["usage"]["completion_tokens"] == 2
+
+
+async def test_a_streamed_completion():
+    async with open_port() as port:
+        answer = await port.client.post(
+            "/v1/completions", json={**PROMPT, "stream": True}, headers=GOOD_KEY
+        )
+        text = await answer.text()
+    assert answer.headers["Sesameford-Outcome"] == "ran"
+    assert text.endswith("data: [DONE]\n\n")
+
+
+async def test_a_service_call_keeps_its_path_and_query():
+    async with open_port() as port:
+        answer = await port.client.get(
+            "/services/roster/teams%2Fold?year=2026", headers=GOOD_KEY
+        )
+        assert await answer.text() == "lookup"
+        assert port.counts.calls == ["GET /teams%2Fold?year=2026"]
+
+
+BAD = {
+    "no key": ({"json": PROMPT}, 401, "no-key"),
+    "a wrong key": (
+        {"json": PROMPT, "headers": {"Authorization": "Bearer guess"}},
+        401,
+        "wrong-key",
+    ),
+    "a suspended customer": (
+        {"json": PROMPT, "headers": {"Authorization": "Bearer other"}},
+        403,
+        "suspended",
+    ),
+    "an unknown model": (
+        {"json": {"model": "none", "prompt": ""}, "headers": GOOD_KEY},
+        404,
+        "unknown-model",
+    ),
+    "no model": ({"json": {"prompt": ""}, "headers": GOOD_KEY}, 404, "unknown-model"),
+    "a body too large": (
+        {"data": b"x" * 200_000, "headers": GOOD_KEY},
+        413,
+        "body-too-large",
+    ),
+    "no JSON": ({"data": b"{model", "headers": GOOD_KEY}, 400, "not-json"),
+    "deep JSON": ({"data": b"[" * 90_000, "headers": GOOD_KEY}, 400, "not-json"),
+    "no object": ({"json": [1], "headers": GOOD_KEY}, 400, "not-json"),
+    "a bad deadline": (
+        {"json": PROMPT, "headers": {**GOOD_KEY, "Sesameford-Deadline-Seconds": "nan"}},
+        400,
+        "bad-header",
+    ),
+    "an endless idempotency key": (
+        {"json": PROMPT, "headers": {**GOOD_KEY, "Idempotency-Key": "k" * 256}},
+        400,
+        "bad-idempotency-key",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+async def test_bad_input_is_refused_and_nothing_runs(name):
+    options, status, reason = BAD[name]
+    async with open_port() as port:
+        answer = await port.client.post("/v1/completions", **options)
+        problem = json.loads(await answer.read())
+        assert (answer.status, problem["reason"]) == (status, reason)
+        assert answer.headers["Sesameford-Outcome"] == "not-run"
+        assert answer.content_type == "application/problem+json"
+        assert port.counts.completions == []
+        assert port.metrics.refusals.get({"reason": reason}) == 1
+
+
+async def test_a_wrong_content_length_is_refused():
+    """A caller says that more bytes will come than it sends, then closes.
+
+    The half body may be valid by chance; run, it would answer a question that
+    nobody asked.
+    """
+    async with open_port() as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port.client.port)
+        body = json.dumps(PROMPT).encode()
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body) + 5}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        writer.write_eof()
+        await reader.read()
+        writer.close()
+        assert port.counts.completions == []
+        assert port.router.scheduler.waiting_requests() == 0
+
+
+async def test_an_unknown_service_is_refused():
+    async with open_port() as port:
+        answer = await port.client.get("/services/none/x", headers=GOOD_KEY)
+        assert (answer.status, (await answer.json())["reason"]) == (
+            404,
+            "unknown-service",
+        )
+        assert port.counts.calls == []
+
+
+async def test_a_stopping_instance_says_not_run():
+    async with open_port() as port:
+        port.is_open = False
+        answer = await port.client.post(
+            "/v1/completions", json=PROMPT, headers=GOOD_KEY
+        )
+        assert (await answer.json())["reason"] == "stopping"
+        assert answer.headers["Retry-After"]
+        assert port.counts.completions == []
+
+
+async def test_only_known_customers_see_the_models():
+    async with open_port() as port:
+        refused = await port.client.get("/v1/models")
+        listed = await port.client.get("/v1/models", headers=GOOD_KEY)
+        assert refused.status == 401
+        assert [row["id"] for row in (await listed.json())["data"]] == ["letters"]
