--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,12 @@
 	$(BIN)/ruff check --fix .
 
 check: lint types test ## All that .ci/run does
+
+demo: setup ## Run a whole deployment on loopback, twice the same
+	$(BIN)/python -m tools.demo
+
+bench: setup ## Measure both deployments in 5 minutes or less
+	$(BIN)/python -m benchmarks.bench
+
+bench-quick: setup ## The same in under 50 seconds
+	$(BIN)/python -m benchmarks.bench --quick
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -40,8 +40,8 @@
         capacity_slots: How many requests run at once.
         tokens_per_second: The pace of each running request.
         prompt_tokens_per_second: How fast uncached prompt tokens are read.
-        event_seconds: Tokens of a run are reported together this often; several
-            tokens in an event spare processor time on a shared machine.
+        event_seconds: New tokens of a run are reported together this often; bursts
+            of tokens spare processor time on a shared machine.
     """
 
     def __init__(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,4 +1,4 @@
-"""A stand-in for a model engine.
+"""A stand-in for a model engine, with one event per token, sent in small bursts.
 
 ``python -m standins.engine --port 9001 --target-id e1 --data-centre a --models m1``
 """
@@ -13,9 +13,11 @@
 from typing import Any
 
 from aiohttp import web
+from msgspec.json import encode
 
 from standins.batch import Batch, LaggingLoad, PrefixCache, Progress
 from standins.marks import Marks, answer_text, prompt_of, read_marks
+from standins.partition import Partition
 from standins.shell import make_parser, run_target
 
 CRASH_EXIT_CODE = 70
@@ -33,6 +35,7 @@
     marks: Marks
     model: str
     cached_tokens: int
+    chat: bool
     events: list[bytes] = field(default_factory=list)
     output_tokens: int = 0
     over: bool = False
@@ -68,6 +71,7 @@
         self._runs: dict[str, Counter[str]] = {}
         self._service: dict[str, Counter[str]] = {}
         self._refuse_next = 0
+        self._partition = Partition()
 
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
@@ -106,6 +110,8 @@
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         """Run a completion, always streamed."""
+        attempt_id = request.headers.get("X-Attempt-Id") or os.urandom(8).hex()
+        await self._partition.wait_open(attempt_id)
         body = json.loads(await request.read())
         prompt = prompt_of(body)
         marks = read_marks(prompt, body.get("max_tokens"))
@@ -116,12 +122,12 @@
             return _not_started("busy")
         if model not in self.models:
             return _not_started(f"model {model} is not loaded")
-        attempt_id = request.headers.get("X-Attempt-Id") or os.urandom(8).hex()
         if attempt_id in self._streams:
             return web.json_response({"error": "this attempt id has run"}, status=409)
         now_seconds = time.monotonic()
         cached_tokens = self._cache.use(prompt, now_seconds)
-        stream = _Stream(attempt_id, marks, model, cached_tokens)
+        chat = request.path.endswith("/chat/completions")
+        stream = _Stream(attempt_id, marks, model, cached_tokens, chat)
         self._streams[attempt_id] = stream
         self._forget_old_streams()
         self._runs.setdefault(marks.mark, Counter())["started"] += 1
@@ -133,7 +139,9 @@
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
         """Go on with a stream after the last event that the reader has."""
-        stream = self._streams.get(request.match_info["attempt_id"])
+        attempt_id = request.match_info["attempt_id"]
+        await self._partition.wait_open(attempt_id)
+        stream = self._streams.get(attempt_id)
         if stream is None:
             return web.json_response({"error": "unknown stream"}, status=404)
         position = int(request.headers.get("Last-Event-ID", "-1")) + 1
@@ -141,7 +149,9 @@
 
     async def _cancel(self, request: web.Request) -> web.StreamResponse:
         """Stop a run; fine if it is over."""
-        stream = self._streams.get(request.match_info["attempt_id"])
+        attempt_id = request.match_info["attempt_id"]
+        await self._partition.wait_open(attempt_id)
+        stream = self._streams.get(attempt_id)
         if stream is None:
             return web.json_response({"error": "unknown stream"}, status=404)
         self._advance()
@@ -164,6 +174,7 @@
         await response.prepare(request)
         while True:
             changed = stream.changed
+            await self._partition.wait_open(stream.attempt_id)
             if limit is not None and len(stream.events) > limit:
                 await response.write(b"".join(stream.events[position:limit]))
                 await asyncio.sleep(3600)
@@ -210,11 +221,13 @@
             service["prompt_tokens"] += marks.prompt_tokens
             service["cached_prompt_tokens"] += stream.cached_tokens
         service["output_tokens"] += progress.output_tokens - stream.output_tokens
-        text = answer_text(marks.mark, stream.output_tokens, progress.output_tokens)
-        reason = "stop" if progress.finished else None
-        choice = {"index": 0, "text": text, "finish_reason": reason}
-        choice["delta"] = {"content": text}
-        _add_event(stream, {"model": stream.model, "choices": [choice]})
+        for position in range(stream.output_tokens, progress.output_tokens):
+            is_last = progress.finished and position + 1 == progress.output_tokens
+            text = answer_text(marks.mark, position, position + 1)
+            choice: dict[str, Any] = {"index": 0}
+            choice |= {"delta": {"content": text}} if stream.chat else {"text": text}
+            choice["finish_reason"] = "stop" if is_last else None
+            _add_event(stream, {"model": stream.model, "choices": [choice]})
         stream.output_tokens = progress.output_tokens
         if progress.finished:
             self._finish(stream)
@@ -312,15 +325,16 @@
         return web.json_response(report)
 
     async def _take_faults(self, request: web.Request) -> web.Response:
-        """Refuse the next requests: ``{"refuse_next": n}``."""
+        """Take ``refuse_next``, a number, or ``cut_off``, a list of instances."""
         faults = json.loads(await request.read())
         self._refuse_next = int(faults.get("refuse_next", 0))
+        self._partition.cut_off(faults.get("cut_off", ()))
         return web.Response(status=204)
 
 
 def _add_event(stream: _Stream, data: dict[str, Any]) -> None:
     """Add one server-sent event with its number."""
-    event = b"id: %d\ndata: %s\n\n" % (len(stream.events), json.dumps(data).encode())
+    event = b"id: %d\ndata: %s\n\n" % (len(stream.events), encode(data))
     stream.events.append(event)
 
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -18,6 +18,7 @@
 
 from aiohttp import web
 
+from standins.partition import Partition
 from standins.shell import make_parser, run_target
 
 CRASH_EXIT_CODE = 70
@@ -37,6 +38,7 @@
         self._service: dict[str, Counter[str]] = {}
         self._mailings: list[str] = []
         self._refuse_next = 0
+        self._partition = Partition()
 
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
@@ -52,6 +54,8 @@
 
     async def _call(self, request: web.Request) -> web.Response:
         """Answer one call with what it said."""
+        attempt_id = request.headers.get("X-Attempt-Id", "")
+        await self._partition.wait_open(attempt_id)
         body = await request.read()
         fields = {**_fields_of(body), **request.query}
         if self._refuse_next or self._waiting >= self._waiting_limit:
@@ -59,7 +63,7 @@
             return web.json_response(
                 {"error": "busy"}, status=503, headers={"X-Not-Started": "true"}
             )
-        mark = str(fields.get("mark") or request.headers.get("X-Attempt-Id", ""))
+        mark = str(fields.get("mark") or attempt_id)
         if fields.get("crash"):
             os._exit(CRASH_EXIT_CODE)
         calls = self._calls.setdefault(mark, Counter())
@@ -83,6 +87,7 @@
             self._busy_slot_seconds += elapsed
             service = self._service.setdefault(customer, Counter())
             service["service_microseconds"] += round(elapsed * 1e6)
+        await self._partition.wait_open(attempt_id)
         calls["completed"] += 1
         service["completed"] += 1
         return web.json_response(
@@ -113,8 +118,10 @@
         return web.json_response(report)
 
     async def _take_faults(self, request: web.Request) -> web.Response:
-        """Refuse the next calls: ``{"refuse_next": n}``."""
-        self._refuse_next = int(json.loads(await request.read()).get("refuse_next", 0))
+        """Take ``refuse_next``, a number, or ``cut_off``, a list of instances."""
+        faults = json.loads(await request.read())
+        self._refuse_next = int(faults.get("refuse_next", 0))
+        self._partition.cut_off(faults.get("cut_off", ()))
         return web.Response(status=204)
 
 
--- a/tools/client.py
+++ b/tools/client.py
@@ -24,6 +24,7 @@
     filler: str = ""
     hint_cost_units: float | None = None
     stream: bool = True
+    chat: bool = False
 
     @property
     def prompt(self) -> str:
@@ -70,12 +71,16 @@
     Returns:
         What came, checked token by token.
     """
-    body = {
+    body: dict[str, Any] = {
         "model": work.model,
-        "prompt": work.prompt,
         "max_tokens": work.output_tokens,
         "stream": work.stream,
     }
+    if work.chat:
+        body["messages"] = [{"role": "user", "content": work.prompt}]
+    else:
+        body["prompt"] = work.prompt
+    path = "/v1/chat/completions" if work.chat else "/v1/completions"
     sent = {"Authorization": f"Bearer {key}", **(headers or {})}
     if work.hint_cost_units is not None:
         sent["Sesameford-Cost-Hint"] = f"{work.hint_cost_units:.1f}"
@@ -85,7 +90,7 @@
     status, outcome, request_id = 0, "", ""
     try:
         async with session.post(
-            f"{url}/v1/completions",
+            url + path,
             json=body,
             headers=sent,
             timeout=ClientTimeout(total=timeout_seconds),
@@ -126,10 +131,11 @@
     if not stream:
         try:
             answer = json.loads(raw)
-            return answer["choices"][0]["text"], answer.get("usage") or {}, True, ""
+            text = _text_of(answer["choices"][0])
+            return text, answer.get("usage") or {}, True, ""
         except (ValueError, LookupError, TypeError):
             return "", {}, False, "no whole answer"
-    text: list[str] = []
+    parts: list[str] = []
     usage: Mapping[str, Any] = {}
     for line in raw.split(b"\n"):
         if not line.startswith(b"data: {"):
@@ -139,9 +145,15 @@
         except ValueError:
             continue
         usage = event.get("usage") or usage
-        text.extend(choice.get("text", "") for choice in event.get("choices", ()))
+        parts.extend(_text_of(choice) for choice in event.get("choices", ()))
     complete = _END_MARK in raw
-    return "".join(text), usage, complete, "" if complete else "cut"
+    return "".join(parts), usage, complete, "" if complete else "cut"
+
+
+def _text_of(choice: Mapping[str, Any]) -> str:
+    """Return the text of a choice: a completion's, or a chat's, whole or in part."""
+    part = choice.get("message") or choice.get("delta") or {}
+    return str(choice.get("text") or part.get("content") or "")
 
 
 def _reason_of(raw: bytes) -> str:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -152,6 +152,11 @@
     ) -> None:
         await self.reap()
 
+    @property
+    def environment(self) -> Mapping[str, str]:
+        """Return the environment of every process."""
+        return os.environ | {"PYTHONPATH": str(ROOT)}
+
     @property
     def operators_file(self) -> Path:
         """Return the file that holds the operator's key, for the tool."""
@@ -183,7 +188,7 @@
             member.process = await asyncio.create_subprocess_exec(
                 *member.command,
                 cwd=ROOT,
-                env=os.environ | {"PYTHONPATH": str(ROOT)},
+                env=self.environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -257,15 +262,33 @@
         await asyncio.sleep(down_seconds)
         await self.launch(member)
 
-    def cut(self, data_centre: str) -> None:
+    async def cut(self, data_centre: str) -> None:
         """Separate a data centre from all others, silently."""
         for relay in self._relays_of(data_centre):
             relay.cut()
-
-    def heal(self, data_centre: str) -> None:
+        for target in self.targets.values():
+            inside = target.data_centre == data_centre
+            far = [
+                member.member_id
+                for member in self.instances.values()
+                if (member.data_centre == data_centre) != inside
+            ]
+            await self._post_faults(target, {"cut_off": far})
+
+    async def heal(self, data_centre: str) -> None:
         """Join a data centre to the others again."""
         for relay in self._relays_of(data_centre):
             relay.heal()
+        for target in self.targets.values():
+            await self._post_faults(target, {"cut_off": []})
+
+    async def _post_faults(self, target: Member, faults: Mapping[str, Any]) -> None:
+        """Tell a stand-in how to misbehave."""
+        async with (
+            ClientSession() as session,
+            session.post(f"{target.url}/faults", json=faults),
+        ):
+            pass
 
     def instances_in(self, data_centre: str) -> Sequence[Member]:
         """Return the instances of a data centre."""
