--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: help setup demo test lint format types check
+.PHONY: help setup demo bench bench-quick test lint format types check
 
 help: ## List the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
--- a/benchmarks/scenario.py
+++ b/benchmarks/scenario.py
@@ -100,7 +100,7 @@
     async with Fleet(shape, folder) as fleet:
         customers = make_customers(list(fleet.instances), SEED)
         run = Run(shape, variant, customers, phases)
-        await fleet.wait_ready()
+        await fleet.wait_up()
         tree = make_tree(
             shape,
             customers,
@@ -110,6 +110,7 @@
         )
         await apply_tree(fleet, tree)
         await wait_for_targets(fleet)
+        await fleet.wait_ready()
         async with ClientSession(
             connector=TCPConnector(limit=0), timeout=ClientTimeout(total=5)
         ) as session:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -218,13 +218,14 @@
     """
     customers = demo_customers()
     async with Fleet(DESK, folder) as fleet:
-        await fleet.wait_ready()
+        await fleet.wait_up()
         console.print(
             f"{len(fleet.instances)} daemons in {len(DESK.data_centres)} data centres"
             f" and {len(fleet.targets)} stand-ins are up"
         )
         await apply_tree(fleet, make_tree(DESK, customers, "leased"))
         await wait_for_targets(fleet)
+        await fleet.wait_ready()
         console.print("The tree is in force everywhere")
         answers, trace_id = await _send_all(fleet, customers)
         right = _show(customers, answers, await _cost_units(fleet))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -194,25 +194,39 @@
                 stderr=log,
             )
 
+    async def wait_up(self) -> None:
+        """Wait until every instance answers; without a tree none is ready yet.
+
+        Raises:
+            FleetError: One ended or stayed silent; the text names its log.
+        """
+        await self._wait_page(list(self.instances.values()), "healthz")
+
     async def wait_ready(self, members: Sequence[Member] | None = None) -> None:
-        """Wait until every instance says that it is ready.
+        """Wait until every instance says that it is ready for callers.
 
         Raises:
             FleetError: One ended or stayed not ready; the text names its log.
         """
+        await self._wait_page(members or list(self.instances.values()), "readyz")
+
+    async def _wait_page(self, members: Sequence[Member], page: str) -> None:
+        """Wait until a page of each member answers with 200."""
         async with ClientSession(timeout=ClientTimeout(total=2)) as session:
-            for member in members or list(self.instances.values()):
-                await self._wait_one(session, member)
+            for member in members:
+                await self._wait_one(session, member, page)
 
-    async def _wait_one(self, session: ClientSession, member: Member) -> None:
-        """Wait until one instance says that it is ready."""
+    async def _wait_one(
+        self, session: ClientSession, member: Member, page: str
+    ) -> None:
+        """Wait until a page of one member answers with 200."""
         give_up_at = asyncio.get_running_loop().time() + _READY_SECONDS
         said = "nothing"
         while asyncio.get_running_loop().time() < give_up_at:
             if not member.alive:
                 raise FleetError(f"{member.member_id} ended, see {member.log_file}")
             try:
-                async with session.get(f"{member.url}/readyz") as response:
+                async with session.get(f"{member.url}/{page}") as response:
                     if response.status == 200:
                         return
                     said = f"{response.status} {(await response.text())[:200]}"
@@ -220,7 +234,7 @@
                 said = str(error)
             await asyncio.sleep(_POLL_SECONDS)
         raise FleetError(
-            f"{member.member_id} is not ready ({said}), see {member.log_file}"
+            f"{member.member_id}: /{page} said {said}, see {member.log_file}"
         )
 
     async def kill(self, member: Member) -> None:
