Agree on changes of the tree through the replicated log

Cause: each instance accepted changes by itself, so two could accept different ones. Change: the daemon composes the replicated log with the tree and the claims; an instance without a disk sends its proposals to the leader; status shows roles, term and quorum. Conclusion: a change is accepted once for the fleet.

--- /dev/null
+++ b/sesameford/http_ports.py
@@ -0,0 +1,63 @@
+"""Listening and connecting over HTTP, with the bounds that outsiders meet."""
+
+from collections.abc import Awaitable, Callable
+from ssl import SSLContext
+
+from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector, web
+
+from sesameford.settings import split_address
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+KEEP_ALIVE_SECONDS = 60.0
+MAX_HEADER_BYTES = 16_384
+SHUTDOWN_TIMEOUT_SECONDS = 1.0
+
+
+def make_session(context: SSLContext | None) -> ClientSession:
+    """Return the session for targets: it bounds no time but that to connect.
+
+    How long an answer may take is decided where the request's deadline is known.
+    """
+    connector = TCPConnector(
+        limit=0,
+        ssl=context if context is not None else True,
+        keepalive_timeout=KEEP_ALIVE_SECONDS / 2,
+    )
+    timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
+    return ClientSession(
+        connector=connector,
+        timeout=timeout,
+        auto_decompress=False,
+        cookie_jar=DummyCookieJar(),
+    )
+
+
+async def listen(
+    app: web.Application, address: str, context: SSLContext | None
+) -> Callable[[], Awaitable[None]]:
+    """Serve an application on an address.
+
+    Args:
+        app: The application; a handler is cancelled when its caller goes away.
+        address: IP number and port.
+        context: For TLS, or None.
+
+    Returns:
+        A function that stops serving.
+
+    Raises:
+        OSError: The address can't be listened on.
+    """
+    runner = web.AppRunner(
+        app,
+        handler_cancellation=True,
+        access_log=None,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
+        keepalive_timeout=KEEP_ALIVE_SECONDS,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+    )
+    await runner.setup()
+    host, port = split_address(address)
+    await web.TCPSite(runner, host, port, ssl_context=context).start()
+    return runner.cleanup
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -5,23 +5,31 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from hashlib import sha256
 from pathlib import Path
 from time import monotonic, time, time_ns
 from typing import Any
+from zlib import crc32
 
-from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
+from aiohttp import web
 from opentelemetry.sdk.trace import TracerProvider
 
 from sesameford.callers import CallersDeps, make_callers_app
+from sesameford.claims import ClaimsMachine
 from sesameford.effective import EffectiveTree
 from sesameford.errors import NotRunError, SettingsError
+from sesameford.http_ports import listen, make_session
 from sesameford.independent import make_independent_scheduler
-from sesameford.members import HEARD_WITHIN_SECONDS, Members
+from sesameford.instance_status import OwnStanding, make_status
+from sesameford.link_key import load_link_key
+from sesameford.log_service import make_log_service
+from sesameford.members import Members
 from sesameford.messages import (
     Heartbeat,
+    LogPayload,
     Message,
     Outgoing,
+    ProposalReply,
+    ProposalRequest,
     TargetNews,
     TreeUpdate,
 )
@@ -31,8 +39,8 @@
 from sesameford.processor_time import ProcessorTime
 from sesameford.relay import RelayDeps
 from sesameford.router import Router
-from sesameford.settings import DaemonSettings, split_address
-from sesameford.status import InstanceStatus, StatusReport, TargetStatus
+from sesameford.settings import DaemonSettings
+from sesameford.status import StatusReport
 from sesameford.stops import (
     StopLoad,
     StopState,
@@ -93,7 +101,7 @@
         self.peers = PeerLinks(
             settings,
             self.incarnation,
-            _link_key(settings, source),
+            load_link_key(settings, source),
             self._on_message,
             self._now,
             self._tls,
@@ -113,7 +121,15 @@
         )
         self.tree = TreeHolder(self.peers.send, self._configure)
         self._machine = TreeMachine(self.tree.committed)
-        self._log_index = 0
+        self._log = make_log_service(
+            settings.instance_id,
+            tuple(peer.instance_id for peer in settings.peers if peer.has_disk),
+            Path(settings.data_folder) if settings.data_folder else None,
+            (self._machine, ClaimsMachine()),
+            self._send_log,
+            self._now,
+            seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
+        )
         self._provider: TracerProvider | None = None
         self._exit = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
@@ -128,7 +144,7 @@
         contexts = self._make_contexts()
         self._provider = make_tracer_provider(self._settings)
         tracer = make_tracer(self._provider)
-        session = await self._exit.enter_async_context(_make_session(contexts.client))
+        session = await self._exit.enter_async_context(make_session(contexts.client))
         relay = RelayDeps(self.router, session, tracer, self._now)
         callers = make_callers_app(
             CallersDeps(
@@ -143,10 +159,11 @@
         )
         operators = web.Application(client_max_size=OPERATORS_BODY_LIMIT_BYTES)
         operators.add_routes(make_operators_routes(self._operators_deps()))
+        self._log.start()
         await self.peers.start()
-        listen = self._settings.listen
-        await self._serve(operators, listen.operators, "operators", contexts.server)
-        await self._serve(callers, listen.callers, "callers", contexts.server)
+        addresses = self._settings.listen
+        await self._serve(operators, addresses.operators, "operators", contexts.server)
+        await self._serve(callers, addresses.callers, "callers", contexts.server)
         self._tasks = [
             asyncio.create_task(self._run_regularly(TICK_SECONDS, self._tick)),
             asyncio.create_task(self._run_regularly(HEARTBEAT_SECONDS, self._beat)),
@@ -165,6 +182,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._log.stop()
         await self.peers.stop()
         await self._exit.aclose()
         if self._provider is not None:
@@ -201,19 +219,8 @@
     async def _serve(
         self, app: web.Application, address: str, name: str, context: Any
     ) -> None:
-        runner = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            shutdown_timeout=1.0,
-        )
-        await runner.setup()
-        self._exit.push_async_callback(runner.cleanup)
-        host, port = split_address(address)
         try:
-            await web.TCPSite(runner, host, port, ssl_context=context).start()
+            self._exit.push_async_callback(await listen(app, address, context))
         except OSError as error:
             raise SettingsError(
                 self._source, f"listen.{name}", str(error), "a free address"
@@ -232,9 +239,13 @@
                 # look alive and decide nothing any more.
                 logger.exception("a system failed")
 
+    def _send_log(self, receiver_id: str, message: Message) -> None:
+        self.peers.send(Outgoing(receiver_id, message, urgent=True))
+
     def _tick(self) -> None:
         self.router.tick()
         now_seconds = self._now()
+        self._log.tick(now_seconds)
         load = StopLoad(
             self.router.scheduler.running_attempts(),
             self.router.scheduler.waiting_requests(),
@@ -271,22 +282,20 @@
                         self.router.tick()
                 case TreeUpdate():
                     self.tree.received(message)
+                case LogPayload() | ProposalRequest() | ProposalReply():
+                    self._log.received(sender_id, incarnation, message, now_seconds)
                 case _:
                     self.router.scheduler.received(
                         sender_id, incarnation, message, now_seconds
                     )
                     self.router.wake()
 
-    async def _propose(self, proposal_id: str, machine: str, command: bytes) -> bytes:
-        self._log_index += 1
-        return self._machine.apply(self._log_index, command)
-
     def _operators_deps(self) -> OperatorsDeps:
         return OperatorsDeps(
             operators=self._settings.operators,
             platform_key_digest=self._settings.platform_key_digest,
             store=lambda: self.tree.store,
-            propose=self._propose,
+            propose=self._log.propose,
             caught_up=self.tree.caught_up,
             local_history=self._machine.history,
             status=self._status,
@@ -306,82 +315,18 @@
         return left
 
     def _status(self) -> StatusReport:
-        now_seconds = self._now()
-        heard = {one.instance_id: one for one in self.members.all()}
-        others = []
-        for peer in self._settings.peers:
-            one = heard.get(peer.instance_id)
-            ago_seconds = now_seconds - one.heard_at_seconds if one else None
-            others.append(
-                InstanceStatus(
-                    peer.instance_id,
-                    peer.data_centre,
-                    one.state if one else None,
-                    one.revision if one else None,
-                    ago_seconds,
-                    ago_seconds is not None and ago_seconds <= HEARD_WITHIN_SECONDS,
-                )
-            )
-        own = InstanceStatus(
+        own = OwnStanding(
             self._settings.instance_id,
             self._settings.data_centre,
             self._state(),
             self.tree.store.revision,
-            0.0,
-            True,
         )
-        targets = [
-            TargetStatus(
-                target.target_id,
-                target.data_centre,
-                target.kind,
-                target.serves,
-                target.capacity_slots,
-                0,
-                target.lease_expires_at_seconds - now_seconds,
-                target.leaving,
-            )
-            for target in self.registry.known()
-        ]
-        return StatusReport(
-            instance_id=self._settings.instance_id,
-            data_centre=self._settings.data_centre,
-            state=self._state(),
-            revision=self.tree.store.revision,
-            instances=(own, *others),
-            targets=tuple(targets),
-        )
-
-
-def _make_session(context: Any) -> ClientSession:
-    """Return the session for targets: no limits of its own, no total timeout."""
-    connector = TCPConnector(limit=0, ssl=context if context is not None else True)
-    timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
-    return ClientSession(
-        connector=connector, timeout=timeout, auto_decompress=False, cookie_jar=None
-    )
-
-
-def _link_key(settings: DaemonSettings, source: str) -> bytes:
-    """Return the key that seals messages between instances.
-
-    Raises:
-        SettingsError: There are peers but neither a shared key nor TLS.
-    """
-    if settings.shared_key_file is not None:
-        try:
-            key = Path(settings.shared_key_file).read_bytes().strip()
-        except OSError as error:
-            raise SettingsError(
-                source, "shared_key_file", str(error), "a readable file"
-            ) from error
-        if len(key) < 16:
-            raise SettingsError(
-                source, "shared_key_file", "a short key", "16 bytes or more"
-            )
-        return sha256(key).digest()
-    if settings.peers and settings.tls is None:
-        raise SettingsError(
-            source, "(top)", "peers without tls or shared_key_file", "one of the two"
+        return make_status(
+            own,
+            self._settings.peers,
+            self.members.all(),
+            self.registry.known(),
+            self.router.running_by_target(),
+            self._log.status(),
+            self._now(),
         )
-    return b"tls"
--- /dev/null
+++ b/sesameford/instance_status.py
@@ -0,0 +1,135 @@
+"""Puts together what an instance tells operators of itself and the others."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from sesameford.log_status import LogStatus as ReplicaStatus
+from sesameford.members import HEARD_WITHIN_SECONDS
+from sesameford.settings import Peer
+from sesameford.status import InstanceStatus, LogStatus, StatusReport, TargetStatus
+from sesameford.tables import Instance, InstanceState, Target
+
+_LEARNER_ROLE = "learner"
+
+
+@dataclass(frozen=True, slots=True)
+class OwnStanding:
+    """What an instance knows of itself."""
+
+    instance_id: str
+    data_centre: str
+    state: InstanceState
+    revision: int
+
+
+def make_status(
+    own: OwnStanding,
+    peers: Sequence[Peer],
+    heard: Sequence[Instance],
+    targets: Sequence[Target],
+    running: dict[str, int],
+    replica: ReplicaStatus,
+    now_seconds: float,
+) -> StatusReport:
+    """Return the answer to ``GET /status``.
+
+    Args:
+        own: The answering instance.
+        peers: The others as the settings name them.
+        heard: The others as their heartbeats told.
+        targets: All targets known.
+        running: Attempts that run from here, by target.
+        replica: The replicated log as seen here.
+        now_seconds: The present time.
+    """
+    by_id = {one.instance_id: one for one in heard}
+    roles = _roles(own, replica)
+    instances = [
+        InstanceStatus(
+            own.instance_id,
+            own.data_centre,
+            own.state,
+            own.revision,
+            0.0,
+            True,
+            replica.role,
+        )
+    ]
+    for peer in peers:
+        one = by_id.get(peer.instance_id)
+        role = roles.get(peer.instance_id, "none")
+        instances.append(_peer_status(peer, one, role, now_seconds))
+    return StatusReport(
+        instance_id=own.instance_id,
+        data_centre=own.data_centre,
+        state=own.state,
+        revision=own.revision,
+        instances=tuple(instances),
+        targets=tuple(_target_status(one, running, now_seconds) for one in targets),
+        log=_log_status(replica),
+    )
+
+
+def _roles(own: OwnStanding, replica: ReplicaStatus) -> dict[str, str]:
+    """Return the roles of the other replicas, as far as they are known here."""
+    roles = {
+        member.instance_id: "follower" if member.voter else _LEARNER_ROLE
+        for member in replica.members
+    }
+    if replica.leader_id is not None and replica.leader_id != own.instance_id:
+        roles[replica.leader_id] = "leader"
+    return roles
+
+
+def _peer_status(
+    peer: Peer, one: Instance | None, role: str, now_seconds: float
+) -> InstanceStatus:
+    """Return the line of another instance."""
+    if one is None:
+        return InstanceStatus(
+            peer.instance_id, peer.data_centre, None, None, None, False, role
+        )
+    ago_seconds = now_seconds - one.heard_at_seconds
+    return InstanceStatus(
+        peer.instance_id,
+        peer.data_centre,
+        one.state,
+        one.revision,
+        ago_seconds,
+        ago_seconds <= HEARD_WITHIN_SECONDS,
+        role,
+    )
+
+
+def _target_status(
+    target: Target, running: dict[str, int], now_seconds: float
+) -> TargetStatus:
+    """Return the line of a target."""
+    return TargetStatus(
+        target.target_id,
+        target.data_centre,
+        target.kind,
+        target.serves,
+        target.capacity_slots,
+        running.get(target.target_id, 0),
+        target.lease_expires_at_seconds - now_seconds,
+        target.leaving,
+    )
+
+
+def _log_status(replica: ReplicaStatus) -> LogStatus:
+    """Return the log's part of the answer."""
+    has_quorum = None
+    if replica.role == "leader":
+        has_quorum = replica.lease_remaining_seconds > 0
+    elif replica.leader_silent_seconds is not None:
+        has_quorum = replica.leader_id is not None
+    return LogStatus(
+        leader_id=replica.leader_id,
+        term=replica.term,
+        commit_index=replica.commit_index,
+        quorum=has_quorum,
+        lease_remaining_seconds=(
+            replica.lease_remaining_seconds if replica.role == "leader" else None
+        ),
+    )
--- a/sesameford/router.py
+++ b/sesameford/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 from sesameford.effective import CustomerSettings, EffectiveTree
@@ -40,6 +41,7 @@
         self._now = now
         self._waiters: dict[str, asyncio.Future[Attempt]] = {}
         self._targets: dict[str, Target] = {}
+        self._running: Counter[str] = Counter()
         self._pump_is_due = False
 
     def configure(self, tree: EffectiveTree) -> None:
@@ -79,11 +81,13 @@
             NotRunError: The deadline passed while it waited.
         """
         self.metrics.retries.inc({"reason": reason})
+        self._running[attempt.target_id] -= 1
         self.scheduler.retried(attempt.attempt_id, attempt.target_id, self._now())
         return await self._wait(request)
 
     def settle(self, attempt: Attempt, usage: Usage, outcome: Outcome) -> None:
         """End an attempt and free its place."""
+        self._running[attempt.target_id] -= 1
         self.scheduler.settled(attempt.attempt_id, usage, outcome, self._now())
         self.wake()
 
@@ -91,6 +95,10 @@
         """Tell the scheduler what a running attempt has used so far."""
         self.scheduler.progressed(attempt.attempt_id, usage, self._now())
 
+    def running_by_target(self) -> dict[str, int]:
+        """Return how many attempts run from here, by target."""
+        return dict(self._running)
+
     def wake(self) -> None:
         """Decide soon, once for all events of this turn of the loop."""
         if not self._pump_is_due:
@@ -153,6 +161,7 @@
         self._pump_is_due = False
         now_seconds = self._now()
         for attempt in self.scheduler.decide(now_seconds):
+            self._running[attempt.target_id] += 1
             waiter = self._waiters.get(attempt.request_id)
             if waiter is None or waiter.done():
                 self.settle(attempt, Usage(), Outcome.NOT_RUN)
--- /dev/null
+++ b/tests/test_instance.py
@@ -0,0 +1,120 @@
+"""Whole instances in one process, over real sockets on loopback."""
+
+from contextlib import AsyncExitStack, asynccontextmanager
+from hashlib import sha256
+from pathlib import Path
+from socket import socket
+
+import pytest
+from aiohttp import ClientSession
+
+from sesameford.errors import SettingsError
+from sesameford.instance import Instance
+from sesameford.settings import DaemonSettings, Listen, OperatorKey, Peer
+
+OPERATOR_KEY = "the-operators-key"
+OPERATOR = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+TREE = "customers: {children: {club: {share: 2}}}\n"
+
+
+def free_addresses(count):
+    sockets = [socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
+    for one in sockets:
+        one.close()
+    return addresses
+
+
+def make_settings(folder: Path, count: int, disks: int, **more):
+    addresses = free_addresses(3 * count)
+    shared_key = folder / "shared.key"
+    shared_key.write_text("0123456789abcdef0123456789abcdef")
+    peers = [
+        Peer(f"e{n}", "abc"[n % 3], addresses[3 * n + 2], n < disks)
+        for n in range(count)
+    ]
+    operators = (OperatorKey("op", sha256(OPERATOR_KEY.encode()).hexdigest()),)
+    settings = []
+    for n in range(count):
+        data_folder = folder / f"e{n}"
+        data_folder.mkdir(exist_ok=True)
+        settings.append(
+            DaemonSettings(
+                instance_id=f"e{n}",
+                data_centre="abc"[n % 3],
+                listen=Listen(*addresses[3 * n : 3 * n + 3]),
+                peers=tuple(peer for peer in peers if peer.instance_id != f"e{n}"),
+                operators=operators,
+                data_folder=str(data_folder) if n < disks else None,
+                **{"shared_key_file": str(shared_key), **more},
+            )
+        )
+    return settings
+
+
+@asynccontextmanager
+async def running(settings):
+    async with AsyncExitStack() as stack:
+        instances = []
+        for one in settings:
+            instance = Instance(one, "test.yaml")
+            await instance.start()
+            stack.push_async_callback(instance.close)
+            instances.append(instance)
+        yield instances
+
+
+async def apply_tree(session, settings, change_id, base_revision, declared):
+    url = f"http://{settings.listen.operators}/tree/changes"
+    change = {
+        "change_id": change_id,
+        "base_revision": base_revision,
+        "declared": declared,
+    }
+    async with session.post(url, json=change, headers=OPERATOR) as answer:
+        return answer.status, await answer.json()
+
+
+async def test_a_change_through_one_instance_is_in_force_at_all(tmp_path):
+    settings = make_settings(tmp_path, 4, 3)
+    async with running(settings) as instances, ClientSession() as session:
+        status, answer = await apply_tree(session, settings[3], "c1", 0, TREE)
+        assert (status, answer["revision"]) == (200, 1)
+        for instance in instances:
+            assert await instance.tree.caught_up(1, 20)
+            assert instance.router.tree.customers["club"].share == 2
+
+
+async def test_an_instance_that_restarts_empty_takes_the_tree(tmp_path):
+    """An instance without a disk is restarted and knows nothing any more.
+
+    If it called itself ready before it has the tree, callers with good keys would
+    be refused there.
+    """
+    settings = make_settings(tmp_path, 2, 1)
+    async with running(settings[:1]) as (first,), ClientSession() as session:
+        assert (await apply_tree(session, settings[0], "c1", 0, TREE))[0] == 200
+        assert await first.tree.caught_up(1, 20)
+        async with running(settings[1:]) as (second,):
+            async with session.get(
+                f"http://{settings[1].listen.callers}/readyz"
+            ) as ready:
+                had_tree = second.tree.store.revision == 1
+                assert ready.status == (200 if had_tree else 503)
+            assert await second.tree.caught_up(1, 20)
+
+
+async def test_a_change_survives_a_restart_of_its_only_replica(tmp_path):
+    settings = make_settings(tmp_path, 1, 1)
+    async with running(settings), ClientSession() as session:
+        assert (await apply_tree(session, settings[0], "c1", 0, TREE))[0] == 200
+    async with running(settings) as (again,):
+        assert await again.tree.caught_up(1, 20)
+
+
+def test_peers_without_any_identity_are_refused(tmp_path):
+    settings = make_settings(tmp_path, 2, 0, shared_key_file=None)
+    with pytest.raises(SettingsError, match="peers without tls"):
+        Instance(settings[0], "test.yaml")
