--- a/sesameford/estimates.py
+++ b/sesameford/estimates.py
@@ -5,16 +5,16 @@
 have turned out, and mixed with the mean of what its requests did cost.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from sesameford.effective import EffectiveTree, ModelSettings, ServiceSettings
-from sesameford.tables import Request, TargetKind, Usage
+from sesameford.costs import estimate_cost
+from sesameford.effective import EffectiveTree
+from sesameford.tables import Request
 
 _MEMORY_REQUESTS = 32.0
 _PRIOR_REQUESTS = 4.0
 _HINT_WEIGHT = 0.5
 _HINT_RANGE = 16.0
-_DEFAULT_SERVICE_SECONDS = 0.1
 _MAX_ROWS = 20_000
 
 
@@ -43,10 +43,10 @@
         Returns:
             Cost units, above zero.
         """
-        prior = prior_cost_units(request, tree)
         row = self._learned.get((request.customer_id, request.resource))
         if row is None:
-            return request.hint_cost_units or prior
+            return estimate_cost(tree, request)
+        prior = estimate_cost(tree, replace(request, hint_cost_units=None))
         weight = row.requests / (row.requests + _PRIOR_REQUESTS)
         mean = weight * row.cost_units + (1.0 - weight) * prior
         hint = request.hint_cost_units
@@ -71,32 +71,3 @@
         if hint is not None and hint > 0.0:
             ratio = min(max(cost_units / hint, 1.0 / _HINT_RANGE), _HINT_RANGE)
             row.hint_ratio += step * (ratio - row.hint_ratio)
-
-
-def cost_of(
-    kind: TargetKind, resource: str, usage: Usage, tree: EffectiveTree
-) -> float:
-    """Return the cost units of a usage under the tree's rates."""
-    if kind is TargetKind.SERVICE:
-        service = tree.services.get(resource) or ServiceSettings(resource)
-        return usage.service_seconds * service.second_cost_units
-    model = tree.models.get(resource) or ModelSettings(resource)
-    fresh = max(usage.prompt_tokens - usage.cached_prompt_tokens, 0)
-    return (
-        fresh * model.prompt_token_cost_units
-        + usage.cached_prompt_tokens * model.cached_prompt_token_cost_units
-        + usage.output_tokens * model.output_token_cost_units
-    )
-
-
-def prior_cost_units(request: Request, tree: EffectiveTree) -> float:
-    """Return what a request may cost where nothing was learned."""
-    if request.kind is TargetKind.SERVICE:
-        usage = Usage(service_seconds=_DEFAULT_SERVICE_SECONDS)
-    else:
-        model = tree.models.get(request.resource) or ModelSettings(request.resource)
-        usage = Usage(
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=model.default_output_tokens,
-        )
-    return max(cost_of(request.kind, request.resource, usage, tree), 1e-6)
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -11,10 +11,11 @@
 from sesameford.accounts import Account, OwnTotals
 from sesameford.allocator import Allocator
 from sesameford.allocator_state import PATIENCE_SECONDS
+from sesameford.costs import cost_of_usage
 from sesameford.effective import CustomerSettings, EffectiveTree
 from sesameford.election import Election
 from sesameford.errors import NotRunError
-from sesameford.estimates import Estimates, cost_of
+from sesameford.estimates import Estimates
 from sesameford.limits import Limits
 from sesameford.links import (
     COALESCE_SECONDS,
@@ -368,7 +369,7 @@
         """Take the usage so far of a running attempt; may be skipped at will."""
         row = self._attempts.get(attempt_id)
         if row is not None:
-            used = cost_of(row.request.kind, row.request.resource, usage, self._tree)
+            used = cost_of_usage(self._tree, row.request, usage)
             if used > row.charged_cost_units:
                 self._charge(row, used, now_seconds)
 
@@ -379,7 +380,7 @@
         row = self._end(attempt_id)
         if row is None:
             return
-        used = cost_of(row.request.kind, row.request.resource, usage, self._tree)
+        used = cost_of_usage(self._tree, row.request, usage)
         self._charge(row, used, now_seconds)
         if outcome is Outcome.RAN:
             self._estimates.learn(row.request, used)
--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -288,7 +288,9 @@
             incarnation = self.incarnations[sender]
             sequence = self._sequences.get(sender, 0) + 1
             self._sequences[sender] = sequence
-            envelope = Envelope(sender, incarnation, sequence, tuple(messages))
+            envelope = Envelope(
+                sender, incarnation, sequence, (1, sequence), tuple(messages)
+            )
             encoded = encode_envelope(envelope)
             self.counted.bytes_sent += len(encoded) + WIRE_OVERHEAD_BYTES
             self.counted.messages_sent += 1
