--- a/tools/load.py
+++ b/tools/load.py
@@ -27,6 +27,7 @@
 PROMPT_CHARACTERS = (64, 640)
 _HISTOGRAM_HIGH = 120_000_000
 _IDLE_STEP_SECONDS = 0.1
+_FINISH_SECONDS = 2.0
 _SERVICE_FRACTION = 0.05
 _SERVICE_DELAY_SECONDS = 0.02
 OVERDUE_SECONDS = 0.1
@@ -197,10 +198,10 @@
                 if self._state.tasks:
                     await asyncio.wait(list(self._state.tasks), timeout=seconds)
 
-            await finish(4.0)
+            await finish(_FINISH_SECONDS)
             for task in list(self._state.tasks):
                 task.cancel()
-            await finish(2.0)
+            await finish(_FINISH_SECONDS)
 
     def _rate(self, customer: Customer, now_seconds: float) -> float:
         """Return how many requests a second a customer sends now."""
