--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -57,9 +57,12 @@
     calm_seconds = QUICK_CALM_SECONDS if options.quick else FULL_CALM_SECONDS
     for variant in options.variants.split(","):
         with TemporaryDirectory(prefix="sesameford-bench-") as folder:
-            run = await run_variant(
-                shape, variant, phases, calm_seconds, Path(folder) / "run"
-            )
+            run_folder = Path(folder) / "run"
+            run = await run_variant(shape, variant, phases, calm_seconds, run_folder)
+            for member_id, code in run.exit_codes.items():
+                if code:
+                    log = run_folder / f"{member_id}.log"
+                    (options.results / log.name).write_bytes(log.read_bytes())
             bound = None
             result = {
                 "figures": figures_of(run, bound),
--- a/benchmarks/scenario.py
+++ b/benchmarks/scenario.py
@@ -318,6 +318,7 @@
         "false_not_run": mistakes.false_not_run,
         "unknown": mistakes.unknown,
         "requests": len(run.sent),
+        "not_stopped": sum(1 for code in run.exit_codes.values() if code),
     }
 
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 from collections.abc import Iterator, Mapping, Sequence
+from contextlib import suppress
 from dataclasses import dataclass, field
 from hashlib import sha256
 from pathlib import Path
@@ -26,8 +27,9 @@
 HOST = "127.0.0.1"
 OPERATOR = "demo"
 _READY_SECONDS = 40.0
-_STOP_SECONDS = 45.0
+_STOP_SECONDS = 20.0
 _POLL_SECONDS = 0.1
+_HELD_METRICS = ("sesameford_waiting_requests", "sesameford_running_attempts")
 
 
 class FleetError(Exception):
@@ -245,24 +247,34 @@
             await member.process.wait()
 
     async def stop(self, member: Member) -> int:
-        """Ask a process to stop and return its exit code.
-
-        Raises:
-            FleetError: It did not stop in time and was killed.
-        """
+        """Ask a process to stop and return its exit code, -9 if it had to be killed."""
         assert member.process is not None
         if member.alive:
             member.process.send_signal(signal.SIGTERM)
         try:
             code = await asyncio.wait_for(member.process.wait(), _STOP_SECONDS)
-        except TimeoutError as error:
+        except TimeoutError:
+            await self._explain(member)
             await self.kill(member)
-            raise FleetError(
-                f"{member.member_id} did not stop, see {member.log_file}"
-            ) from error
+            code = -signal.SIGKILL
         self.exit_codes[member.member_id] = code
         return code
 
+    async def _explain(self, member: Member) -> None:
+        """Add to a member's log what it still held when it would not stop."""
+        held = "nothing to be read"
+        with suppress(ClientError, TimeoutError, OSError):
+            async with (
+                ClientSession(timeout=ClientTimeout(total=2)) as session,
+                session.get(f"{member.url}/metrics") as response,
+            ):
+                page = (await response.text()).splitlines()
+                held = "; ".join(
+                    line for line in page if line.startswith(_HELD_METRICS)
+                )
+        with member.log_file.open("a", encoding="utf-8") as log:
+            log.write(f"did not stop within {_STOP_SECONDS:g} s; {held}\n")
+
     async def stop_all(self) -> Mapping[str, int]:
         """Stop the targets, then the instances, gracefully; return exit codes."""
         for group in (self.targets, self.instances):
