--- a/tools/demo.py
+++ b/tools/demo.py
@@ -76,6 +76,9 @@
     known: dict[str, int] = {}
     async with ClientSession() as session:
         while asyncio.get_running_loop().time() < give_up_at:
+            for member in fleet.members():
+                if not member.alive:
+                    raise FleetError(f"{member.member_id} ended: {member.log_file}")
             for member in fleet.instances.values():
                 metrics = await read_metrics(session, member.url)
                 usable = metrics.total("sesameford_usable_targets")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -14,6 +14,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from hashlib import sha256
+from itertools import count
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -29,6 +30,9 @@
 _READY_SECONDS = 40.0
 _STOP_SECONDS = 20.0
 _POLL_SECONDS = 0.1
+_LOWEST_PORT, _PORTS = 10_000, 22_000
+_PORTS_OF_A_PROCESS = 200
+_port_numbers = count(os.getpid() * _PORTS_OF_A_PROCESS)
 _HELD_METRICS = ("sesameford_waiting_requests", "sesameford_running_attempts")
 
 
@@ -107,16 +111,20 @@
     return sha256(key.encode()).hexdigest()
 
 
-def free_ports(count: int) -> Sequence[int]:
-    """Return ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+def free_ports(wanted: int) -> Sequence[int]:
+    """Return ports that nobody listens on now.
+
+    They lie below those that the kernel gives to outgoing connections, and each
+    process begins elsewhere: ports that the kernel chose would be taken again by
+    another run, or by a connection, before the daemon could listen on them.
+    """
+    ports: list[int] = []
+    while len(ports) < wanted:
+        port = _LOWEST_PORT + next(_port_numbers) % _PORTS
+        with socket.socket() as one, suppress(OSError):
+            one.bind((HOST, port))
+            ports.append(port)
+    return ports
 
 
 class Fleet:
