Spread changes of the tree as differences and pull what is missing

Cause: each change sent the whole tree to all; an instance that restarted empty was ready by what it happened to have heard first. Change: the log's leader pushes each change as a difference; one who hears of a higher revision asks a near instance for the steps, or for the whole tree where they are not kept. Settings are worked out in slices and come into force whole. An empty instance listens before it counts as ready.

--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from functools import partial
 from pathlib import Path
 from time import monotonic, time, time_ns
 from typing import Any
@@ -32,7 +31,9 @@
     ProposalReply,
     ProposalRequest,
     TargetNews,
-    TreeUpdate,
+    TreeSteps,
+    TreeWanted,
+    TreeWhole,
 )
 from sesameford.metrics import Metrics
 from sesameford.operators import OperatorsDeps, make_operators_routes
@@ -40,8 +41,6 @@
 from sesameford.processor_time import ProcessorTime
 from sesameford.relay import RelayDeps
 from sesameford.router import Router
-from sesameford.scheduler_switch import make_scheduler_switch
-from sesameford.scheduling import Scheduler
 from sesameford.settings import DaemonSettings
 from sesameford.status import StatusReport
 from sesameford.stops import (
@@ -63,8 +62,8 @@
     read_files,
 )
 from sesameford.traces import make_tracer, make_tracer_provider
-from sesameford.tree_changes import TreeMachine
-from sesameford.tree_holder import TreeHolder
+from sesameford.tree_changes import HistoryEntry, TreeMachine
+from sesameford.tree_holder import TreeHolderDeps, make_tree_holder
 
 logger = logging.getLogger(__name__)
 
@@ -110,14 +109,30 @@
             self._tls,
         )
         self.router = Router(
-            self._make_scheduler(),
+            make_independent_scheduler(
+                settings.instance_id,
+                self.incarnation,
+                settings.data_centre,
+                self.incarnation,
+            ),
             self.registry,
             self.members,
             self.metrics,
             self.peers.send,
             self._now,
         )
-        self.tree = TreeHolder(self.peers.send, self._configure)
+        self.tree = make_tree_holder(
+            settings.instance_id,
+            settings.data_centre,
+            len(settings.peers),
+            TreeHolderDeps(
+                self.peers.send,
+                self._configure,
+                lambda: self.members.live(self._now()),
+                lambda: self._log.role == "leader",
+                self._now,
+            ),
+        )
         self._machine = TreeMachine(self.tree.committed)
         self._log = make_log_service(
             settings.instance_id,
@@ -132,16 +147,6 @@
         self._exit = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _make_scheduler(self) -> Scheduler:
-        arguments = (
-            self._settings.instance_id,
-            self.incarnation,
-            self._settings.data_centre,
-            self.incarnation,
-        )
-        makers = {"independent": partial(make_independent_scheduler, *arguments)}
-        return make_scheduler_switch(makers, first="independent")
-
     async def start(self) -> None:
         """Open the listeners and begin to run the systems.
 
@@ -197,8 +202,7 @@
             self._provider.shutdown()
 
     def _is_ready(self) -> bool:
-        is_current = self.tree.store.revision >= self.members.highest_revision()
-        return is_ready(self._stop) and self.tree.store.revision > 0 and is_current
+        return is_ready(self._stop) and self.tree.is_ready()
 
     def _state(self) -> InstanceState:
         if not is_ready(self._stop):
@@ -254,6 +258,7 @@
         self.router.tick()
         now_seconds = self._now()
         self._log.tick(now_seconds)
+        self.tree.tick()
         load = StopLoad(
             self.router.scheduler.running_attempts(),
             self.router.scheduler.waiting_requests(),
@@ -269,9 +274,7 @@
             self.stopped.set()
 
     def _beat(self) -> None:
-        beat = Heartbeat(
-            self._settings.data_centre, self._state(), self.tree.store.revision
-        )
+        beat = Heartbeat(self._settings.data_centre, self._state(), self.tree.revision)
         self.peers.send(Outgoing(None, beat))
         metrics = self.metrics
         metrics.control_bytes.set({"direction": "sent"}, self.peers.sent_bytes)
@@ -284,12 +287,11 @@
             match message:
                 case Heartbeat():
                     self.members.heard(sender_id, incarnation, message, now_seconds)
-                    self.tree.heard_revision(sender_id, message.revision)
                 case TargetNews():
                     if self.registry.heard(message, now_seconds):
                         self.router.tick()
-                case TreeUpdate():
-                    self.tree.received(message)
+                case TreeSteps() | TreeWhole() | TreeWanted():
+                    self.tree.received(sender_id, message)
                 case LogPayload() | ProposalRequest() | ProposalReply():
                     self._log.received(sender_id, incarnation, message, now_seconds)
                 case _:
@@ -305,13 +307,18 @@
             store=lambda: self.tree.store,
             propose=self._log.propose,
             caught_up=self.tree.caught_up,
-            local_history=self._machine.history,
+            local_history=self._local_history,
             status=self._status,
             announce=self._announce,
             leave=self._leave,
             wall_seconds=time,
         )
 
+    def _local_history(self, before_revision: int) -> Sequence[HistoryEntry] | None:
+        if self._settings.data_folder is None:
+            return None
+        return self._machine.history(before_revision)
+
     def _announce(self, news: TargetNews) -> bool:
         taken = self.registry.announced(news, self._now())
         self.router.tick()
@@ -327,7 +334,7 @@
             self._settings.instance_id,
             self._settings.data_centre,
             self._state(),
-            self.tree.store.revision,
+            self.tree.revision,
         )
         return make_status(
             own,
--- a/sesameford/members.py
+++ b/sesameford/members.py
@@ -46,7 +46,3 @@
     def all(self) -> list[Instance]:
         """Return every instance ever heard, for the status page."""
         return list(self._table)
-
-    def highest_revision(self) -> int:
-        """Return the highest tree revision that any instance told of."""
-        return max((instance.revision for instance in self._table), default=0)
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -44,17 +44,38 @@
 # --- settings tree -------------------------------------------------------------
 
 
-class TreeUpdate(Struct, frozen=True, tag=True):
-    """The declared tree at a revision, whole."""
+class TreeStepRow(Struct, frozen=True, array_like=True):
+    """The change that made ``revision`` out of the one before it.
+
+    ``put`` holds nodes in their canonical coding by path; ``digest`` is that of
+    the whole tree after the change.
+    """
 
     revision: int
-    declared: bytes
+    put: dict[str, bytes]
+    removed: tuple[str, ...]
+    digest: bytes
+
+
+class TreeSteps(Struct, frozen=True, tag=True):
+    """Changes that follow one another without a gap."""
+
+    steps: tuple[TreeStepRow, ...]
+
+
+class TreeWhole(Struct, frozen=True, tag=True):
+    """The whole tree at a revision, for one who is too far behind for steps."""
+
+    revision: int
+    nodes: dict[str, bytes]
+    digest: bytes
 
 
 class TreeWanted(Struct, frozen=True, tag=True):
-    """Send me the tree if yours is newer than this revision."""
+    """Send me what came after this revision; ``whole`` wants no steps."""
 
     revision: int
+    whole: bool = False
 
 
 # --- fair service --------------------------------------------------------------
@@ -72,9 +93,8 @@
 
     customer_id: str
     resource: str
-    waiting_requests: int = 0
-    waiting_cost_units: float = 0.0
-    oldest_age_seconds: float = 0.0
+    waiting_requests: int
+    waiting_cost_units: float
 
 
 class AdjustmentRow(Struct, frozen=True, array_like=True):
@@ -94,15 +114,11 @@
 
 
 class PoolReport(Struct, frozen=True, array_like=True):
-    """Rows of one pool that changed; a pool is resources that share targets.
-
-    ``slots`` is what another data centre's routers may use, borrowed included.
-    """
+    """Rows of one pool that changed; a pool is resources that share targets."""
 
     pool: str
     served: tuple[ServedRow, ...] = ()
     demands: tuple[DemandRow, ...] = ()
-    slots: int = 0
     adjustments: tuple[AdjustmentRow, ...] = ()
     virtual_times: tuple[tuple[str, float], ...] = ()
 
@@ -145,10 +161,7 @@
 
 
 class GrantRow(Struct, frozen=True, array_like=True):
-    """The receiver may run this many requests at once on a target.
-
-    In a recall: at most this many, and fewer if it gave up some since.
-    """
+    """The receiver may run this many requests at once on a target."""
 
     target_id: str
     slots: int
@@ -163,11 +176,15 @@
 
 
 class PoolNews(Struct, frozen=True, array_like=True):
-    """Whether work waits for slots in a pool, and the floor of virtual times."""
+    """Whether work waits for slots in a pool, and from which virtual time on.
+
+    ``marginal_rise_per_second`` is how fast the marginal virtual time grows.
+    """
 
     pool: str
     contended: bool
-    floor_virtual_time: float | None
+    marginal_virtual_time: float
+    marginal_rise_per_second: float
     standings: tuple[StandingRow, ...] = ()
 
 
@@ -191,7 +208,6 @@
     full: bool = False
     wants_full: bool = False
     grants: tuple[GrantRow, ...] = ()
-    recalls: tuple[GrantRow, ...] = ()
     pools: tuple[PoolNews, ...] = ()
     limits: tuple[LimitShareRow, ...] = ()
 
@@ -255,7 +271,8 @@
 Message = (
     Heartbeat
     | TargetNews
-    | TreeUpdate
+    | TreeSteps
+    | TreeWhole
     | TreeWanted
     | ShareReport
     | SlotGrants
--- a/sesameford/tree_changes.py
+++ b/sesameford/tree_changes.py
@@ -12,7 +12,7 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.msgpack import Decoder, Encoder
 
-from sesameford.tree import TreeDifference
+from sesameford.tree import TreeDifference, tree_digest
 from sesameford.tree_store import TreeStep, TreeStore
 
 MACHINE_NAME = "tree"
@@ -177,7 +177,7 @@
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole state by that of a snapshot."""
         decoded = _snapshots.decode(snapshot)
-        self.store.replace(decoded.revision, decoded.nodes)
+        self.store.replace(decoded.revision, decoded.nodes, tree_digest(decoded.nodes))
         self._history = OrderedDict((one.revision, one) for one in decoded.history)
         self._answered = _by_change_id(decoded.answered)
         self._turned_down = _by_change_id(decoded.turned_down)
--- a/sesameford/tree_store.py
+++ b/sesameford/tree_store.py
@@ -7,7 +7,6 @@
 from sesameford.tree import (
     DeclaredTree,
     TreeDifference,
-    tree_digest,
     updated_digest,
 )
 
@@ -83,13 +82,19 @@
         self._keep(step)
         return True
 
-    def replace(self, revision: int, nodes: Mapping[str, bytes]) -> None:
-        """Take a whole tree; the steps that led to the former one are dropped."""
+    def replace(self, revision: int, nodes: Mapping[str, bytes], digest: int) -> None:
+        """Take a whole tree; the steps that led to the former one are dropped.
+
+        Args:
+            revision: Its revision.
+            nodes: Its nodes.
+            digest: Their digest.
+        """
         self._nodes = dict(nodes)
         self._steps.clear()
         self._steps_bytes = 0
         self.revision = revision
-        self.digest = tree_digest(nodes)
+        self.digest = digest
 
     def steps_after(self, revision: int) -> Sequence[TreeStep] | None:
         """Return the steps from a revision to the present one.
--- /dev/null
+++ b/tests/test_tree_spread.py
@@ -0,0 +1,135 @@
+"""Single cases of the spread that the fuzzing reaches too rarely to rely on."""
+
+import pytest
+
+from sesameford.errors import PeerError
+from sesameford.messages import TreeStepRow, TreeSteps, TreeWanted, TreeWhole
+from sesameford.tables import Instance, InstanceState
+from sesameford.tree import TreeDifference, parse_tree, tree_digest
+from sesameford.tree_spread import LISTEN_SECONDS, TreeSpread
+from sesameford.tree_store import KEPT_STEPS, TreeStep
+
+NODES = dict(parse_tree("customers: {children: {a: {}}}", "t").nodes)
+DIGEST = tree_digest(NODES).to_bytes(16, "big")
+
+
+def make_spread(name="e1", place="a", peers=2, fanout=16):
+    return TreeSpread(name, place, peers, 0.0, fanout)
+
+
+def peer(name, place="a", revision=0):
+    return Instance(name, 1, place, InstanceState.READY, revision, 0.0)
+
+
+def commit_steps(spread, count):
+    """Return the steps of that many changes of one customer, taken by a spread."""
+    steps = []
+    for number in range(count):
+        text = f"customers: {{children: {{a: {{share: {number + 1}}}}}}}"
+        put = dict(parse_tree(text, "t").nodes)
+        difference = TreeDifference(put, ())
+        digest = spread.store.would_be(difference)
+        step = TreeStep(spread.store.revision + 1, difference, digest)
+        assert spread.store.step(step)
+        steps.append(TreeStepRow(step.revision, put, (), digest.to_bytes(16, "big")))
+    return steps
+
+
+def test_a_whole_tree_from_the_past_changes_nothing():
+    """An answer is held up on a slow link until newer changes have arrived.
+
+    Taken over it would bring a withdrawn customer's key back into force.
+    """
+    spread = make_spread()
+    commit_steps(spread, 3)
+    before = spread.store.copy()
+    for revision in (2, 3):
+        spread.received("e2", TreeWhole(revision, NODES, DIGEST), {}, 0.0)
+        assert spread.store.revision == 3
+        assert spread.store.declared == before
+
+
+def test_a_tree_that_does_not_fit_its_digest_is_refused():
+    """Two instances hold different trees under one number, or memory is damaged.
+
+    Without the digest both would go on, each under its own settings, for good.
+    """
+    spread = make_spread()
+    with pytest.raises(PeerError):
+        spread.received("e2", TreeWhole(1, NODES, bytes(16)), {}, 0.0)
+    with pytest.raises(PeerError):
+        spread.received("e2", TreeWhole(1, {"customers": b"?"}, DIGEST), {}, 0.0)
+    wrong = TreeSteps((TreeStepRow(1, NODES, (), bytes(16)),))
+    spread.received("e2", wrong, {}, 0.0)
+    assert spread.store.revision == 0
+    asked = spread.due({"e2": peer("e2", revision=1)}, 1.0)
+    assert asked[0].message == TreeWanted(0, whole=True)
+
+
+def test_one_who_is_far_behind_gets_the_whole_tree_once_a_second():
+    """An instance was cut off through thousands of changes and asks repeatedly.
+
+    The steps are not kept that long; and megabytes for each question would fill
+    the link that is just coming back.
+    """
+    spread = make_spread()
+    commit_steps(spread, KEPT_STEPS + 5)
+    near = spread.received("e2", TreeWanted(KEPT_STEPS), {}, 0.0)
+    assert [row.revision for row in near[0].message.steps] == [
+        1001,
+        1002,
+        1003,
+        1004,
+        1005,
+    ]
+    far = [spread.received("e3", TreeWanted(2), {}, now) for now in (0.0, 0.5, 1.0)]
+    assert [len(sent) for sent in far] == [1, 0, 1]
+    assert far[0][0].message.revision == KEPT_STEPS + 5
+
+
+def test_an_empty_instance_is_not_ready_before_it_has_the_newest_tree():
+    """A router restarts empty and its first word comes from one that lags.
+
+    Ready too early it would serve customers whose keys were withdrawn since.
+    """
+    spread = make_spread(peers=2)
+    lagging = {"e2": peer("e2", revision=1)}
+    spread.received("e2", TreeWhole(1, NODES, DIGEST), lagging, 0.1)
+    spread.in_force.work()
+    assert not spread.is_ready(lagging, 0.1)
+    both = {**lagging, "e3": peer("e3", revision=2)}
+    assert not spread.is_ready(both, 0.2)
+    spread.received("e3", TreeWhole(2, NODES, DIGEST), both, 0.3)
+    assert not spread.is_ready(both, 0.3)
+    spread.in_force.work()
+    assert spread.is_ready(both, 0.3)
+
+
+def test_a_cut_off_instance_with_a_tree_becomes_ready_after_listening():
+    """A replica restarts in a data centre that is cut off from all others.
+
+    It serves what it can, under the tree on its disk; one without any stays out.
+    """
+    empty, replica = make_spread(), make_spread("e2")
+    replica.received("e3", TreeWhole(4, NODES, DIGEST), {}, 0.0)
+    replica.in_force.work()
+    assert not replica.is_ready({}, LISTEN_SECONDS / 2)
+    assert replica.is_ready({}, LISTEN_SECONDS)
+    assert not empty.is_ready({}, LISTEN_SECONDS)
+
+
+def test_beyond_the_fanout_one_of_each_data_centre_passes_changes_on():
+    peers = {
+        name: peer(name, place)
+        for name, place in [("e2", "a"), ("e3", "b"), ("e4", "b"), ("e5", "c")]
+    }
+    leader, other = make_spread(fanout=2), make_spread(fanout=2)
+    commit_steps(other, 1)
+    sent = leader.committed(other.store, True, peers)
+    assert [one.receiver_id for one in sent] == ["e2", "e3", "e5"]
+    passing = make_spread("e3", "b", fanout=2)
+    seen = {**peers, "e1": peer("e1", "a")}
+    del seen["e3"]
+    on = passing.received("e1", sent[1].message, seen, 0.0)
+    assert [one.receiver_id for one in on] == ["e4"]
+    assert passing.received("e1", sent[1].message, seen, 0.0) == ()
