--- /dev/null
+++ b/sesameford/allocator.py
@@ -0,0 +1,209 @@
+"""The allocator of a data centre: fair-share accounts and grants of slots.
+
+One instance of each data centre is active; its state is soft. It owns the slots
+of its data centre's targets, borrows from the allocators of others what they
+can spare, and grants slots to its routers. Towards another allocator it is a
+holder as a router is towards it.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from sesameford.accounts import Account, OriginTerm
+from sesameford.allocator_state import DEBT_QUANTA, AllocatorState, Place
+from sesameford.effective import EffectiveTree
+from sesameford.grant_answers import grant_answers
+from sesameford.links import LEASE_SECONDS, GrantLink, ReportLink
+from sesameford.messages import Outgoing, PoolReport, ShareReport, SlotGrants
+from sesameford.place_reports import place_reports
+from sesameford.pool_allocation import allocate
+from sesameford.tables import Target
+
+
+class Allocator:
+    """Drives the systems over the tables of a data centre's allocator.
+
+    Args:
+        instance_id: The instance it runs in.
+        data_centre: Where that stands.
+    """
+
+    def __init__(self, instance_id: str, data_centre: str) -> None:
+        self.active = False
+        self.state = AllocatorState(instance_id, data_centre)
+        self._term = 0
+
+    # --- what is observed --------------------------------------------------------
+
+    def configure(self, tree: EffectiveTree) -> None:
+        """Take a newer tree into force."""
+        self.state.tree = tree
+        for pool in self.state.pools.values():
+            pool.times.debt_limit = DEBT_QUANTA * self.state.quantum()
+
+    def observe_targets(
+        self,
+        targets: Mapping[str, Target],
+        pool_of: Mapping[str, str],
+        owner_of: Mapping[str, str],
+    ) -> None:
+        """Take the targets, the pools of resources and who owns which target."""
+        self.state.targets = targets
+        self.state.pool_of = pool_of
+        self.state.owner_of = owner_of
+
+    def activate(self, expected: Iterable[str], now_seconds: float) -> None:
+        """Begin to serve.
+
+        Args:
+            expected: Instances that may hold slots from a predecessor.
+            now_seconds: The present time.
+        """
+        self.active = True
+        self._reset()
+        self.state.activated_at_seconds = now_seconds
+        self.state.expected = frozenset(expected)
+
+    def deactivate(self) -> None:
+        """Stop; whoever holds slots of this allocator turns to the next one."""
+        self.active = False
+        self._reset()
+
+    def _reset(self) -> None:
+        """Forget all but what is observed, as a fresh process has."""
+        old = self.state
+        self.state = AllocatorState(
+            old.instance_id,
+            old.data_centre,
+            old.tree,
+            old.targets,
+            old.pool_of,
+            old.owner_of,
+        )
+
+    def observe_places(self, elected: Mapping[str, str], now_seconds: float) -> None:
+        """Take the present allocators of the other data centres."""
+        places = self.state.places
+        for name in [known for known in places if known not in elected]:
+            if not places[name].link.holds(now_seconds):
+                del places[name]
+        for name, receiver_id in elected.items():
+            known = places.get(name)
+            if known is None:
+                self._open_place(name, receiver_id, {}, now_seconds)
+            elif known.link.receiver_id != receiver_id:
+                held = dict(known.link.holdings)
+                self._open_place(name, receiver_id, held, now_seconds)
+
+    def _open_place(
+        self,
+        name: str,
+        receiver_id: str,
+        holdings: dict[str, int],
+        now_seconds: float,
+    ) -> None:
+        """Start a term with a data centre's allocator."""
+        self._term += 1
+        base = dict(self.state.totals.accounts())
+        link = ReportLink(receiver_id, self._term, now_seconds, holdings, base)
+        link.wants_full = True
+        self.state.places[name] = Place(link)
+
+    def seed(self, account: Account, virtual_time: float) -> None:
+        """Take a virtual time that this instance knew as a router."""
+        pool = self.state.pool(account[0])
+        pool.times.merge_snapshot(account[1], virtual_time)
+
+    # --- messages ------------------------------------------------------------------
+
+    def take_report(
+        self,
+        sender_id: str,
+        incarnation: int,
+        report: ShareReport,
+        now_seconds: float,
+    ) -> None:
+        """Take a router's or another allocator's report."""
+        state = self.state
+        term = OriginTerm(incarnation, report.term)
+        if not self.active or not state.origins.open(sender_id, term):
+            return
+        link = state.links.get(sender_id)
+        if link is None or (link.incarnation, link.term) != (incarnation, report.term):
+            link = GrantLink(
+                sender_id,
+                report.data_centre,
+                incarnation,
+                report.term,
+                now_seconds,
+                now_seconds,
+            )
+            link.wants_full = not report.full
+            link.urgent = True
+            state.links[sender_id] = link
+        if not link.accept(report, now_seconds):
+            return
+        link.take_holdings(report)
+        for rows in report.pools:
+            self._take_pool(link, rows, report.full, now_seconds)
+        for row in report.wanted:
+            link.wanted[row.customer_id] = row.requests_per_second
+            if link.is_place:
+                wanted = state.place_wanted.setdefault(link.data_centre, {})
+                wanted[row.customer_id] = row.requests_per_second
+
+    def _take_pool(
+        self, link: GrantLink, rows: PoolReport, full: bool, now_seconds: float
+    ) -> None:
+        """Take a report's rows of one pool."""
+        state = self.state
+        times = state.pool(rows.pool).times
+        new = now_seconds < state.activated_at_seconds + LEASE_SECONDS
+        if full and new:
+            for customer, virtual_time in rows.virtual_times:
+                times.merge_snapshot(customer, virtual_time)
+        for served in rows.served:
+            account = (rows.pool, served.customer_id)
+            total = served.served_cost_units
+            added = state.origins.merge(link.holder_id, account, total)
+            times.charge(served.customer_id, added, state.share(served.customer_id))
+            if not link.is_place:
+                state.totals.add(account, added)
+        for row in rows.adjustments:
+            times.merge_adjustment(row.customer_id, row.version, row.virtual_time)
+        if link.is_place:
+            link.place_slots[rows.pool] = rows.slots
+        link.take_demands(rows.pool, rows.demands, now_seconds)
+
+    def take_grants(
+        self, sender_id: str, incarnation: int, grants: SlotGrants, now_seconds: float
+    ) -> bool:
+        """Take another allocator's answer; False if it is for the router here."""
+        for name, place in self.state.places.items():
+            link = place.link
+            if link.receiver_id != sender_id:
+                continue
+            known = link.receiver_incarnation
+            if known is not None and incarnation > known:
+                # It restarted and knows nothing; start a term to tell it all.
+                self._open_place(name, sender_id, {}, now_seconds)
+            elif link.apply(grants, incarnation, now_seconds):
+                for news in grants.pools:
+                    place.news[news.pool] = news
+            return True
+        return False
+
+    # --- the tick --------------------------------------------------------------------
+
+    def tick(self, now_seconds: float) -> list[Outgoing]:
+        """Allocate what is free and return the messages that are due."""
+        if not self.active:
+            return []
+        silent = [
+            link for link in self.state.links.values() if link.is_silent(now_seconds)
+        ]
+        for link in silent:
+            del self.state.links[link.holder_id]
+        allocate(self.state, now_seconds)
+        messages = place_reports(self.state, now_seconds)
+        messages.extend(grant_answers(self.state, now_seconds))
+        return messages
--- /dev/null
+++ b/sesameford/allocator_state.py
@@ -0,0 +1,136 @@
+"""The tables of a data centre's allocator."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from sesameford.accounts import Account, OriginTotals, OwnTotals
+from sesameford.effective import EffectiveTree
+from sesameford.links import GrantLink, ReportLink
+from sesameford.messages import PoolNews
+from sesameford.tables import Target
+from sesameford.virtual_time import VirtualTimes
+
+PATIENCE_SECONDS = 0.5
+DEBT_QUANTA = 20.0
+CONTENTION_KEPT_SECONDS = 0.5
+_PACE_SECONDS = 1.0
+_PACE_STEP = 0.3
+
+
+@dataclass(slots=True)
+class PoolState:
+    """What the allocator knows of one pool.
+
+    ``slot_cost_units_per_second`` is what one slot serves, measured over the
+    data centre's own routers.
+    """
+
+    times: VirtualTimes
+    slot_cost_units_per_second: float
+    contended_until_seconds: float = float("-inf")
+    floor_virtual_time: float | None = None
+    charged_cost_units: float = 0.0
+    paced_at_seconds: float = float("-inf")
+
+
+@dataclass(slots=True)
+class Place:
+    """Another data centre: its allocator, and what it last said of its pools."""
+
+    link: ReportLink
+    news: dict[str, PoolNews] = field(default_factory=dict)
+    told_adjustments: dict[Account, int] = field(default_factory=dict)
+    told_wanted: dict[str, float] = field(default_factory=dict)
+    told_slots: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class AllocatorState:
+    """The tables; ``links`` are the holders, ``places`` the other allocators."""
+
+    instance_id: str
+    data_centre: str
+    tree: EffectiveTree = field(default_factory=EffectiveTree)
+    targets: Mapping[str, Target] = field(default_factory=dict)
+    pool_of: Mapping[str, str] = field(default_factory=dict)
+    owner_of: Mapping[str, str] = field(default_factory=dict)
+    expected: frozenset[str] = frozenset()
+    activated_at_seconds: float = float("-inf")
+    links: dict[str, GrantLink] = field(default_factory=dict)
+    places: dict[str, Place] = field(default_factory=dict)
+    pools: dict[str, PoolState] = field(default_factory=dict)
+    origins: OriginTotals = field(default_factory=OriginTotals)
+    totals: OwnTotals = field(default_factory=OwnTotals)
+    place_wanted: dict[str, dict[str, float]] = field(default_factory=dict)
+
+    def quantum(self) -> float:
+        """Return the tree's quantum in cost units, for a share of one."""
+        return self.tree.fleet.quantum_cost_units
+
+    def pool(self, pool: str) -> PoolState:
+        """Return a pool's state, made when it is new."""
+        state = self.pools.get(pool)
+        if state is None:
+            debt_limit = DEBT_QUANTA * self.quantum()
+            times = VirtualTimes(PATIENCE_SECONDS, debt_limit)
+            state = self.pools[pool] = PoolState(times, self.quantum())
+        return state
+
+    def share(self, customer_id: str) -> float:
+        """Return a customer's weight."""
+        settings = self.tree.customers.get(customer_id)
+        return settings.share if settings and settings.share > 0.0 else 1.0
+
+    def routers(self) -> Iterator[GrantLink]:
+        """Return the links of the data centre's own routers."""
+        return (link for link in self.links.values() if not link.is_place)
+
+    def owns(self, target_id: str) -> bool:
+        """Return whether this allocator deals out a target's slots first-hand."""
+        return self.owner_of.get(target_id) == self.data_centre
+
+    def pool_of_target(self, target_id: str) -> str | None:
+        """Return the pool that a target serves."""
+        target = self.targets.get(target_id)
+        if target is None or not target.serves:
+            return None
+        return self.pool_of.get(target.serves[0])
+
+    def held(self) -> dict[str, int]:
+        """Return the slots dealt out, by target."""
+        held: dict[str, int] = {}
+        for link in self.links.values():
+            for target_id, slots in link.holdings.items():
+                held[target_id] = held.get(target_id, 0) + slots
+        return held
+
+    def capacity(self, target_id: str, now_seconds: float) -> int:
+        """Return how many slots of a target this allocator may deal out."""
+        if self.owns(target_id):
+            return self.targets[target_id].capacity_slots
+        place = self.places.get(self.owner_of.get(target_id, ""))
+        if place is None or not place.link.holds(now_seconds):
+            return 0
+        return place.link.holdings.get(target_id, 0)
+
+    def note_pace(self, pool: str, now_seconds: float) -> None:
+        """Measure what a slot serves in a second."""
+        state = self.pool(pool)
+        elapsed = now_seconds - state.paced_at_seconds
+        if elapsed < _PACE_SECONDS:
+            return
+        accounts = self.totals.accounts()
+        charged = sum(total for key, total in accounts.items() if key[0] == pool)
+        slots = sum(
+            held
+            for link in self.routers()
+            for target_id, held in link.holdings.items()
+            if self.pool_of_target(target_id) == pool
+        )
+        grown = charged - state.charged_cost_units
+        if slots and grown > 0.0 and elapsed < 10.0 * _PACE_SECONDS:
+            pace = grown / elapsed / slots
+            change = pace - state.slot_cost_units_per_second
+            state.slot_cost_units_per_second += _PACE_STEP * change
+        state.charged_cost_units = charged
+        state.paced_at_seconds = now_seconds
--- /dev/null
+++ b/sesameford/election.py
@@ -0,0 +1,103 @@
+"""Which instance is the allocator of a data centre, by each one's own view.
+
+There is no vote: the ready instance with the smallest id serves. Two may serve
+at once while views differ; each holder follows one of them at a time, takes
+along what it holds, and leaves it when its lease runs out unanswered.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from sesameford.tables import Instance, InstanceState, Target
+
+SILENT_SECONDS = 3.0
+UNFIT_SECONDS = 10.0
+
+
+class Election:
+    """One instance's view of the allocators.
+
+    Args:
+        instance_id: This instance.
+        data_centre: Where it stands.
+    """
+
+    def __init__(self, instance_id: str, data_centre: str) -> None:
+        self._instance_id = instance_id
+        self._data_centre = data_centre
+        self._instances: Mapping[str, Instance] = {}
+        self._unfit_until: dict[str, float] = {}
+
+    def observe(self, instances: Mapping[str, Instance]) -> None:
+        """Take the present table of other instances."""
+        self._instances = instances
+
+    def mark_unfit(self, instance_id: str, now_seconds: float) -> None:
+        """Pass over an instance that is heard but does not answer.
+
+        An allocator that hears nobody while its heartbeats still arrive would
+        otherwise be followed for as long as it is cut off, without grants.
+        """
+        self._unfit_until[instance_id] = now_seconds + UNFIT_SECONDS
+
+    def allocator(self, may_serve: bool, now_seconds: float) -> str:
+        """Return the allocator of the own data centre, this instance if none other."""
+        ids = [
+            instance.instance_id
+            for instance in self._ready(now_seconds)
+            if instance.data_centre == self._data_centre
+        ]
+        if may_serve or not ids:
+            ids.append(self._instance_id)
+        return min(ids)
+
+    def others(self, now_seconds: float) -> dict[str, str]:
+        """Return the allocators of the other data centres."""
+        elected: dict[str, str] = {}
+        for instance in self._ready(now_seconds):
+            place = instance.data_centre
+            if place != self._data_centre:
+                known = elected.get(place, instance.instance_id)
+                elected[place] = min(known, instance.instance_id)
+        return elected
+
+    def neighbours(self, now_seconds: float) -> list[str]:
+        """Return the other instances heard in the own data centre."""
+        return [
+            instance.instance_id
+            for instance in self._instances.values()
+            if instance.data_centre == self._data_centre
+            and self._is_heard(instance, now_seconds)
+        ]
+
+    def owners(self, targets: Iterable[Target], now_seconds: float) -> dict[str, str]:
+        """Return which data centre deals out each target's slots.
+
+        Targets of a data centre without instances would idle; the first data
+        centre that is left takes them over.
+        """
+        places = {self._data_centre}
+        places.update(
+            instance.data_centre
+            for instance in self._instances.values()
+            if self._is_heard(instance, now_seconds)
+        )
+        heir = min(places)
+        return {
+            target.target_id: (
+                target.data_centre if target.data_centre in places else heir
+            )
+            for target in targets
+        }
+
+    def _is_heard(self, instance: Instance, now_seconds: float) -> bool:
+        return now_seconds - instance.heard_at_seconds < SILENT_SECONDS
+
+    def _ready(self, now_seconds: float) -> list[Instance]:
+        """Return the other instances that could serve as allocators."""
+        return [
+            instance
+            for instance in self._instances.values()
+            if instance.state is InstanceState.READY
+            and self._is_heard(instance, now_seconds)
+            and self._unfit_until.get(instance.instance_id, 0.0) <= now_seconds
+        ]
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from time import monotonic, time, time_ns
 from typing import Any
@@ -41,6 +42,8 @@
 from sesameford.processor_time import ProcessorTime
 from sesameford.relay import RelayDeps
 from sesameford.router import Router
+from sesameford.scheduler_switch import make_scheduler_switch
+from sesameford.scheduling import Scheduler
 from sesameford.settings import DaemonSettings
 from sesameford.status import StatusReport
 from sesameford.stops import (
@@ -109,12 +112,7 @@
             self._tls,
         )
         self.router = Router(
-            make_independent_scheduler(
-                settings.instance_id,
-                self.incarnation,
-                settings.data_centre,
-                self.incarnation,
-            ),
+            self._make_scheduler(),
             self.registry,
             self.members,
             self.metrics,
@@ -147,6 +145,16 @@
         self._exit = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_scheduler(self) -> Scheduler:
+        arguments = (
+            self._settings.instance_id,
+            self.incarnation,
+            self._settings.data_centre,
+            self.incarnation,
+        )
+        makers = {"independent": partial(make_independent_scheduler, *arguments)}
+        return make_scheduler_switch(makers, first="independent")
+
     async def start(self) -> None:
         """Open the listeners and begin to run the systems.
 
--- /dev/null
+++ b/sesameford/leased.py
@@ -0,0 +1,577 @@
+"""The scheduler that runs requests on leased slots, fair over the whole fleet.
+
+A router uses the slots it holds at once, for the waiting customer with the
+smallest virtual time, unless others in the fleet are further behind than the
+quantum: then the slot goes back for them.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from sesameford.accounts import Account, OwnTotals
+from sesameford.allocator import Allocator
+from sesameford.allocator_state import PATIENCE_SECONDS
+from sesameford.costs import cost_of_usage
+from sesameford.effective import CustomerSettings, EffectiveTree
+from sesameford.election import Election
+from sesameford.errors import NotRunError
+from sesameford.estimates import Estimates
+from sesameford.limits import Limits
+from sesameford.links import (
+    COALESCE_SECONDS,
+    HEARTBEAT_SECONDS,
+    LEASE_SECONDS,
+    Demand,
+    DemandKey,
+    ReportLink,
+    pool_reports,
+)
+from sesameford.messages import (
+    Message,
+    Outgoing,
+    PoolNews,
+    ShareReport,
+    SlotGrants,
+)
+from sesameford.place_reports import SERVED_THRESHOLD_QUANTA, wanted_rows
+from sesameford.pools import find_pools
+from sesameford.queues import QueueKey, Queues, Waiting
+from sesameford.scheduling import Scheduler
+from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
+
+_NEW_DEMAND_SECONDS = 0.1
+_EXCHANGE_ROUNDS = 4
+
+
+@dataclass(slots=True)
+class _Running:
+    """An attempt under way and what was charged for it so far."""
+
+    attempt: Attempt
+    request: Request
+    account: Account
+    charged_cost_units: float
+
+
+@dataclass(slots=True)
+class _Standing:
+    """A customer's virtual time as told, and what of this router is in it."""
+
+    virtual_time: float
+    counted_cost_units: float
+
+
+class LeasedScheduler:
+    """A router's queues, slots and running attempts.
+
+    Args:
+        instance_id: This instance.
+        incarnation: Grows with each start of the process.
+        data_centre: Where it stands.
+    """
+
+    def __init__(self, instance_id: str, incarnation: int, data_centre: str) -> None:
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._tree = EffectiveTree()
+        self._targets: Mapping[str, Target] = {}
+        self._pool_of: Mapping[str, str] = {}
+        self._election = Election(instance_id, data_centre)
+        self._allocator = Allocator(instance_id, data_centre)
+        self._queues = Queues()
+        self._limits = Limits()
+        self._estimates = Estimates()
+        self._totals = OwnTotals()
+        self._attempts: dict[str, _Running] = {}
+        self._running: dict[str, int] = {}
+        self._standings: dict[Account, _Standing] = {}
+        self._waited_at: dict[Account, float] = {}
+        self._news: dict[str, PoolNews] = {}
+        self._told_wanted: dict[str, float] = {}
+        self._attempts_made = 0
+        self._term = 0
+        self._link: ReportLink | None = None
+        self._decided = False
+        self._unsent: list[Outgoing] = []
+
+    # --- what is observed ------------------------------------------------------
+
+    def configure(self, tree: EffectiveTree, now_seconds: float) -> None:
+        """Take a newer tree into force."""
+        self._tree = tree
+        self._limits.configure(
+            {name: customer.limits for name, customer in tree.customers.items()}
+        )
+        self._allocator.configure(tree)
+        self._decided = False
+
+    def observe_targets(
+        self, targets: Mapping[str, Target], now_seconds: float
+    ) -> None:
+        """Take the present table of targets that may get new work."""
+        self._targets = dict(targets)
+        self._pool_of = find_pools(self._targets.values())
+        self._decided = False
+        self._follow(now_seconds)
+
+    def observe_instances(
+        self, instances: Mapping[str, Instance], now_seconds: float
+    ) -> None:
+        """Take the present table of other instances."""
+        self._election.observe(dict(instances))
+        self._limits.set_default_fraction(1.0 / (len(instances) + 1))
+        self._follow(now_seconds)
+
+    def _follow(self, now_seconds: float) -> None:
+        """Turn to the allocator that is elected now, or be it."""
+        own = self._tree.instances.get(self._instance_id)
+        may_serve = own is None or not own.drain
+        link = self._link
+        if link is not None and link.receiver_id != self._instance_id:
+            lease_over = not link.holds(now_seconds)
+            old = now_seconds - link.opened_at_seconds > LEASE_SECONDS
+            if lease_over and old:
+                self._election.mark_unfit(link.receiver_id, now_seconds)
+        elected = self._election.allocator(may_serve, now_seconds)
+        others = self._election.others(now_seconds)
+        serves = elected == self._instance_id
+        if serves and not self._allocator.active:
+            expected = [*self._election.neighbours(now_seconds), self._instance_id]
+            self._allocator.activate(expected, now_seconds)
+            for account in self._standings:
+                self._allocator.seed(account, self._virtual_time(account))
+        elif not serves and self._allocator.active:
+            self._allocator.deactivate()
+        if self._allocator.active:
+            self._allocator.observe_places(others, now_seconds)
+        owners = self._election.owners(self._targets.values(), now_seconds)
+        self._allocator.observe_targets(self._targets, self._pool_of, owners)
+        if link is None or link.receiver_id != elected:
+            self._open_link(elected, now_seconds)
+
+    def _open_link(self, receiver_id: str, now_seconds: float) -> None:
+        """Start a term with an allocator, taking along what is held."""
+        old = self._link
+        self._term += 1
+        link = ReportLink(receiver_id, self._term, now_seconds)
+        if old is not None:
+            link.holdings = dict(old.holdings) if old.holds(now_seconds) else {}
+            link.lease_expires_at_seconds = old.lease_expires_at_seconds
+            for account in self._totals.accounts():
+                told = old.told_served.get(account, 0.0)
+                link.base[account] = old.base.get(account, 0.0) + told
+                self._rebase(account, old, told)
+        self._told_wanted = {}
+        self._link = link
+
+    def _rebase(self, account: Account, old: ReportLink, told: float) -> None:
+        """Count a known virtual time from the new term's start."""
+        standing = self._standings.get(account)
+        if standing is not None:
+            uncounted = told - standing.counted_cost_units
+            standing.virtual_time += uncounted / self._allocator.state.share(account[1])
+            standing.counted_cost_units = 0.0
+
+    # --- requests ------------------------------------------------------------------
+
+    def submit(self, request: Request, now_seconds: float) -> None:
+        """Queue a request.
+
+        Raises:
+            NotRunError: A limit of its customer or of the router is reached.
+        """
+        customer = request.customer_id
+        settings = self._tree.customers.get(customer)
+        if settings is not None and settings.suspended:
+            raise NotRunError("suspended", "The customer is suspended.", 403)
+        self._check_queue(request, settings)
+        self._limits.admit(customer, now_seconds)
+        estimate = self._estimates.estimate(request, self._tree)
+        account = self._account(request)
+        self._lift_locally(account, now_seconds)
+        self._queues.put(Waiting(request, estimate))
+        self._decided = False
+
+    def _check_queue(self, request: Request, settings: CustomerSettings | None) -> None:
+        """Refuse what the customer's or the router's queues can't hold."""
+        limits = (settings or CustomerSettings(request.customer_id)).limits
+        customer = request.customer_id
+        queued = self._queues.requests_of(customer)
+        queued_bytes = self._queues.bytes_of(customer) + request.body_bytes
+        if queued >= limits.queued_requests or queued_bytes > limits.queued_bytes:
+            raise NotRunError(
+                "queue-full",
+                "The customer's queue at this router is full.",
+                429,
+                self._retry_after(customer),
+            )
+        total = self._queues.total_bytes() + request.body_bytes
+        most = self._tree.fleet.queued_limit_bytes
+        # A flood may fill the room that nobody else uses, and no more: the half
+        # that is kept lets each other customer up to an even part of the whole.
+        even = most / (self._queues.customers() + 1)
+        if total > most / 2 and queued_bytes > even:
+            raise NotRunError(
+                "router-full",
+                "The queues of this router are full.",
+                503,
+                self._retry_after(customer),
+            )
+
+    def _retry_after(self, customer_id: str) -> float:
+        """Return when room is likely: the time that one of its requests takes."""
+        running = [
+            row for row in self._attempts.values() if row.account[1] == customer_id
+        ]
+        return 1.0 if running else 2.0
+
+    def _account(self, request: Request) -> Account:
+        """Return the account that a request is charged to."""
+        pool = self._pool_of.get(request.resource, request.resource)
+        return pool, request.customer_id
+
+    def _lift_locally(self, account: Account, now_seconds: float) -> None:
+        """Lift a customer back from idle before the allocator's word arrives.
+
+        Its last known virtual time is from before it went idle, and a burst
+        would run on that credit until the next news.
+        """
+        waited_at = self._waited_at.get(account, float("-inf"))
+        self._waited_at[account] = now_seconds
+        if now_seconds - waited_at <= PATIENCE_SECONDS:
+            return
+        floor = self._floor(account[0])
+        if floor is None:
+            return
+        behind = floor - self._virtual_time(account)
+        standing = self._standings.get(account)
+        if behind > 0.0 and standing is not None:
+            standing.virtual_time += behind
+
+    def withdraw(self, request_id: str, now_seconds: float) -> bool:
+        """Take a waiting request out; False if it does not wait here any more."""
+        return self._queues.take(request_id) is not None
+
+    def expired(self, now_seconds: float) -> Sequence[str]:
+        """Take out and return the waiting requests whose deadline has passed."""
+        return self._queues.take_expired(now_seconds)
+
+    def waiting_requests(self) -> int:
+        """Return how many requests wait here."""
+        return len(self._queues)
+
+    def running_attempts(self) -> int:
+        """Return how many attempts run from here."""
+        return len(self._attempts)
+
+    # --- deciding --------------------------------------------------------------
+
+    def decide(self, now_seconds: float) -> Sequence[Attempt]:
+        """Return the attempts to start now; each counts as in flight at once."""
+        self._unsent = self._exchange(now_seconds)
+        attempts: list[Attempt] = []
+        free = self._free_slots(now_seconds)
+        if free and len(self._queues):
+            while (attempt := self._start_next(free, now_seconds)) is not None:
+                attempts.append(attempt)
+        for customer, resource in self._queues.queue_keys():
+            pool = self._pool_of.get(resource, resource)
+            self._waited_at[(pool, customer)] = now_seconds
+        self._decided = True
+        return attempts
+
+    def _free_slots(self, now_seconds: float) -> dict[str, int]:
+        """Return by target the slots held here that nothing runs on."""
+        link = self._link
+        if link is None or not link.holds(now_seconds):
+            return {}
+        free = {}
+        for target_id, slots in link.holdings.items():
+            left = slots - self._running.get(target_id, 0)
+            if left > 0 and target_id in self._targets:
+                free[target_id] = left
+        return free
+
+    def _start_next(self, free: dict[str, int], now_seconds: float) -> Attempt | None:
+        """Start the request that comes first and fits a free slot, if any."""
+        best: QueueKey | None = None
+        best_time = 0.0
+        for key in self._queues.queue_keys():
+            if not any(key[1] in self._targets[one].serves for one in free):
+                continue
+            if not self._limits.may_start(key[0], now_seconds):
+                continue
+            account = (self._pool_of.get(key[1], key[1]), key[0])
+            virtual_time = self._virtual_time(account)
+            if best is None or virtual_time < best_time:
+                best, best_time = key, virtual_time
+        if best is None:
+            return None
+        return self._start(best, free, now_seconds)
+
+    def _start(
+        self, key: QueueKey, free: dict[str, int], now_seconds: float
+    ) -> Attempt:
+        """Start the head of a queue on a free slot."""
+        head = self._queues.head(key)
+        assert head is not None
+        request = head.request
+        serving = [one for one in free if key[1] in self._targets[one].serves]
+        target_id = max(
+            serving, key=lambda one: (one != head.avoid_target_id, free[one], one)
+        )
+        self._queues.take(request.request_id)
+        free[target_id] -= 1
+        if free[target_id] == 0:
+            del free[target_id]
+        self._attempts_made += 1
+        attempt = Attempt(
+            f"{self._instance_id}-{self._incarnation}-{self._attempts_made}",
+            request.request_id,
+            request.customer_id,
+            target_id,
+            self._targets[target_id].incarnation,
+            now_seconds,
+            head.estimated_cost_units,
+        )
+        account = self._account(request)
+        row = _Running(attempt, request, account, head.estimated_cost_units)
+        self._attempts[attempt.attempt_id] = row
+        self._running[target_id] = self._running.get(target_id, 0) + 1
+        self._totals.add(account, head.estimated_cost_units)
+        self._limits.started(key[0], head.estimated_cost_units, now_seconds)
+        return attempt
+
+    def _contended(self, pool: str) -> bool:
+        """Return whether work waits for a pool's slots somewhere."""
+        news = self._news.get(pool)
+        return news is not None and news.contended
+
+    def _floor(self, pool: str) -> float | None:
+        """Return the smallest virtual time that waits in a pool under contention."""
+        return self._news[pool].floor_virtual_time if self._contended(pool) else None
+
+    def _virtual_time(self, account: Account) -> float:
+        """Return a customer's virtual time with what this router added since."""
+        standing = self._standings.get(account)
+        total = self._totals.total(account)
+        since = self._link.total_since_base(account, total) if self._link else total
+        share = self._allocator.state.share(account[1])
+        if standing is None:
+            start = self._floor(account[0]) or 0.0
+            self._standings[account] = _Standing(start, since)
+            return start
+        return standing.virtual_time + (since - standing.counted_cost_units) / share
+
+    # --- running attempts --------------------------------------------------------
+
+    def progressed(self, attempt_id: str, usage: Usage, now_seconds: float) -> None:
+        """Take the usage so far of a running attempt; may be skipped at will."""
+        row = self._attempts.get(attempt_id)
+        if row is not None:
+            used = cost_of_usage(self._tree, row.request, usage)
+            if used > row.charged_cost_units:
+                self._charge(row, used, now_seconds)
+
+    def settled(
+        self, attempt_id: str, usage: Usage, outcome: Outcome, now_seconds: float
+    ) -> None:
+        """End an attempt and charge what it used."""
+        row = self._end(attempt_id)
+        if row is None:
+            return
+        used = cost_of_usage(self._tree, row.request, usage)
+        self._charge(row, used, now_seconds)
+        if outcome is Outcome.RAN:
+            self._estimates.learn(row.request, used)
+
+    def retried(
+        self, attempt_id: str, avoid_target_id: str | None, now_seconds: float
+    ) -> None:
+        """End an attempt that did not run and queue its request again, in front."""
+        row = self._end(attempt_id)
+        if row is None:
+            return
+        self._charge(row, 0.0, now_seconds)
+        estimate = row.attempt.estimated_cost_units
+        waiting = Waiting(row.request, estimate, avoid_target_id)
+        self._queues.put(waiting, in_front=True)
+
+    def _end(self, attempt_id: str) -> _Running | None:
+        """Take a running attempt out and free its slot."""
+        row = self._attempts.pop(attempt_id, None)
+        if row is None:
+            return None
+        target_id = row.attempt.target_id
+        left = self._running[target_id] - 1
+        if left:
+            self._running[target_id] = left
+        else:
+            del self._running[target_id]
+        self._limits.ended(row.account[1])
+        self._decided = False
+        return row
+
+    def _charge(self, row: _Running, used: float, now_seconds: float) -> None:
+        """Charge the difference between what was charged and what is used."""
+        change = used - row.charged_cost_units
+        row.charged_cost_units = used
+        self._totals.add(row.account, change)
+        self._limits.charged(row.account[1], change, now_seconds)
+
+    # --- messages --------------------------------------------------------------------
+
+    def received(
+        self, sender_id: str, incarnation: int, message: Message, now_seconds: float
+    ) -> None:
+        """Take a message of fair service from another instance."""
+        if isinstance(message, ShareReport):
+            self._allocator.take_report(sender_id, incarnation, message, now_seconds)
+        elif isinstance(message, SlotGrants) and not self._allocator.take_grants(
+            sender_id, incarnation, message, now_seconds
+        ):
+            self._take_grants(sender_id, incarnation, message, now_seconds)
+
+    def _take_grants(
+        self, sender_id: str, incarnation: int, grants: SlotGrants, now_seconds: float
+    ) -> None:
+        """Take the answer of the own allocator."""
+        link = self._link
+        if link is None or sender_id != link.receiver_id:
+            return
+        known = link.receiver_incarnation
+        if known is not None and incarnation > known:
+            # It restarted and knows nothing; start a term to tell it all.
+            self._open_link(sender_id, now_seconds)
+            return
+        if not link.apply(grants, incarnation, now_seconds):
+            return
+        self._decided = False
+        for news in grants.pools:
+            self._news[news.pool] = news
+            for row in news.standings:
+                account = (news.pool, row.customer_id)
+                self._standings[account] = _Standing(
+                    row.virtual_time, row.counted_cost_units
+                )
+        for limit in grants.limits:
+            self._limits.set_fraction(limit.customer_id, limit.fraction)
+
+    def outgoing(self, now_seconds: float) -> Sequence[Outgoing]:
+        """Return the messages that are due now."""
+        self._follow(now_seconds)
+        return self._exchange(now_seconds)
+
+    def _exchange(self, now_seconds: float) -> list[Outgoing]:
+        """Run the allocator and the report to it; deliver what stays here."""
+        leaving = list(self._unsent)
+        self._unsent = []
+        for _ in range(_EXCHANGE_ROUNDS):
+            messages = self._allocator.tick(now_seconds)
+            report = self._report(now_seconds)
+            if report is not None and self._link is not None:
+                messages.append(Outgoing(self._link.receiver_id, report, urgent=True))
+            inner = [one for one in messages if one.receiver_id == self._instance_id]
+            leaving.extend(one for one in messages if one not in inner)
+            for one in inner:
+                self.received(
+                    self._instance_id, self._incarnation, one.message, now_seconds
+                )
+            if not inner:
+                break
+        return leaving
+
+    def _report(self, now_seconds: float) -> ShareReport | None:
+        """Return the report to the allocator, or None while none is due."""
+        link = self._link
+        if link is None:
+            return None
+        since = now_seconds - link.sent_at_seconds
+        if since < COALESCE_SECONDS:
+            return None
+        self._return_idle(link, now_seconds)
+        demands = self._demands(now_seconds)
+        urgent = (
+            link.returns_slots(self._running)
+            or self._demand_is_urgent(link, demands, since)
+            or link.full_due
+            or link.wants_full
+        )
+        if not urgent and since < HEARTBEAT_SECONDS:
+            return None
+        full = link.full_due
+        threshold = SERVED_THRESHOLD_QUANTA * self._tree.fleet.quantum_cost_units
+        pools = pool_reports(
+            link.served_rows(self._totals.accounts(), threshold),
+            link.demand_rows(demands, now_seconds),
+        )
+        holdings = tuple(link.holding_rows(self._running))
+        link.full_due = False
+        return ShareReport(
+            link.term,
+            link.begin_report(now_seconds),
+            link.grants_seen,
+            "",
+            full,
+            link.wants_full,
+            tuple(pools.values()),
+            holdings,
+            wanted_rows(self._limits.wanted(now_seconds), self._told_wanted, full),
+        )
+
+    def _demand_is_urgent(
+        self, link: ReportLink, demands: dict[DemandKey, Demand], since: float
+    ) -> bool:
+        """Return whether new waiting work can't wait for the next report.
+
+        Under contention a slot here will be free soon, or the allocator would
+        have to wait for one elsewhere anyway; a short wait joins the news.
+        """
+        patient = since < _NEW_DEMAND_SECONDS
+        return any(
+            key not in link.told_demands and not (patient and self._contended(key[0]))
+            for key in demands
+        )
+
+    def _return_idle(self, link: ReportLink, now_seconds: float) -> None:
+        """Give up the slots that nothing here may use while others wait."""
+        if not self._decided:
+            return
+        for target_id in self._free_slots(now_seconds):
+            serves = self._targets[target_id].serves
+            pool = self._pool_of.get(serves[0]) if serves else None
+            if pool is not None and self._contended(pool):
+                link.holdings[target_id] = self._running.get(target_id, 0)
+
+    def _demands(self, now_seconds: float) -> dict[DemandKey, Demand]:
+        """Return what waits here and may start."""
+        demands = {}
+        for key in self._queues.queue_keys():
+            pool = self._pool_of.get(key[1])
+            if pool is None or not self._limits.may_start(key[0], now_seconds):
+                continue
+            head = self._queues.head(key)
+            assert head is not None
+            demands[(pool, *key)] = Demand(
+                self._queues.length(key),
+                self._queues.cost_units(key),
+                head.request.arrived_at_seconds,
+            )
+        return demands
+
+
+def make_leased_scheduler(
+    instance_id: str, incarnation: int, data_centre: str, seed: int
+) -> Scheduler:
+    """Return a scheduler on leased slots.
+
+    Args:
+        instance_id: This instance.
+        incarnation: Grows with each start of the process.
+        data_centre: Where it stands.
+        seed: Unused: nothing here is drawn at random.
+
+    Returns:
+        An empty scheduler.
+    """
+    return LeasedScheduler(instance_id, incarnation, data_centre)
--- /dev/null
+++ b/sesameford/links.py
@@ -0,0 +1,376 @@
+"""Both ends of the link between a holder of slots and the allocator it reports to.
+
+The holder is a router, or the allocator of another data centre. It sends
+``ShareReport`` and gets ``SlotGrants``. Each direction is numbered within a term
+that the holder chooses; rows are absolute and sent where they changed; a gap in
+the numbers makes the receiver ask for the full state.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from sesameford.accounts import Account
+from sesameford.messages import (
+    DemandRow,
+    GrantRow,
+    HoldingRow,
+    PoolReport,
+    ServedRow,
+    ShareReport,
+    SlotGrants,
+    StandingRow,
+)
+
+LEASE_SECONDS = 2.0
+HEARTBEAT_SECONDS = 0.5
+COALESCE_SECONDS = 0.02
+_SMALL_DEMAND_REQUESTS = 8
+_AGE_TOLD_SECONDS = 0.2
+_SENT_REPORTS_KEPT = 256
+
+DemandKey = tuple[str, str, str]
+"""A pool, a customer and a resource."""
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Waiting requests, their estimated cost, and since when the oldest waits."""
+
+    requests: int
+    cost_units: float
+    since_seconds: float
+
+
+@dataclass(slots=True)
+class ReportLink:
+    """The holder's end.
+
+    ``holdings`` are the slots granted, by target. ``base`` is what was already
+    told of the totals when the term began; told totals count from there.
+    """
+
+    receiver_id: str
+    term: int
+    opened_at_seconds: float
+    holdings: dict[str, int] = field(default_factory=dict)
+    base: dict[Account, float] = field(default_factory=dict)
+    receiver_incarnation: int | None = None
+    sequence: int = 0
+    grants_seen: int = 0
+    lease_expires_at_seconds: float = 0.0
+    full_due: bool = True
+    wants_full: bool = False
+    answered: bool = False
+    sent_at_seconds: float = float("-inf")
+    sent: dict[int, float] = field(default_factory=dict)
+    told_served: dict[Account, float] = field(default_factory=dict)
+    told_demands: dict[DemandKey, Demand] = field(default_factory=dict)
+    told_holdings: dict[str, int] = field(default_factory=dict)
+
+    def holds(self, now_seconds: float) -> bool:
+        """Return whether the lease on the holdings still runs."""
+        return now_seconds < self.lease_expires_at_seconds
+
+    def total_since_base(self, account: Account, total: float) -> float:
+        """Return what this link tells of an own total."""
+        return total - self.base.get(account, 0.0)
+
+    def apply(self, grants: SlotGrants, incarnation: int, now_seconds: float) -> bool:
+        """Take an allocator's answer.
+
+        Args:
+            grants: The message.
+            incarnation: The sender's.
+            now_seconds: The present time.
+
+        Returns:
+            False where the message is from the past and must be ignored.
+        """
+        if grants.term != self.term or grants.sequence <= self.grants_seen:
+            return False
+        if self.receiver_incarnation is None:
+            self.receiver_incarnation = incarnation
+        if grants.full:
+            self.holdings = {row.target_id: row.slots for row in grants.grants}
+            self.told_holdings = dict(self.holdings)
+            self.wants_full = False
+        else:
+            # A lost message may have held a grant that would now idle.
+            if grants.sequence != self.grants_seen + 1:
+                self.wants_full = True
+            for row in grants.grants:
+                self.holdings[row.target_id] = row.slots
+                self.told_holdings[row.target_id] = row.slots
+        for row in grants.recalls:
+            held = self.holdings.get(row.target_id, 0)
+            self.holdings[row.target_id] = min(held, row.slots)
+        if grants.wants_full:
+            self.full_due = True
+        self.grants_seen = grants.sequence
+        self.answered = True
+        self._renew(grants.report_seen)
+        return True
+
+    def returns_slots(self, running: Mapping[str, int]) -> bool:
+        """Return whether the receiver counts slots that are free here."""
+        return any(
+            max(self.holdings.get(target_id, 0), running.get(target_id, 0)) < told
+            for target_id, told in self.told_holdings.items()
+        )
+
+    def _renew(self, report_seen: int) -> None:
+        """Run the lease from when the report that was answered left here."""
+        sent_at = self.sent.get(report_seen)
+        if sent_at is not None:
+            expiry = sent_at + LEASE_SECONDS
+            self.lease_expires_at_seconds = max(self.lease_expires_at_seconds, expiry)
+        for sequence in [known for known in self.sent if known < report_seen]:
+            del self.sent[sequence]
+
+    def begin_report(self, now_seconds: float) -> int:
+        """Count a report that leaves now and return its number."""
+        self.sequence += 1
+        self.sent[self.sequence] = now_seconds
+        if len(self.sent) > _SENT_REPORTS_KEPT:
+            del self.sent[min(self.sent)]
+        self.sent_at_seconds = now_seconds
+        return self.sequence
+
+    def served_rows(
+        self, totals: Mapping[Account, float], threshold_cost_units: float
+    ) -> dict[str, list[ServedRow]]:
+        """Return by pool the totals that moved by more than a threshold."""
+        rows: dict[str, list[ServedRow]] = {}
+        for account, total in totals.items():
+            since = self.total_since_base(account, total)
+            told = self.told_served.get(account, 0.0)
+            if self.full_due or abs(since - told) > threshold_cost_units:
+                if since == 0.0 and told == 0.0:
+                    continue
+                self.told_served[account] = since
+                rows.setdefault(account[0], []).append(ServedRow(account[1], since))
+        return rows
+
+    def demand_rows(
+        self, demands: Mapping[DemandKey, Demand], now_seconds: float
+    ) -> dict[str, list[DemandRow]]:
+        """Return by pool the demands that are worth telling."""
+        if self.full_due:
+            self.told_demands = {}
+        rows: dict[str, list[DemandRow]] = {}
+        ended = [key for key in self.told_demands if key not in demands]
+        for key in ended:
+            del self.told_demands[key]
+            rows.setdefault(key[0], []).append(DemandRow(key[1], key[2]))
+        for key, demand in demands.items():
+            if not _worth_a_row(demand, self.told_demands.get(key)):
+                continue
+            self.told_demands[key] = demand
+            row = DemandRow(
+                key[1],
+                key[2],
+                demand.requests,
+                round(demand.cost_units),
+                round(now_seconds - demand.since_seconds, 2),
+            )
+            rows.setdefault(key[0], []).append(row)
+        return rows
+
+    def holding_rows(self, running: Mapping[str, int]) -> list[HoldingRow]:
+        """Return the holdings that the receiver does not know yet."""
+        if self.full_due:
+            self.told_holdings = {}
+        rows = []
+        for target_id in {*self.holdings, *running, *self.told_holdings}:
+            runs = running.get(target_id, 0)
+            slots = max(self.holdings.get(target_id, 0), runs)
+            if slots != self.told_holdings.get(target_id, 0):
+                rows.append(HoldingRow(target_id, slots, runs))
+                self.told_holdings[target_id] = slots
+        return rows
+
+
+def _worth_a_row(demand: Demand, told: Demand | None) -> bool:
+    """Return whether a changed demand is worth sending with the next report."""
+    if told is None:
+        return True
+    if min(demand.requests, told.requests) <= _SMALL_DEMAND_REQUESTS:
+        younger = demand.since_seconds - told.since_seconds
+        return demand.requests != told.requests or younger > _AGE_TOLD_SECONDS
+    return not told.requests / 1.25 <= demand.requests <= told.requests * 1.25
+
+
+def pool_reports(
+    served: Mapping[str, list[ServedRow]], demands: Mapping[str, list[DemandRow]]
+) -> dict[str, PoolReport]:
+    """Join rows by pool."""
+    return {
+        pool: PoolReport(
+            pool, tuple(served.get(pool, ())), tuple(demands.get(pool, ()))
+        )
+        for pool in sorted({*served, *demands})
+    }
+
+
+@dataclass(frozen=True, slots=True)
+class PendingGrant:
+    """A slot granted for a customer's work that the holder has not seen yet."""
+
+    sequence: int
+    key: DemandKey
+    cost_units: float
+
+
+@dataclass(slots=True)
+class GrantLink:
+    """The allocator's end: what one holder holds, wants and was told."""
+
+    holder_id: str
+    data_centre: str
+    incarnation: int
+    term: int
+    opened_at_seconds: float
+    heard_at_seconds: float
+    report_seen: int = 0
+    grants_seen: int = 0
+    sequence: int = 0
+    full_due: bool = True
+    wants_full: bool = False
+    urgent: bool = False
+    sent_at_seconds: float = float("-inf")
+    holdings: dict[str, int] = field(default_factory=dict)
+    raised: set[str] = field(default_factory=set)
+    lowered: set[str] = field(default_factory=set)
+    granted_in: dict[str, int] = field(default_factory=dict)
+    asked: dict[str, int] = field(default_factory=dict)
+    demands: dict[DemandKey, Demand] = field(default_factory=dict)
+    pending: list[PendingGrant] = field(default_factory=list)
+    told_standings: dict[Account, float] = field(default_factory=dict)
+    told_contended: dict[str, bool] = field(default_factory=dict)
+    place_slots: dict[str, int] = field(default_factory=dict)
+    told_fractions: dict[str, float] = field(default_factory=dict)
+    wanted: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def is_place(self) -> bool:
+        """Return whether the holder is another data centre's allocator."""
+        return bool(self.data_centre)
+
+    def is_silent(self, now_seconds: float) -> bool:
+        """Return whether the holder's lease is over for certain.
+
+        Another data centre's routers hold from their allocator, whose lease on
+        them can run on for as long again.
+        """
+        lease = LEASE_SECONDS * (2.0 if self.is_place else 1.0)
+        return now_seconds > self.heard_at_seconds + lease * 1.05
+
+    def accept(self, report: ShareReport, now_seconds: float) -> bool:
+        """Check a report's number; False for one from the past."""
+        if report.sequence <= self.report_seen:
+            return False
+        in_order = report.sequence == self.report_seen + 1
+        if report.full:
+            self.wants_full = False
+            self.demands = {}
+        elif not in_order:
+            self.wants_full = True
+        if report.wants_full:
+            self.full_due = True
+        self.report_seen = report.sequence
+        self.heard_at_seconds = now_seconds
+        self.grants_seen = max(self.grants_seen, report.grants_seen)
+        self.pending = [row for row in self.pending if row.sequence > self.grants_seen]
+        return True
+
+    def take_demands(
+        self, pool: str, rows: Iterable[DemandRow], now_seconds: float
+    ) -> None:
+        """Take what waits at the holder."""
+        for row in rows:
+            key = (pool, row.customer_id, row.resource)
+            if row.waiting_requests > 0:
+                since = now_seconds - row.oldest_age_seconds
+                demand = Demand(row.waiting_requests, row.waiting_cost_units, since)
+                self.demands[key] = demand
+            else:
+                self.demands.pop(key, None)
+
+    def take_holdings(self, report: ShareReport) -> None:
+        """Take what the holder keeps, where it knows the latest grant.
+
+        A report that crossed a newer grant speaks of the time before it; the
+        grant stands, and the holder reports again once it has it.
+        """
+        reported = {row.target_id: row.slots for row in report.holdings}
+        if report.full:
+            for target_id in self.holdings:
+                reported.setdefault(target_id, 0)
+        for target_id, slots in reported.items():
+            crossed = self.granted_in.get(target_id, 0) > self.grants_seen
+            if not crossed and target_id not in self.raised:
+                self._hold(target_id, slots)
+
+    def _hold(self, target_id: str, slots: int) -> None:
+        """Set a holding; none is no row."""
+        if slots > 0:
+            self.holdings[target_id] = slots
+        else:
+            self.holdings.pop(target_id, None)
+        if slots <= self.asked.get(target_id, -1):
+            del self.asked[target_id]
+
+    def grant(self, target_id: str, slots: int) -> None:
+        """Raise a holding by some slots with the next message."""
+        self.holdings[target_id] = self.holdings.get(target_id, 0) + slots
+        if target_id in self.asked:
+            self.asked[target_id] += slots
+        self.raised.add(target_id)
+        self.urgent = True
+
+    def recall(self, target_id: str, slots: int) -> None:
+        """Ask the holder to come down to some slots; it holds until it says so."""
+        if self.allowed(target_id) > slots:
+            self.asked[target_id] = slots
+            self.lowered.add(target_id)
+            self.urgent = True
+
+    def allowed(self, target_id: str) -> int:
+        """Return how many slots the holder keeps once it has met all recalls."""
+        held = self.holdings.get(target_id, 0)
+        return min(held, self.asked.get(target_id, held))
+
+    def uncovered(self, key: DemandKey) -> int:
+        """Return how many waiting requests no slot under way is meant for."""
+        waiting = self.demands[key].requests
+        return waiting - sum(1 for row in self.pending if row.key == key)
+
+    def begin_message(
+        self, now_seconds: float
+    ) -> tuple[int, tuple[GrantRow, ...], tuple[GrantRow, ...]]:
+        """Count a message that leaves now; return its number, grants and recalls."""
+        self.sequence += 1
+        self.sent_at_seconds = now_seconds
+        granted = set(self.holdings) if self.full_due else self.raised
+        for target_id in granted:
+            self.granted_in[target_id] = self.sequence
+        # A grant tells what is counted as held, so that a return can be told
+        # against it; an open recall of the same target goes beside it.
+        lowered = self.lowered | (granted & self.asked.keys())
+        grants = [GrantRow(one, self.holdings.get(one, 0)) for one in sorted(granted)]
+        recalls = [GrantRow(one, self.allowed(one)) for one in sorted(lowered)]
+        self.raised = set()
+        self.lowered = set()
+        self.urgent = False
+        return self.sequence, tuple(grants), tuple(recalls)
+
+    def standing_is_news(
+        self, account: Account, standing: StandingRow, share: float, threshold: float
+    ) -> bool:
+        """Return whether a virtual time moved by others' service; note it as told."""
+        foreign = standing.virtual_time - standing.counted_cost_units / share
+        told = self.told_standings.get(account)
+        if not self.full_due and told is not None and abs(foreign - told) <= threshold:
+            return False
+        self.told_standings[account] = foreign
+        return True
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -93,8 +93,9 @@
 
     customer_id: str
     resource: str
-    waiting_requests: int
-    waiting_cost_units: float
+    waiting_requests: int = 0
+    waiting_cost_units: float = 0.0
+    oldest_age_seconds: float = 0.0
 
 
 class AdjustmentRow(Struct, frozen=True, array_like=True):
@@ -114,11 +115,15 @@
 
 
 class PoolReport(Struct, frozen=True, array_like=True):
-    """Rows of one pool that changed; a pool is resources that share targets."""
+    """Rows of one pool that changed; a pool is resources that share targets.
+
+    ``slots`` is what another data centre's routers may use, borrowed included.
+    """
 
     pool: str
     served: tuple[ServedRow, ...] = ()
     demands: tuple[DemandRow, ...] = ()
+    slots: int = 0
     adjustments: tuple[AdjustmentRow, ...] = ()
     virtual_times: tuple[tuple[str, float], ...] = ()
 
@@ -161,7 +166,10 @@
 
 
 class GrantRow(Struct, frozen=True, array_like=True):
-    """The receiver may run this many requests at once on a target."""
+    """The receiver may run this many requests at once on a target.
+
+    In a recall: at most this many, and fewer if it gave up some since.
+    """
 
     target_id: str
     slots: int
@@ -176,15 +184,11 @@
 
 
 class PoolNews(Struct, frozen=True, array_like=True):
-    """Whether work waits for slots in a pool, and from which virtual time on.
-
-    ``marginal_rise_per_second`` is how fast the marginal virtual time grows.
-    """
+    """Whether work waits for slots in a pool, and the floor of virtual times."""
 
     pool: str
     contended: bool
-    marginal_virtual_time: float
-    marginal_rise_per_second: float
+    floor_virtual_time: float | None
     standings: tuple[StandingRow, ...] = ()
 
 
@@ -208,6 +212,7 @@
     full: bool = False
     wants_full: bool = False
     grants: tuple[GrantRow, ...] = ()
+    recalls: tuple[GrantRow, ...] = ()
     pools: tuple[PoolNews, ...] = ()
     limits: tuple[LimitShareRow, ...] = ()
 
--- /dev/null
+++ b/sesameford/place_reports.py
@@ -0,0 +1,202 @@
+"""Reports of an allocator to those of the other data centres."""
+
+from sesameford.allocator_state import AllocatorState, Place
+from sesameford.links import (
+    COALESCE_SECONDS,
+    HEARTBEAT_SECONDS,
+    Demand,
+    DemandKey,
+    pool_reports,
+)
+from sesameford.messages import (
+    AdjustmentRow,
+    Outgoing,
+    PoolReport,
+    ShareReport,
+    WantedRow,
+)
+
+SERVED_THRESHOLD_QUANTA = 0.5
+_DEMANDS_TOLD = 32
+_NEW_DEMAND_SECONDS = 0.1
+_WANTED_CHANGE_TOLD = 0.25
+
+
+def place_reports(state: AllocatorState, now_seconds: float) -> list[Outgoing]:
+    """Return the reports that are due."""
+    messages = []
+    demands: dict[DemandKey, Demand] | None = None
+    for name in sorted(state.places):
+        place = state.places[name]
+        if now_seconds - place.link.sent_at_seconds < COALESCE_SECONDS:
+            continue
+        if demands is None:
+            demands = _demands(state)
+        report = _report(state, name, place, demands, now_seconds)
+        if report is not None:
+            messages.append(Outgoing(place.link.receiver_id, report, urgent=True))
+    return messages
+
+
+def _report(
+    state: AllocatorState,
+    name: str,
+    place: Place,
+    demands: dict[DemandKey, Demand],
+    now_seconds: float,
+) -> ShareReport | None:
+    """Return the report to one data centre, or None while none is due."""
+    link = place.link
+    since = now_seconds - link.sent_at_seconds
+    kept = {
+        target_id: slots
+        for target_id, slots in state.held().items()
+        if state.owner_of.get(target_id) == name
+    }
+    news = any(key not in link.told_demands for key in demands)
+    due = (
+        since >= HEARTBEAT_SECONDS
+        or link.full_due
+        or link.returns_slots(kept)
+        or (news and since >= _NEW_DEMAND_SECONDS)
+    )
+    if not due:
+        return None
+    full = link.full_due
+    threshold = SERVED_THRESHOLD_QUANTA * state.quantum()
+    pools = pool_reports(
+        link.served_rows(state.totals.accounts(), threshold),
+        link.demand_rows(demands, now_seconds),
+    )
+    rows = _with_pool_rows(state, place, pools, full, now_seconds)
+    holdings = tuple(link.holding_rows(kept))
+    link.full_due = False
+    return ShareReport(
+        link.term,
+        link.begin_report(now_seconds),
+        link.grants_seen,
+        state.data_centre,
+        full,
+        link.wants_full,
+        rows,
+        holdings,
+        _wanted_rows(state, place, full),
+    )
+
+
+def _demands(state: AllocatorState) -> dict[DemandKey, Demand]:
+    """Return the waiting work of this data centre that comes first."""
+    merged: dict[DemandKey, Demand] = {}
+    for link in state.routers():
+        for key, demand in link.demands.items():
+            known = merged.get(key)
+            if known is None:
+                merged[key] = demand
+                continue
+            merged[key] = Demand(
+                known.requests + demand.requests,
+                known.cost_units + demand.cost_units,
+                min(known.since_seconds, demand.since_seconds),
+            )
+    if len(merged) <= _DEMANDS_TOLD:
+        return merged
+    order = sorted(
+        merged, key=lambda key: state.pool(key[0]).times.virtual_time(key[1])
+    )
+    return {key: merged[key] for key in order[:_DEMANDS_TOLD]}
+
+
+def _with_pool_rows(
+    state: AllocatorState,
+    place: Place,
+    pools: dict[str, PoolReport],
+    full: bool,
+    now_seconds: float,
+) -> tuple[PoolReport, ...]:
+    """Add the slots at hand, and lifts and clamps the receiver was not told."""
+    for pool, pool_state in state.pools.items():
+        times = pool_state.times
+        adjustments = []
+        for customer in times.customers():
+            standing = times.standing(customer)
+            version = standing.adjustment_version
+            told = place.told_adjustments.get((pool, customer), 0)
+            if version > told or (full and version):
+                place.told_adjustments[(pool, customer)] = version
+                value = round(standing.adjustment, 1)
+                adjustments.append(AdjustmentRow(customer, version, value))
+        snapshot: tuple[tuple[str, float], ...] = ()
+        if full:
+            snapshot = tuple(
+                (customer, times.virtual_time(customer))
+                for customer in times.customers()
+            )
+        known = pools.get(pool)
+        slots = _slots_at_hand(state, pool, now_seconds)
+        changed = slots != place.told_slots.get(pool)
+        if known or adjustments or snapshot or changed:
+            place.told_slots[pool] = slots
+            base = known or PoolReport(pool)
+            pools[pool] = PoolReport(
+                pool,
+                base.served,
+                base.demands,
+                slots,
+                tuple(adjustments),
+                snapshot,
+            )
+    return tuple(pools[pool] for pool in sorted(pools))
+
+
+def _slots_at_hand(state: AllocatorState, pool: str, now_seconds: float) -> int:
+    """Return how many slots of a pool serve this data centre's work.
+
+    Slots on their way between routers count: they will serve here. Left out,
+    every allocator would see the others poorer than they are and lend in turns.
+    """
+    slots = sum(
+        state.capacity(target_id, now_seconds)
+        for target_id in state.targets
+        if state.pool_of_target(target_id) == pool
+    )
+    lent = sum(
+        link.allowed(target_id)
+        for link in state.links.values()
+        for target_id in link.holdings
+        if link.is_place and state.pool_of_target(target_id) == pool
+    )
+    return max(slots - lent, 0)
+
+
+def _wanted_rows(
+    state: AllocatorState, place: Place, full: bool
+) -> tuple[WantedRow, ...]:
+    """Return the limited customers' demand here that changed much."""
+    total: dict[str, float] = {}
+    for link in state.routers():
+        for customer, rate in link.wanted.items():
+            total[customer] = total.get(customer, 0.0) + rate
+    return wanted_rows(total, place.told_wanted, full)
+
+
+def wanted_rows(
+    rates: dict[str, float], told: dict[str, float], full: bool
+) -> tuple[WantedRow, ...]:
+    """Return the demands that changed much, and note them as told.
+
+    Args:
+        rates: Requests per second by customer.
+        told: What the receiver knows.
+        full: Whether it is to be told all.
+
+    Returns:
+        Rows for a report.
+    """
+    rows = []
+    for customer, rate in sorted(rates.items()):
+        known = told.get(customer)
+        change = _WANTED_CHANGE_TOLD * max(rate, known or 0.0)
+        if full or known is None or abs(rate - known) > change:
+            told[customer] = rate
+            rows.append(WantedRow(customer, round(rate, 2)))
+    return tuple(rows)
--- /dev/null
+++ b/sesameford/pools.py
@@ -0,0 +1,35 @@
+"""Pools: resources that share targets, directly or over others, are one pool.
+
+Within a pool a customer has one account, whatever models it asks for: two
+customers that can both wait for the same target are always in one pool, so the
+gap between them is defined.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from sesameford.tables import Target
+
+
+def find_pools(targets: Iterable[Target]) -> Mapping[str, str]:
+    """Return the pool of each resource that some target serves.
+
+    Args:
+        targets: All targets that may get work.
+
+    Returns:
+        Pool names by resource; a pool has the name of its first resource.
+    """
+    parents: dict[str, str] = {}
+
+    def find(resource: str) -> str:
+        while parents[resource] != resource:
+            resource = parents[resource]
+        return resource
+
+    for target in targets:
+        for resource in target.serves:
+            parents.setdefault(resource, resource)
+        for resource in target.serves[1:]:
+            first, second = sorted((find(target.serves[0]), find(resource)))
+            parents[second] = first
+    return {resource: find(resource) for resource in parents}
--- /dev/null
+++ b/sesameford/virtual_time.py
@@ -0,0 +1,144 @@
+"""Virtual times: a customer's service over its weight, comparable fleet-wide.
+
+Each allocator adds up the same increments, so virtual times agree but for what
+is under way. Lifts and clamps are told as versioned adjustments; the larger
+version holds everywhere, so that copies agree on them too.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Standing:
+    """One customer's place in a pool."""
+
+    virtual_time: float = 0.0
+    adjustment: float = 0.0
+    adjustment_version: int = 0
+    backlogged_at_seconds: float = float("-inf")
+
+
+class VirtualTimes:
+    """The virtual times of one pool's customers.
+
+    Args:
+        patience_seconds: A customer whose oldest request waits for less than this
+            is served as it comes, and neither gathers credit nor owes.
+        debt_limit: The furthest that a backlogged customer may be ahead of the
+            smallest one, in virtual time.
+    """
+
+    def __init__(self, patience_seconds: float, debt_limit: float) -> None:
+        self._patience_seconds = patience_seconds
+        self.debt_limit = debt_limit
+        self._standings: dict[str, Standing] = {}
+
+    def __len__(self) -> int:
+        return len(self._standings)
+
+    def customers(self) -> Iterable[str]:
+        """Return the customers that have a standing."""
+        return self._standings.keys()
+
+    def standing(self, customer_id: str) -> Standing:
+        """Return a customer's standing, made when it is new."""
+        standing = self._standings.get(customer_id)
+        if standing is None:
+            standing = self._standings[customer_id] = Standing()
+        return standing
+
+    def virtual_time(self, customer_id: str) -> float:
+        """Return a customer's virtual time."""
+        return self.standing(customer_id).virtual_time
+
+    def charge(self, customer_id: str, cost_units: float, share: float) -> None:
+        """Count service.
+
+        Increments are divided by the share in force when they are counted, so a
+        change of shares bends a virtual time but never makes it jump.
+        """
+        self.standing(customer_id).virtual_time += cost_units / share
+
+    def merge_adjustment(
+        self, customer_id: str, version: int, adjustment: float
+    ) -> bool:
+        """Take another instance's lift or clamp; True if it was newer."""
+        standing = self.standing(customer_id)
+        if (version, adjustment) <= (
+            standing.adjustment_version,
+            standing.adjustment,
+        ):
+            return False
+        standing.virtual_time += adjustment - standing.adjustment
+        standing.adjustment = adjustment
+        standing.adjustment_version = version
+        return True
+
+    def merge_snapshot(self, customer_id: str, virtual_time: float) -> None:
+        """Take a virtual time from an instance that has counted for longer."""
+        standing = self.standing(customer_id)
+        standing.virtual_time = max(standing.virtual_time, virtual_time)
+
+    def mark_backlogged(
+        self, waiting_since: Mapping[str, float], now_seconds: float
+    ) -> float | None:
+        """Note who is backlogged now; lift credit and clamp debt.
+
+        The floor is the smallest virtual time of those that have waited for a
+        while. Without the lift to it a customer would save up credit while idle,
+        or while its requests start at once, and then push all others aside.
+        Without the clamp a customer that was served alone, or on one side of a
+        partition, would wait until all others have caught up.
+
+        Args:
+            waiting_since: Since when the oldest request of each customer waits.
+            now_seconds: The present time.
+
+        Returns:
+            The floor; None where nobody has waited for long.
+        """
+        if not waiting_since:
+            return None
+        patient = now_seconds - self._patience_seconds
+        floor: float | None = None
+        brief: list[Standing] = []
+        for customer, since in waiting_since.items():
+            standing = self.standing(customer)
+            standing.backlogged_at_seconds = now_seconds
+            if since > patient:
+                brief.append(standing)
+            elif floor is None or standing.virtual_time < floor:
+                floor = standing.virtual_time
+        # Where nobody had to wait for others nobody owes anybody: all start
+        # level with the furthest.
+        start = self._furthest() if floor is None else floor
+        for standing in brief:
+            self._move(standing, start, start + self.debt_limit)
+        for customer in waiting_since:
+            self._move(self.standing(customer), float("-inf"), start + self.debt_limit)
+        return floor
+
+    def _furthest(self) -> float:
+        """Return the largest virtual time."""
+        return max(standing.virtual_time for standing in self._standings.values())
+
+    def _move(self, standing: Standing, low: float, high: float) -> None:
+        """Adjust a virtual time into a range."""
+        wanted = min(max(standing.virtual_time, low), high)
+        change = wanted - standing.virtual_time
+        if change != 0.0:
+            standing.virtual_time = wanted
+            standing.adjustment += change
+            standing.adjustment_version += 1
+
+    def forget_idle(self, now_seconds: float, kept_seconds: float) -> None:
+        """Drop customers idle for long; they would be lifted anyway."""
+        horizon = now_seconds - kept_seconds
+        idle = [
+            customer
+            for customer, standing in self._standings.items()
+            if standing.backlogged_at_seconds < horizon
+        ]
+        for customer in idle:
+            del self._standings[customer]
--- /dev/null
+++ b/tests/test_scheduler_switch.py
@@ -0,0 +1,102 @@
+"""A change of scheduler by the tree cuts nothing and loses nothing."""
+
+from sesameford.effective import (
+    CustomerSettings,
+    EffectiveTree,
+    FleetSettings,
+    LimitSettings,
+)
+from sesameford.independent import make_independent_scheduler
+from sesameford.scheduler_switch import make_scheduler_switch
+from sesameford.tables import Outcome, Request, Target, TargetKind, Usage
+
+TARGETS = {"t": Target("t", 1, TargetKind.MODEL, ("m",), "http://t", "a", 1, 1e9)}
+
+
+def make_request(name):
+    return Request(
+        name, "c", TargetKind.MODEL, "m", 0.0, 1e9, 10, 1, None, True, name.encode()
+    )
+
+
+def make_switch():
+    def make():
+        return make_independent_scheduler("e1", 1, "a", 1)
+
+    switch = make_scheduler_switch({"one": make, "two": make}, "one")
+    switch.observe_targets(TARGETS, 0.0)
+    return switch
+
+
+def tree(name):
+    return EffectiveTree(fleet=FleetSettings(scheduler=name))
+
+
+def test_waiting_requests_move_and_running_ones_end_where_they_began():
+    """An operator changes the scheduler while one request runs and one waits.
+
+    Lost in the change, the waiting caller would hear nothing until its deadline.
+    """
+    switch = make_switch()
+    switch.submit(make_request("running"), 0.0)
+    switch.submit(make_request("waiting"), 0.0)
+    (running,) = switch.decide(0.0)
+    switch.configure(tree("two"), 1.0)
+    assert switch.name == "two"
+    assert switch.running_attempts() == 1
+    assert switch.waiting_requests() == 1
+    switch.settled(running.attempt_id, Usage(output_tokens=5), Outcome.RAN, 2.0)
+    (moved,) = switch.decide(2.0)
+    assert moved.request_id == "waiting"
+    assert switch.running_attempts() == 1
+
+
+def test_a_retry_of_what_began_before_goes_to_the_new_scheduler():
+    """A target refuses, after a change of scheduler, what the old one sent there."""
+    switch = make_switch()
+    switch.submit(make_request("refused"), 0.0)
+    (attempt,) = switch.decide(0.0)
+    switch.configure(tree("two"), 1.0)
+    switch.retried(attempt.attempt_id, None, 1.0)
+    assert switch.waiting_requests() == 1
+    assert switch.decide(2.0)[0].request_id == "refused"
+
+
+def test_attempts_of_two_schedulers_never_share_an_id():
+    """Two schedulers count their attempts alike, and both have one that runs.
+
+    An engine that sees one id twice takes the second for the first, and a caller
+    reads another's answer.
+    """
+    switch = make_switch()
+    switch.submit(make_request("first"), 0.0)
+    (first,) = switch.decide(0.0)
+    switch.configure(tree("two"), 1.0)
+    switch.submit(make_request("second"), 1.0)
+    (second,) = switch.decide(1.0)
+    assert first.attempt_id != second.attempt_id
+    switch.settled(first.attempt_id, Usage(), Outcome.RAN, 2.0)
+    assert switch.running_attempts() == 1
+
+
+def test_a_request_that_the_new_scheduler_refuses_is_told_so():
+    """The change of scheduler comes with a shorter queue than what waits.
+
+    Dropped in silence, the caller would hear nothing at all.
+    """
+    switch = make_switch()
+    for name in ("first", "second", "third"):
+        switch.submit(make_request(name), 0.0)
+    limits = LimitSettings(queued_requests=1)
+    customers = {"c": CustomerSettings("c", limits=limits)}
+    shorter = EffectiveTree(fleet=tree("two").fleet, customers=customers)
+    switch.configure(shorter, 1.0)
+    assert switch.waiting_requests() == 1
+    assert list(switch.expired(1.0)) == ["second", "third"]
+    assert switch.expired(1.0) == []
+
+
+def test_an_unknown_name_leaves_the_present_scheduler_in_force():
+    switch = make_switch()
+    switch.configure(tree("none"), 0.0)
+    assert switch.name == "one"
