--- a/sesameford/answers_http.py
+++ b/sesameford/answers_http.py
@@ -10,6 +10,8 @@
 
 OUTCOME_HEADER = "Sesameford-Outcome"
 REQUEST_ID_HEADER = "Sesameford-Request-Id"
+# Where a response itself bears an outcome that its sent headers can't tell any more.
+OUTCOME_KEY = "sesameford-outcome"
 PROBLEM_TYPE = "application/problem+json"
 
 
--- a/sesameford/callers.py
+++ b/sesameford/callers.py
@@ -14,7 +14,6 @@
 from opentelemetry.trace import Tracer
 
 from sesameford.answers_http import (
-    OUTCOME_HEADER,
     not_run_response,
     outcome_headers,
     unknown_response,
@@ -23,7 +22,7 @@
 from sesameford.errors import NotRunError, UnknownOutcomeError
 from sesameford.logs import log_context
 from sesameford.prompts import prefix_digests, prompt_text, prompt_tokens
-from sesameford.relay import Call, RelayDeps, serve
+from sesameford.relay import Call, RelayDeps, outcome_of, serve
 from sesameford.router import Router
 from sesameford.service_adapter import is_repeatable
 from sesameford.tables import Outcome, Request, TargetKind
@@ -104,7 +103,7 @@
         customer = call.request.customer_id
         log_context.set({**(log_context.get() or {}), "customer": customer})
         response = await serve(deps.relay, http, call)
-        outcome = Outcome(response.headers[OUTCOME_HEADER])
+        outcome = outcome_of(response)
     except NotRunError as error:
         metrics.refusals.inc({"reason": error.reason})
         response = not_run_response(error, request_id)
--- /dev/null
+++ b/sesameford/completion_run.py
@@ -0,0 +1,257 @@
+"""One attempt at a completion on an engine, over as many connections as it takes."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from dataclasses import dataclass, field
+
+from aiohttp import ClientError, ClientResponse
+from aiohttp.web import Response, StreamResponse
+
+from sesameford.answers import Completeness, judge_stream
+from sesameford.answers_http import outcome_headers
+from sesameford.caller_side import CallerGoneError, CallerSide
+from sesameford.errors import TargetError, TargetLostError, TargetRefusedError
+from sesameford.event_stream import MAX_EVENT_BYTES, EventStream
+from sesameford.model_adapter import (
+    cancel_completion,
+    engine_body,
+    open_completion,
+    resume_completion,
+)
+from sesameford.relay_deps import Call, RelayDeps, pass_on, settle
+from sesameford.retries import AttemptHistory, Failure
+from sesameford.service_adapter import read_whole
+from sesameford.silence import (
+    MAX_FRUITLESS_RESUMES,
+    PROBE_TIMEOUT_SECONDS,
+    NextStep,
+    Probe,
+    Progress,
+    after_probe,
+    progressed,
+    resumed,
+    silent_at_seconds,
+)
+from sesameford.tables import Attempt, Outcome, Target, Usage
+from sesameford.whole_answer import assemble
+
+PROGRESS_EVENTS = 16
+
+
+@dataclass(slots=True)
+class CompletionRun:
+    """What one attempt on an engine has at hand."""
+
+    deps: RelayDeps
+    call: Call
+    attempt: Attempt
+    target: Target
+    history: AttemptHistory
+    progress: Progress
+    events: EventStream = field(default_factory=EventStream)
+
+
+async def run_completion(run: CompletionRun, caller: CallerSide) -> StreamResponse:
+    """Run a completion, streamed from the engine in either case.
+
+    Raises:
+        TargetError: It failed; the attempt is not settled.
+    """
+    try:
+        response = await _open(run)
+        if response.status != 200:
+            with run.deps.tracer.start_as_current_span("relay"):
+                body = await read_whole(response)
+                settle(run.deps, run.call, run.attempt, _usage(run), Outcome.RAN)
+                return pass_on(response, body, run.call)
+        with run.deps.tracer.start_as_current_span("relay"):
+            if run.call.is_streamed:
+                return await _relay_stream(run, response, caller)
+            return await _relay_whole(run, response)
+    except (asyncio.CancelledError, CallerGoneError):
+        settle(run.deps, run.call, run.attempt, _usage(run), Outcome.UNKNOWN)
+        await asyncio.shield(_cancel(run))
+        raise
+    except TargetLostError:
+        # The engine may still work for an attempt that nobody waits for.
+        run.deps.spawn(_cancel(run))
+        raise
+
+
+async def _open(run: CompletionRun) -> ClientResponse:
+    """Send the request and return the answer at its headers."""
+    assert run.call.parsed is not None
+    started_seconds = run.deps.now()
+    with run.deps.tracer.start_as_current_span("target"):
+        try:
+            async with asyncio.timeout(_silence_left(run)):
+                response = await open_completion(
+                    run.deps.session,
+                    run.target,
+                    run.attempt,
+                    run.call.path,
+                    engine_body(run.call.parsed),
+                    _trace_headers(run.call),
+                )
+        except (TimeoutError, TargetLostError) as error:
+            response = await _resume(run, error)
+    waited_seconds = run.deps.now() - started_seconds
+    run.deps.router.metrics.first_byte_seconds.observe({}, waited_seconds)
+    return response
+
+
+async def _relay_whole(run: CompletionRun, response: ClientResponse) -> Response:
+    """Collect a stream and answer with the whole completion."""
+    async with aclosing(_events(run, response)) as events:
+        collected = [ready async for ready in events]
+    body = assemble(b"".join(collected), run.call.path.endswith("/chat/completions"))
+    settle(run.deps, run.call, run.attempt, _usage(run), Outcome.RAN)
+    return Response(
+        body=body,
+        content_type="application/json",
+        headers=outcome_headers(Outcome.RAN, run.call.request.request_id),
+    )
+
+
+async def _relay_stream(
+    run: CompletionRun, response: ClientResponse, caller: CallerSide
+) -> StreamResponse:
+    """Pass a stream on as its events come."""
+    try:
+        async with aclosing(_events(run, response)) as events:
+            async for ready in events:
+                await caller.write(ready)
+    except TargetLostError as error:
+        if not caller.started:
+            raise
+        # Bytes of this answer are with the caller, so a new attempt would mix two
+        # answers. It is told in the stream itself that this one is cut.
+        settle(run.deps, run.call, run.attempt, _usage(run), Outcome.UNKNOWN)
+        run.deps.spawn(_cancel(run))
+        await run.deps.judge_target(run.attempt, run.target, error)
+        return await caller.cut("answer-cut", str(error))
+    settle(run.deps, run.call, run.attempt, _usage(run), Outcome.RAN)
+    return await caller.end()
+
+
+async def _events(
+    run: CompletionRun, response: ClientResponse
+) -> AsyncGenerator[bytes, None]:
+    """Yield whole events until the end mark, over resumed connections.
+
+    Raises:
+        TargetLostError: The rest of the stream can't be had.
+    """
+    while True:
+        broke: Exception | None = None
+        try:
+            async with aclosing(_read(run, response)) as parts:
+                async for ready in parts:
+                    yield ready
+        except (ClientError, TimeoutError, OSError) as error:
+            broke = error
+        finally:
+            response.close()
+        if run.events.is_done:
+            break
+        run.events.drop_partial()
+        response = await _resume(run, broke)
+    judged = judge_stream(
+        run.events.is_done, run.events.usage is not None, run.events.in_order
+    )
+    if judged is not Completeness.COMPLETE:
+        raise TargetLostError("the stream ended without usage", Failure.ANSWER_INVALID)
+
+
+async def _read(
+    run: CompletionRun, response: ClientResponse
+) -> AsyncGenerator[bytes, None]:
+    """Yield whole events of one connection until it ends, breaks or is silent."""
+    events = run.events
+    next_progress = events.event_count + PROGRESS_EVENTS
+    while not events.is_done:
+        async with asyncio.timeout(_silence_left(run)):
+            data = await response.content.readany()
+        if not data:
+            return
+        run.progress = progressed(run.deps.now())
+        ready = events.feed(data)
+        if not events.in_order or events.held_bytes > MAX_EVENT_BYTES:
+            raise TargetLostError(
+                "events are missing, doubled or too long", Failure.ANSWER_INVALID
+            )
+        if ready:
+            yield ready
+        if events.event_count >= next_progress:
+            next_progress = events.event_count + PROGRESS_EVENTS
+            run.deps.router.progress(run.attempt, _usage(run))
+
+
+async def _resume(run: CompletionRun, broke: Exception | None) -> ClientResponse:
+    """Go on with the stream on a fresh connection, which is the probe as well.
+
+    Raises:
+        TargetLostError: The engine does not know the stream, or can't be reached.
+    """
+    silent = isinstance(broke, TimeoutError)
+    run.deps.outcomes.silences += silent
+    if run.progress.fruitless_resumes >= MAX_FRUITLESS_RESUMES and not silent:
+        raise TargetLostError(f"the stream broke again: {broke!r}", Failure.ANSWER_CUT)
+    probe, response = await _probe(run)
+    now_seconds = run.deps.now()
+    step = after_probe(run.target.kind, probe, run.history, now_seconds)
+    if step is NextStep.READ_ON and response is not None:
+        run.progress = resumed(run.progress, now_seconds)
+        run.deps.outcomes.resumes += 1
+        return response
+    if response is not None:
+        response.close()
+    if step is NextStep.TARGET_DOWN:
+        raise TargetLostError(f"the target is gone: {broke!r}", Failure.TARGET_GONE)
+    if now_seconds >= run.history.deadline_at_seconds:
+        raise TargetLostError("silent until the deadline", Failure.DEADLINE)
+    failure = Failure.SILENT if silent else Failure.ANSWER_CUT
+    raise TargetLostError(f"the stream can't be resumed: {broke!r}", failure)
+
+
+async def _probe(run: CompletionRun) -> tuple[Probe, ClientResponse | None]:
+    """Ask for the rest of the stream on a fresh connection."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+            response = await resume_completion(
+                run.deps.session, run.target, run.attempt, run.events.last_event_id
+            )
+    except TimeoutError:
+        return Probe.NO_ANSWER, None
+    except TargetRefusedError as error:
+        refused = error.failure == Failure.CONNECT_REFUSED
+        return (Probe.REFUSED if refused else Probe.NO_ANSWER), None
+    except TargetError as error:
+        cut = error.failure == Failure.ANSWER_CUT
+        return (Probe.UNKNOWN_STREAM if cut else Probe.NO_ANSWER), None
+    return Probe.RESUMED, response
+
+
+async def _cancel(run: CompletionRun) -> None:
+    await cancel_completion(run.deps.session, run.target, run.attempt.attempt_id)
+
+
+def _silence_left(run: CompletionRun) -> float:
+    """Return for how long nothing may come before the connection is silent."""
+    silence_seconds = run.deps.router.tree.fleet.silence_seconds
+    until_seconds = silent_at_seconds(run.progress, silence_seconds)
+    return max(until_seconds - run.deps.now(), 0.0)
+
+
+def _usage(run: CompletionRun) -> Usage:
+    return run.events.usage_so_far(run.call.request.prompt_tokens)
+
+
+def _trace_headers(call: Call) -> dict[str, str]:
+    """Return the headers that carry the trace to the target."""
+    return {
+        key: value
+        for key, value in call.headers.items()
+        if key.lower() in ("traceparent", "tracestate")
+    }
--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -89,6 +89,7 @@
     queued_limit_bytes: int = 256_000_000
     silence_seconds: float = 10.0
     weight_store_concurrent_loads: int = 2
+    lifted_digests: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesameford/errors.py
+++ b/sesameford/errors.py
@@ -116,7 +116,16 @@
 
 
 class TargetError(SesamefordError):
-    """A target could not be reached or broke its protocol."""
+    """A target could not be reached or broke its protocol.
+
+    Args:
+        detail: A sentence for people.
+        failure: How it failed, a word of `sesameford.retries.Failure`.
+    """
+
+    def __init__(self, detail: str, failure: str = "") -> None:
+        super().__init__(detail)
+        self.failure = failure
 
 
 class TargetRefusedError(TargetError):
--- a/sesameford/event_stream.py
+++ b/sesameford/event_stream.py
@@ -21,7 +21,9 @@
     """What has passed of one stream.
 
     ``last_event_id`` is -1 before the first event; ``is_done`` says that the end
-    mark was seen, without which the answer is cut.
+    mark was seen, without which the answer is cut. ``in_order`` turns False where an
+    event is missing or comes twice: after a resume on another connection the text
+    would lack a sentence or repeat one, and still end with its mark.
     """
 
     def __init__(self) -> None:
@@ -29,6 +31,7 @@
         self.last_event_id = -1
         self.event_count = 0
         self.is_done = False
+        self.in_order = True
         self.usage: Usage | None = None
 
     def feed(self, data: bytes) -> bytes:
@@ -65,7 +68,11 @@
 
     def _look_into(self, ready: bytes) -> None:
         self.event_count += ready.count(_END)
+        before = self.last_event_id
         self._find_last_id(ready)
+        numbered = ready.count(_END + _ID_PREFIX) + ready.startswith(_ID_PREFIX)
+        if self.last_event_id - before != numbered:
+            self.in_order = False
         if _USAGE_MARK in ready:
             self._find_usage(ready)
         if ready.startswith(_DONE_LINE) or b"\n" + _DONE_LINE in ready:
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -17,19 +17,26 @@
     """Return the session for targets: it bounds no time but that to connect.
 
     How long an answer may take is decided where the request's deadline is known.
+
+    Each exchange has a connection of its own. On a pooled one a late answer to an
+    exchange that was given up would be read as the answer to the next, and one that
+    the target has just closed looks like a target that died with the request.
     """
     connector = TCPConnector(
-        limit=0,
-        ssl=context if context is not None else True,
-        keepalive_timeout=KEEP_ALIVE_SECONDS / 2,
+        limit=0, ssl=context if context is not None else True, force_close=True
     )
     timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
-    return ClientSession(
+    session = ClientSession(
         connector=connector,
         timeout=timeout,
         auto_decompress=False,
         cookie_jar=DummyCookieJar(),
     )
+    # The library sends GET, PUT and DELETE a second time by itself when a connection
+    # breaks, whatever the tree says of the route: a call that may run once would run
+    # twice, and no budget would count it. There is no public switch.
+    session._retry_connection = False
+    return session
 
 
 async def listen(
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -20,17 +20,21 @@
 from sesameford.errors import NotRunError, SettingsError
 from sesameford.http_ports import listen, make_session
 from sesameford.independent import make_independent_scheduler
-from sesameford.instance_status import OwnStanding, make_status
+from sesameford.instance_status import OwnStanding, make_status, quarantine_of
+from sesameford.keyed import KeyedPorts, KeyedRequests
 from sesameford.link_key import load_link_key
 from sesameford.log_service import make_log_service
 from sesameford.members import Members
 from sesameford.messages import (
     Heartbeat,
+    KeptAnswer,
+    KeptAnswerWanted,
     LogPayload,
     Message,
     Outgoing,
     ProposalReply,
     ProposalRequest,
+    SuspectNews,
     TargetNews,
     TreeSteps,
     TreeWanted,
@@ -38,6 +42,8 @@
 )
 from sesameford.metrics import Metrics
 from sesameford.operators import OperatorsDeps, make_operators_routes
+from sesameford.outcomes import Outcomes
+from sesameford.owner_words import OwnerWords
 from sesameford.peers import PeerLinks
 from sesameford.processor_time import ProcessorTime
 from sesameford.relay import RelayDeps
@@ -54,6 +60,7 @@
     advance_stop,
     ask_stop,
     is_ready,
+    withdraw_stop,
 )
 from sesameford.tables import InstanceState
 from sesameford.targets import TargetRegistry
@@ -101,6 +108,7 @@
         self.registry = TargetRegistry()
         self.members = Members()
         self._stop = StopState()
+        self._drained_by_tree = False
         self.stopped = asyncio.Event()
         self._tls = read_files(settings.tls, source) if settings.tls else None
         self.peers = PeerLinks(
@@ -141,6 +149,14 @@
             self._now,
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
         )
+        self._words = OwnerWords(settings.instance_id, self.peers.send)
+        self.outcomes = Outcomes(
+            crc32(settings.instance_id.encode()) ^ self.incarnation, self.peers.send
+        )
+        ports = KeyedPorts(self._log.propose, self._words.ask, asyncio.sleep, time)
+        self.keyed = KeyedRequests(settings.instance_id, self.incarnation, ports)
+        self.outcomes.keyed = self.keyed
+        self.registry.on_replaced(self.outcomes.target_replaced)
         self._provider: TracerProvider | None = None
         self._exit = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
@@ -166,7 +182,7 @@
         self._provider = make_tracer_provider(self._settings)
         tracer = make_tracer(self._provider)
         session = await self._exit.enter_async_context(make_session(contexts.client))
-        relay = RelayDeps(self.router, session, tracer, self._now)
+        relay = RelayDeps(self.router, session, tracer, self._now, self.outcomes)
         callers = make_callers_app(
             CallersDeps(
                 relay,
@@ -203,6 +219,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.keyed.close()
         await self._log.stop()
         await self.peers.stop()
         await self._exit.aclose()
@@ -219,6 +236,14 @@
 
     def _configure(self, tree: EffectiveTree) -> None:
         self.router.configure(tree)
+        self.outcomes.configure(tree)
+        own = tree.instances.get(self._settings.instance_id)
+        is_drained = own is not None and own.drain
+        if is_drained and not self._drained_by_tree:
+            self.ask_stop()
+        elif self._drained_by_tree and not is_drained:
+            self._stop = withdraw_stop(self._stop)
+        self._drained_by_tree = is_drained
 
     def _make_contexts(self) -> _Contexts:
         tls = self._settings.tls
@@ -265,12 +290,16 @@
     def _tick(self) -> None:
         self.router.tick()
         now_seconds = self._now()
+        live = self.members.live(now_seconds)
+        others = frozenset((one.instance_id, one.incarnation) for one in live.values())
+        self.outcomes.tick(others, now_seconds)
         self._log.tick(now_seconds)
         self.tree.tick()
+        running = self.router.scheduler.running_attempts()
         load = StopLoad(
-            self.router.scheduler.running_attempts(),
+            max(running, self.outcomes.open_requests),
             self.router.scheduler.waiting_requests(),
-            0,
+            self.outcomes.unreported,
         )
         delay_seconds = self.router.tree.fleet.balancer_delay_seconds
         self._stop = advance_stop(self._stop, load, delay_seconds, now_seconds)
@@ -288,6 +317,7 @@
         metrics.control_bytes.set({"direction": "sent"}, self.peers.sent_bytes)
         metrics.control_bytes.set({"direction": "received"}, self.peers.received_bytes)
         metrics.control_cpu_seconds.set({}, self._control_time.seconds)
+        metrics.observe_outcomes(self.outcomes, self._now())
 
     def _on_message(self, sender_id: str, incarnation: int, message: Message) -> None:
         with self._control_time.measured():
@@ -302,6 +332,12 @@
                     self.tree.received(sender_id, message)
                 case LogPayload() | ProposalRequest() | ProposalReply():
                     self._log.received(sender_id, incarnation, message, now_seconds)
+                case SuspectNews():
+                    self.outcomes.received(message, now_seconds)
+                case KeptAnswerWanted():
+                    self._words.asked(sender_id, message, self.keyed)
+                case KeptAnswer():
+                    self._words.received(message)
                 case _:
                     self.router.scheduler.received(
                         sender_id, incarnation, message, now_seconds
@@ -352,4 +388,5 @@
             self.router.running_by_target(),
             self._log.status(),
             self._now(),
+            quarantine_of(self.outcomes.suspects, self._now()),
         )
--- a/sesameford/instance_status.py
+++ b/sesameford/instance_status.py
@@ -6,7 +6,14 @@
 from sesameford.log_status import LogStatus as ReplicaStatus
 from sesameford.members import HEARD_WITHIN_SECONDS
 from sesameford.settings import Peer
-from sesameford.status import InstanceStatus, LogStatus, StatusReport, TargetStatus
+from sesameford.status import (
+    InstanceStatus,
+    LogStatus,
+    QuarantineStatus,
+    StatusReport,
+    TargetStatus,
+)
+from sesameford.suspects import Suspects
 from sesameford.tables import Instance, InstanceState, Target
 
 _LEARNER_ROLE = "learner"
@@ -30,6 +37,7 @@
     running: dict[str, int],
     replica: ReplicaStatus,
     now_seconds: float,
+    quarantine: tuple[QuarantineStatus, ...] = (),
 ) -> StatusReport:
     """Return the answer to ``GET /status``.
 
@@ -41,6 +49,7 @@
         running: Attempts that run from here, by target.
         replica: The replicated log as seen here.
         now_seconds: The present time.
+        quarantine: The bodies that are refused.
     """
     by_id = {one.instance_id: one for one in heard}
     roles = _roles(own, replica)
@@ -66,10 +75,21 @@
         revision=own.revision,
         instances=tuple(instances),
         targets=tuple(_target_status(one, running, now_seconds) for one in targets),
+        quarantine=quarantine,
         log=_log_status(replica),
     )
 
 
+def quarantine_of(
+    suspects: Suspects, now_seconds: float
+) -> tuple[QuarantineStatus, ...]:
+    """Return the bodies that are refused, for how long and after how many deaths."""
+    return tuple(
+        QuarantineStatus(row.body_digest.hex(), len(row.open_deaths), left_seconds)
+        for row, left_seconds in suspects.quarantined(now_seconds)
+    )
+
+
 def _roles(own: OwnStanding, replica: ReplicaStatus) -> dict[str, str]:
     """Return the roles of the other replicas, as far as they are known here."""
     roles = {
--- a/sesameford/keyed.py
+++ b/sesameford/keyed.py
@@ -124,6 +124,10 @@
         """Return how many claims the log has not yet heard the end of."""
         return len(self._started) + len(self._settling)
 
+    def now_seconds(self) -> float:
+        """Return the time that deadlines of keyed requests count in."""
+        return self._ports.now_seconds()
+
     def word_on(self, owner: ClaimOwner, claim_index: int) -> OwnerWord:
         """Answer a router that asks after a claim under this router's name."""
         if (owner.router_id, owner.incarnation) != (self._router_id, self._incarnation):
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -257,17 +257,22 @@
 
 
 class KeptAnswerWanted(Struct, frozen=True, tag=True):
-    """Send me the kept answer to this keyed request."""
+    """What became of the run under this claim of yours?
+
+    ``incarnation`` and ``request_id`` are the owner's, as the log has them.
+    """
 
     query_id: str
-    customer_id: str
-    idempotency_key: str
+    claim_index: int
+    incarnation: int
+    request_id: str
 
 
 class KeptAnswer(Struct, frozen=True, tag=True):
-    """A kept answer, or ``status`` 0 where none is kept here."""
+    """The owner's word on a run; ``status`` 0 where no answer is kept here."""
 
     query_id: str
+    standing: str
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
--- a/sesameford/metrics.py
+++ b/sesameford/metrics.py
@@ -2,6 +2,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from sesameford.outcomes import Outcomes
+
 SECONDS_BUCKETS = (
     0.001,
     0.003,
@@ -56,6 +58,30 @@
         self.usable_targets = self._gauge(
             "sesameford_usable_targets", "Targets that may get new work"
         )
+        self.retry_budget_refusals = self._counter(
+            "sesameford_retry_budget_refusals_total", "Retries that the budget forbade"
+        )
+        self.first_attempts = self._counter(
+            "sesameford_first_attempts_total", "First attempts of requests"
+        )
+        self.resumed_streams = self._counter(
+            "sesameford_resumed_streams_total", "Streams resumed on a new connection"
+        )
+        self.silent_connections = self._counter(
+            "sesameford_silent_connections_total", "Connections found silent"
+        )
+        self.target_deaths = self._counter(
+            "sesameford_target_deaths_total", "Deaths of targets with work from here"
+        )
+        self.suspected_bodies = self._gauge(
+            "sesameford_suspected_bodies", "Bodies in flight at deaths, not cleared"
+        )
+        self.quarantined_bodies = self._gauge(
+            "sesameford_quarantined_bodies", "Bodies refused because targets died"
+        )
+        self.unsettled_claims = self._gauge(
+            "sesameford_unsettled_claims", "Keyed requests the log knows no end of"
+        )
         self.wait_seconds = self._histogram(
             "sesameford_wait_seconds", "From arrival to dispatch"
         )
@@ -63,6 +89,19 @@
             "sesameford_first_byte_seconds", "From dispatch to the first byte"
         )
 
+    def observe_outcomes(self, outcomes: Outcomes, now_seconds: float) -> None:
+        """Take the figures behind outcomes."""
+        budget = outcomes.budget
+        self.retry_budget_refusals.set({}, budget.refused)
+        self.first_attempts.set({}, budget.first_attempts)
+        self.resumed_streams.set({}, outcomes.resumes)
+        self.silent_connections.set({}, outcomes.silences)
+        self.target_deaths.set({}, outcomes.target_deaths)
+        self.suspected_bodies.set({}, outcomes.suspects.suspected())
+        quarantined = len(outcomes.suspects.quarantined(now_seconds))
+        self.quarantined_bodies.set({}, quarantined)
+        self.unsettled_claims.set({}, outcomes.unreported)
+
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
 
--- a/sesameford/model_adapter.py
+++ b/sesameford/model_adapter.py
@@ -2,10 +2,17 @@
 
 from typing import Any
 
-from aiohttp import ClientConnectorError, ClientError, ClientResponse, ClientSession
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ConnectionTimeoutError,
+)
 from msgspec.json import encode
 
 from sesameford.errors import TargetLostError, TargetRefusedError
+from sesameford.retries import Failure
 from sesameford.tables import Attempt, Target
 
 ATTEMPT_HEADER = "X-Attempt-Id"
@@ -52,11 +59,13 @@
         TargetLostError: It does not know the stream or the exchange broke.
     """
     url = f"{target.url}/v1/streams/{attempt.attempt_id}"
-    headers = {"Last-Event-ID": str(last_event_id), "Connection": "close"}
+    headers = {"Last-Event-ID": str(last_event_id)}
     response = await send_request(session, "GET", url, None, headers)
     if response.status != 200:
         response.close()
-        raise TargetLostError(f"resume was answered with status {response.status}")
+        raise TargetLostError(
+            f"resume was answered with status {response.status}", Failure.ANSWER_CUT
+        )
     return response
 
 
@@ -91,10 +100,20 @@
             method, url, data=body, headers=headers, allow_redirects=False
         )
     except ClientConnectorError as error:
-        raise TargetRefusedError(f"no connection: {error}") from error
+        raise TargetRefusedError(
+            f"no connection: {error}", Failure.CONNECT_REFUSED
+        ) from error
+    except ConnectionTimeoutError as error:
+        raise TargetRefusedError(
+            f"no connection: {error}", Failure.CONNECT_TIMEOUT
+        ) from error
     except (ClientError, TimeoutError, OSError) as error:
-        raise TargetLostError(f"the exchange broke: {error!r}") from error
+        raise TargetLostError(
+            f"the exchange broke: {error!r}", Failure.LOST_BEFORE_ANSWER
+        ) from error
     if response.status == 503 and response.headers.get(NOT_STARTED_HEADER) == "true":
         response.close()
-        raise TargetRefusedError("the target did not start the request")
+        raise TargetRefusedError(
+            "the target did not start the request", Failure.NOT_STARTED
+        )
     return response
--- a/sesameford/relay.py
+++ b/sesameford/relay.py
@@ -1,63 +1,45 @@
-"""A request's life after it was read: wait, dispatch, target, relay."""
+"""A request's life after it was read: wait, attempts, outcome."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
+import logging
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, replace
 
-from aiohttp import ClientError, ClientResponse, ClientSession
 from aiohttp.web import Request as HttpRequest
 from aiohttp.web import Response, StreamResponse
-from opentelemetry.trace import Tracer
 
-from sesameford.answers_http import OUTCOME_HEADER, outcome_headers, problem_body
-from sesameford.costs import cost_of_usage
+from sesameford.answers_http import OUTCOME_HEADER, OUTCOME_KEY, outcome_headers
+from sesameford.caller_side import CallerSide
+from sesameford.claims import ClaimAnswer
+from sesameford.completion_run import CompletionRun, run_completion
 from sesameford.errors import (
     NotRunError,
-    TargetLostError,
+    OutcomeError,
+    TargetError,
     TargetRefusedError,
     UnknownOutcomeError,
 )
-from sesameford.event_stream import EventStream
-from sesameford.model_adapter import cancel_completion, engine_body, open_completion
-from sesameford.router import Router
-from sesameford.service_adapter import HOP_HEADERS, open_call, read_whole
-from sesameford.tables import Attempt, Outcome, Request, Target, TargetKind, Usage
-from sesameford.whole_answer import assemble
-
-MAX_ATTEMPTS = 4
-PROGRESS_EVENTS = 16
-
-
-@dataclass(frozen=True, slots=True)
-class RelayDeps:
-    """What serving a request needs."""
-
-    router: Router
-    session: ClientSession
-    tracer: Tracer
-    now: Callable[[], float]
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """A caller's request with what is needed to send it on."""
-
-    request: Request
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    parsed: dict[str, Any] | None = None
+from sesameford.keyed import KeyedRequest, KeyedRequests, RunEnd
+from sesameford.relay_deps import Call, RelayDeps, failure_of, settle
+from sesameford.retries import (
+    AttemptHistory,
+    Failure,
+    RetryDecision,
+    after_failure,
+    decide_retry,
+)
+from sesameford.service_run import run_call
+from sesameford.silence import progressed
+from sesameford.suspects import Standing
+from sesameford.tables import Attempt, Outcome, Target, TargetKind, Usage
 
-    @property
-    def is_streamed(self) -> bool:
-        """Return whether the caller asked for server-sent events."""
-        return bool(self.parsed and self.parsed.get("stream"))
+__all__ = ["Call", "RelayDeps", "serve"]
 
+logger = logging.getLogger(__name__)
 
-class _CallerGoneError(Exception):
-    """The caller closed its connection."""
+REPLAYED_HEADER = "Sesameford-Replayed"
+# Of a kept answer only these say something to a caller who comes back.
+KEPT_HEADERS = frozenset({"content-type", "content-encoding", "location"})
 
 
 async def serve(deps: RelayDeps, http: HttpRequest, call: Call) -> StreamResponse:
@@ -67,236 +49,303 @@
         NotRunError: Nothing of it reached a target.
         UnknownOutcomeError: It may have run.
     """
-    with deps.tracer.start_as_current_span("wait"):
-        attempt = await deps.router.first_attempt(call.request)
-    waited_seconds = deps.now() - call.request.arrived_at_seconds
-    deps.router.metrics.wait_seconds.observe({}, waited_seconds)
-    for attempts_made in range(1, MAX_ATTEMPTS + 1):
+    keyed = deps.outcomes.keyed
+    if keyed is None or call.request.idempotency_key is None:
+        caller = CallerSide(http, call.request.request_id, keeps=False)
+        deps.outcomes.open_requests += 1
         try:
-            return await _attempt(deps, http, call, attempt)
-        except TargetRefusedError as error:
-            if attempts_made == MAX_ATTEMPTS:
-                deps.router.settle(attempt, Usage(), Outcome.NOT_RUN)
-                raise NotRunError("targets-refuse", str(error), 503, 1.0) from error
-            reason = "refused"
-        except TargetLostError as error:
-            if not call.request.repeatable or attempts_made == MAX_ATTEMPTS:
-                deps.router.settle(attempt, Usage(), Outcome.UNKNOWN)
-                raise UnknownOutcomeError("target-lost", str(error)) from error
-            reason = "lost"
-        attempt = await deps.router.next_attempt(call.request, attempt, reason)
-    raise AssertionError("the last attempt returns or raises")
-
-
-async def _attempt(
-    deps: RelayDeps, http: HttpRequest, call: Call, attempt: Attempt
-) -> StreamResponse:
-    """Make one attempt; on return it is settled, on a target's error it is not."""
-    with deps.tracer.start_as_current_span("dispatch") as span:
-        span.set_attribute("attempt", attempt.attempt_id)
-        span.set_attribute("target", attempt.target_id)
-        target = deps.router.target(attempt)
-        if target is None:
-            raise TargetRefusedError("the target left before anything was sent")
-    if call.request.kind is TargetKind.MODEL:
-        return await _run_completion(deps, http, call, attempt, target)
-    return await _run_call(deps, call, attempt, target)
-
-
-async def _run_call(
-    deps: RelayDeps, call: Call, attempt: Attempt, target: Target
-) -> Response:
-    """Run a plain service's call and return its whole answer."""
-    started_seconds = deps.now()
+            return await _run_to_outcome(deps, call, caller)
+        finally:
+            deps.outcomes.open_requests -= 1
+    # With a key the work goes on when its caller goes away: it may come back for
+    # the answer through any router, and must not find that the work was cut.
+    work = deps.spawn(_serve_keyed(deps, http, call, keyed))
     try:
-        with deps.tracer.start_as_current_span("target"):
-            response = await open_call(
-                deps.session,
-                target,
-                attempt,
-                call.method,
-                call.path,
-                call.body,
-                call.headers,
-            )
-            body = await read_whole(response)
+        answer: StreamResponse = await asyncio.shield(work)
     except asyncio.CancelledError:
-        usage = Usage(service_seconds=deps.now() - started_seconds)
-        _settle(deps, call, attempt, usage, Outcome.UNKNOWN)
+        work.add_done_callback(_log_unheard)
         raise
-    usage = Usage(service_seconds=deps.now() - started_seconds)
-    _settle(deps, call, attempt, usage, Outcome.RAN)
-    with deps.tracer.start_as_current_span("relay"):
-        return _pass_on(response, body, call)
+    return answer
 
 
-async def _run_completion(
-    deps: RelayDeps,
-    http: HttpRequest,
-    call: Call,
-    attempt: Attempt,
-    target: Target,
+def _log_unheard(work: "asyncio.Task[StreamResponse]") -> None:
+    """Take the end of a keyed request whose caller went away."""
+    if not work.cancelled() and work.exception() is not None:
+        logger.info("ended without its caller: %s", work.exception())
+
+
+@dataclass(slots=True)
+class _Told:
+    """What the first caller under a key is told."""
+
+    response: StreamResponse | None = None
+    error: OutcomeError | None = None
+
+
+async def _serve_keyed(
+    deps: RelayDeps, http: HttpRequest, call: Call, keyed: KeyedRequests
 ) -> StreamResponse:
-    """Run a completion, streamed from the engine in either case."""
-    assert call.parsed is not None
-    started_seconds = deps.now()
-    events = EventStream()
+    """Serve a request with an idempotency key."""
+    told = _Told()
+    caller = CallerSide(http, call.request.request_id, keeps=True)
+
+    async def run() -> RunEnd:
+        try:
+            told.response = await _run_to_outcome(deps, call, caller)
+        except OutcomeError as error:
+            told.error = error
+            not_run = isinstance(error, NotRunError)
+            return RunEnd(Outcome.NOT_RUN if not_run else Outcome.UNKNOWN)
+        return _end_of(told.response, caller)
+
+    deps.outcomes.open_requests += 1
     try:
-        with deps.tracer.start_as_current_span("target"):
-            response = await open_completion(
-                deps.session,
-                target,
-                attempt,
-                call.path,
-                engine_body(call.parsed),
-                _trace_headers(call),
-            )
-            first_byte_seconds = deps.now() - started_seconds
-            deps.router.metrics.first_byte_seconds.observe({}, first_byte_seconds)
-        with deps.tracer.start_as_current_span("relay"):
-            if response.status != 200:
-                body = await read_whole(response)
-                _settle(deps, call, attempt, Usage(), Outcome.RAN)
-                return _pass_on(response, body, call)
-            if call.is_streamed:
-                return await _relay_stream(deps, http, call, attempt, response, events)
-            return await _relay_whole(deps, call, attempt, response, events)
-    except (asyncio.CancelledError, _CallerGoneError):
-        usage = events.usage_so_far(call.request.prompt_tokens)
-        _settle(deps, call, attempt, usage, Outcome.UNKNOWN)
-        await asyncio.shield(
-            cancel_completion(deps.session, target, attempt.attempt_id)
+        kept = await keyed.serve(_keyed_request(deps, call, keyed), run)
+    except NotRunError as error:
+        if error.reason != "no-quorum" or not call.request.repeatable:
+            raise
+        # Without a majority no claim can be had. What may run twice needs none, and
+        # a data centre that is cut off goes on serving it.
+        return await _run_to_outcome(deps, call, caller)
+    finally:
+        deps.outcomes.open_requests -= 1
+    if told.error is not None:
+        raise told.error
+    if told.response is not None:
+        return told.response
+    assert kept is not None
+    return _replay(kept, call)
+
+
+def _keyed_request(deps: RelayDeps, call: Call, keyed: KeyedRequests) -> KeyedRequest:
+    request = call.request
+    assert request.idempotency_key is not None
+    left_seconds = request.deadline_seconds - deps.now()
+    return KeyedRequest(
+        request_id=request.request_id,
+        customer_id=request.customer_id,
+        idempotency_key=request.idempotency_key,
+        body_digest=request.body_digest,
+        repeatable=request.repeatable,
+        deadline_at_seconds=keyed.now_seconds() + left_seconds,
+    )
+
+
+def _end_of(response: StreamResponse, caller: CallerSide) -> RunEnd:
+    """Return how a keyed run ended and what is kept of it."""
+    if caller.started:
+        whole = caller.outcome is Outcome.RAN
+        return RunEnd(caller.outcome, caller.kept_answer() if whole else None)
+    body = response.body if isinstance(response, Response) else None
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() in KEPT_HEADERS
+    )
+    content = bytes(body) if isinstance(body, bytes | bytearray) else b""
+    return RunEnd(Outcome.RAN, ClaimAnswer(response.status, headers, content))
+
+
+def _replay(kept: ClaimAnswer, call: Call) -> Response:
+    """Return a kept answer to a resend."""
+    headers = {
+        **dict(kept.headers),
+        **outcome_headers(Outcome.RAN, call.request.request_id),
+        REPLAYED_HEADER: "true",
+    }
+    return Response(status=kept.status, body=kept.body, headers=headers)
+
+
+async def _run_to_outcome(
+    deps: RelayDeps, call: Call, caller: CallerSide
+) -> StreamResponse:
+    """Make attempts until one has the answer or no more is allowed."""
+    request = call.request
+    _refuse_quarantined(deps, call)
+    with deps.tracer.start_as_current_span("wait"):
+        attempt = await deps.router.first_attempt(request)
+    waited_seconds = deps.now() - request.arrived_at_seconds
+    deps.router.metrics.wait_seconds.observe({}, waited_seconds)
+    deps.outcomes.budget.attempted()
+    history = AttemptHistory(request.repeatable, request.deadline_seconds)
+    while True:
+        try:
+            return await _attempt(deps, call, caller, attempt, history)
+        except TargetError as error:
+            failure = failure_of(error)
+            detail = str(error)
+        except NotRunError as error:
+            settle(deps, call, attempt, Usage(), Outcome.NOT_RUN)
+            raise _honest(error, history) from error
+        decision = _after_failure(deps, failure, history)
+        history = after_failure(history, failure)
+        if not decision.retry:
+            settle(deps, call, attempt, Usage(), decision.outcome)
+            raise _error_of(decision, detail)
+        attempt = await _next_attempt(deps, call, attempt, history, failure, decision)
+
+
+def _refuse_quarantined(deps: RelayDeps, call: Call) -> None:
+    """Refuse a body that crashed targets.
+
+    Raises:
+        NotRunError: It is quarantined.
+    """
+    suspects = deps.outcomes.suspects
+    digest = call.request.body_digest
+    left_seconds = suspects.quarantine_left_seconds(digest, deps.now())
+    if left_seconds > 0.0:
+        raise NotRunError(
+            "quarantined",
+            f"targets died while they ran this body (digest {digest.hex()})",
+            422,
+            left_seconds,
         )
-        raise
 
 
-async def _relay_whole(
-    deps: RelayDeps,
-    call: Call,
-    attempt: Attempt,
-    response: ClientResponse,
-    events: EventStream,
-) -> Response:
-    """Collect a stream and answer with the whole completion."""
-    collected = []
-    async for ready in _events(deps, call, attempt, response, events):
-        collected.append(ready)
-    body = assemble(b"".join(collected), call.path.endswith("/chat/completions"))
-    usage = events.usage_so_far(call.request.prompt_tokens)
-    _settle(deps, call, attempt, usage, Outcome.RAN)
-    return Response(
-        body=body,
-        content_type="application/json",
-        headers=outcome_headers(Outcome.RAN, call.request.request_id),
+def _after_failure(
+    deps: RelayDeps, failure: Failure, history: AttemptHistory
+) -> RetryDecision:
+    now_seconds = deps.now()
+    routers = 1 + len(deps.router.members.live(now_seconds))
+    return decide_retry(
+        after_failure(history, failure),
+        failure,
+        deps.outcomes.budget,
+        deps.outcomes.backoff_seconds,
+        routers,
+        now_seconds,
     )
 
 
-async def _relay_stream(
+async def _next_attempt(
     deps: RelayDeps,
-    http: HttpRequest,
     call: Call,
     attempt: Attempt,
-    response: ClientResponse,
-    events: EventStream,
-) -> StreamResponse:
-    """Pass a stream on as its events come."""
-    answer = StreamResponse(
-        headers={
-            **outcome_headers(Outcome.RAN, call.request.request_id),
-            "Content-Type": "text/event-stream",
-            "Cache-Control": "no-store",
-        }
-    )
+    history: AttemptHistory,
+    failure: Failure,
+    decision: RetryDecision,
+) -> Attempt:
+    """Wait for the backoff and then for a place on another target.
+
+    Raises:
+        NotRunError: Nothing ran, and there is no place.
+        UnknownOutcomeError: There is no place, and an attempt may have run.
+    """
     try:
-        async for ready in _events(deps, call, attempt, response, events):
-            if not answer.prepared:
-                await _to_caller(answer.prepare(http))
-            await _to_caller(answer.write(ready))
-        outcome = Outcome.RAN
-    except TargetLostError as error:
-        if not answer.prepared:
-            raise
-        # Bytes of this answer are with the caller, so a new attempt would mix two
-        # answers. It is told in the stream itself that this one is cut.
-        outcome = Outcome.UNKNOWN
-        problem = problem_body(502, "answer-cut", str(error))
-        await _to_caller(answer.write(b"event: error\ndata: " + problem + b"\n\n"))
-    await _to_caller(answer.write_eof())
-    usage = events.usage_so_far(call.request.prompt_tokens)
-    _settle(deps, call, attempt, usage, outcome)
-    return answer
+        await asyncio.sleep(max(decision.retry_at_seconds - deps.now(), 0.0))
+    except asyncio.CancelledError:
+        outcome = Outcome.UNKNOWN if history.may_have_run else Outcome.NOT_RUN
+        settle(deps, call, attempt, Usage(), outcome)
+        raise
+    try:
+        return await deps.router.next_attempt(call.request, attempt, failure.value)
+    except NotRunError as error:
+        raise _honest(error, history) from error
 
 
-async def _events(
+def _honest(error: NotRunError, history: AttemptHistory) -> OutcomeError:
+    """Return a refusal, or unknown where an earlier attempt may have run.
+
+    The queue refuses without knowing of attempts. Its "not run" would be believed,
+    and the caller would send again what has run.
+    """
+    if not history.may_have_run:
+        return error
+    return UnknownOutcomeError(error.reason, f"an attempt may have run; {error.detail}")
+
+
+def _error_of(decision: RetryDecision, detail: str) -> OutcomeError:
+    """Return the error for the outcome of a request without an answer."""
+    if decision.outcome is Outcome.NOT_RUN:
+        return NotRunError(decision.reason, detail, 503, 1.0)
+    status = 504 if decision.reason == Failure.DEADLINE.value else 502
+    return UnknownOutcomeError(decision.reason, detail, status)
+
+
+async def _attempt(
     deps: RelayDeps,
     call: Call,
+    caller: CallerSide,
     attempt: Attempt,
-    response: ClientResponse,
-    events: EventStream,
-) -> Any:
-    """Yield whole events until the end mark.
+    history: AttemptHistory,
+) -> StreamResponse:
+    """Make one attempt; on return it is settled, on an error it is not.
 
     Raises:
-        TargetLostError: The connection ended or broke before the end mark.
+        TargetError: It failed, and the target has been judged.
+        NotRunError: The body was quarantined before it was sent.
     """
-    next_progress = PROGRESS_EVENTS
-    try:
-        async for data in response.content.iter_any():
-            ready = events.feed(data)
-            if ready:
-                yield ready
-            if events.event_count >= next_progress:
-                next_progress = events.event_count + PROGRESS_EVENTS
-                usage = events.usage_so_far(call.request.prompt_tokens)
-                deps.router.progress(attempt, usage)
-    except (ClientError, TimeoutError, OSError) as error:
-        raise TargetLostError(f"the stream broke: {error!r}") from error
-    finally:
-        # A connection with an unfinished exchange may still bring its late answer,
-        # which the next request on it would take for its own. Closing one that is
-        # finished only hands it back to the pool.
-        if events.is_done:
-            response.release()
-        else:
-            response.close()
-    if not events.is_done:
-        raise TargetLostError("the stream ended without its end mark")
-
-
-async def _to_caller(writing: Any) -> None:
-    """Write to the caller, with its going away turned into this layer's error."""
-    try:
-        await writing
-    except (ConnectionError, ClientError) as error:
-        raise _CallerGoneError from error
+    async with AsyncExitStack() as stack:
+        try:
+            await _pass_gate(deps, call, attempt, history, stack)
+        except asyncio.CancelledError:
+            settle(deps, call, attempt, Usage(), Outcome.NOT_RUN)
+            raise
+        target = _target(deps, attempt)
+        deps.outcomes.on_targets.started(attempt, call.request.body_digest)
+        try:
+            return await _run(deps, call, caller, attempt, target, history)
+        except TargetError as error:
+            await deps.judge_target(attempt, target, error)
+            raise
+
+
+def _target(deps: RelayDeps, attempt: Attempt) -> Target:
+    """Return the target of an attempt, if it still takes new work."""
+    with deps.tracer.start_as_current_span("dispatch") as span:
+        span.set_attribute("attempt", attempt.attempt_id)
+        span.set_attribute("target", attempt.target_id)
+        target = deps.router.target(attempt)
+    if target is None:
+        raise TargetRefusedError(
+            "the target left before anything was sent", Failure.NEVER_SENT
+        )
+    return target
 
 
-def _settle(
-    deps: RelayDeps, call: Call, attempt: Attempt, usage: Usage, outcome: Outcome
+async def _pass_gate(
+    deps: RelayDeps,
+    call: Call,
+    attempt: Attempt,
+    history: AttemptHistory,
+    stack: AsyncExitStack,
 ) -> None:
-    """End an attempt and count its cost."""
-    deps.router.settle(attempt, usage, outcome)
-    cost_units = cost_of_usage(deps.router.tree, call.request, usage)
-    labels = {"customer": call.request.customer_id}
-    deps.router.metrics.cost_units.add(labels, cost_units)
-
-
-def _trace_headers(call: Call) -> dict[str, str]:
-    """Return the headers that carry the trace to the target."""
-    return {
-        key: value
-        for key, value in call.headers.items()
-        if key.lower() in ("traceparent", "tracestate")
-    }
+    """Wait until the attempt may run: a suspect alone, all others together."""
+    digest = call.request.body_digest
+    gates = deps.outcomes.gates
+    left_seconds = max(history.deadline_at_seconds - deps.now(), 0.0)
+    try:
+        async with asyncio.timeout(left_seconds):
+            if deps.outcomes.standing(digest, deps.now()) is Standing.CLEAR:
+                gate = gates.pass_together(attempt.target_id)
+            else:
+                gate = gates.pass_alone(attempt.target_id, digest)
+            await stack.enter_async_context(gate)
+    except TimeoutError as error:
+        raise TargetRefusedError("no turn in time", Failure.NEVER_SENT) from error
+    _refuse_quarantined(deps, call)
+
+
+async def _run(
+    deps: RelayDeps,
+    call: Call,
+    caller: CallerSide,
+    attempt: Attempt,
+    target: Target,
+    history: AttemptHistory,
+) -> StreamResponse:
+    if call.request.kind is TargetKind.SERVICE:
+        return await run_call(deps, call, attempt, target, history)
+    run = CompletionRun(
+        deps, call, attempt, target, replace(history), progressed(deps.now())
+    )
+    return await run_completion(run, caller)
 
 
-def _pass_on(response: ClientResponse, body: bytes, call: Call) -> Response:
-    """Return a target's answer as the caller's."""
-    headers = {
-        key: value
-        for key, value in response.headers.items()
-        if key.lower() not in HOP_HEADERS and key != OUTCOME_HEADER
-    }
-    headers.pop("Content-Encoding", None)
-    headers.update(outcome_headers(Outcome.RAN, call.request.request_id))
-    return Response(status=response.status, body=body, headers=headers)
+def outcome_of(response: StreamResponse) -> Outcome:
+    """Return the outcome that a response tells its caller."""
+    told = response.get(OUTCOME_KEY)
+    return (
+        told if isinstance(told, Outcome) else Outcome(response.headers[OUTCOME_HEADER])
+    )
--- /dev/null
+++ b/sesameford/relay_deps.py
@@ -0,0 +1,127 @@
+"""What the modules share that carry a request to a target and its answer back."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import ClientResponse, ClientSession
+from aiohttp.web import Response
+from opentelemetry.trace import Tracer
+
+from sesameford.answers_http import OUTCOME_HEADER, outcome_headers
+from sesameford.costs import cost_of_usage
+from sesameford.errors import TargetError
+from sesameford.outcomes import Outcomes, make_outcomes
+from sesameford.probes import probe_target
+from sesameford.retries import PROVEN_NOT_STARTED, Failure
+from sesameford.router import Router
+from sesameford.service_adapter import HOP_HEADERS
+from sesameford.silence import Probe
+from sesameford.tables import Attempt, Outcome, Request, Target, Usage
+
+# After these a fresh connection tells whether the target still lives.
+_PROBED = frozenset(
+    {
+        Failure.CONNECT_REFUSED,
+        Failure.CONNECT_TIMEOUT,
+        Failure.LOST_BEFORE_ANSWER,
+        Failure.ANSWER_CUT,
+        Failure.TARGET_GONE,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RelayDeps:
+    """What serving a request needs."""
+
+    router: Router
+    session: ClientSession
+    tracer: Tracer
+    now: Callable[[], float]
+    outcomes: Outcomes = field(default_factory=make_outcomes)
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run work that outlives its caller; the loop alone would forget it."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def judge_target(
+        self, attempt: Attempt, target: Target, error: TargetError
+    ) -> None:
+        """Find out by a fresh connection whether a failed attempt's target lives."""
+        failure = failure_of(error)
+        on_targets = self.outcomes.on_targets
+        if failure in PROVEN_NOT_STARTED:
+            on_targets.ended(attempt.attempt_id)
+        else:
+            on_targets.broke(attempt.attempt_id, self.now())
+        if failure not in _PROBED:
+            return
+        probe = await probe_target(target.url)
+        if probe is Probe.ALIVE:
+            return
+        now_seconds = self.now()
+        self.router.registry.suspend(target.target_id, target.incarnation, now_seconds)
+        self.router.refresh_targets()
+        if probe is Probe.REFUSED:
+            self.outcomes.target_died(target.target_id, target.incarnation, now_seconds)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A caller's request with what is needed to send it on."""
+
+    request: Request
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    parsed: dict[str, Any] | None = None
+
+    @property
+    def is_streamed(self) -> bool:
+        """Return whether the caller asked for server-sent events."""
+        return bool(self.parsed and self.parsed.get("stream"))
+
+
+def failure_of(error: TargetError) -> Failure:
+    """Return how an attempt failed; what can't be told proves nothing."""
+    try:
+        return Failure(error.failure)
+    except ValueError:
+        return Failure.ANSWER_INVALID
+
+
+def settle(
+    deps: RelayDeps, call: Call, attempt: Attempt, usage: Usage, outcome: Outcome
+) -> None:
+    """End an attempt and count its cost."""
+    if outcome is Outcome.RAN:
+        deps.outcomes.on_targets.ended(attempt.attempt_id)
+        deps.outcomes.suspects.completed(call.request.body_digest, deps.now())
+        deps.router.registry.proved(attempt.target_id)
+    elif outcome is Outcome.UNKNOWN:
+        # It may still crash its target after its caller went away.
+        deps.outcomes.on_targets.broke(attempt.attempt_id, deps.now())
+    else:
+        deps.outcomes.on_targets.ended(attempt.attempt_id)
+    deps.router.settle(attempt, usage, outcome)
+    cost_units = cost_of_usage(deps.router.tree, call.request, usage)
+    labels = {"customer": call.request.customer_id}
+    deps.router.metrics.cost_units.add(labels, cost_units)
+
+
+def pass_on(response: ClientResponse, body: bytes, call: Call) -> Response:
+    """Return a target's answer as the caller's."""
+    headers = {
+        key: value
+        for key, value in response.headers.items()
+        if key.lower() not in HOP_HEADERS and key != OUTCOME_HEADER
+    }
+    headers.update(outcome_headers(Outcome.RAN, call.request.request_id))
+    return Response(status=response.status, body=body, headers=headers)
--- a/sesameford/router.py
+++ b/sesameford/router.py
@@ -43,6 +43,7 @@
         self._targets: dict[str, Target] = {}
         self._running: Counter[str] = Counter()
         self._pump_is_due = False
+        self._retrying: set[str] = set()
 
     def configure(self, tree: EffectiveTree) -> None:
         """Take a tree into force."""
@@ -83,7 +84,11 @@
         self.metrics.retries.inc({"reason": reason})
         self._running[attempt.target_id] -= 1
         self.scheduler.retried(attempt.attempt_id, attempt.target_id, self._now())
-        return await self._wait(request)
+        self._retrying.add(request.request_id)
+        try:
+            return await self._wait(request)
+        finally:
+            self._retrying.discard(request.request_id)
 
     def settle(self, attempt: Attempt, usage: Usage, outcome: Outcome) -> None:
         """End an attempt and free its place."""
@@ -105,9 +110,16 @@
             self._pump_is_due = True
             asyncio.get_running_loop().call_soon(self._pump)
 
+    def refresh_targets(self) -> None:
+        """Take at once who may get new work, not only with the next tick."""
+        now_seconds = self._now()
+        self._targets = self.registry.usable(self.tree.targets, now_seconds)
+        self.scheduler.observe_targets(self._targets, now_seconds)
+
     def tick(self) -> None:
         """Bring the tables up to date and decide."""
         now_seconds = self._now()
+        self.registry.tick(now_seconds)
         self._targets = self.registry.usable(self.tree.targets, now_seconds)
         live = self.members.live(now_seconds)
         self.scheduler.observe_targets(self._targets, now_seconds)
@@ -129,8 +141,12 @@
         self.wake()
 
     def refuse_waiting(self, error: NotRunError) -> None:
-        """Hand back every waiting request as not run, for a planned stop."""
-        for request_id in list(self._waiters):
+        """Hand back the waiting requests as not run, for a planned stop.
+
+        One whose earlier attempt failed waits on: handed back it would have to be
+        told that it may have run, and the stop would have cut it.
+        """
+        for request_id in set(self._waiters) - self._retrying:
             self.scheduler.withdraw(request_id, self._now())
             self._refuse(request_id, error)
 
--- a/sesameford/service_adapter.py
+++ b/sesameford/service_adapter.py
@@ -2,12 +2,15 @@
 
 from aiohttp import ClientError, ClientResponse, ClientSession
 
+from sesameford.answers import Completeness, judge_body
 from sesameford.effective import ServiceSettings
 from sesameford.errors import TargetLostError
 from sesameford.model_adapter import ATTEMPT_HEADER, send_request
+from sesameford.retries import Failure
 from sesameford.tables import Attempt, Target
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+BODILESS_STATUSES = frozenset({204, 304})
 # Headers that belong to one connection, not to the message.
 HOP_HEADERS = frozenset(
     {
@@ -70,10 +73,23 @@
     """Return the body of an answer, complete or not at all.
 
     Raises:
-        TargetLostError: The connection ended before the length or end mark.
+        TargetLostError: The connection ended before the length or end mark, or the
+            head promised neither.
     """
     try:
-        return await response.read()
+        body = await response.read()
     except (ClientError, TimeoutError, OSError) as error:
         response.close()
-        raise TargetLostError(f"the answer was cut: {error!r}") from error
+        raise TargetLostError(
+            f"the answer was cut: {error!r}", Failure.ANSWER_CUT
+        ) from error
+    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return body
+    # The library reads an answer without a length up to the end of the connection,
+    # and a target that dies in the middle of it ends its connection too.
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    length = response.content_length
+    judged = judge_body(length, chunked, chunked, len(body))
+    if judged is not Completeness.COMPLETE:
+        raise TargetLostError(f"the answer is {judged.value}", Failure.ANSWER_INVALID)
+    return body
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -127,13 +127,17 @@
         lasts_seconds = min(lasts_seconds, MAX_QUARANTINE_SECONDS)
         return max(0.0, start_seconds + lasts_seconds - now_seconds)
 
-    def quarantined(self, now_seconds: float) -> Sequence[tuple[bytes, float]]:
+    def quarantined(self, now_seconds: float) -> Sequence[tuple[Suspect, float]]:
         """Return the refused bodies and for how long, for the status."""
         left = (
-            (digest, self.quarantine_left_seconds(digest, now_seconds))
-            for digest in self._rows
+            (row, self.quarantine_left_seconds(digest, now_seconds))
+            for digest, row in self._rows.items()
         )
-        return [(digest, seconds) for digest, seconds in left if seconds > 0.0]
+        return [(row, seconds) for row, seconds in left if seconds > 0.0]
+
+    def suspected(self) -> int:
+        """Return how many bodies have deaths that no completion cleared."""
+        return sum(1 for row in self._rows.values() if row.open_deaths)
 
     def news(self, now_seconds: float) -> Sequence[SuspectNews]:
         """Return what other routers are to hear now; advances the repeats."""
--- a/sesameford/targets.py
+++ b/sesameford/targets.py
@@ -1,11 +1,15 @@
 """The table of targets that announced themselves, at one router."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from sesameford.effective import TargetSettings
 from sesameford.messages import Outgoing, TargetNews
 from sesameford.tables import Table, Target
+from sesameford.target_health import TargetHealth, began, failed, is_held, proved
+
+MAX_LEASE_SECONDS = 60.0
+FORGET_AFTER_SECONDS = 3600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +26,8 @@
     def __init__(self) -> None:
         self._known: Table[str, _Known] = Table()
         self._news: list[TargetNews] = []
+        self._health: dict[str, TargetHealth] = {}
+        self._on_replaced: Callable[[str, int, float], None] = lambda *_: None
 
     def announced(self, news: TargetNews, now_seconds: float) -> bool:
         """Take an announcement that a target made at this instance and pass it on.
@@ -43,6 +49,10 @@
         # incarnation and sequence only rises, so the past is recognised.
         if known and stamp <= (known.target.incarnation, known.announcement_sequence):
             return False
+        is_new = known is None or news.incarnation > known.target.incarnation
+        # A leave is for good: an announcement that was on its way beside it, or one
+        # of a target that is ending, must not bring the incarnation back.
+        has_left = known is not None and known.target.leaving and not is_new
         target = Target(
             target_id=news.target_id,
             incarnation=news.incarnation,
@@ -51,10 +61,18 @@
             url=news.url,
             data_centre=news.data_centre,
             capacity_slots=news.capacity_slots,
-            lease_expires_at_seconds=now_seconds + news.lease_remaining_seconds,
+            lease_expires_at_seconds=now_seconds
+            + min(news.lease_remaining_seconds, MAX_LEASE_SECONDS),
             checks_fencing=news.checks_fencing,
-            leaving=news.leaving,
+            leaving=news.leaving or has_left,
         )
+        if is_new:
+            health = began(
+                self._health.get(news.target_id), news.incarnation, now_seconds
+            )
+            self._health[news.target_id] = health
+            if known is not None:
+                self._on_replaced(news.target_id, news.incarnation, now_seconds)
         self._known.put(news.target_id, _Known(target, news.announcement_sequence))
         return True
 
@@ -93,8 +111,37 @@
             if not known.target.leaving
             and known.target.lease_expires_at_seconds > now_seconds
             and not _is_drained(declared, known.target.target_id)
+            and not is_held(self._health[known.target.target_id], now_seconds)
         }
 
+    def suspend(self, target_id: str, incarnation: int, now_seconds: float) -> None:
+        """Give a target no new work for a while: a fresh connection to it failed.
+
+        Its lease may run on for seconds, and each request sent there meanwhile
+        would cost an attempt. It gets longer with each failure in a row.
+        """
+        health = self._health.get(target_id)
+        if health is not None and health.incarnation == incarnation:
+            self._health[target_id] = failed(health, now_seconds)
+
+    def proved(self, target_id: str) -> None:
+        """Take note that a target gave a whole answer."""
+        health = self._health.get(target_id)
+        if health is not None:
+            self._health[target_id] = proved(health)
+
+    def on_replaced(self, callback: Callable[[str, int, float], None]) -> None:
+        """Call back when a target that was known announces a new incarnation."""
+        self._on_replaced = callback
+
+    def tick(self, now_seconds: float) -> None:
+        """Forget targets that were silent for long, with their numbers."""
+        for known in self._known:
+            target = known.target
+            if now_seconds - target.lease_expires_at_seconds > FORGET_AFTER_SECONDS:
+                self._known.remove(target.target_id)
+                self._health.pop(target.target_id, None)
+
     def known(self) -> Sequence[Target]:
         """Return all targets ever heard of, for the status page."""
         return [known.target for known in self._known]
--- a/sesameford/tree_fields.py
+++ b/sesameford/tree_fields.py
@@ -52,6 +52,7 @@
 MAX_NUMBER = 1e12
 MAX_ROUTES = 200
 MAX_DIGESTS = 20
+MAX_LIFTED = 100
 
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _METHOD = re.compile(r"\*|[A-Z]{1,20}")
@@ -175,6 +176,20 @@
     return value
 
 
+def _lifted_digests(value: Any, path: str) -> list[str]:
+    """Check a list of digests of bodies whose quarantine is lifted."""
+    if not isinstance(value, list) or len(value) > MAX_LIFTED:
+        raise Refused(path, shown(value), f"a list of at most {MAX_LIFTED} digests")
+    for position, digest in enumerate(value):
+        if not isinstance(digest, str) or not _DIGEST.fullmatch(digest):
+            raise Refused(
+                f"{path}[{position}]",
+                shown(digest),
+                "the digest of a body as the status shows it, 64 hexadecimal digits",
+            )
+    return value
+
+
 def _method(value: Any, path: str) -> str:
     """Check a route's method."""
     if not isinstance(value, str) or not _METHOD.fullmatch(value):
@@ -221,6 +236,7 @@
         (RouteSettings, "path_prefix"): _path_prefix,
         (FleetSettings, "scheduler"): _one_of("leased", "independent"),
         (FleetSettings, "target_lease_seconds"): _number(0.1, 60),
+        (FleetSettings, "lifted_digests"): _lifted_digests,
         (FleetSettings, "silence_seconds"): _number(0.1, 3600),
         (FleetSettings, "balancer_delay_seconds"): _number(0, 600),
         (FleetSettings, "retry_budget_fraction"): _number(0, 1),
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -68,7 +68,8 @@
     suspects = Suspects(300.0)
     for death in ("t/1", "t/2"):
         suspects.died(death, [POISON], 0.0)
-    assert suspects.quarantined(100.0) == [(POISON, 200.0)]
+    ((row, left_seconds),) = suspects.quarantined(100.0)
+    assert (row.body_digest, left_seconds) == (POISON, 200.0)
     assert suspects.standing(POISON, 301.0) is Standing.SUSPECT
     suspects.died("t/3", [POISON], 302.0)
     assert suspects.quarantine_left_seconds(POISON, 302.0) == 600.0
