--- a/sesameford/tree_changes.py
+++ b/sesameford/tree_changes.py
@@ -90,7 +90,7 @@
     turned_down: tuple[_Recorded, ...]
 
 
-_encoder = Encoder(order="sorted")
+_encoder = Encoder()
 _commands = Decoder(TreeChange | HistoryWanted)
 _snapshots = Decoder(_Snapshot)
 _answers = Decoder(ChangeAnswer)
--- a/sesameford/tree_in_force.py
+++ b/sesameford/tree_in_force.py
@@ -1,6 +1,7 @@
 """The effective settings of an instance, brought up to date change by change."""
 
-from collections.abc import Mapping
+from collections import OrderedDict
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from sesameford.effective import EffectiveTree, FleetSettings
@@ -25,7 +26,7 @@
 
     def __init__(self, store: TreeStore) -> None:
         self._store = store
-        self._due: dict[str, None] = {}
+        self._due: OrderedDict[str, None] = OrderedDict()
         self._working: dict[str, dict[str, Any]] = {}
         self._fleet = FleetSettings()
         self.tree = EffectiveTree()
@@ -42,10 +43,13 @@
             difference: What the step put and removed.
         """
         nodes = self._store.declared.nodes
+        branches = set()
         for path in (*difference.removed, *difference.put):
             self._due[path] = None
             if path in nodes and not read_node(nodes[path]).is_leaf:
-                self._due.update(dict.fromkeys(_below(nodes, path)))
+                branches.add(path)
+        if branches:
+            self._due.update(dict.fromkeys(_below(nodes, branches)))
 
     def replaced(self) -> None:
         """Note that the store took a whole tree."""
@@ -70,8 +74,7 @@
         for _ in range(min(limit, len(self._due))):
             # The oldest first, so that a branch changed again and again can't keep
             # the others from their turn.
-            path = next(iter(self._due))
-            del self._due[path]
+            path, _ = self._due.popitem(last=False)
             self._recompute(path, nodes, inheritance)
         if self._due:
             return False
@@ -107,7 +110,14 @@
         return {root: getattr(self.tree, root) for root in NAME_FIELDS}
 
 
-def _below(nodes: Mapping[str, bytes], path: str) -> list[str]:
-    """Return the paths of all nodes below a branch."""
-    prefix = f"{path}/"
-    return [one for one in nodes if one.startswith(prefix)]
+def _below(nodes: Mapping[str, bytes], branches: set[str]) -> list[str]:
+    """Return the paths of all nodes below any of some branches."""
+    return [path for path in nodes if not branches.isdisjoint(_parents(path))]
+
+
+def _parents(path: str) -> Iterator[str]:
+    """Return the paths of the branches above a node."""
+    end = path.find("/")
+    while end > 0:
+        yield path[:end]
+        end = path.find("/", end + 1)
