Fuzz the log and mend the seven faults that this found

Cause: the log was tested only where links and disks behave. Change: a hypothesis state machine over 3 and 5 replicas with lost, doubled, reordered and one-way messages, crashes at any write or sync, emptied disks, a second loss right after a repair, racing and resent changes, isolated leaders and leases, against a plain list; make fuzz runs every state machine of the tests with new seeds. The check leaves out a disk lost less than 2 s before operators take another voter's vote: the trace (3 voters, one disk lost, another's vote taken before the leader can know) is a double loss.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: help setup demo bench bench-quick test lint format types check
+.PHONY: help setup demo bench bench-quick test lint format types check fuzz
 
 help: ## List the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -31,6 +31,10 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+SECONDS ?= 60
+fuzz: setup ## Run all state machines with new seeds for SECONDS=60
+	$(BIN)/python -m tools.fuzz --seconds $(SECONDS)
+
 check: lint types test ## All that .ci/run does
 
 demo: setup ## Run a whole deployment on loopback, twice the same
--- a/sesameford/log_core.py
+++ b/sesameford/log_core.py
@@ -11,6 +11,7 @@
     become_follower,
     check_quorum,
     lease_until_seconds,
+    may_campaign,
     put_off_election,
     start_election,
     start_pre_vote,
@@ -27,6 +28,7 @@
     Announce,
     AppendReply,
     AppendRequest,
+    Body,
     Command,
     Entry,
     Member,
@@ -120,7 +122,7 @@
             broadcast(core, now_seconds, heartbeat=True)
         return
     tick_outsider(core, now_seconds)
-    if core.me in core.voters and now_seconds >= core.election_due_at_seconds:
+    if now_seconds >= core.election_due_at_seconds and may_campaign(core):
         start_pre_vote(core, now_seconds)
 
 
@@ -151,7 +153,7 @@
         return
     if packet.term > core.term:
         become_follower(core, packet.term, now_seconds)
-    if packet.term < core.term:
+    if packet.term < core.term and not _is_pre_vote(body):
         _refuse_old_term(core, packet)
         return
     _receive_present_term(core, packet, now_seconds)
@@ -226,15 +228,18 @@
     return core.log.between(after_index + 1, last_index)
 
 
-def compact(core: Core, image: SnapshotImage) -> None:
+def compact(
+    core: Core, image: SnapshotImage, trailing_entries: int = TRAILING_ENTRIES
+) -> None:
     """Take a snapshot of this replica's own and drop the log well behind it.
 
     Args:
         core: The replica.
         image: The state after an applied index; the shell has it on the disk.
+        trailing_entries: How many entries that it covers stay in memory.
     """
     core.snapshot = image
-    core.log.compact(image.index - TRAILING_ENTRIES)
+    core.log.compact(image.index - trailing_entries)
 
 
 def hand_over(core: Core, now_seconds: float) -> bool:
@@ -286,6 +291,15 @@
     put_off_election(core, now_seconds)
 
 
+def _is_pre_vote(body: Body) -> bool:
+    """Return whether this grants a pre-vote, which holds in spite of an older term.
+
+    A candidate that raised its term and lost the votes to a bad link would else
+    never again get a pre-vote from those that did not hear of that term.
+    """
+    return isinstance(body, VoteReply) and body.pre
+
+
 def _refuse_old_term(core: Core, packet: Packet) -> None:
     """Tell a leader of an old term that there is a newer one."""
     body = packet.body
--- a/sesameford/log_election.py
+++ b/sesameford/log_election.py
@@ -47,6 +47,21 @@
     )
 
 
+def may_campaign(core: Core) -> bool:
+    """Return whether this replica may ask to lead.
+
+    One whose own removal is in its log but perhaps not committed may: it can be
+    the only one whose log is long enough, and the others could elect no one.
+    """
+    if core.me in core.voters:
+        return True
+    changed_at = core.log.configuration_index
+    before = core.log.configuration_at(changed_at - 1)
+    if before is None or changed_at <= core.commit_index:
+        return False
+    return core.me in before.voters
+
+
 def start_pre_vote(core: Core, now_seconds: float) -> None:
     """Ask whether an election would be won, before anything is changed.
 
--- a/sesameford/log_membership.py
+++ b/sesameford/log_membership.py
@@ -6,7 +6,7 @@
 from sesameford.log_state import (
     ANNOUNCE_SECONDS,
     ANNOUNCEMENT_VALID_SECONDS,
-    ELECTION_MAX_SECONDS,
+    HEARTBEAT_SECONDS,
     Core,
     append_entry,
     members_by_id,
@@ -15,6 +15,8 @@
 
 # A learner this close behind is caught up: the rest comes with the next message.
 CAUGHT_UP_ENTRIES = 64
+# Voters change only while those who must agree answered this short a time ago.
+ALIVE_SECONDS = 3 * HEARTBEAT_SECONDS
 
 
 def note_announcement(
@@ -89,7 +91,8 @@
         return None
     return (
         _with_announced(core, present, now_seconds)
-        or _without_unwanted_voter(core, present)
+        or _without_replaced_learner(core, present, now_seconds)
+        or _without_unwanted_voter(core, present, now_seconds)
         or _with_caught_up_learner(core, present, now_seconds)
     )
 
@@ -111,8 +114,28 @@
     return None
 
 
-def _without_unwanted_voter(core: Core, present: Configuration) -> Configuration | None:
-    """Make a voter that operators don't want a learner; the leader goes last."""
+def _without_replaced_learner(
+    core: Core, present: Configuration, now_seconds: float
+) -> Configuration | None:
+    """Forget a learner whose disk is gone and whose instance is here as another."""
+    for learner in present.learners:
+        others = _others_of(core, learner)
+        if learner == core.me or _is_alive(core, learner, now_seconds):
+            continue
+        if any(_is_alive(core, other, now_seconds) for other in others):
+            learners = tuple(other for other in present.learners if other != learner)
+            return _changed(present, present.voters, learners)
+    return None
+
+
+def _without_unwanted_voter(
+    core: Core, present: Configuration, now_seconds: float
+) -> Configuration | None:
+    """Make a voter that operators don't want a learner.
+
+    One that does not answer goes first, while the others can still do without it;
+    the leader goes last.
+    """
     if core.wanted_voters is None or len(present.voters) < 2:
         return None
     unwanted = [
@@ -120,9 +143,14 @@
     ]
     if len(unwanted) == len(present.voters):
         return None
-    for voter in sorted(unwanted, key=lambda voter: voter == core.me):
+    order = sorted(
+        unwanted,
+        key=lambda voter: (voter == core.me, _is_alive(core, voter, now_seconds)),
+    )
+    for voter in order:
         voters = tuple(other for other in present.voters if other != voter)
-        return _changed(present, voters, (*present.learners, voter))
+        if _majority_is_alive(core, voters, now_seconds):
+            return _changed(present, voters, (*present.learners, voter))
     return None
 
 
@@ -148,6 +176,8 @@
         old = members_by_id(Configuration(0, present.voters)).get(learner.instance_id)
         if old is not None and len(present.voters) > 1:
             voters = tuple(voter for voter in present.voters if voter != old)
+            if not _majority_is_alive(core, voters, now_seconds):
+                continue
             return _changed(present, voters, present.learners)
         learners = tuple(other for other in present.learners if other != learner)
         return _changed(present, (*present.voters, learner), learners)
@@ -168,7 +198,21 @@
     progress = core.progress.get(member)
     if progress is None:
         return False
-    return now_seconds - progress.acked_at_seconds < ELECTION_MAX_SECONDS
+    return now_seconds - progress.acked_at_seconds < ALIVE_SECONDS
+
+
+def _majority_is_alive(
+    core: Core, voters: tuple[Member, ...], now_seconds: float
+) -> bool:
+    """Return whether a majority of these voters answers.
+
+    Taking the vote from one that answers, while another's disk is lost, would
+    leave a majority that never comes back: no change is accepted any more.
+    """
+    alive = sum(
+        voter == core.me or _is_alive(core, voter, now_seconds) for voter in voters
+    )
+    return 2 * alive > len(voters)
 
 
 def _changed(
--- a/sesameford/log_replica.py
+++ b/sesameford/log_replica.py
@@ -9,6 +9,7 @@
 
 from sesameford.log_apply import Applied, Applier
 from sesameford.log_core import (
+    TRAILING_ENTRIES,
     committed,
     compact,
     effects,
@@ -51,6 +52,7 @@
         send: Takes a packet for another replica; may lose it.
         applied: Called with each committed proposal.
         snapshot_entries: How many applied entries make a snapshot due.
+        trailing_entries: How many of them stay in memory for followers that lag.
     """
 
     def __init__(
@@ -60,7 +62,8 @@
         applier: Applier,
         send: Callable[[Packet], None],
         applied: Callable[[Applied], None],
-        snapshot_entries: int,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+        trailing_entries: int = TRAILING_ENTRIES,
     ) -> None:
         self.core = core
         self.storage = storage
@@ -68,6 +71,7 @@
         self._send = send
         self._applied = applied
         self._snapshot_entries = snapshot_entries
+        self._trailing_entries = trailing_entries
         self._bytes_since_snapshot = 0
 
     def receive(self, packet: Packet, now_seconds: float) -> None:
@@ -125,7 +129,7 @@
             now_seconds: The present time.
         """
         if job.image is not None:
-            compact(self.core, job.image)
+            compact(self.core, job.image, self._trailing_entries)
         done = job.effects
         if done is None:
             return
@@ -191,6 +195,7 @@
     seed: int,
     now_seconds: float,
     snapshot_entries: int = SNAPSHOT_ENTRIES,
+    trailing_entries: int = TRAILING_ENTRIES,
 ) -> Replica:
     """Return a replica that starts from what its disk holds.
 
@@ -204,9 +209,12 @@
         seed: For the spread of election times.
         now_seconds: The present time.
         snapshot_entries: How many applied entries make a snapshot due.
+        trailing_entries: How many of them stay in memory for followers that lag.
     """
     core = make_core(stored, peer_ids, seed, now_seconds)
     applier = Applier(machines)
     if stored.snapshot is not None:
         applier.restore(stored.snapshot.index, stored.snapshot.data)
-    return Replica(core, storage, applier, send, applied, snapshot_entries)
+    return Replica(
+        core, storage, applier, send, applied, snapshot_entries, trailing_entries
+    )
--- a/sesameford/log_replication.py
+++ b/sesameford/log_replication.py
@@ -14,7 +14,6 @@
 from sesameford.log_snapshot import decode_image, encode_image
 from sesameford.log_state import (
     APPEND_LIMIT_BYTES,
-    CHUNK_BYTES,
     IN_FLIGHT_ENTRIES,
     Core,
     IncomingSnapshot,
@@ -100,7 +99,7 @@
         index_term=image.index_term,
         offset_bytes=offset,
         total_bytes=len(encoded),
-        data=encoded[offset : offset + CHUNK_BYTES],
+        data=encoded[offset : offset + core.chunk_bytes],
         sent_at_seconds=now_seconds,
     )
     send(core, member, chunk, early=True)
@@ -155,8 +154,10 @@
         return
     # One lost message makes the follower reject all that were under way behind
     # it. Going back for each of them would send the same entries many times.
-    if body.sent_at_seconds > progress.rewound_at_seconds:
+    is_newer = body.sent_at_seconds > progress.rewound_at_seconds
+    if is_newer or body.match_index < progress.rewound_to_index:
         progress.rewound_at_seconds = body.sent_at_seconds
+        progress.rewound_to_index = body.match_index
         back_to = min(progress.next_index, body.match_index + 1)
         progress.next_index = max(progress.match_index + 1, back_to)
 
@@ -188,8 +189,8 @@
         send(core, packet.sender, AppendReply(True, body.index, body.sent_at_seconds))
         return
     incoming = core.incoming
-    if incoming is None or incoming.index != body.index:
-        incoming = IncomingSnapshot(body.index, body.index_term, body.total_bytes)
+    if incoming is None or (incoming.index, incoming.term) != (body.index, core.term):
+        incoming = IncomingSnapshot(body.index, core.term, body.total_bytes)
         core.incoming = incoming
     if body.offset_bytes == len(incoming.data):
         incoming.data += body.data
@@ -218,6 +219,9 @@
     if progress is None:
         return
     progress.acked_at_seconds = max(progress.acked_at_seconds, body.sent_at_seconds)
-    if progress.snapshot_index == body.index:
-        offset = max(progress.snapshot_offset_bytes, body.offset_bytes)
-        progress.snapshot_offset_bytes = offset
+    if progress.snapshot_index != body.index:
+        return
+    # The wish may go back: a follower that started again has lost all the parts.
+    if body.sent_at_seconds >= progress.snapshot_replied_at_seconds:
+        progress.snapshot_replied_at_seconds = body.sent_at_seconds
+        progress.snapshot_offset_bytes = body.offset_bytes
--- a/sesameford/log_state.py
+++ b/sesameford/log_state.py
@@ -74,17 +74,22 @@
     next_index: int = 1
     acked_at_seconds: float = float("-inf")
     rewound_at_seconds: float = float("-inf")
+    rewound_to_index: int = 0
     snapshot_offset_bytes: int = 0
     snapshot_sent_offset_bytes: int = -1
     snapshot_index: int = 0
+    snapshot_replied_at_seconds: float = float("-inf")
 
 
 @dataclass(slots=True)
 class IncomingSnapshot:
-    """The parts of a leader's snapshot that have arrived in order."""
+    """The parts of a leader's snapshot that have arrived in order.
+
+    Another leader's snapshot up to the same index may have other bytes.
+    """
 
     index: int
-    index_term: int
+    term: int
     total_bytes: int
     data: bytearray = field(default_factory=bytearray)
 
@@ -122,6 +127,7 @@
     random: Random
     snapshot: SnapshotImage | None = None
     wanted_voters: frozenset[str] | None = None
+    chunk_bytes: int = CHUNK_BYTES
 
     role: Role = Role.FOLLOWER
     leader: Member | None = None
--- /dev/null
+++ b/tests/test_log_fuzz.py
@@ -0,0 +1,275 @@
+"""The replicated log against a plain list, with everything failing around it."""
+
+from random import Random
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from sesameford.fencing import decode_answer, encode_command
+from sesameford.leases import LeaseCommand, LeaseKeeper, make_lease_keeper
+from sesameford.log_messages import Command
+from sesameford.log_state import Role
+from tests.log_world import World
+
+LEASE_SECONDS = 3.0
+ORDER_DEADLINE_SECONDS = 2.0
+numbers = st.integers(0, 4)
+seeds = st.integers(0, 2**16)
+
+
+class ThreeReplicas(RuleBasedStateMachine):
+    """Links, disks and processes fail; operators race and resend; leases move."""
+
+    size = 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(self.size)
+        self.proposals: list[Command] = []
+        self.commands = 0
+        self.keepers = [self._new_keeper(number) for number in range(2)]
+        self.asked: dict[str, tuple[LeaseKeeper, int, LeaseCommand]] = {}
+        self.orders: list[tuple[int, float]] = []
+        self.carried_out = 0
+        self.world.listeners.append(self._lease_answered)
+        self.world.run(60, Random(self.size), 0.0, 0.0)
+        assert any(self._roles()), "a new fleet elects no leader"
+
+    def _new_keeper(self, number: int) -> LeaseKeeper:
+        holder = f"k{number}-{self.commands}"
+        return make_lease_keeper("l", holder, ORDER_DEADLINE_SECONDS, LEASE_SECONDS)
+
+    def _roles(self) -> list[str]:
+        nodes = self.world.nodes
+        return [
+            name
+            for name in self.world.living()
+            if nodes[name].replica.core.role is Role.LEADER
+        ]
+
+    def _name(self, number: int) -> str:
+        return self.world.names[number % self.size]
+
+    def _send(self, command: Command, node: int) -> None:
+        leaders = self._roles()
+        if leaders:
+            self.world.propose(leaders[node % len(leaders)], command)
+
+    def _keeper_clock(self, number: int) -> float:
+        # Each keeper lives beside a replica, under that replica's clock.
+        return self.world.clock(self._name(number))
+
+    def _lease_answered(self, command: Command, answer: bytes) -> None:
+        asked = self.asked.pop(command.proposal_id, None)
+        if asked is not None:
+            keeper, number, lease_command = asked
+            clock = self._keeper_clock(number)
+            keeper.answered(lease_command, decode_answer(answer), clock)
+
+    @rule(ticks=st.integers(1, 30), seed=seeds, loss=st.sampled_from([0, 0, 0.1, 0.4]))
+    def pass_time(self, ticks: int, seed: int, loss: float) -> None:
+        self.world.run(ticks, Random(seed), loss, loss / 2)
+
+    @rule(position=st.integers(0, 50), keep=st.booleans(), count=st.integers(1, 8))
+    def deliver(self, position: int, keep: bool, count: int) -> None:
+        for _ in range(count):
+            self.world.deliver(position, keep)
+
+    @rule(node=numbers, behind=st.integers(0, 2))
+    def propose(self, node: int, behind: int) -> None:
+        """An operator bases a change on a revision, the present one or an old one."""
+        self.commands += 1
+        base = max(0, len(self.world.accepted) - max(0, behind - 1))
+        text = f"{base}:v{self.commands}".encode()
+        command = Command(f"p{self.commands}", "revisions", text)
+        self.proposals.append(command)
+        self._send(command, node)
+
+    @rule(count=st.integers(5, 20), node=numbers)
+    def propose_many(self, count: int, node: int) -> None:
+        for _ in range(count):
+            self.propose(node, 0)
+
+    @precondition(lambda self: self.proposals)
+    @rule(which=st.integers(0, 40), node=numbers)
+    def resend(self, which: int, node: int) -> None:
+        """An answer was lost; the change comes again under its id."""
+        self._send(self.proposals[-1 - which % len(self.proposals)], node)
+
+    @rule(number=st.integers(0, 1), node=numbers)
+    def keep_lease(self, number: int, node: int) -> None:
+        keeper = self.keepers[number]
+        asked = keeper.decide(self._keeper_clock(number))
+        if asked is None:
+            return
+        self.commands += 1
+        proposal_id = f"l{self.commands}"
+        self.asked[proposal_id] = (keeper, number, asked)
+        self._send(Command(proposal_id, "fencing", encode_command(asked.command)), node)
+
+    @rule(number=st.integers(0, 1))
+    def lose_lease_answer(self, number: int) -> None:
+        """The keeper hears nothing; its command may be accepted all the same."""
+        for proposal_id, (keeper, owner, asked) in list(self.asked.items()):
+            if owner == number:
+                del self.asked[proposal_id]
+                keeper.answered(asked, None, self._keeper_clock(number))
+
+    @rule(number=st.integers(0, 1))
+    def restart_keeper(self, number: int) -> None:
+        self.commands += 1
+        self.keepers[number] = self._new_keeper(number)
+
+    @rule(number=st.integers(0, 1))
+    def order(self, number: int) -> None:
+        """A holder sends an order to an engine that ignores fencing numbers."""
+        clock = self._keeper_clock(number)
+        fencing_number = self.keepers[number].order_number(False, clock)
+        if fencing_number is not None:
+            until = self.world.now_seconds + ORDER_DEADLINE_SECONDS
+            self.orders.append((fencing_number, until))
+
+    @precondition(lambda self: self.orders)
+    @rule(which=st.integers(0, 5))
+    def carry_out_order(self, which: int) -> None:
+        number, until = self.orders.pop(which % len(self.orders))
+        if self.world.now_seconds <= until:
+            assert number >= self.carried_out, "an old holder's order came late"
+            self.carried_out = number
+
+    @rule(node=numbers, after=st.integers(0, 4), keep=st.integers(0, 3))
+    def crash_at_a_sync(self, node: int, after: int, keep: int) -> None:
+        """The power fails at some write or sync to come, before or after it."""
+        storage = self.world.nodes[self._name(node)].storage
+        storage.crash_after, storage.keep = after, keep
+
+    @rule(node=numbers)
+    def crash(self, node: int) -> None:
+        if self.world.nodes[self._name(node)].replica is not None:
+            self.world.crash(self._name(node))
+
+    @rule(node=numbers)
+    def restart(self, node: int) -> None:
+        if self.world.nodes[self._name(node)].replica is None:
+            self.world.start(self._name(node))
+
+    @rule(node=numbers, seed=seeds)
+    def empty_a_disk(self, node: int, seed: int) -> None:
+        """A disk is replaced; the replica comes back with nothing on it."""
+        name = self._name(node)
+        if self.world.may_empty(name):
+            if self.world.nodes[name].replica is not None:
+                self.world.crash(name)
+            self.world.empty_disk(name)
+            self.world.start(name)
+
+    @rule(node=numbers, other=numbers, seed=seeds)
+    def repair_and_lose_another(self, node: int, other: int, seed: int) -> None:
+        """A second disk is lost right after the first one was repaired."""
+        self.empty_a_disk(node, seed)
+        self.heal()
+        for name in self.world.names:
+            if self.world.nodes[name].replica is None:
+                self.world.start(name)
+        for _ in range(20):
+            self.world.run(5, Random(seed), 0.0, 0.0)
+            if self._name(node) != self._name(other) and self.world.may_empty(
+                self._name(other)
+            ):
+                break
+        if self._name(node) != self._name(other):
+            self.empty_a_disk(other, seed)
+
+    @rule(sender=numbers, receiver=numbers)
+    def cut_one_way(self, sender: int, receiver: int) -> None:
+        self.world.blocked.add((self._name(sender), self._name(receiver)))
+
+    @rule(inbound=st.booleans(), outbound=st.booleans(), ticks=st.integers(0, 60))
+    def isolate_leader(self, inbound: bool, outbound: bool, ticks: int) -> None:
+        """A leader is cut off silently, for long perhaps, and may not notice."""
+        for leader in self._roles():
+            for name in self.world.names:
+                if inbound:
+                    self.world.blocked.add((name, leader))
+                if outbound:
+                    self.world.blocked.add((leader, name))
+        self.world.run(ticks, Random(ticks), 0.0, 0.0)
+
+    @rule(node=numbers)
+    def hand_over(self, node: int) -> None:
+        name = self._name(node)
+        clock = self.world.clock(name)
+        self.world.act(name, lambda replica: replica.hand_over(clock))
+
+    @rule(wanted=st.sets(numbers, min_size=1))
+    def want_voters(self, wanted: set[int]) -> None:
+        names = frozenset(self._name(number) for number in wanted)
+        if self.world.may_want():
+            self.world.want_voters(names)
+
+    @rule()
+    def heal(self) -> None:
+        self.world.blocked.clear()
+
+    @invariant()
+    def all_is_true(self) -> None:
+        self.world.check()
+
+    @invariant()
+    def at_most_one_holds_the_lease(self) -> None:
+        held = [
+            keeper.lease(self._keeper_clock(number))
+            for number, keeper in enumerate(self.keepers)
+        ]
+        assert sum(lease is not None for lease in held) <= 1
+
+    def teardown(self) -> None:
+        """Once all is mended, everything accepted is there and changes go on."""
+        world = self.world
+        world.blocked.clear()
+        for name in world.names:
+            node = world.nodes[name]
+            node.storage.crash_after = None
+            if node.replica is None:
+                world.start(name)
+        world.want_voters(None)
+        for _ in range(12):
+            world.run(30, Random(1), 0.0, 0.0)
+            if self._is_whole():
+                break
+        assert self._is_whole(), "the replicas do not recover"
+        self.propose(0, 0)
+        world.run(30, Random(2), 0.0, 0.0)
+        assert self.proposals[-1].proposal_id in world.answers, "no change is accepted"
+        self.all_is_true()
+        for node in world.nodes.values():
+            assert node.revisions.values == world.accepted, "something accepted is lost"
+
+    def _is_whole(self) -> bool:
+        """Whether one leader has every present disk among its voters."""
+        leaders = self._roles()
+        present = {node.disk.me for node in self.world.nodes.values()}
+        return len(leaders) == 1 and present == set(
+            self.world.nodes[leaders[0]].replica.core.voters
+        )
+
+
+class FiveReplicas(ThreeReplicas):
+    """The same over five."""
+
+    size = 5
+
+
+_SETTINGS = settings(
+    max_examples=40,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+TestThreeReplicas = ThreeReplicas.TestCase
+TestThreeReplicas.settings = _SETTINGS
+TestFiveReplicas = FiveReplicas.TestCase
+TestFiveReplicas.settings = _SETTINGS
