--- a/sesameford/allocation.py
+++ b/sesameford/allocation.py
@@ -15,12 +15,17 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from math import inf
 
 
 @dataclass(frozen=True, slots=True)
 class Vessel:
-    """One customer's waiting work at one holder, in virtual time."""
+    """One customer's waiting work at one holder, in virtual time.
+
+    ``share`` is the part of the customer's weight that falls to this holder: what
+    several holders serve of one customer adds up in its virtual time.
+    """
 
     customer_id: str
     virtual_time: float
@@ -56,6 +61,7 @@
     requests: int
     handicap: float = 0.0
     level: float = field(default=inf)
+    long_level: float = field(default=inf)
 
     def pour(self, horizon: Horizon) -> None:
         """Work out the level; infinite where all that waits is served soon."""
@@ -65,10 +71,9 @@
             for vessel in self.vessels
             if vessel.waiting_cost_units <= horizon.small_cost_units
         ]
-        self.level = min(
-            water_level(self.vessels, poured),
-            water_level(small, poured * horizon.short_fraction),
-        )
+        self.long_level = water_level(self.vessels, poured)
+        short_level = water_level(small, poured * horizon.short_fraction)
+        self.level = min(self.long_level, short_level)
 
     def lowest(self) -> float:
         """Return the virtual time that the holder's next slot serves."""
@@ -76,7 +81,7 @@
 
     def next_slot_worth(self) -> float:
         """Return where a slot of this holder would be used, in virtual time."""
-        return self.level if self.level < inf else self.lowest()
+        return self.long_level if self.long_level < inf else self.lowest()
 
 
 def water_level(vessels: Sequence[Vessel], cost_units: float) -> float:
@@ -89,37 +94,37 @@
     Returns:
         The level, infinite where the amount serves all.
     """
-    if not vessels:
-        return inf
     left = cost_units
-    level = vessels[0].virtual_time
+    level = -inf
     width = 0.0
     rims: list[tuple[float, float]] = []
-    index = 0
-    while True:
-        while index < len(vessels) and vessels[index].virtual_time <= level:
-            vessel = vessels[index]
-            rim = vessel.virtual_time + vessel.waiting_cost_units / vessel.share
-            rims.append((rim, vessel.share))
-            width += vessel.share
-            index += 1
-        while rims and min(rims)[0] <= level:
-            lowest = min(rims)
-            rims.remove(lowest)
-            width -= lowest[1]
-        bounds = [rim for rim, _ in rims]
-        if index < len(vessels):
-            bounds.append(vessels[index].virtual_time)
-        if not bounds:
-            return inf
-        step = min(bounds)
-        if not rims:
-            level = step
-            continue
-        if left < (step - level) * width:
+    for vessel in vessels:
+        # Pour up to the next vessel's bottom, over the rims that come before it.
+        while rims and rims[0][0] <= vessel.virtual_time:
+            rim, share = heappop(rims)
+            if left < (rim - level) * width:
+                return level + left / width
+            left -= (rim - level) * width
+            level = rim
+            width -= share
+        if rims:
+            if left < (vessel.virtual_time - level) * width:
+                return level + left / width
+            left -= (vessel.virtual_time - level) * width
+        else:
+            width = 0.0
+        level = vessel.virtual_time
+        rim = vessel.virtual_time + vessel.waiting_cost_units / vessel.share
+        heappush(rims, (rim, vessel.share))
+        width += vessel.share
+    while rims:
+        rim, share = heappop(rims)
+        if left < (rim - level) * width:
             return level + left / width
-        left -= (step - level) * width
-        level = step
+        left -= (rim - level) * width
+        level = rim
+        width -= share
+    return inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,13 +244,15 @@
 
 def sorted_vessels(
     waiting: Mapping[str, float],
+    totals: Mapping[str, float],
     virtual_times: Mapping[str, float],
     shares: Mapping[str, float],
 ) -> list[Vessel]:
     """Return vessels by virtual time.
 
     Args:
-        waiting: Waiting cost units by customer.
+        waiting: Waiting cost units at the holder by customer.
+        totals: Waiting cost units at all holders by customer.
         virtual_times: Virtual time by customer.
         shares: Weight by customer.
 
@@ -253,7 +260,12 @@
         One vessel for each customer that waits.
     """
     vessels = [
-        Vessel(customer, virtual_times[customer], max(cost, 1e-6), shares[customer])
+        Vessel(
+            customer,
+            virtual_times[customer],
+            max(cost, 1e-6),
+            shares[customer] * max(cost, 1e-6) / max(totals[customer], 1e-6),
+        )
         for customer, cost in waiting.items()
     ]
     return sorted(vessels, key=lambda vessel: vessel.virtual_time)
--- a/sesameford/allocator.py
+++ b/sesameford/allocator.py
@@ -18,6 +18,9 @@
 from sesameford.pool_allocation import allocate
 from sesameford.tables import Target
 
+_CHANGED_SECONDS = 0.01
+_UNCHANGED_SECONDS = 0.25
+
 
 class Allocator:
     """Drives the systems over the tables of a data centre's allocator.
@@ -142,6 +145,7 @@
             state.links[sender_id] = link
         if not link.accept(report, now_seconds):
             return
+        state.changed = True
         link.take_holdings(report)
         for rows in report.pools:
             self._take_pool(link, rows, report.full, now_seconds)
@@ -187,6 +191,7 @@
                 # It restarted and knows nothing; start a term to tell it all.
                 self._open_place(name, sender_id, {}, now_seconds)
             elif link.apply(grants, incarnation, now_seconds):
+                self.state.changed = True
                 for news in grants.pools:
                     place.news[news.pool] = news
             return True
@@ -203,7 +208,12 @@
         ]
         for link in silent:
             del self.state.links[link.holder_id]
-        allocate(self.state, now_seconds)
+        state = self.state
+        elapsed = now_seconds - state.allocated_at_seconds
+        if elapsed >= (_CHANGED_SECONDS if state.changed else _UNCHANGED_SECONDS):
+            state.allocated_at_seconds = now_seconds
+            state.changed = False
+            allocate(state, now_seconds)
         messages = place_reports(self.state, now_seconds)
         messages.extend(grant_answers(self.state, now_seconds))
         return messages
--- a/sesameford/allocator_state.py
+++ b/sesameford/allocator_state.py
@@ -31,6 +31,7 @@
     floor_virtual_time: float | None = None
     charged_cost_units: float = 0.0
     paced_at_seconds: float = float("-inf")
+    moved_at_seconds: float = float("-inf")
 
 
 @dataclass(slots=True)
@@ -62,6 +63,8 @@
     origins: OriginTotals = field(default_factory=OriginTotals)
     totals: OwnTotals = field(default_factory=OwnTotals)
     place_wanted: dict[str, dict[str, float]] = field(default_factory=dict)
+    changed: bool = True
+    allocated_at_seconds: float = float("-inf")
 
     def quantum(self) -> float:
         """Return the tree's quantum in cost units, for a share of one."""
--- a/sesameford/pool_allocation.py
+++ b/sesameford/pool_allocation.py
@@ -17,6 +17,7 @@
 HORIZON_SECONDS = 2.0
 _SHORT_HORIZON_SECONDS = 0.2
 _SMALL_QUANTA = 2.0
+_MOVE_SECONDS = 0.1
 _LENDING_HANDICAP_QUANTA = 0.5
 
 
@@ -78,7 +79,9 @@
     deal_free_slots(holders, horizon, lambda holder: _grant(state, pool, holder, free))
     if any(holder.requests > 0 for holder in holders):
         _note_contention(state, pool_state, now_seconds)
-        _move_slots(state, pool, holders, horizon)
+        if now_seconds - pool_state.moved_at_seconds >= _MOVE_SECONDS:
+            pool_state.moved_at_seconds = now_seconds
+            _move_slots(state, pool, holders, horizon)
     elif now_seconds >= pool_state.contended_until_seconds:
         _deal_spares(state, pool, free)
 
@@ -91,12 +94,14 @@
     waiting: dict[tuple[str, str], dict[str, float]] = {}
     requests: dict[tuple[str, str], int] = {}
     backlogged: dict[str, float] = {}
+    totals: dict[str, float] = {}
     for link in state.links.values():
         for key, demand in link.demands.items():
             if key[0] != pool:
                 continue
             unit = (link.holder_id, key[2])
             waiting.setdefault(unit, {})[key[1]] = demand.cost_units
+            totals[key[1]] = totals.get(key[1], 0.0) + demand.cost_units
             since = backlogged.get(key[1], demand.since_seconds)
             backlogged[key[1]] = min(since, demand.since_seconds)
             open_requests = link.uncovered(key) if link.pending else demand.requests
@@ -113,7 +118,7 @@
         Holder(
             holder_id,
             resource,
-            sorted_vessels(rows, now, shares),
+            sorted_vessels(rows, totals, now, shares),
             _slots(state, state.links[holder_id], pool, resource),
             requests[(holder_id, resource)],
             handicap if state.links[holder_id].is_place else 0.0,
--- /dev/null
+++ b/tests/test_allocation.py
@@ -0,0 +1,51 @@
+"""Levels are what pouring by hand gives; moves bring them together."""
+
+from math import inf
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesameford.allocation import Holder, Horizon, Vessel, find_moves, water_level
+
+VESSELS = st.lists(
+    st.tuples(
+        st.floats(0.0, 100.0), st.floats(0.5, 50.0), st.sampled_from([0.5, 1.0, 3.0])
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(VESSELS, st.floats(0.0, 200.0))
+def test_the_level_holds_what_was_poured(rows, cost_units):
+    vessels = sorted(
+        (Vessel(str(index), *row) for index, row in enumerate(rows)),
+        key=lambda vessel: vessel.virtual_time,
+    )
+    level = water_level(vessels, cost_units)
+    room = sum(vessel.waiting_cost_units for vessel in vessels)
+    if level == inf:
+        assert cost_units >= room - 1e-6
+        return
+    held = sum(
+        min(
+            max(level - vessel.virtual_time, 0.0) * vessel.share,
+            vessel.waiting_cost_units,
+        )
+        for vessel in vessels
+    )
+    assert held == pytest.approx(cost_units, abs=1e-6)
+
+
+def test_moves_stop_before_the_holder_behind_gets_ahead():
+    horizon = Horizon(100.0, 0.0, 0.1)
+    ahead = Holder("a", "m", [Vessel("x", 1000.0, 1e6, 1.0)], 10, 50)
+    behind = Holder("b", "m", [Vessel("y", 0.0, 1e6, 1.0)], 10, 50)
+    ahead.pour(horizon)
+    behind.pour(horizon)
+    moves = find_moves([ahead, behind], 0, horizon, 100.0, lambda one, other: True)
+    assert {move.to_holder_id for move in moves} == {"b"}
+    assert 3 <= len(moves) <= 6
+    assert ahead.level >= behind.level
