Compare virtual times half-way instead of telling every lift

Cause: lifts told as versioned adjustments overtook each other after a restart and virtual times ran away; they also were 21 rows per instance and second. Change: every allocator lifts by the same rule; now and then they meet half-way; an instance that has just started follows before it serves.

--- a/sesameford/allocator.py
+++ b/sesameford/allocator.py
@@ -165,6 +165,8 @@
         if full and new:
             for customer, virtual_time in rows.virtual_times:
                 times.merge_snapshot(customer, virtual_time)
+        elif not full:
+            times.meet(dict(rows.virtual_times))
         for served in rows.served:
             account = (rows.pool, served.customer_id)
             total = served.served_cost_units
@@ -172,8 +174,6 @@
             times.charge(served.customer_id, added, state.share(served.customer_id))
             if not link.is_place:
                 state.totals.add(account, added)
-        for row in rows.adjustments:
-            times.merge_adjustment(row.customer_id, row.version, row.virtual_time)
         if link.is_place:
             link.place_slots[rows.pool] = rows.slots
         link.take_demands(rows.pool, rows.demands, now_seconds)
--- a/sesameford/allocator_state.py
+++ b/sesameford/allocator_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from sesameford.accounts import Account, OriginTotals, OwnTotals
+from sesameford.accounts import OriginTotals, OwnTotals
 from sesameford.effective import EffectiveTree
 from sesameford.links import GrantLink, ReportLink
 from sesameford.messages import PoolNews
@@ -40,9 +40,9 @@
 
     link: ReportLink
     news: dict[str, PoolNews] = field(default_factory=dict)
-    told_adjustments: dict[Account, int] = field(default_factory=dict)
     told_wanted: dict[str, float] = field(default_factory=dict)
     told_slots: dict[str, int] = field(default_factory=dict)
+    told_times_at_seconds: float = float("-inf")
 
 
 @dataclass(slots=True)
--- a/sesameford/election.py
+++ b/sesameford/election.py
@@ -10,6 +10,7 @@
 from sesameford.tables import Instance, InstanceState, Target
 
 SILENT_SECONDS = 3.0
+START_SECONDS = 1.0
 UNFIT_SECONDS = 10.0
 
 
@@ -26,6 +27,7 @@
         self._data_centre = data_centre
         self._instances: Mapping[str, Instance] = {}
         self._unfit_until: dict[str, float] = {}
+        self._started_at_seconds: float | None = None
 
     def observe(self, instances: Mapping[str, Instance]) -> None:
         """Take the present table of other instances."""
@@ -39,13 +41,22 @@
         """
         self._unfit_until[instance_id] = now_seconds + UNFIT_SECONDS
 
-    def allocator(self, may_serve: bool, now_seconds: float) -> str:
-        """Return the allocator of the own data centre, this instance if none other."""
+    def allocator(self, may_serve: bool, now_seconds: float) -> str | None:
+        """Return the allocator of the own data centre, this instance if none other.
+
+        An instance that has just started has heard nobody yet. Would it serve at
+        once, it would take all targets for its own and fill them a second time;
+        so at first it only follows.
+        """
+        if self._started_at_seconds is None:
+            self._started_at_seconds = now_seconds
         ids = [
             instance.instance_id
             for instance in self._ready(now_seconds)
             if instance.data_centre == self._data_centre
         ]
+        if now_seconds < self._started_at_seconds + START_SECONDS:
+            return min((one for one in ids if one < self._instance_id), default=None)
         if may_serve or not ids:
             ids.append(self._instance_id)
         return min(ids)
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -136,7 +136,11 @@
         others = self._election.others(now_seconds)
         serves = elected == self._instance_id
         if serves and not self._allocator.active:
-            expected = [*self._election.neighbours(now_seconds), self._instance_id]
+            expected = [
+                *self._election.neighbours(now_seconds),
+                *others.values(),
+                self._instance_id,
+            ]
             self._allocator.activate(expected, now_seconds)
             for account in self._standings:
                 self._allocator.seed(account, self._virtual_time(account))
@@ -146,7 +150,7 @@
             self._allocator.observe_places(others, now_seconds)
         owners = self._election.owners(self._targets.values(), now_seconds)
         self._allocator.observe_targets(self._targets, self._pool_of, owners)
-        if link is None or link.receiver_id != elected:
+        if elected is not None and (link is None or link.receiver_id != elected):
             self._open_link(elected, now_seconds)
 
     def _open_link(self, receiver_id: str, now_seconds: float) -> None:
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -98,14 +98,6 @@
     oldest_age_seconds: float = 0.0
 
 
-class AdjustmentRow(Struct, frozen=True, array_like=True):
-    """A lift or clamp of a customer's virtual time; the larger version holds."""
-
-    customer_id: str
-    version: int
-    virtual_time: float
-
-
 class HoldingRow(Struct, frozen=True, array_like=True):
     """How many slots of a target the sender keeps and how many of them run."""
 
@@ -118,13 +110,14 @@
     """Rows of one pool that changed; a pool is resources that share targets.
 
     ``slots`` is what another data centre's routers may use, borrowed included.
+    ``virtual_times`` are the sending allocator's, told whole to one that starts and
+    for those that wait now and then, so that copies stay together.
     """
 
     pool: str
     served: tuple[ServedRow, ...] = ()
     demands: tuple[DemandRow, ...] = ()
     slots: int = 0
-    adjustments: tuple[AdjustmentRow, ...] = ()
     virtual_times: tuple[tuple[str, float], ...] = ()
 
 
--- a/sesameford/place_reports.py
+++ b/sesameford/place_reports.py
@@ -9,7 +9,6 @@
     pool_reports,
 )
 from sesameford.messages import (
-    AdjustmentRow,
     Outgoing,
     PoolReport,
     ShareReport,
@@ -20,6 +19,7 @@
 _DEMANDS_TOLD = 32
 _NEW_DEMAND_SECONDS = 0.1
 _WANTED_CHANGE_TOLD = 0.25
+_COMPARE_SECONDS = 5.0
 
 
 def place_reports(state: AllocatorState, now_seconds: float) -> list[Outgoing]:
@@ -113,41 +113,39 @@
     full: bool,
     now_seconds: float,
 ) -> tuple[PoolReport, ...]:
-    """Add the slots at hand, and lifts and clamps the receiver was not told."""
+    """Add the slots at hand and, when due, virtual times."""
+    compares = now_seconds - place.told_times_at_seconds >= _COMPARE_SECONDS
+    if full or compares:
+        place.told_times_at_seconds = now_seconds
     for pool, pool_state in state.pools.items():
-        times = pool_state.times
-        adjustments = []
-        for customer in times.customers():
-            standing = times.standing(customer)
-            version = standing.adjustment_version
-            told = place.told_adjustments.get((pool, customer), 0)
-            if version > told or (full and version):
-                place.told_adjustments[(pool, customer)] = version
-                value = round(standing.adjustment, 1)
-                adjustments.append(AdjustmentRow(customer, version, value))
-        snapshot: tuple[tuple[str, float], ...] = ()
-        if full:
-            snapshot = tuple(
-                (customer, times.virtual_time(customer))
-                for customer in times.customers()
+        virtual_times: tuple[tuple[str, float], ...] = ()
+        if full or compares:
+            customers = pool_state.times.customers()
+            if not full:
+                customers = _waiting_customers(state, pool)
+            virtual_times = tuple(
+                (customer, round(pool_state.times.virtual_time(customer)))
+                for customer in customers
             )
         known = pools.get(pool)
         slots = _slots_at_hand(state, pool, now_seconds)
-        changed = slots != place.told_slots.get(pool)
-        if known or adjustments or snapshot or changed:
+        if known or virtual_times or slots != place.told_slots.get(pool):
             place.told_slots[pool] = slots
-            base = known or PoolReport(pool)
+            known = known or PoolReport(pool)
             pools[pool] = PoolReport(
-                pool,
-                base.served,
-                base.demands,
-                slots,
-                tuple(adjustments),
-                snapshot,
+                pool, known.served, known.demands, slots, virtual_times
             )
     return tuple(pools[pool] for pool in sorted(pools))
 
 
+def _waiting_customers(state: AllocatorState, pool: str) -> list[str]:
+    """Return some of the customers that wait for a pool here."""
+    customers = {
+        key[1] for link in state.routers() for key in link.demands if key[0] == pool
+    }
+    return sorted(customers)[:_DEMANDS_TOLD]
+
+
 def _slots_at_hand(state: AllocatorState, pool: str, now_seconds: float) -> int:
     """Return how many slots of a pool serve this data centre's work.
 
--- a/sesameford/virtual_time.py
+++ b/sesameford/virtual_time.py
@@ -1,8 +1,8 @@
 """Virtual times: a customer's service over its weight, comparable fleet-wide.
 
-Each allocator adds up the same increments, so virtual times agree but for what
-is under way. Lifts and clamps are told as versioned adjustments; the larger
-version holds everywhere, so that copies agree on them too.
+Each allocator adds up the same increments and lifts and clamps by the same rule, so
+virtual times agree but for what is under way. Now and then allocators compare them
+and meet half-way, so that what a lost or late report changed does not stay.
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,8 +14,6 @@
     """One customer's place in a pool."""
 
     virtual_time: float = 0.0
-    adjustment: float = 0.0
-    adjustment_version: int = 0
     backlogged_at_seconds: float = float("-inf")
 
 
@@ -60,26 +58,31 @@
         """
         self.standing(customer_id).virtual_time += cost_units / share
 
-    def merge_adjustment(
-        self, customer_id: str, version: int, adjustment: float
-    ) -> bool:
-        """Take another instance's lift or clamp; True if it was newer."""
-        standing = self.standing(customer_id)
-        if (version, adjustment) <= (
-            standing.adjustment_version,
-            standing.adjustment,
-        ):
-            return False
-        standing.virtual_time += adjustment - standing.adjustment
-        standing.adjustment = adjustment
-        standing.adjustment_version = version
-        return True
-
     def merge_snapshot(self, customer_id: str, virtual_time: float) -> None:
         """Take a virtual time from an instance that has counted for longer."""
         standing = self.standing(customer_id)
         standing.virtual_time = max(standing.virtual_time, virtual_time)
 
+    def meet(self, others: Mapping[str, float]) -> None:
+        """Come half-way towards another allocator's virtual times.
+
+        Only differences between customers matter, so what all have in common is
+        left out.
+
+        Args:
+            others: Virtual times of customers that wait, by customer.
+        """
+        apart = {
+            customer: virtual_time - self._standings[customer].virtual_time
+            for customer, virtual_time in others.items()
+            if customer in self._standings
+        }
+        if len(apart) < 2:
+            return
+        common = sum(apart.values()) / len(apart)
+        for customer, difference in apart.items():
+            self._standings[customer].virtual_time += (difference - common) / 2.0
+
     def mark_backlogged(
         self, waiting_since: Mapping[str, float], now_seconds: float
     ) -> float | None:
@@ -125,12 +128,7 @@
 
     def _move(self, standing: Standing, low: float, high: float) -> None:
         """Adjust a virtual time into a range."""
-        wanted = min(max(standing.virtual_time, low), high)
-        change = wanted - standing.virtual_time
-        if change != 0.0:
-            standing.virtual_time = wanted
-            standing.adjustment += change
-            standing.adjustment_version += 1
+        standing.virtual_time = min(max(standing.virtual_time, low), high)
 
     def forget_idle(self, now_seconds: float, kept_seconds: float) -> None:
         """Drop customers idle for long; they would be lifted anyway."""
