Count a covered holder's slot at the work that comes last

Cause: a holder whose work is all served soon was taken to need every slot, however far ahead its customers were. Change: its slot is worth the virtual time of the work that comes last.

--- a/sesameford/allocation.py
+++ b/sesameford/allocation.py
@@ -80,8 +80,13 @@
         return self.vessels[0].virtual_time
 
     def next_slot_worth(self) -> float:
-        """Return where a slot of this holder would be used, in virtual time."""
-        return self.long_level if self.long_level < inf else self.lowest()
+        """Return in virtual time what this holder would do without a slot of its.
+
+        Where all is served within the horizon that is the work that comes last.
+        """
+        if self.long_level < inf:
+            return self.long_level
+        return self.vessels[-1].virtual_time
 
 
 def water_level(vessels: Sequence[Vessel], cost_units: float) -> float:
