Wait with news of demand where nothing idles, and keep free slots near

Cause: every new customer that waited was told at once to every data centre, and a covered holder was passed over for free slots. Change: told at once only where slots may idle; a covered holder takes part by the work that comes last.

--- a/sesameford/allocation.py
+++ b/sesameford/allocation.py
@@ -168,6 +168,12 @@
 
 
 def _free_order(holder: Holder) -> tuple[float, float, str]:
+    """Order holders by where a free slot would be used, in virtual time."""
+    use = holder.level if holder.level < inf else holder.next_slot_worth()
+    return use + holder.handicap, holder.lowest(), holder.holder_id
+
+
+def _behind_order(holder: Holder) -> tuple[float, float, str]:
     return holder.level + holder.handicap, holder.lowest(), holder.holder_id
 
 
@@ -204,13 +210,13 @@
     for _ in range(under_way):
         if not behind:
             return []
-        lowest = min(behind, key=_free_order)
+        lowest = min(behind, key=_behind_order)
         lowest.requests -= 1
         _count_slot(holders, lowest.holder_id, 1, horizon)
         behind = [holder for holder in behind if holder.requests > 0]
     moves: list[Move] = []
     while behind:
-        lowest = min(behind, key=_free_order)
+        lowest = min(behind, key=_behind_order)
         if lowest.level == inf:
             break
         source = _furthest_ahead(holders, lowest, quantum, may_take)
--- a/sesameford/place_reports.py
+++ b/sesameford/place_reports.py
@@ -17,7 +17,6 @@
 
 SERVED_THRESHOLD_QUANTA = 0.5
 _DEMANDS_TOLD = 32
-_NEW_DEMAND_SECONDS = 0.1
 _WANTED_CHANGE_TOLD = 0.25
 _COMPARE_SECONDS = 5.0
 
@@ -53,12 +52,11 @@
         for target_id, slots in state.held().items()
         if state.owner_of.get(target_id) == name
     }
-    news = any(key not in link.told_demands for key in demands)
     due = (
         since >= HEARTBEAT_SECONDS
         or link.full_due
         or link.returns_slots(kept)
-        or (news and since >= _NEW_DEMAND_SECONDS)
+        or _could_help(place, demands)
     )
     if not due:
         return None
@@ -84,6 +82,19 @@
     )
 
 
+def _could_help(place: Place, demands: dict[DemandKey, Demand]) -> bool:
+    """Return whether new work waits here while the other place may have slots idle.
+
+    Where work waits there too, nothing idles and the next report is soon enough.
+    """
+    for key in demands:
+        if key not in place.link.told_demands:
+            news = place.news.get(key[0])
+            if news is None or not news.contended:
+                return True
+    return False
+
+
 def _demands(state: AllocatorState) -> dict[DemandKey, Demand]:
     """Return the waiting work of this data centre that comes first."""
     merged: dict[DemandKey, Demand] = {}
