Encode messages as arrays

Cause: the names of fields were most of a control message's bytes. Change: envelopes and messages are MessagePack arrays.

--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -12,7 +12,7 @@
 # --- membership ----------------------------------------------------------------
 
 
-class Heartbeat(Struct, frozen=True, tag=True):
+class Heartbeat(Struct, frozen=True, array_like=True, tag=True):
     """I live; this is my state and the tree revision I am under."""
 
     data_centre: str
@@ -20,7 +20,7 @@
     revision: int
 
 
-class TargetNews(Struct, frozen=True, tag=True):
+class TargetNews(Struct, frozen=True, array_like=True, tag=True):
     """A target's latest announcement, passed on.
 
     ``announcement_sequence`` grows with every announcement of an incarnation, so
@@ -57,13 +57,13 @@
     digest: bytes
 
 
-class TreeSteps(Struct, frozen=True, tag=True):
+class TreeSteps(Struct, frozen=True, array_like=True, tag=True):
     """Changes that follow one another without a gap."""
 
     steps: tuple[TreeStepRow, ...]
 
 
-class TreeWhole(Struct, frozen=True, tag=True):
+class TreeWhole(Struct, frozen=True, array_like=True, tag=True):
     """The whole tree at a revision, for one who is too far behind for steps."""
 
     revision: int
@@ -71,7 +71,7 @@
     digest: bytes
 
 
-class TreeWanted(Struct, frozen=True, tag=True):
+class TreeWanted(Struct, frozen=True, array_like=True, tag=True):
     """Send me what came after this revision; ``whole`` wants no steps."""
 
     revision: int
@@ -137,7 +137,7 @@
     busy_seconds: float
 
 
-class ShareReport(Struct, frozen=True, tag=True):
+class ShareReport(Struct, frozen=True, array_like=True, tag="Share"):
     """What a router tells its allocator, and an allocator those of other places.
 
     ``term`` grows whenever the sender starts anew with this receiver;
@@ -192,7 +192,7 @@
     fraction: float
 
 
-class SlotGrants(Struct, frozen=True, tag=True):
+class SlotGrants(Struct, frozen=True, array_like=True, tag="Slots"):
     """An allocator's answer to a report: renewal, grants and news.
 
     The receiver's lease on all that it holds runs from when it sent the report
@@ -213,13 +213,13 @@
 # --- replicated log ------------------------------------------------------------
 
 
-class LogPayload(Struct, frozen=True, tag=True):
+class LogPayload(Struct, frozen=True, array_like=True, tag=True):
     """A message of the replicated log; its own types stand in its module."""
 
     payload: bytes
 
 
-class ProposalRequest(Struct, frozen=True, tag=True):
+class ProposalRequest(Struct, frozen=True, array_like=True, tag=True):
     """Please bring this command to agreement; the id stays over resends."""
 
     proposal_id: str
@@ -227,7 +227,7 @@
     command: bytes
 
 
-class ProposalReply(Struct, frozen=True, tag=True):
+class ProposalReply(Struct, frozen=True, array_like=True, tag=True):
     """What became of a proposal: ``status`` is accepted, refused or no-quorum."""
 
     proposal_id: str
@@ -238,7 +238,7 @@
 # --- outcomes ------------------------------------------------------------------
 
 
-class SuspectNews(Struct, frozen=True, tag=True):
+class SuspectNews(Struct, frozen=True, array_like=True, tag=True):
     """How often a body's digest was in flight alone or together at a death.
 
     ``deaths`` is the set of target incarnations that died; sets merge by union.
@@ -249,7 +249,7 @@
     cleared: bool
 
 
-class KeptAnswerWanted(Struct, frozen=True, tag=True):
+class KeptAnswerWanted(Struct, frozen=True, array_like=True, tag=True):
     """What became of the run under this claim of yours?
 
     ``incarnation`` and ``request_id`` are the owner's, as the log has them.
@@ -261,7 +261,7 @@
     request_id: str
 
 
-class KeptAnswer(Struct, frozen=True, tag=True):
+class KeptAnswer(Struct, frozen=True, array_like=True, tag=True):
     """The owner's word on a run; ``status`` 0 where no answer is kept here."""
 
     query_id: str
@@ -288,7 +288,7 @@
 )
 
 
-class Envelope(Struct, frozen=True):
+class Envelope(Struct, frozen=True, array_like=True):
     """What one instance sends another in one datagram of the link.
 
     ``acknowledged`` is the incarnation and sequence of the newest envelope that the
