Move slots and tell of new demand four times a second; lend for more

Cause: a slot that moves idles on its way, and most moves were undone by the next. Change: moves and news of demand every 0.25 s; lending to another data centre needs four quanta of difference instead of half a one.

--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -39,7 +39,7 @@
 from sesameford.scheduling import Scheduler
 from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
 
-_NEW_DEMAND_SECONDS = 0.1
+_NEW_DEMAND_SECONDS = 0.25
 _EXCHANGE_ROUNDS = 4
 
 
--- a/sesameford/pool_allocation.py
+++ b/sesameford/pool_allocation.py
@@ -17,8 +17,8 @@
 HORIZON_SECONDS = 2.0
 _SHORT_HORIZON_SECONDS = 0.2
 _SMALL_QUANTA = 2.0
-_MOVE_SECONDS = 0.1
-_LENDING_HANDICAP_QUANTA = 0.5
+_MOVE_SECONDS = 0.25
+_LENDING_HANDICAP_QUANTA = 4.0
 
 
 def allocate(state: AllocatorState, now_seconds: float) -> None:
