Answer and push a change as soon as it is committed

The leader applied what acknowledgements had committed only at its next heartbeat, and it pushed nothing at all: a method was compared to a word. Change: entries are applied also when nothing is to be written or sent; the role is asked for.

--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -135,7 +135,7 @@
                 self.peers.send,
                 self._configure,
                 lambda: self.members.live(self._now()),
-                lambda: self._log.role == "leader",
+                lambda: self._log.role() == "leader",
                 self._now,
             ),
         )
--- a/sesameford/log_replica.py
+++ b/sesameford/log_replica.py
@@ -103,6 +103,9 @@
         due = effects(self.core, now_seconds)
         image = self._due_image()
         if due is None and image is None:
+            # An acknowledgement may have committed entries with nothing to write or
+            # send. Left for the next heartbeat, each answer would be late by it.
+            self._apply()
             return None
         for packet in due.early if due else ():
             self._send(packet)
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -1,5 +1,6 @@
 """Whole instances in one process, over real sockets on loopback."""
 
+from asyncio import sleep, timeout
 from contextlib import AsyncExitStack, asynccontextmanager
 from hashlib import sha256
 from pathlib import Path
@@ -11,6 +12,7 @@
 from sesameford.errors import SettingsError
 from sesameford.instance import Instance
 from sesameford.settings import DaemonSettings, Listen, OperatorKey, Peer
+from sesameford.tree_spread import TreeSpread
 
 OPERATOR_KEY = "the-operators-key"
 OPERATOR = {"Authorization": f"Bearer {OPERATOR_KEY}"}
@@ -87,6 +89,26 @@
             assert instance.router.tree.customers["club"].share == 2
 
 
+async def test_the_leader_pushes_changes_to_those_who_do_not_ask(tmp_path, monkeypatch):
+    """Nobody asks for what is missing, as though all heartbeats were lost.
+
+    Without the push a change would wait for a heartbeat and a question instead.
+    """
+    monkeypatch.setattr(TreeSpread, "due", lambda *_: ())
+    settings = make_settings(tmp_path, 4, 3)
+    async with running(settings) as instances, ClientSession() as session:
+        for instance in instances:
+            await until(lambda one=instance: len(one.members.all()) == 3)
+        assert (await apply_tree(session, settings[0], "c1", 0, TREE))[0] == 200
+        assert await instances[3].tree.caught_up(1, 5)
+
+
+async def until(condition, limit_seconds=20):
+    async with timeout(limit_seconds):
+        while not condition():
+            await sleep(0.02)
+
+
 async def test_an_instance_that_restarts_empty_takes_the_tree(tmp_path):
     """An instance without a disk is restarted and knows nothing any more.
 
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -1,6 +1,6 @@
 """The log's shell: proposals from any instance, restarts, disks that fail."""
 
-from asyncio import create_task
+from asyncio import create_task, sleep
 
 import pytest
 
@@ -144,3 +144,19 @@
     for service in fleet.services.values():
         service.set_wanted_voters(None)
     assert await fleet.run(5, until=lambda: voters() == {"a", "b", "c"})
+
+
+async def test_an_answer_needs_no_heartbeat_after_the_acknowledgements(tmp_path):
+    """All is acknowledged and nothing is left to write or send.
+
+    Left for the leader's next heartbeat, each change would be late by up to it.
+    """
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "first", b"0")
+    leader = fleet.leader()
+    task = create_task(fleet.services[leader].propose("p", "list", b"1"))
+    for _ in range(20):
+        await sleep(0)
+        fleet._deliver()
+    assert task.done()
+    assert await task == b"2"
