--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -75,6 +75,7 @@
         self._listener: Pull0 | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._urgent: asyncio.TimerHandle | None = None
+        self._is_stopping = False
         self.sent_bytes = 0
         self.received_bytes = 0
         self.refused_messages = 0
@@ -97,6 +98,7 @@
         """Send what is pending and close all sockets."""
         self.flush()
         await asyncio.sleep(URGENT_FLUSH_SECONDS)
+        self._is_stopping = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -199,7 +201,10 @@
         self._states[peer.instance_id] = replace(state, dialled_at_seconds=self._now())
 
     async def _receive(self) -> None:
-        while True:
+        # A message that arrives in the turn of the cancellation makes the library
+        # return it and forget the cancellation. The stop would wait for this task
+        # for ever, and an instance that has finished all its work never end.
+        while not self._is_stopping:
             assert self._listener is not None
             try:
                 sealed = await self._listener.arecv()
