--- a/sesameford/control_commands.py
+++ b/sesameford/control_commands.py
@@ -48,7 +48,8 @@
     counts: dict[str, int] = {}
     for path, encoded in declared.nodes.items():
         root = path.partition("/")[0]
-        counts[root] = counts.get(root, 0) + read_node(encoded).is_leaf
+        if root != "fleet":
+            counts[root] = counts.get(root, 0) + read_node(encoded).is_leaf
     if arguments.output == "json":
         print_json({"valid": True, "entities": counts})
     else:
--- a/sesameford/control_output.py
+++ b/sesameford/control_output.py
@@ -26,15 +26,17 @@
         columns: The names of its columns.
         rows: Cells, turned to text.
     """
-    table = Table(title=title, title_justify="left")
+    table = Table()
     for column in columns:
         table.add_column(column, overflow="fold")
     for row in rows:
         table.add_row(*(_cell(value) for value in row))
     # Ids and digests are meant to be copied, so nothing is cut to the width of a
     # window where the output is not one.
-    console = Console()
-    Console(width=None if console.is_terminal else 200, markup=False).print(table)
+    is_terminal = Console().is_terminal
+    console = Console(width=None if is_terminal else 200, markup=False)
+    console.print(title, highlight=False)
+    console.print(table)
 
 
 def _cell(value: Any) -> str:
--- a/sesameford/tree.py
+++ b/sesameford/tree.py
@@ -271,10 +271,12 @@
         values = self.settings(path)
         if "limits" in values:
             values["limits"] = self._shared_limits(values["limits"])
-        if "key_digests" in values:
-            values["key_digests"] = tuple(values["key_digests"])
         if "routes" in values:
-            values["routes"] = tuple(RouteSettings(**one) for one in values["routes"])
+            values["routes"] = [RouteSettings(**one) for one in values["routes"]]
+        values = {
+            field: tuple(value) if isinstance(value, list) else value
+            for field, value in values.items()
+        }
         if name:
             values[NAME_FIELDS[root]] = name
         return ROOTS[root](**values)
--- a/sesameford/tree_fields.py
+++ b/sesameford/tree_fields.py
@@ -160,34 +160,24 @@
     return check
 
 
-def _key_digests(value: Any, path: str) -> list[str]:
-    """Check a list of SHA-256 digests of keys."""
-    if not isinstance(value, list) or len(value) > MAX_DIGESTS:
-        raise Refused(path, shown(value), f"a list of at most {MAX_DIGESTS} digests")
-    for position, digest in enumerate(value):
-        if not isinstance(digest, str) or not _DIGEST.fullmatch(digest):
-            raise Refused(
-                f"{path}[{position}]",
-                shown(digest),
-                "the SHA-256 of a key as 64 hexadecimal digits in lower case",
-            )
-        if digest in value[:position]:
-            raise Refused(f"{path}[{position}]", "a digest twice", "each digest once")
-    return value
-
+def _digests(limit: int, what: str) -> Check:
+    """Return a check for a list of SHA-256 digests."""
+    allowed = f"{what} as 64 hexadecimal digits in lower case"
+
+    def check(value: Any, path: str) -> list[str]:
+        if not isinstance(value, list) or len(value) > limit:
+            raise Refused(path, shown(value), f"a list of at most {limit} digests")
+        seen: set[str] = set()
+        for position, digest in enumerate(value):
+            where = f"{path}[{position}]"
+            if not isinstance(digest, str) or not _DIGEST.fullmatch(digest):
+                raise Refused(where, shown(digest), allowed)
+            if digest in seen:
+                raise Refused(where, "a digest twice", "each digest once")
+            seen.add(digest)
+        return value
 
-def _lifted_digests(value: Any, path: str) -> list[str]:
-    """Check a list of digests of bodies whose quarantine is lifted."""
-    if not isinstance(value, list) or len(value) > MAX_LIFTED:
-        raise Refused(path, shown(value), f"a list of at most {MAX_LIFTED} digests")
-    for position, digest in enumerate(value):
-        if not isinstance(digest, str) or not _DIGEST.fullmatch(digest):
-            raise Refused(
-                f"{path}[{position}]",
-                shown(digest),
-                "the digest of a body as the status shows it, 64 hexadecimal digits",
-            )
-    return value
+    return check
 
 
 def _method(value: Any, path: str) -> str:
@@ -228,7 +218,9 @@
     {
         (CustomerSettings, "share"): _number(0, 1e6, above=True),
         (CustomerSettings, "deadline_seconds"): _number(0, 86_400, above=True),
-        (CustomerSettings, "key_digests"): _key_digests,
+        (CustomerSettings, "key_digests"): _digests(
+            MAX_DIGESTS, "the SHA-256 of a key"
+        ),
         (CustomerSettings, "limits"): _limits,
         (ServiceSettings, "routes"): _routes,
         (ServiceSettings, "deadline_seconds"): _number(0, 86_400, above=True),
@@ -236,7 +228,9 @@
         (RouteSettings, "path_prefix"): _path_prefix,
         (FleetSettings, "scheduler"): _one_of("leased", "independent"),
         (FleetSettings, "target_lease_seconds"): _number(0.1, 60),
-        (FleetSettings, "lifted_digests"): _lifted_digests,
+        (FleetSettings, "lifted_digests"): _digests(
+            MAX_LIFTED, "the digest of a body, from the status,"
+        ),
         (FleetSettings, "silence_seconds"): _number(0.1, 3600),
         (FleetSettings, "balancer_delay_seconds"): _number(0, 600),
         (FleetSettings, "retry_budget_fraction"): _number(0, 1),
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,6 +4,8 @@
 
 import pytest
 from aiohttp import ClientSession
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from tests.operators_fixture import KEY, PLATFORM_KEY
 
@@ -21,6 +23,9 @@
 }
 
 
+CHANGE_FIELDS = ("change_id", "base_revision", "declared")
+
+
 async def call(instance, method, path, body=None, key=KEY):
     """Return status and decoded body of a request."""
     headers = {} if key is None else {"Authorization": f"Bearer {key}"}
@@ -190,6 +195,51 @@
     assert not instance.announced
 
 
+json_like = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=6)
+    | st.sampled_from(["c1", TREE, "model", "http://127.0.0.1:1"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from([*ANNOUNCEMENT, *CHANGE_FIELDS]) | st.text(max_size=3),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=8,
+)
+near_misses = st.builds(
+    lambda good, name, value: {**good, name: value},
+    st.sampled_from([ANNOUNCEMENT, change()]),
+    st.sampled_from([*ANNOUNCEMENT, *CHANGE_FIELDS]),
+    json_like,
+)
+PATHS = ("/tree/changes", "/targets/announce", "/targets/leave")
+
+
+@settings(
+    derandomize=True,
+    max_examples=250,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    path=st.sampled_from(PATHS),
+    body=json_like | near_misses | near_misses | st.binary(max_size=40),
+    cut=st.integers(0, 3),
+)
+async def test_no_body_breaks_the_port(instance, path, body, cut):
+    key = KEY if path.startswith("/tree") else PLATFORM_KEY
+    encoded = body if isinstance(body, bytes) else json.dumps(body).encode()
+    status, answer = await call(instance, "POST", path, encoded[: -cut or None], key)
+    assert status in (200, 400, 409, 422)
+    assert isinstance(answer, dict)
+
+
 async def test_an_unknown_node_or_query_is_refused(instance):
     assert (await call(instance, "GET", "/tree/effective?path=customers/x"))[0] == 404
     assert (await call(instance, "GET", "/tree/history?before=x"))[0] == 400
