--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -74,6 +74,7 @@
 from sesameford.traces import make_tracer, make_tracer_provider
 from sesameford.tree_changes import HistoryEntry, TreeMachine
 from sesameford.tree_holder import TreeHolderDeps, make_tree_holder
+from sesameford.voters import wanted_voters
 
 logger = logging.getLogger(__name__)
 
@@ -140,9 +141,12 @@
             ),
         )
         self._machine = TreeMachine(self.tree.committed)
+        peer_ids = tuple(peer.instance_id for peer in settings.peers if peer.has_disk)
+        own_ids = (settings.instance_id,) if settings.data_folder else ()
+        self._replica_ids = own_ids + peer_ids
         self._log = make_log_service(
             settings.instance_id,
-            tuple(peer.instance_id for peer in settings.peers if peer.has_disk),
+            peer_ids,
             Path(settings.data_folder) if settings.data_folder else None,
             (self._machine, ClaimsMachine()),
             self._send_log,
@@ -237,6 +241,7 @@
     def _configure(self, tree: EffectiveTree) -> None:
         self.router.configure(tree)
         self.outcomes.configure(tree)
+        self._log.set_wanted_voters(wanted_voters(tree, self._replica_ids))
         own = tree.instances.get(self._settings.instance_id)
         is_drained = own is not None and own.drain
         if is_drained and not self._drained_by_tree:
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -9,10 +9,12 @@
 import pytest
 from aiohttp import ClientSession
 
+from sesameford.effective import EffectiveTree, InstanceSettings
 from sesameford.errors import SettingsError
 from sesameford.instance import Instance
 from sesameford.settings import DaemonSettings, Listen, OperatorKey, Peer
 from sesameford.tree_spread import TreeSpread
+from sesameford.voters import wanted_voters
 
 OPERATOR_KEY = "the-operators-key"
 OPERATOR = {"Authorization": f"Bearer {OPERATOR_KEY}"}
@@ -103,6 +105,38 @@
         assert await instances[3].tree.caught_up(1, 5)
 
 
+async def test_a_replica_gives_up_its_vote_by_the_tree(tmp_path):
+    settings = make_settings(tmp_path, 3, 3)
+    tree = TREE + "instances: {children: {e2: {voter: false}}}\n"
+
+    def votes(instance):
+        members = instance._log.status().members
+        return {one.instance_id for one in members if one.voter}
+
+    async with running(settings) as instances, ClientSession() as session:
+        assert (await apply_tree(session, settings[0], "c1", 0, TREE))[0] == 200
+        await until(lambda: votes(instances[0]) == {"e0", "e1", "e2"})
+        assert (await apply_tree(session, settings[0], "c2", 1, tree))[0] == 200
+        await until(lambda: votes(instances[0]) == {"e0", "e1"})
+        assert (await apply_tree(session, settings[1], "c3", 2, TREE))[0] == 200
+        await until(lambda: votes(instances[0]) == {"e0", "e1", "e2"})
+
+
+def test_a_tree_can_not_take_every_vote():
+    """An operator takes the vote from each replica in one change.
+
+    Followed to the word, no later change could ever be accepted.
+    """
+
+    def wanted(*unwanted):
+        instances = {one: InstanceSettings(one, voter=False) for one in unwanted}
+        return wanted_voters(EffectiveTree(1, instances=instances), ("a", "b"))
+
+    assert wanted() is None
+    assert wanted("a", "x") == {"b"}
+    assert wanted("a", "b") is None
+
+
 async def until(condition, limit_seconds=20):
     async with timeout(limit_seconds):
         while not condition():
