--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -22,6 +22,7 @@
 from sesameford.independent import make_independent_scheduler
 from sesameford.instance_status import OwnStanding, make_status, quarantine_of
 from sesameford.keyed import KeyedPorts, KeyedRequests
+from sesameford.leased import make_leased_scheduler
 from sesameford.link_key import load_link_key
 from sesameford.log_service import make_log_service
 from sesameford.members import Members
@@ -172,8 +173,11 @@
             self._settings.data_centre,
             self.incarnation,
         )
-        makers = {"independent": partial(make_independent_scheduler, *arguments)}
-        return make_scheduler_switch(makers, first="independent")
+        makers = {
+            "leased": partial(make_leased_scheduler, *arguments),
+            "independent": partial(make_independent_scheduler, *arguments),
+        }
+        return make_scheduler_switch(makers, first="leased")
 
     async def start(self) -> None:
         """Open the listeners and begin to run the systems.
