Spread targets by keepers that vouch, not by passing announcements on

Cause: every announcement of every target went to every instance. At today's size that is 12 targets a second to 7 peers; at 600 targets it would be over 100 KB/s at each of 360 instances, against a budget of 2 KB/s. Change: one instance keeps a target's lease; changes are told, and four times a second each keeper vouches for all it keeps with a digest. Receivers whose digest differs ask for the rows; a silent keeper is replaced by who hears the target.

--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -37,6 +37,11 @@
     ProposalRequest,
     SuspectNews,
     TargetNews,
+    TargetRenewed,
+    TargetRow,
+    TargetRows,
+    TargetsVouched,
+    TargetsWanted,
     TreeSteps,
     TreeWanted,
     TreeWhole,
@@ -64,6 +69,7 @@
     withdraw_stop,
 )
 from sesameford.tables import InstanceState
+from sesameford.target_spread import make_target_spread
 from sesameford.targets import TargetRegistry
 from sesameford.tls import (
     TlsFiles,
@@ -108,6 +114,9 @@
         self._control_time = ProcessorTime()
         self.metrics = Metrics()
         self.registry = TargetRegistry()
+        self.targets = make_target_spread(
+            self.registry, settings.instance_id, self.incarnation, passes_on=False
+        )
         self.members = Members()
         self._stop = StopState()
         self._drained_by_tree = False
@@ -303,6 +312,7 @@
         others = frozenset((one.instance_id, one.incarnation) for one in live.values())
         self.outcomes.tick(others, now_seconds)
         self._log.tick(now_seconds)
+        self._send_target_messages()
         self.tree.tick()
         running = self.router.scheduler.running_attempts()
         load = StopLoad(
@@ -334,9 +344,15 @@
             match message:
                 case Heartbeat():
                     self.members.heard(sender_id, incarnation, message, now_seconds)
-                case TargetNews():
-                    if self.registry.heard(message, now_seconds):
-                        self.router.tick()
+                case (
+                    TargetNews()
+                    | TargetRenewed()
+                    | TargetRow()
+                    | TargetRows()
+                    | TargetsVouched()
+                    | TargetsWanted()
+                ):
+                    self._on_target_message(sender_id, message, now_seconds)
                 case TreeSteps() | TreeWhole() | TreeWanted():
                     self.tree.received(sender_id, message)
                 case LogPayload() | ProposalRequest() | ProposalReply():
@@ -353,6 +369,30 @@
                     )
                     self.router.wake()
 
+    def _on_target_message(
+        self, sender_id: str, message: Message, now_seconds: float
+    ) -> None:
+        match message:
+            case TargetNews():
+                self.targets.announced(message, now_seconds)
+            case TargetRenewed():
+                self.targets.renewed(sender_id, message, now_seconds)
+            case TargetRow():
+                if self.targets.row_heard(sender_id, message, now_seconds):
+                    self.router.tick()
+            case TargetRows():
+                self.targets.rows_heard(sender_id, message, now_seconds)
+                self.router.tick()
+            case TargetsVouched():
+                self.targets.vouched(sender_id, message, now_seconds)
+            case TargetsWanted():
+                self.targets.wanted(sender_id, message, now_seconds)
+        self._send_target_messages()
+
+    def _send_target_messages(self) -> None:
+        for outgoing in self.targets.outgoing(self._now()):
+            self.peers.send(outgoing)
+
     def _operators_deps(self) -> OperatorsDeps:
         return OperatorsDeps(
             operators=self._settings.operators,
@@ -373,12 +413,14 @@
         return self._machine.history(before_revision)
 
     def _announce(self, news: TargetNews) -> bool:
-        taken = self.registry.announced(news, self._now())
+        taken = self.targets.announced(news, self._now())
+        self._send_target_messages()
         self.router.tick()
         return taken
 
     def _leave(self, target_id: str, incarnation: int, sequence: int) -> bool:
-        left = self.registry.left(target_id, incarnation, sequence, self._now())
+        left = self.targets.left(target_id, incarnation, sequence, self._now())
+        self._send_target_messages()
         self.router.tick()
         return left
 
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -21,7 +21,7 @@
 
 
 class TargetNews(Struct, frozen=True, array_like=True, tag=True):
-    """A target's latest announcement, passed on.
+    """What a target announced; also how an announcement reaches its keeper.
 
     ``announcement_sequence`` grows with every announcement of an incarnation, so
     that news from the past is recognised. ``lease_remaining_seconds`` counts from
@@ -41,6 +41,60 @@
     leaving: bool = False
 
 
+class TargetRenewed(Struct, frozen=True, array_like=True, tag=True):
+    """A target has announced the same again; for its keeper alone."""
+
+    target_id: str
+    incarnation: int
+    announcement_sequence: int
+    lease_remaining_seconds: float
+
+
+class TargetRow(Struct, frozen=True, array_like=True, tag=True):
+    """A target has changed: it is new, another, or gone.
+
+    The keeper is the instance that holds the target's lease and vouches for it.
+    ``version`` grows with every change, over all keepers and their restarts.
+    ``is_lapsed`` says that the lease has run out, which another announcement mends.
+    """
+
+    keeper_id: str
+    version: int
+    news: TargetNews
+    is_lapsed: bool = False
+
+
+class TargetRows(Struct, frozen=True, array_like=True, tag=True):
+    """All targets of a keeper; others that the receiver has of it are dropped."""
+
+    keeper_id: str
+    rows: tuple[TargetRow, ...]
+
+
+class Vouch(Struct, frozen=True, array_like=True):
+    """A keeper's word that all targets it keeps have live leases.
+
+    ``digest`` is over the targets; where the receiver's differs it asks for them.
+    ``age_seconds`` is how long ago the keeper gave its word.
+    """
+
+    keeper_id: str
+    digest: int
+    age_seconds: float
+
+
+class TargetsVouched(Struct, frozen=True, array_like=True, tag=True):
+    """Words of keepers, passed on together."""
+
+    vouches: tuple[Vouch, ...]
+
+
+class TargetsWanted(Struct, frozen=True, array_like=True, tag=True):
+    """Send me the rows of all targets of a keeper."""
+
+    keeper_id: str
+
+
 # --- settings tree -------------------------------------------------------------
 
 
@@ -274,6 +328,11 @@
 Message = (
     Heartbeat
     | TargetNews
+    | TargetRenewed
+    | TargetRow
+    | TargetRows
+    | TargetsVouched
+    | TargetsWanted
     | TreeSteps
     | TreeWhole
     | TreeWanted
--- a/sesameford/router.py
+++ b/sesameford/router.py
@@ -185,5 +185,3 @@
                 waiter.set_result(attempt)
         for outgoing in self.scheduler.outgoing(now_seconds):
             self._send(outgoing)
-        for outgoing in self.registry.outgoing():
-            self._send(outgoing)
--- a/sesameford/targets.py
+++ b/sesameford/targets.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from xxhash import xxh3_64_intdigest
+
 from sesameford.effective import TargetSettings
-from sesameford.messages import Outgoing, TargetNews
+from sesameford.messages import TargetNews
 from sesameford.tables import Table, Target
 from sesameford.target_health import TargetHealth, began, failed, is_held, proved
 
@@ -13,94 +15,104 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Known:
-    """A target with the number of its latest announcement."""
+class KnownTarget:
+    """A target with what orders its news.
+
+    ``announcement_sequence`` is the highest heard of its incarnation. ``version``
+    and ``keeper_id`` order what instances tell each other of it.
+    """
 
     target: Target
     announcement_sequence: int
+    version: int = 0
+    keeper_id: str = ""
+    is_lapsed: bool = False
+
+    @property
+    def stamp(self) -> tuple[int, int, str]:
+        """Return what orders rows of one target."""
+        return self.target.incarnation, self.version, self.keeper_id
 
 
 class TargetRegistry:
     """Targets by id; only the newest incarnation and announcement count."""
 
     def __init__(self) -> None:
-        self._known: Table[str, _Known] = Table()
-        self._news: list[TargetNews] = []
+        self._known: Table[str, KnownTarget] = Table()
+        self._keeper_leases: dict[str, float] = {}
+        self._digests: dict[str, int] = {}
         self._health: dict[str, TargetHealth] = {}
         self._on_replaced: Callable[[str, int, float], None] = lambda *_: None
 
-    def announced(self, news: TargetNews, now_seconds: float) -> bool:
-        """Take an announcement that a target made at this instance and pass it on.
+    def get(self, target_id: str) -> KnownTarget | None:
+        """Return what is known of a target."""
+        return self._known.get(target_id)
 
-        Returns:
-            False if it is from the past, and nothing was changed.
-        """
-        if not self.heard(news, now_seconds):
-            return False
-        self._news.append(news)
-        return True
-
-    def heard(self, news: TargetNews, now_seconds: float) -> bool:
-        """Take an announcement that another instance passed on."""
-        known = self._known.get(news.target_id)
-        stamp = (news.incarnation, news.announcement_sequence)
-        # A leave that is overtaken by an older announcement on a slower link would
-        # bring the target back: callers would see refused connections. The pair of
-        # incarnation and sequence only rises, so the past is recognised.
-        if known and stamp <= (known.target.incarnation, known.announcement_sequence):
-            return False
-        is_new = known is None or news.incarnation > known.target.incarnation
+    def rows(self) -> Sequence[KnownTarget]:
+        """Return all that is known."""
+        return list(self._known)
+
+    def put(self, row: KnownTarget, now_seconds: float) -> None:
+        """Insert or replace what is known of a target."""
+        target = row.target
+        old = self._known.get(target.target_id)
+        is_new = old is None or target.incarnation > old.target.incarnation
         # A leave is for good: an announcement that was on its way beside it, or one
         # of a target that is ending, must not bring the incarnation back.
-        has_left = known is not None and known.target.leaving and not is_new
-        target = Target(
-            target_id=news.target_id,
-            incarnation=news.incarnation,
-            kind=news.kind,
-            serves=news.serves,
-            url=news.url,
-            data_centre=news.data_centre,
-            capacity_slots=news.capacity_slots,
-            lease_expires_at_seconds=now_seconds
-            + min(news.lease_remaining_seconds, MAX_LEASE_SECONDS),
-            checks_fencing=news.checks_fencing,
-            leaving=news.leaving or has_left,
-        )
+        if old is not None and old.target.leaving and not is_new:
+            row = replace(row, target=replace(target, leaving=True))
+        if old is None or old.stamp != row.stamp:
+            self._digests.clear()
         if is_new:
-            health = began(
-                self._health.get(news.target_id), news.incarnation, now_seconds
+            self._health[target.target_id] = began(
+                self._health.get(target.target_id), target.incarnation, now_seconds
             )
-            self._health[news.target_id] = health
-            if known is not None:
-                self._on_replaced(news.target_id, news.incarnation, now_seconds)
-        self._known.put(news.target_id, _Known(target, news.announcement_sequence))
-        return True
-
-    def left(
-        self, target_id: str, incarnation: int, sequence: int, now_seconds: float
-    ) -> bool:
-        """Take a target's word that it leaves, and pass it on."""
+        self._known.put(target.target_id, row)
+        if is_new and old is not None:
+            self._on_replaced(target.target_id, target.incarnation, now_seconds)
+
+    def is_past(self, target_id: str, incarnation: int, sequence: int) -> bool:
+        """Return whether an announcement is older than what is known.
+
+        A leave that is overtaken by an older announcement on a slower link would
+        bring the target back: callers would see refused connections. The pair of
+        incarnation and sequence only rises, so the past is recognised.
+        """
         known = self._known.get(target_id)
-        if known is None or known.target.incarnation != incarnation:
-            return False
-        target = replace(known.target, leaving=True)
-        return self.announced(
-            TargetNews(
-                target_id=target_id,
-                incarnation=incarnation,
-                announcement_sequence=sequence,
-                kind=target.kind,
-                serves=target.serves,
-                url=target.url,
-                data_centre=target.data_centre,
-                capacity_slots=target.capacity_slots,
-                lease_remaining_seconds=target.lease_expires_at_seconds - now_seconds,
-                checks_fencing=target.checks_fencing,
-                leaving=True,
-            ),
-            now_seconds,
+        return known is not None and (incarnation, sequence) <= (
+            known.target.incarnation,
+            known.announcement_sequence,
+        )
+
+    def renew_kept_by(self, keeper_id: str, expires_at_seconds: float) -> None:
+        """Let the leases of all of a keeper's targets run until a later time."""
+        present_seconds = self._keeper_leases.get(keeper_id, 0.0)
+        self._keeper_leases[keeper_id] = max(present_seconds, expires_at_seconds)
+
+    def expires_at_seconds(self, known: KnownTarget) -> float:
+        """Return when a target's lease ends, its own or its keeper's word."""
+        return max(
+            known.target.lease_expires_at_seconds,
+            self._keeper_leases.get(known.keeper_id, 0.0),
         )
 
+    def is_live(self, known: KnownTarget, now_seconds: float) -> bool:
+        """Return whether a target's lease runs and it has not left."""
+        is_gone = known.target.leaving or known.is_lapsed
+        return not is_gone and self.expires_at_seconds(known) > now_seconds
+
+    def digest(self, keeper_id: str) -> int:
+        """Return the digest over the present versions of a keeper's targets."""
+        if keeper_id not in self._digests:
+            digest = 0
+            for known in self._known:
+                if known.keeper_id == keeper_id:
+                    incarnation, version, _ = known.stamp
+                    name = f"{known.target.target_id}/{incarnation}/{version}"
+                    digest ^= xxh3_64_intdigest(name.encode())
+            self._digests[keeper_id] = digest
+        return self._digests[keeper_id]
+
     def usable(
         self, declared: Mapping[str, TargetSettings], now_seconds: float
     ) -> dict[str, Target]:
@@ -108,8 +120,7 @@
         return {
             known.target.target_id: known.target
             for known in self._known
-            if not known.target.leaving
-            and known.target.lease_expires_at_seconds > now_seconds
+            if self.is_live(known, now_seconds)
             and not _is_drained(declared, known.target.target_id)
             and not is_held(self._health[known.target.target_id], now_seconds)
         }
@@ -137,19 +148,57 @@
     def tick(self, now_seconds: float) -> None:
         """Forget targets that were silent for long, with their numbers."""
         for known in self._known:
-            target = known.target
-            if now_seconds - target.lease_expires_at_seconds > FORGET_AFTER_SECONDS:
-                self._known.remove(target.target_id)
-                self._health.pop(target.target_id, None)
+            silent_seconds = now_seconds - self.expires_at_seconds(known)
+            if (known.is_lapsed or known.target.leaving) and (
+                silent_seconds > FORGET_AFTER_SECONDS
+            ):
+                self._known.remove(known.target.target_id)
+                self._health.pop(known.target.target_id, None)
+                self._digests.clear()
 
     def known(self) -> Sequence[Target]:
-        """Return all targets ever heard of, for the status page."""
-        return [known.target for known in self._known]
-
-    def outgoing(self) -> Sequence[Outgoing]:
-        """Return the news to pass on since the last call; a leave is urgent."""
-        news, self._news = self._news, []
-        return [Outgoing(None, item, urgent=item.leaving) for item in news]
+        """Return all targets ever heard of, with when their leases end."""
+        return [
+            replace(
+                known.target, lease_expires_at_seconds=self.expires_at_seconds(known)
+            )
+            for known in self._known
+        ]
+
+
+def target_of_news(news: TargetNews, now_seconds: float) -> Target:
+    """Return the target that an announcement describes."""
+    return Target(
+        target_id=news.target_id,
+        incarnation=news.incarnation,
+        kind=news.kind,
+        serves=news.serves,
+        url=news.url,
+        data_centre=news.data_centre,
+        capacity_slots=news.capacity_slots,
+        lease_expires_at_seconds=now_seconds
+        + min(news.lease_remaining_seconds, MAX_LEASE_SECONDS),
+        checks_fencing=news.checks_fencing,
+        leaving=news.leaving,
+    )
+
+
+def news_of_target(known: KnownTarget, now_seconds: float) -> TargetNews:
+    """Return the announcement that describes what is known of a target."""
+    target = known.target
+    return TargetNews(
+        target_id=target.target_id,
+        incarnation=target.incarnation,
+        announcement_sequence=known.announcement_sequence,
+        kind=target.kind,
+        serves=target.serves,
+        url=target.url,
+        data_centre=target.data_centre,
+        capacity_slots=target.capacity_slots,
+        lease_remaining_seconds=target.lease_expires_at_seconds - now_seconds,
+        checks_fencing=target.checks_fencing,
+        leaving=target.leaving,
+    )
 
 
 def _is_drained(declared: Mapping[str, TargetSettings], target_id: str) -> bool:
--- a/tests/faults_fixture.py
+++ b/tests/faults_fixture.py
@@ -24,6 +24,7 @@
 from sesameford.relay import RelayDeps
 from sesameford.router import Router
 from sesameford.tables import TargetKind
+from sesameford.target_spread import make_target_spread
 from sesameford.targets import TargetRegistry
 from sesameford.tree import effective_tree, parse_tree
 from standins.engine import Engine
@@ -141,7 +142,8 @@
             8,
             60.0,
         )
-        self.router.registry.heard(news, monotonic())
+        spread = make_target_spread(self.router.registry, "e1", 1, False)
+        spread.announced(news, monotonic())
         self.router.tick()
 
     async def close(self):
