--- a/sesameford/pool_allocation.py
+++ b/sesameford/pool_allocation.py
@@ -18,7 +18,7 @@
 _SHORT_HORIZON_SECONDS = 0.2
 _SMALL_QUANTA = 2.0
 _MOVE_SECONDS = 0.25
-_LENDING_HANDICAP_QUANTA = 4.0
+LENDING_HANDICAP_QUANTA = 4.0
 
 
 def allocate(state: AllocatorState, now_seconds: float) -> None:
@@ -113,7 +113,7 @@
         for row in link.pending:
             if row.key[0] == pool and row.key[1] in now:
                 now[row.key[1]] += row.cost_units / shares[row.key[1]]
-    handicap = _LENDING_HANDICAP_QUANTA * state.quantum()
+    handicap = LENDING_HANDICAP_QUANTA * state.quantum()
     return [
         Holder(
             holder_id,
