Adapt windows from completions, keep prefixes near their cache, test the parts

Cause: a target that runs less than it announces queues inside, out of fair order; a prompt's start is cached somewhere. Change: windows between half and all of the announced slots, moved by seconds per cost unit; a bounded memory of prefixes chooses among targets with a free slot.

--- a/sesameford/allocator.py
+++ b/sesameford/allocator.py
@@ -149,6 +149,8 @@
         link.take_holdings(report)
         for rows in report.pools:
             self._take_pool(link, rows, report.full, now_seconds)
+        for pace in report.paces:
+            state.take_pace(link, pace)
         for row in report.wanted:
             link.wanted[row.customer_id] = row.requests_per_second
             if link.is_place:
--- a/sesameford/allocator_state.py
+++ b/sesameford/allocator_state.py
@@ -6,9 +6,10 @@
 from sesameford.accounts import OriginTotals, OwnTotals
 from sesameford.effective import EffectiveTree
 from sesameford.links import GrantLink, ReportLink
-from sesameford.messages import PoolNews
+from sesameford.messages import PaceRow, PoolNews
 from sesameford.tables import Target
 from sesameford.virtual_time import VirtualTimes
+from sesameford.windows import Pace, Window, adapt_window, make_window
 
 PATIENCE_SECONDS = 0.5
 DEBT_QUANTA = 20.0
@@ -63,6 +64,7 @@
     origins: OriginTotals = field(default_factory=OriginTotals)
     totals: OwnTotals = field(default_factory=OwnTotals)
     place_wanted: dict[str, dict[str, float]] = field(default_factory=dict)
+    windows: dict[str, tuple[int, Window]] = field(default_factory=dict)
     changed: bool = True
     allocated_at_seconds: float = float("-inf")
 
@@ -110,12 +112,34 @@
     def capacity(self, target_id: str, now_seconds: float) -> int:
         """Return how many slots of a target this allocator may deal out."""
         if self.owns(target_id):
-            return self.targets[target_id].capacity_slots
+            return self.window(target_id).slots
         place = self.places.get(self.owner_of.get(target_id, ""))
         if place is None or not place.link.holds(now_seconds):
             return 0
         return place.link.holdings.get(target_id, 0)
 
+    def window(self, target_id: str) -> Window:
+        """Return an own target's window, made new for a new incarnation."""
+        target = self.targets[target_id]
+        incarnation, window = self.windows.get(target_id, (-1, make_window(0)))
+        announced = target.capacity_slots
+        if incarnation != target.incarnation or window.announced_slots != announced:
+            window = make_window(announced)
+            self.windows[target_id] = (target.incarnation, window)
+        return window
+
+    def take_pace(self, link: GrantLink, row: PaceRow) -> None:
+        """Adapt a target's window to completions that a router reports."""
+        if not self.owns(row.target_id) or row.target_id not in self.targets:
+            return
+        total = Pace(row.completions, row.cost_units, row.busy_seconds)
+        known = link.paces.get(row.target_id, Pace())
+        link.paces[row.target_id] = total
+        if total.completions > known.completions:
+            window = adapt_window(self.window(row.target_id), total.minus(known))
+            incarnation = self.targets[row.target_id].incarnation
+            self.windows[row.target_id] = (incarnation, window)
+
     def note_pace(self, pool: str, now_seconds: float) -> None:
         """Measure what a slot serves in a second."""
         state = self.pool(pool)
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from sesameford.accounts import Account, OwnTotals
+from sesameford.affinity import Affinity
 from sesameford.allocator import Allocator
 from sesameford.allocator_state import PATIENCE_SECONDS
 from sesameford.costs import cost_of_usage
@@ -38,6 +39,7 @@
 from sesameford.queues import QueueKey, Queues, Waiting
 from sesameford.scheduling import Scheduler
 from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
+from sesameford.windows import Pace
 
 _NEW_DEMAND_SECONDS = 0.25
 _EXCHANGE_ROUNDS = 4
@@ -80,6 +82,8 @@
         self._allocator = Allocator(instance_id, data_centre)
         self._queues = Queues()
         self._limits = Limits()
+        self._affinity = Affinity()
+        self._paces: dict[str, Pace] = {}
         self._estimates = Estimates()
         self._totals = OwnTotals()
         self._attempts: dict[str, _Running] = {}
@@ -109,6 +113,11 @@
         self, targets: Mapping[str, Target], now_seconds: float
     ) -> None:
         """Take the present table of targets that may get new work."""
+        for target_id, known in self._targets.items():
+            present = targets.get(target_id)
+            if present is None or present.incarnation != known.incarnation:
+                self._affinity.forget(target_id)
+                self._paces.pop(target_id, None)
         self._targets = dict(targets)
         self._pool_of = find_pools(self._targets.values())
         self._decided = False
@@ -321,9 +330,8 @@
         assert head is not None
         request = head.request
         serving = [one for one in free if key[1] in self._targets[one].serves]
-        target_id = max(
-            serving, key=lambda one: (one != head.avoid_target_id, free[one], one)
-        )
+        target_id = self._affinity.choose(request, free, serving, head.avoid_target_id)
+        self._affinity.sent(request, target_id)
         self._queues.take(request.request_id)
         free[target_id] -= 1
         if free[target_id] == 0:
@@ -388,6 +396,10 @@
         self._charge(row, used, now_seconds)
         if outcome is Outcome.RAN:
             self._estimates.learn(row.request, used)
+            busy_seconds = now_seconds - row.attempt.started_at_seconds
+            target_id = row.attempt.target_id
+            pace = self._paces.get(target_id, Pace())
+            self._paces[target_id] = pace.plus(Pace(1, used, busy_seconds))
 
     def retried(
         self, attempt_id: str, avoid_target_id: str | None, now_seconds: float
@@ -522,6 +534,7 @@
             tuple(pools.values()),
             holdings,
             wanted_rows(self._limits.wanted(now_seconds), self._told_wanted, full),
+            link.pace_rows(self._paces),
         )
 
     def _demand_is_urgent(
--- a/sesameford/limits.py
+++ b/sesameford/limits.py
@@ -188,6 +188,6 @@
     if total <= 0.0:
         return dict.fromkeys(wanted, even)
     return {
-        holder: floor_fraction * even + (1.0 - floor_fraction) * demand / total
+        holder: floor_fraction * even + (1.0 - floor_fraction) * (demand / total)
         for holder, demand in wanted.items()
     }
--- a/sesameford/links.py
+++ b/sesameford/links.py
@@ -14,12 +14,14 @@
     DemandRow,
     GrantRow,
     HoldingRow,
+    PaceRow,
     PoolReport,
     ServedRow,
     ShareReport,
     SlotGrants,
     StandingRow,
 )
+from sesameford.windows import Pace
 
 LEASE_SECONDS = 2.0
 HEARTBEAT_SECONDS = 0.5
@@ -28,6 +30,7 @@
 RESEND_SECONDS = 0.15
 _SMALL_DEMAND_REQUESTS = 8
 _AGE_TOLD_SECONDS = 0.2
+_COMPLETIONS_TOLD = 16
 _SENT_REPORTS_KEPT = 256
 
 DemandKey = tuple[str, str, str]
@@ -68,6 +71,8 @@
     told_served: dict[Account, float] = field(default_factory=dict)
     told_demands: dict[DemandKey, Demand] = field(default_factory=dict)
     told_holdings: dict[str, int] = field(default_factory=dict)
+    told_paces: dict[str, Pace] = field(default_factory=dict)
+    pace_base: dict[str, Pace] = field(default_factory=dict)
 
     def holds(self, now_seconds: float) -> bool:
         """Return whether the lease on the holdings still runs."""
@@ -188,6 +193,26 @@
             rows.setdefault(key[0], []).append(row)
         return rows
 
+    def pace_rows(self, paces: Mapping[str, Pace]) -> tuple[PaceRow, ...]:
+        """Return the completions since the term began that grew by enough."""
+        rows = []
+        for target_id, pace in paces.items():
+            base = self.pace_base.setdefault(target_id, pace)
+            since = pace.minus(base)
+            told = self.told_paces.get(target_id, Pace())
+            if since.completions - told.completions < _COMPLETIONS_TOLD:
+                continue
+            self.told_paces[target_id] = since
+            rows.append(
+                PaceRow(
+                    target_id,
+                    since.completions,
+                    round(since.cost_units),
+                    round(since.busy_seconds, 2),
+                )
+            )
+        return tuple(rows)
+
     def holding_rows(self, running: Mapping[str, int]) -> list[HoldingRow]:
         """Return the holdings that the receiver does not know yet."""
         if self.full_due:
@@ -262,6 +287,7 @@
     place_slots: dict[str, int] = field(default_factory=dict)
     told_fractions: dict[str, float] = field(default_factory=dict)
     wanted: dict[str, float] = field(default_factory=dict)
+    paces: dict[str, Pace] = field(default_factory=dict)
 
     @property
     def is_place(self) -> bool:
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,67 @@
+"""Queues stay within their bounds, whoever floods them."""
+
+import pytest
+
+from sesameford.effective import (
+    CustomerSettings,
+    EffectiveTree,
+    FleetSettings,
+    LimitSettings,
+)
+from sesameford.errors import NotRunError
+from sesameford.leased import make_leased_scheduler
+from sesameford.queues import Queues, Waiting
+from sesameford.tables import Request, TargetKind
+
+KIND = TargetKind.MODEL
+
+
+def make_request(number, customer, body_bytes=100, deadline_seconds=1e9):
+    return Request(
+        f"{customer}{number}",
+        customer,
+        KIND,
+        "m",
+        0.0,
+        deadline_seconds,
+        body_bytes,
+        0,
+        None,
+        True,
+        b"",
+    )
+
+
+def test_requests_leave_by_their_deadline_wherever_they_stand():
+    queues = Queues()
+    for number in range(5):
+        request = make_request(number, "c", deadline_seconds=10.0 - number)
+        queues.put(Waiting(request, 1.0))
+    assert queues.take_expired(8.0) == ["c4", "c3", "c2"]
+    assert len(queues) == 2
+    assert queues.total_bytes() == 200
+
+
+def test_a_flood_can_not_take_the_room_of_another():
+    """One customer sends without end; another sends its first request later.
+
+    The flood is refused with a time to come again, and the other's request waits
+    as if there were no flood.
+    """
+    roomy = LimitSettings(queued_requests=10**6, queued_bytes=10**9)
+    customers = {name: CustomerSettings(name, 1.0, roomy) for name in ("flood", "calm")}
+    tree = EffectiveTree(1, FleetSettings(queued_limit_bytes=10_000), customers)
+    router = make_leased_scheduler("e1", 1, "a", 1)
+    router.configure(tree, 0.0)
+    refusals = []
+    for number in range(1000):
+        try:
+            router.submit(make_request(number, "flood"), 0.0)
+        except NotRunError as error:
+            refusals.append(error.retry_after_seconds)
+    assert len(refusals) > 900
+    assert min(refusals) > 0.0
+    for number in range(20):
+        router.submit(make_request(number, "calm"), 0.0)
+    with pytest.raises(NotRunError):
+        router.submit(make_request(1000, "flood"), 0.0)
