Keep whose key is whose up to date by change, and names once

Change: the table is part of the effective tree and follows the difference; what was due gives its room back.

--- a/sesameford/callers.py
+++ b/sesameford/callers.py
@@ -128,9 +128,11 @@
     scheme, _, key = http.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key:
         raise NotRunError("no-key", "a bearer key is needed", 401)
-    customer = router.customers_by_digest.get(sha256(key.encode()).hexdigest())
-    if customer is None:
+    digest = sha256(key.encode()).hexdigest()
+    customer_id = router.tree.customer_ids_by_digest.get(digest)
+    if customer_id is None:
         raise NotRunError("wrong-key", "this key is not known", 401)
+    customer = router.tree.customers[customer_id]
     if customer.suspended:
         raise NotRunError("suspended", "this customer is suspended", 403)
     return customer
--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -94,7 +94,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EffectiveTree:
-    """All settings in force at one revision."""
+    """All settings in force at one revision.
+
+    ``customer_ids_by_digest`` tells to whom a key belongs.
+    """
 
     revision: int = 0
     fleet: FleetSettings = field(default_factory=FleetSettings)
@@ -103,6 +106,7 @@
     services: Mapping[str, ServiceSettings] = field(default_factory=dict)
     instances: Mapping[str, InstanceSettings] = field(default_factory=dict)
     targets: Mapping[str, TargetSettings] = field(default_factory=dict)
+    customer_ids_by_digest: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesameford/router.py
+++ b/sesameford/router.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from sesameford.effective import CustomerSettings, EffectiveTree
+from sesameford.effective import EffectiveTree
 from sesameford.errors import NotRunError
 from sesameford.members import Members
 from sesameford.messages import Outgoing
@@ -36,7 +36,6 @@
         self.members = members
         self.metrics = metrics
         self.tree = EffectiveTree()
-        self.customers_by_digest: dict[str, CustomerSettings] = {}
         self._send = send
         self._now = now
         self._waiters: dict[str, asyncio.Future[Attempt]] = {}
@@ -48,11 +47,6 @@
     def configure(self, tree: EffectiveTree) -> None:
         """Take a tree into force."""
         self.tree = tree
-        self.customers_by_digest = {
-            digest: customer
-            for customer in tree.customers.values()
-            for digest in customer.key_digests
-        }
         self.metrics.revision.set({}, tree.revision)
         self.scheduler.configure(tree, self._now())
         self.wake()
--- a/sesameford/tree.py
+++ b/sesameford/tree.py
@@ -308,7 +308,12 @@
     fleet = (
         inheritance.entity("fleet") if "fleet" in declared.nodes else ROOTS["fleet"]()
     )
-    return EffectiveTree(revision, fleet, **entities)
+    by_digest = {
+        digest: customer.customer_id
+        for customer in entities["customers"].values()
+        for digest in customer.key_digests
+    }
+    return EffectiveTree(revision, fleet, **entities, customer_ids_by_digest=by_digest)
 
 
 def origins(declared: DeclaredTree, path: str) -> Mapping[str, Origin]:
--- a/sesameford/tree_in_force.py
+++ b/sesameford/tree_in_force.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from sesameford.effective import EffectiveTree, FleetSettings
+from sesameford.effective import CustomerSettings, EffectiveTree, FleetSettings
 from sesameford.tree import Inheritance, TreeDifference, read_node
 from sesameford.tree_fields import NAME_FIELDS
 from sesameford.tree_store import TreeStore
@@ -28,6 +28,7 @@
         self._store = store
         self._due: OrderedDict[str, None] = OrderedDict()
         self._working: dict[str, dict[str, Any]] = {}
+        self._working_digests: dict[str, str] | None = None
         self._fleet = FleetSettings()
         self.tree = EffectiveTree()
 
@@ -94,16 +95,47 @@
             return
         if root not in self._working:
             self._working[root] = dict(getattr(self.tree, root))
+        working = self._working[root]
+        former = working.pop(name, None)
+        entity = None
         if path in nodes and read_node(nodes[path]).is_leaf:
-            self._working[root][name] = inheritance.entity(path)
-        else:
-            self._working[root].pop(name, None)
+            entity = inheritance.entity(path)
+            # The entity's own text of the name, or each would be kept twice.
+            working[getattr(entity, NAME_FIELDS[root])] = entity
+        if root == "customers":
+            self._recompute_digests(former, entity)
+
+    def _recompute_digests(
+        self, former: CustomerSettings | None, entity: CustomerSettings | None
+    ) -> None:
+        """Bring the digests of one customer's keys up to date."""
+        old = former.key_digests if former else ()
+        new = entity.key_digests if entity else ()
+        if old == new:
+            return
+        if self._working_digests is None:
+            self._working_digests = dict(self.tree.customer_ids_by_digest)
+        found = self._working_digests
+        for digest in old:
+            # The key may be another customer's by now, whose turn came first.
+            if former is not None and found.get(digest) == former.customer_id:
+                del found[digest]
+        if entity is not None:
+            found.update(dict.fromkeys(new, entity.customer_id))
 
     def _publish(self) -> None:
         """Put the recomputed entities into force at once."""
         present = {**self._present(), **self._working}
-        self.tree = EffectiveTree(self._store.revision, self._fleet, **present)
+        digests: Mapping[str, str] = self.tree.customer_ids_by_digest
+        if self._working_digests is not None:
+            digests = self._working_digests
+        self.tree = EffectiveTree(
+            self._store.revision, self._fleet, **present, customer_ids_by_digest=digests
+        )
         self._working = {}
+        self._working_digests = None
+        # An emptied mapping keeps the room that it once needed.
+        self._due = OrderedDict()
 
     def _present(self) -> dict[str, Mapping[str, Any]]:
         """Return the entities in force by their root."""
--- a/tests/test_tree_fuzz.py
+++ b/tests/test_tree_fuzz.py
@@ -27,7 +27,11 @@
 )
 from sesameford.tree_spread import ASK_AGAIN_SECONDS, WHOLE_AGAIN_SECONDS, TreeSpread
 
+ONE, OTHER = "a1" * 32, "b2" * 32
 TEXTS = (
+    f"customers: {{children: {{a: {{key_digests: [{ONE}, {OTHER}]}}, b: {{}}}}}}",
+    f"customers: {{children: {{b: {{key_digests: [{ONE}]}}, a: {{}}}}}}",
+    f"customers: {{children: {{a: {{key_digests: [{OTHER}]}}, c: {{}}}}}}",
     "{}",
     "customers: {children: {a: {}, b: {share: 3}}}",
     "customers: {share: 2, children: {a: {}, b: {share: 3}}}",
@@ -38,6 +42,7 @@
     "fleet: {scheduler: independent}\nmodels: {children: {m: {}}}",
 )
 TREES = tuple(parse_tree(text, "t") for text in TEXTS)
+EMPTY = parse_tree("{}", "t")
 PLACES = {"e0": "a", "e1": "b", "e2": "a", "e3": "b", "e4": "b"}
 REPLICAS = ("e0", "e1")
 
@@ -53,7 +58,7 @@
         self.now = 0.0
         self.log = []
         # The oracle: accepted trees by revision, and the first answer of each id.
-        self.accepted = [TREES[0]]
+        self.accepted = [EMPTY]
         self.answers = {}
         self.expected = []
         self.ids = []
--- a/tests/test_tree_spread.py
+++ b/tests/test_tree_spread.py
@@ -5,7 +5,13 @@
 from sesameford.errors import PeerError
 from sesameford.messages import TreeStepRow, TreeSteps, TreeWanted, TreeWhole
 from sesameford.tables import Instance, InstanceState
-from sesameford.tree import TreeDifference, parse_tree, tree_digest
+from sesameford.tree import (
+    DeclaredTree,
+    TreeDifference,
+    difference,
+    parse_tree,
+    tree_digest,
+)
 from sesameford.tree_spread import LISTEN_SECONDS, TreeSpread
 from sesameford.tree_store import KEPT_STEPS, TreeStep
 
@@ -133,3 +139,24 @@
     on = passing.received("e1", sent[1].message, seen, 0.0)
     assert [one.receiver_id for one in on] == ["e4"]
     assert passing.received("e1", sent[1].message, seen, 0.0) == ()
+
+
+def test_a_key_that_moves_to_another_customer_stays_known():
+    """Operators move a key from one customer to another in one change.
+
+    The new owner is worked out first. Were the key then forgotten with its former
+    owner, all its callers would be refused.
+    """
+    spread = make_spread()
+    first = "customers: {children: {a: {key_digests: [%s]}, b: {}}}"
+    second = "customers: {children: {b: {key_digests: [%s]}, a: {}}}"
+    for text in (first, second):
+        nodes = parse_tree(text % ("a1" * 32), "t").nodes
+        changed = difference(spread.store.declared, DeclaredTree(nodes))
+        step = TreeStep(
+            spread.store.revision + 1, changed, spread.store.would_be(changed)
+        )
+        assert spread.store.step(step)
+        spread.in_force.changed(changed)
+        assert spread.in_force.work()
+    assert spread.in_force.tree.customer_ids_by_digest == {"a1" * 32: "b"}
