Soak true outcomes with real daemons, and keep large answers out of the log

Its first trial showed two faults: the end of every keyed request failed to reach the log, because the HTTP library's header names have no coding, so that stops waited out their report limit (11.3 s each); and a large answer was proposed to the log whole before the machine dropped it. Conclusion: found only with real daemons, which the in-process tests had passed.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: help setup demo bench bench-quick slopes count test lint format types check fuzz
+.PHONY: help setup demo soak bench bench-quick slopes count test lint format types check fuzz
 
 help: ## List the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -40,6 +40,9 @@
 demo: setup ## Run a whole deployment on loopback, twice the same
 	$(BIN)/python -m tools.demo
 
+soak: setup ## True outcomes under faults, in 3 minutes or less
+	$(BIN)/python -m tools.soak
+
 bench: setup ## Measure both deployments in 5 minutes or less
 	$(BIN)/python -m benchmarks.bench
 
--- a/sesameford/claims.py
+++ b/sesameford/claims.py
@@ -358,6 +358,11 @@
     return ClaimVerdict.RAN if row.answer is None else ClaimVerdict.KEPT
 
 
+def small_answer(answer: ClaimAnswer | None) -> ClaimAnswer | None:
+    """Return an answer if it is small enough to be kept in the log, or None."""
+    return answer if _answer_bytes(answer) <= MAX_KEPT_ANSWER_BYTES else None
+
+
 def _answer_bytes(answer: ClaimAnswer | None) -> int:
     """Return what an answer takes of the bound on kept bytes."""
     if answer is None:
--- a/sesameford/keyed.py
+++ b/sesameford/keyed.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -23,11 +24,14 @@
     TakeOver,
     decode_claim_reply,
     encode_claim_command,
+    small_answer,
 )
-from sesameford.errors import NoQuorumError, NotRunError, UnknownOutcomeError
+from sesameford.errors import LogError, NoQuorumError, NotRunError, UnknownOutcomeError
 from sesameford.state_machine import Propose
 from sesameford.tables import Outcome
 
+logger = logging.getLogger(__name__)
+
 MACHINE = "claims"
 MAX_KEPT_BYTES = 8_000_000
 MAX_UNSETTLED = 10_000
@@ -249,7 +253,8 @@
             del self._started[claim_index]
         else:
             certain = end.outcome is Outcome.RAN
-            command = Completion(*key, end.answer, at_seconds, certain)
+            # A large answer stays here: the log would carry it to every replica.
+            command = Completion(*key, small_answer(end.answer), at_seconds, certain)
             self._started[claim_index] = end
             self._keep(claim_index, end.answer)
         proposal_id = f"{self._router_id}/{self._incarnation}/{claim_index}/end"
@@ -288,6 +293,11 @@
                 )
             except NoQuorumError:
                 await self._ports.sleep(SETTLE_AGAIN_SECONDS)
+            except LogError:
+                # The log will never take it. The claim stays as it is, and resends
+                # hear that it may have run, until it expires.
+                logger.exception("the log refuses the end of a keyed request")
+                return ClaimReply(ClaimVerdict.MALFORMED)
 
     def _settle(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
--- a/sesameford/relay.py
+++ b/sesameford/relay.py
@@ -137,8 +137,9 @@
         whole = caller.outcome is Outcome.RAN
         return RunEnd(caller.outcome, caller.kept_answer() if whole else None)
     body = response.body if isinstance(response, Response) else None
+    # The HTTP library's names are a kind of text of its own, which has no coding.
     headers = tuple(
-        (name, value)
+        (str(name), value)
         for name, value in response.headers.items()
         if name.lower() in KEPT_HEADERS
     )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -18,7 +18,7 @@
 from standins.batch import Batch, LaggingLoad, PrefixCache, Progress
 from standins.marks import Marks, answer_text, prompt_of, read_marks
 from standins.partition import Partition
-from standins.shell import make_parser, run_target
+from standins.shell import make_parser, open_journal, run_target
 
 CRASH_EXIT_CODE = 70
 _KEPT_STREAMS = 2_000
@@ -63,6 +63,7 @@
         self._waiting_limit = options.waiting_limit
         self._checks_fencing = options.checks_fencing
         self._load_seconds = options.load_seconds
+        self._note = open_journal(options)
         self._streams: dict[str, _Stream] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._kv: dict[str, bytes] = {}
@@ -131,6 +132,7 @@
         self._streams[attempt_id] = stream
         self._forget_old_streams()
         self._runs.setdefault(marks.mark, Counter())["started"] += 1
+        self._note(marks.mark)
         uncached = max(0, marks.prompt_tokens - cached_tokens)
         self.batch.submit(attempt_id, uncached, marks.output_tokens, now_seconds)
         self._schedule()
--- a/standins/service.py
+++ b/standins/service.py
@@ -19,7 +19,7 @@
 from aiohttp import web
 
 from standins.partition import Partition
-from standins.shell import make_parser, run_target
+from standins.shell import make_parser, open_journal, run_target
 
 CRASH_EXIT_CODE = 70
 
@@ -31,6 +31,7 @@
         self._capacity_slots = options.capacity
         self._slots = asyncio.Semaphore(options.capacity)
         self._waiting_limit = options.waiting_limit
+        self._note = open_journal(options)
         self._waiting = 0
         self._running: dict[int, float] = {}
         self._busy_slot_seconds = 0.0
@@ -68,6 +69,7 @@
             os._exit(CRASH_EXIT_CODE)
         calls = self._calls.setdefault(mark, Counter())
         calls["started"] += 1
+        self._note(mark)
         self._waiting += 1
         try:
             await self._slots.acquire()
--- a/standins/shell.py
+++ b/standins/shell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 import time
 from argparse import ArgumentParser, Namespace
@@ -26,9 +27,28 @@
     parser.add_argument("--announce", nargs="*", default=[], metavar="URL")
     parser.add_argument("--platform-key", default="")
     parser.add_argument("--lease-seconds", type=float, default=3.0)
+    parser.add_argument("--announced-url", default="", help="where routers reach it")
+    parser.add_argument("--journal", default="", help="file for the marks that started")
     return parser
 
 
+def open_journal(options: Namespace) -> Callable[[str], None]:
+    """Return a function that notes a mark for good, also over a kill.
+
+    The counts of a stand-in die with it. What it wrote to a file before it began to
+    work stays, so that a run that was killed still counts as one.
+    """
+    name = getattr(options, "journal", "")
+    if not name:
+        return lambda mark: None
+    file = os.open(name, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+
+    def note(mark: str) -> None:
+        os.write(file, f"{mark}\n".encode())
+
+    return note
+
+
 def run_target(
     options: Namespace,
     kind: str,
@@ -70,7 +90,7 @@
         incarnation=time.time_ns() // 1_000_000,
         kind=kind,
         serves=serves,
-        url=f"http://{options.host}:{options.port}",
+        url=options.announced_url or f"http://{options.host}:{options.port}",
         data_centre=options.data_centre,
         capacity_slots=options.capacity,
         lease_seconds=options.lease_seconds,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -211,6 +211,7 @@
         assert answer.headers["Sesameford-Replayed"] == "true"
         assert json.loads(body)["usage"]["completion_tokens"] == 100
         assert engine._runs["m2"] == {"started": 1, "completed": 1}
+        await until(lambda: not first.keyed.unsettled)
         answer, body = await complete(second, "m3", 100, {"Idempotency-Key": "k"})
         assert (answer.status, json.loads(body)["reason"]) == (422, "key-other-body")
         assert not started(engine, "m3")
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -64,10 +64,10 @@
     async def pause(self, seconds):
         await asyncio.sleep(0)
 
-    def send(self, router, request_id, outcome=Outcome.RAN):
+    def send(self, router, request_id, outcome=Outcome.RAN, answer=ANSWER):
         async def run():
             self.ran.append(request_id)
-            return RunEnd(outcome, ANSWER if outcome is Outcome.RAN else None)
+            return RunEnd(outcome, answer if outcome is Outcome.RAN else None)
 
         request = KeyedRequest(request_id, "c", "k", b"d", False, 30.0)
         return asyncio.create_task(self.routers[router].serve(request, run))
@@ -144,3 +144,15 @@
     await turns()
     assert await pair.send("y", "r2") is None
     assert pair.ran == ["r1", "r2"]
+
+
+async def test_a_large_answer_stays_at_its_router_and_is_fetched_from_there():
+    """A caller comes back for a long draft through another router. Carried by the
+    log it would be written and synced on every replica."""
+    pair = Pair()
+    large = ClaimAnswer(200, (), b"x" * 100_000)
+    await pair.send("x", "r1", answer=large)
+    await turns()
+    assert len(pair.log.machine.snapshot()) < 1_000
+    assert await pair.send("y", "r2") == large
+    assert pair.ran == ["r1"]
