--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from functools import partial
 from pathlib import Path
 from time import monotonic, time, time_ns
@@ -321,7 +321,10 @@
             self.outcomes.unreported,
         )
         delay_seconds = self.router.tree.fleet.balancer_delay_seconds
-        self._stop = advance_stop(self._stop, load, delay_seconds, now_seconds)
+        before = self._stop
+        self._stop = advance_stop(before, load, delay_seconds, now_seconds)
+        if self._stop.step is not before.step:
+            logger.info("stop: %s", self._stop.step.value, extra=asdict(load))
         if self._stop.step is StopStep.FINISHING:
             self.router.refuse_waiting(
                 NotRunError("stopping", "this instance is stopping", 503, 1.0)
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -119,10 +119,16 @@
         self._flows.append(flow)
         there = self._spawn(self._copy(reader, target_writer, flow, self._pass_request))
         back = self._spawn(self._copy(target_reader, writer, flow, self._pass_answer))
-        await asyncio.wait([there, back])
-        self._flows.remove(flow)
-        for end in (writer, target_writer):
-            end.close()
+        try:
+            await asyncio.wait([there, back])
+        except asyncio.CancelledError:
+            # The loop is closing with flows that are silent; asyncio's own callback
+            # would print the cancellation of each.
+            return
+        finally:
+            self._flows.remove(flow)
+            for end in (writer, target_writer):
+                end.close()
 
     def _spawn(self, work: Awaitable[None]) -> "asyncio.Task[None]":
         task = asyncio.ensure_future(work)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -60,6 +60,11 @@
         for name, proxy in self.proxies.items():
             await proxy.start(HOST, self.proxy_ports[name])
 
+    async def reap(self) -> None:
+        await super().reap()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+
     def silence(self) -> int:
         """Let all open connections to the targets behind proxies go silent."""
         return sum(proxy.silence_open_flows() for proxy in self.proxies.values())
