Take a target behind a forwarder that hangs up for dead

Cause: in the soak one poison request cost 4 engines instead of 2. Two stood behind a forwarder, which goes on taking connections for a dead target and ends them at once. The probe took that for a living target, so nothing became a suspect. Change: the probe listens 0.1 s after it connected, sends nothing, and takes an end for a refusal. Conclusion: a death shows in more ways than a refused connection.

--- a/sesameford/probes.py
+++ b/sesameford/probes.py
@@ -5,6 +5,8 @@
 
 from sesameford.silence import PROBE_TIMEOUT_SECONDS, Probe
 
+HANG_UP_SECONDS = 0.1
+
 
 async def probe_target(url: str) -> Probe:
     """Connect to a target anew and see whether anyone listens.
@@ -13,17 +15,27 @@
         url: The target's address.
 
     Returns:
-        ``REFUSED`` only where the machine itself says that nobody listens; where
-        nothing comes back the network may be cut just as well.
+        ``REFUSED`` where nobody listens, or where the connection is taken and ended
+        at once, as a forwarder before a dead target does. Where nothing comes back
+        the network may be cut just as well.
     """
     parts = urlsplit(url)
     port = parts.port or (443 if parts.scheme == "https" else 80)
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-            _, writer = await asyncio.open_connection(parts.hostname, port)
+            reader, writer = await asyncio.open_connection(parts.hostname, port)
     except ConnectionRefusedError:
         return Probe.REFUSED
     except (TimeoutError, OSError):
         return Probe.NO_ANSWER
-    writer.close()
-    return Probe.ALIVE
+    try:
+        # Nothing is sent, so that a probe never is a request to a target.
+        async with asyncio.timeout(HANG_UP_SECONDS):
+            await reader.read(1)
+    except TimeoutError:
+        return Probe.ALIVE
+    except OSError:
+        return Probe.REFUSED
+    finally:
+        writer.close()
+    return Probe.REFUSED
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,7 +22,7 @@
 from tools.demo import apply_tree, wait_for_targets
 from tools.fleet import HOST, ROOT, Fleet, Member, Shape, free_ports
 from tools.soak_callers import Caller, Sent
-from tools.soak_verdict import judge
+from tools.soak_verdict import judge, print_cut
 from tools.trees import Customer, make_tree
 
 RUN_FOLDER = ROOT / "run" / "soak"
@@ -233,6 +233,7 @@
         soak = Soak(fleet, customer)
         await soak.run()
         codes = await fleet.stop_all()
+    print_cut(soak.sent, soak.planned)
     verdict = judge(soak.sent, _journals(RUN_FOLDER), soak.killed, soak.planned)
     verdict |= dict(soak.events)
     planned_codes = [*soak.exit_codes, *(codes[name] for name in fleet.instances)]
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -13,7 +13,7 @@
 from tools.trees import Customer
 
 TIMEOUT_SECONDS = 25.0
-DEADLINE_SECONDS = "15"
+DEADLINE_SECONDS = 15.0
 RESENDS = 3
 
 
@@ -115,7 +115,7 @@
     def _headers(self, mark: str, kind: str) -> dict[str, str]:
         headers = {
             "Authorization": f"Bearer {self._customer.key}",
-            "Sesameford-Deadline-Seconds": DEADLINE_SECONDS,
+            "Sesameford-Deadline-Seconds": str(DEADLINE_SECONDS),
         }
         if kind.startswith("keyed"):
             headers["Idempotency-Key"] = mark
--- a/tools/soak_verdict.py
+++ b/tools/soak_verdict.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from tools.soak_callers import Sent
+from tools.soak_callers import DEADLINE_SECONDS, Sent
 
 Windows = Sequence[tuple[str, float, float]]
 
@@ -42,7 +42,9 @@
         "truncated_told_complete": sum(
             one.looks_complete and not one.is_whole for one in sent
         ),
-        "cut_by_planned_stop": sum(_within(one, planned) for one in bad),
+        "cut_by_planned_stop": sum(
+            _within(one, planned) and not _waited_out(one) for one in bad
+        ),
         "lost": sum(
             not _within(one, killed) and not _within(one, planned) for one in silent
         ),
@@ -59,6 +61,27 @@
     )
 
 
+def _waited_out(one: Sent) -> bool:
+    """Return whether a request was given its whole deadline, and no stop cut it.
+
+    A call that may run once, on a connection that went silent before the stop, waits
+    to its deadline while the stop waits for it.
+    """
+    waited_seconds = one.ended_at - one.began_at
+    return one.reason == "deadline" and waited_seconds >= DEADLINE_SECONDS - 0.5
+
+
+def print_cut(sent: Sequence[Sent], planned: Windows) -> None:
+    """Print every request that ended badly near a planned stop, to be traced."""
+    for one in sent:
+        if one.outcome in ("none", "cut", "unknown") and _within(one, planned):
+            took = one.ended_at - one.began_at
+            print(
+                f"near a stop: {one.mark} {one.kind} {one.outcome} {one.reason} "
+                f"{took:.1f} s at {one.url}"
+            )
+
+
 def _reasons(sent: Sequence[Sent]) -> str:
     """Return the reasons by count, in one flat text."""
     reasons = Counter(f"{one.outcome}:{one.reason[:40]}" for one in sent if one.reason)
