Keep free slots at hand at every router where capacity is free

Cause: on an idle fleet most routers had no slot of an engine, and each request there waited up to 0.3 s. Spares were counted over all pools, so one router got the services and the other the engines; after contention slots stayed where the work had been; new demand waited for the next report although nothing ran that could end; and a demand that crossed a grant was taken for contention. Change: spares are counted by pool and evened out one at a time; patience only where something runs; no contention while a grant is on its way to the one that waits.

--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -542,22 +542,29 @@
     ) -> bool:
         """Return whether new waiting work can't wait for the next report.
 
-        Under contention a slot here will be free soon, or the allocator would
-        have to wait for one elsewhere anyway; a short wait joins the news.
+        Under contention a slot that runs here will be free soon, and a short wait
+        joins the news. With none that runs nothing here would ever start: the word
+        of contention outlasts it, and a free slot elsewhere may be had at once.
         """
         patient = since < _NEW_DEMAND_SECONDS
+        running = {self._pool_of_target(target_id) for target_id in self._running}
         return any(
-            key not in link.told_demands and not (patient and self._contended(key[0]))
+            key not in link.told_demands
+            and not (patient and self._contended(key[0]) and key[0] in running)
             for key in demands
         )
 
+    def _pool_of_target(self, target_id: str) -> str | None:
+        """Return the pool that a target belongs to."""
+        target = self._targets.get(target_id)
+        return self._pool_of.get(target.serves[0]) if target and target.serves else None
+
     def _return_idle(self, link: ReportLink, now_seconds: float) -> None:
         """Give up the slots that nothing here may use while others wait."""
         if not self._decided:
             return
         for target_id in self._free_slots(now_seconds):
-            serves = self._targets[target_id].serves
-            pool = self._pool_of.get(serves[0]) if serves else None
+            pool = self._pool_of_target(target_id)
             if pool is not None and self._contended(pool):
                 link.holdings[target_id] = self._running.get(target_id, 0)
 
--- a/sesameford/pool_allocation.py
+++ b/sesameford/pool_allocation.py
@@ -19,6 +19,7 @@
 _SMALL_QUANTA = 2.0
 _MOVE_SECONDS = 0.25
 LENDING_HANDICAP_QUANTA = 4.0
+_UNEVEN_SLOTS = 2
 
 
 def allocate(state: AllocatorState, now_seconds: float) -> None:
@@ -77,13 +78,29 @@
         _SHORT_HORIZON_SECONDS / HORIZON_SECONDS,
     )
     deal_free_slots(holders, horizon, lambda holder: _grant(state, pool, holder, free))
-    if any(holder.requests > 0 for holder in holders):
+    if any(_is_contender(state, pool, holder) for holder in holders):
         _note_contention(state, pool_state, now_seconds)
         if now_seconds - pool_state.moved_at_seconds >= _MOVE_SECONDS:
             pool_state.moved_at_seconds = now_seconds
             _move_slots(state, pool, holders, horizon)
     elif now_seconds >= pool_state.contended_until_seconds:
-        _deal_spares(state, pool, free)
+        _deal_spares(state, pool, free, now_seconds)
+
+
+def _is_contender(state: AllocatorState, pool: str, holder: Holder) -> bool:
+    """Return whether a holder waits and no slots are on their way to it.
+
+    A demand that crossed a grant speaks of the time before it. Taken for contention
+    it would call back every idle slot of the fleet for half a second, and all that
+    enters meanwhile would wait for a trip although capacity is free.
+    """
+    if holder.requests <= 0:
+        return False
+    link = state.links[holder.holder_id]
+    return not any(
+        sequence > link.grants_seen and state.pool_of_target(target_id) == pool
+        for target_id, sequence in link.granted_in.items()
+    )
 
 
 def _holders(
@@ -234,7 +251,9 @@
         link.recall(found, link.allowed(found) - 1)
 
 
-def _deal_spares(state: AllocatorState, pool: str, free: dict[str, int]) -> None:
+def _deal_spares(
+    state: AllocatorState, pool: str, free: dict[str, int], now_seconds: float
+) -> None:
     """Give free own slots to the routers, for requests yet to come.
 
     With spare slots at hand a router starts a request without asking.
@@ -242,7 +261,9 @@
     routers = list(state.routers())
     if not routers:
         return
-    held = {link.holder_id: sum(link.holdings.values()) for link in routers}
+    # Counted by pool: a router that got all its slots on services would have none
+    # on engines, and each completion that enters there would wait for a trip.
+    held = {link.holder_id: _held_of_pool(state, link, pool) for link in routers}
     for target_id in sorted(free):
         if not state.owns(target_id) or state.pool_of_target(target_id) != pool:
             continue
@@ -250,6 +271,37 @@
             link = min(routers, key=lambda one: (held[one.holder_id], one.holder_id))
             link.grant(target_id, 1)
             held[link.holder_id] += 1
+    pool_state = state.pool(pool)
+    if now_seconds - pool_state.moved_at_seconds >= _MOVE_SECONDS:
+        pool_state.moved_at_seconds = now_seconds
+        _even_out(state, pool, routers)
+
+
+def _held_of_pool(state: AllocatorState, link: GrantLink, pool: str) -> int:
+    """Return how many slots of a pool a router holds or is to keep."""
+    return sum(
+        link.allowed(target_id)
+        for target_id in link.holdings
+        if state.pool_of_target(target_id) == pool
+    )
+
+
+def _even_out(state: AllocatorState, pool: str, routers: list[GrantLink]) -> None:
+    """Ask one slot back from the router with the most, where another has far less.
+
+    Contention leaves the slots where the work was. The next request that enters
+    elsewhere would find none at hand, although capacity is free.
+    """
+    held = {link.holder_id: _held_of_pool(state, link, pool) for link in routers}
+    most = max(routers, key=lambda one: (held[one.holder_id], one.holder_id))
+    if held[most.holder_id] - min(held.values()) < _UNEVEN_SLOTS:
+        return
+    for target_id in sorted(most.holdings):
+        if state.pool_of_target(target_id) != pool or not state.owns(target_id):
+            continue
+        if most.allowed(target_id) > 0:
+            most.recall(target_id, most.allowed(target_id) - 1)
+            return
 
 
 def _return_borrowed(
