--- a/sesameford/control_commands.py
+++ b/sesameford/control_commands.py
@@ -99,7 +99,7 @@
     if base_revision is None:
         base_revision = memory.revision
     if base_revision is None:
-        base_revision = require_success(await client.ask("GET", "/tree"))["revision"]
+        base_revision = (await _status(client)).revision
     return change_to_send(memory, digest, base_revision)
 
 
--- a/sesameford/operators.py
+++ b/sesameford/operators.py
@@ -19,7 +19,6 @@
 from sesameford.tables import TargetKind
 from sesameford.tree import (
     MAX_TEXT_BYTES,
-    DeclaredTree,
     difference,
     origins,
     parse_tree_in_slices,
@@ -39,7 +38,8 @@
     make_tree_change,
 )
 from sesameford.tree_store import TreeStore
-from sesameford.tree_text import render_tree
+from sesameford.tree_text import render_tree_in_slices
+from sesameford.yaml_text import Result, Sliced
 
 MAX_CHANGE_BYTES = MAX_TEXT_BYTES + 1_000_000
 MAX_ANNOUNCEMENT_BYTES = 100_000
@@ -155,8 +155,9 @@
     async def get_tree(request: web.Request) -> web.Response:
         _operator(deps, request)
         store = deps.store()
-        declared = render_tree(store.declared)
-        return _json({"revision": store.revision, "declared": declared})
+        revision = store.revision
+        declared = await _in_slices(render_tree_in_slices(store.copy()))
+        return _json({"revision": revision, "declared": declared})
 
     async def get_effective(request: web.Request) -> web.Response:
         _operator(deps, request)
@@ -215,7 +216,7 @@
     """
     _check_change(body)
     try:
-        declared = await _parse(body.declared)
+        declared = await _in_slices(parse_tree_in_slices(body.declared, "declared"))
     except TreeError as error:
         raise _Problem(
             422,
@@ -243,15 +244,14 @@
     return _change_result(body, answer)
 
 
-async def _parse(text: str) -> DeclaredTree:
-    """Check a declared tree, letting the loop do other work in between."""
-    work = parse_tree_in_slices(text, "declared")
+async def _in_slices(work: Sliced[Result]) -> Result:
+    """Do sliced work, letting the loop do other work in between."""
     while True:
         try:
             next(work)
         except StopIteration as stop:
-            declared: DeclaredTree = stop.value
-            return declared
+            result: Result = stop.value
+            return result
         await sleep(0)
 
 
--- a/sesameford/tree_text.py
+++ b/sesameford/tree_text.py
@@ -6,6 +6,9 @@
 from msgspec import json
 
 from sesameford.tree import DeclaredTree, TreeDifference, read_node
+from sesameford.yaml_text import Sliced, finish
+
+SLICE_LINES = 2000
 
 # Words that YAML 1.1 reads as something else than text when they stand bare.
 _QUOTED = frozenset({"y", "n", "yes", "no", "on", "off", "true", "false", "null"})
@@ -20,12 +23,23 @@
     Returns:
         YAML with sorted names; comments of the operators' file are not in it.
     """
+    return finish(render_tree_in_slices(declared))
+
+
+def render_tree_in_slices(declared: DeclaredTree) -> Sliced[str]:
+    """Do what ``render_tree`` does, stopping after every few milliseconds of work.
+
+    The tree must not change meanwhile.
+    """
     below: dict[str, list[str]] = {}
     for path in sorted(declared.nodes):
         below.setdefault(path.rpartition("/")[0], []).append(path)
     lines: list[str] = []
     for root in below.get("", []):
-        lines.extend(_node_lines(declared.nodes, below, root, 0))
+        for line in _node_lines(declared.nodes, below, root, 0):
+            lines.append(line)
+            if len(lines) % SLICE_LINES == 0:
+                yield
     return "\n".join(lines) + "\n" if lines else "{}\n"
 
 
