Join reports and answers to the same data centre in one envelope

Cause: most of a small control message is headers, and reports and answers between two allocators went at different moments. Change: what is due soon joins what goes now.

--- a/sesameford/allocator.py
+++ b/sesameford/allocator.py
@@ -216,6 +216,9 @@
             state.allocated_at_seconds = now_seconds
             state.changed = False
             allocate(state, now_seconds)
-        messages = place_reports(self.state, now_seconds)
-        messages.extend(grant_answers(self.state, now_seconds))
-        return messages
+        reports = place_reports(state, (), now_seconds)
+        joined = [one.receiver_id for one in reports if one.receiver_id]
+        answers = grant_answers(state, joined, now_seconds)
+        joined = [one.receiver_id for one in answers if one.receiver_id]
+        reports.extend(place_reports(state, joined, now_seconds))
+        return [*reports, *answers]
--- a/sesameford/grant_answers.py
+++ b/sesameford/grant_answers.py
@@ -1,10 +1,15 @@
 """Answers of an allocator to its holders: renewal, grants, standings, limits."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from sesameford.allocator_state import AllocatorState, PoolState
 from sesameford.limits import split_fractions
-from sesameford.links import COALESCE_SECONDS, HEARTBEAT_SECONDS, GrantLink
+from sesameford.links import (
+    COALESCE_SECONDS,
+    HEARTBEAT_SECONDS,
+    JOINED_FRACTION,
+    GrantLink,
+)
 from sesameford.messages import (
     LimitShareRow,
     Outgoing,
@@ -18,15 +23,29 @@
 _FRACTION_CHANGE_TOLD = 0.1
 
 
-def grant_answers(state: AllocatorState, now_seconds: float) -> list[Outgoing]:
-    """Return the answers that are due."""
+def grant_answers(
+    state: AllocatorState, joined: Collection[str], now_seconds: float
+) -> list[Outgoing]:
+    """Return the answers that are due.
+
+    Args:
+        state: The allocator's tables.
+        joined: Receivers that get a message now anyway; see ``place_reports``.
+        now_seconds: The present time.
+
+    Returns:
+        Messages.
+    """
     messages = []
     fractions: Mapping[str, Mapping[str, float]] | None = None
     for holder_id in sorted(state.links):
         link = state.links[holder_id]
         since = now_seconds - link.sent_at_seconds
         urgent = link.urgent or link.full_due or link.wants_full
-        if since < (COALESCE_SECONDS if urgent else HEARTBEAT_SECONDS):
+        heartbeat = HEARTBEAT_SECONDS
+        if holder_id in joined:
+            heartbeat *= JOINED_FRACTION
+        if since < (COALESCE_SECONDS if urgent else heartbeat):
             continue
         if fractions is None:
             fractions = _fractions(state)
--- a/sesameford/place_reports.py
+++ b/sesameford/place_reports.py
@@ -1,9 +1,12 @@
 """Reports of an allocator to those of the other data centres."""
 
+from collections.abc import Collection
+
 from sesameford.allocator_state import AllocatorState, Place
 from sesameford.links import (
     COALESCE_SECONDS,
     HEARTBEAT_SECONDS,
+    JOINED_FRACTION,
     Demand,
     DemandKey,
     pool_reports,
@@ -21,8 +24,20 @@
 _COMPARE_SECONDS = 5.0
 
 
-def place_reports(state: AllocatorState, now_seconds: float) -> list[Outgoing]:
-    """Return the reports that are due."""
+def place_reports(
+    state: AllocatorState, joined: Collection[str], now_seconds: float
+) -> list[Outgoing]:
+    """Return the reports that are due.
+
+    Args:
+        state: The allocator's tables.
+        joined: Receivers that get a message now anyway: a report that is due soon
+            joins it, because most of a small message's bytes are its headers.
+        now_seconds: The present time.
+
+    Returns:
+        Messages.
+    """
     messages = []
     demands: dict[DemandKey, Demand] | None = None
     for name in sorted(state.places):
@@ -31,7 +46,10 @@
             continue
         if demands is None:
             demands = _demands(state)
-        report = _report(state, name, place, demands, now_seconds)
+        heartbeat = HEARTBEAT_SECONDS
+        if place.link.receiver_id in joined:
+            heartbeat *= JOINED_FRACTION
+        report = _report(state, name, place, demands, heartbeat, now_seconds)
         if report is not None:
             messages.append(Outgoing(place.link.receiver_id, report, urgent=True))
     return messages
@@ -42,6 +60,7 @@
     name: str,
     place: Place,
     demands: dict[DemandKey, Demand],
+    heartbeat_seconds: float,
     now_seconds: float,
 ) -> ShareReport | None:
     """Return the report to one data centre, or None while none is due."""
@@ -53,7 +72,7 @@
         if state.owner_of.get(target_id) == name
     }
     due = (
-        since >= HEARTBEAT_SECONDS
+        since >= heartbeat_seconds
         or link.full_due
         or link.is_pressed(now_seconds)
         or link.returns_slots(kept)
