Clamp debt around the mean of those that wait

Cause: the clamp was measured from the smallest virtual time, so that one lagging small customer pulled a large one that was ahead down to it, and what that one owed the others was forgotten: two large customers drifted 9,764 cost units apart. Change: virtual times stay within the limit around the mean on both sides.

--- a/sesameford/virtual_time.py
+++ b/sesameford/virtual_time.py
@@ -23,8 +23,8 @@
     Args:
         patience_seconds: A customer whose oldest request waits for less than this
             is served as it comes, and neither gathers credit nor owes.
-        debt_limit: The furthest that a backlogged customer may be ahead of the
-            smallest one, in virtual time.
+        debt_limit: The furthest that a backlogged customer may be from the mean of
+            all that wait, in virtual time.
     """
 
     def __init__(self, patience_seconds: float, debt_limit: float) -> None:
@@ -104,22 +104,28 @@
         if not waiting_since:
             return None
         patient = now_seconds - self._patience_seconds
-        floor: float | None = None
+        steady: list[Standing] = []
         brief: list[Standing] = []
         for customer, since in waiting_since.items():
             standing = self.standing(customer)
             standing.backlogged_at_seconds = now_seconds
-            if since > patient:
-                brief.append(standing)
-            elif floor is None or standing.virtual_time < floor:
-                floor = standing.virtual_time
-        # Where nobody had to wait for others nobody owes anybody: all start
-        # level with the furthest.
-        start = self._furthest() if floor is None else floor
+            (brief if since > patient else steady).append(standing)
+        if not steady:
+            # Nobody had to wait for others, so nobody owes anybody: all start
+            # level with the furthest.
+            start = self._furthest()
+            for standing in brief:
+                standing.virtual_time = start
+            return None
+        times = [standing.virtual_time for standing in steady]
+        floor = min(times)
+        # Around the mean: one that lags would else pull all others down to it, and
+        # what they owe each other would be forgotten.
+        middle = sum(times) / len(times)
+        for standing in steady:
+            self._move(standing, middle - self.debt_limit, middle + self.debt_limit)
         for standing in brief:
-            self._move(standing, start, start + self.debt_limit)
-        for customer in waiting_since:
-            self._move(self.standing(customer), float("-inf"), start + self.debt_limit)
+            self._move(standing, floor, middle + self.debt_limit)
         return floor
 
     def _furthest(self) -> float:
