Tell an operator of a failed log and of a change too large for it

Cause: both ended in an internal error; and the answer without a quorum said so twice. Conclusion: a test for each.

--- a/sesameford/control_commands.py
+++ b/sesameford/control_commands.py
@@ -27,7 +27,7 @@
 
 POLL_SECONDS = 0.1
 # Answers that decide what became of a change; after any other it is still open.
-DECIDED = frozenset({200, 400, 409, 422})
+DECIDED = frozenset({200, 400, 409, 413, 422})
 
 
 def _read_tree(file: Path) -> tuple[str, DeclaredTree]:
--- a/sesameford/operators.py
+++ b/sesameford/operators.py
@@ -16,7 +16,8 @@
     leave_bodies,
     target_news,
 )
-from sesameford.errors import NoQuorumError, TreeError
+from sesameford.errors import LogError, NoQuorumError, TreeError
+from sesameford.log_service import COMMAND_LIMIT_BYTES
 from sesameford.messages import TargetNews
 from sesameford.operators_http import (
     Problem,
@@ -44,6 +45,7 @@
     ChangeAnswer,
     HistoryEntry,
     HistoryWanted,
+    TreeChange,
     decode_answer,
     decode_history,
     encode_command,
@@ -213,15 +215,23 @@
     # The machine knows resends by their change id. The proposal id is new each
     # time, or an answer of "behind" would be given again for good.
     proposal_id = f"{name}/{token_hex(8)}"
+    encoded = encode_command(command)
+    if len(encoded) > COMMAND_LIMIT_BYTES:
+        raise Problem(
+            413, "change-too-large", "more than one change can hold; apply it in parts"
+        )
     try:
-        return await deps.propose(proposal_id, MACHINE_NAME, encode_command(command))
+        return await deps.propose(proposal_id, MACHINE_NAME, encoded)
     except NoQuorumError as error:
-        raise Problem(
-            503,
-            "no-quorum",
-            f"no majority of replicas answers ({error}); the change may still be"
-            " accepted: send it again with the same change id",
-        ) from error
+        detail = str(error)
+        if isinstance(command, TreeChange):
+            detail += (
+                "; the change may still be accepted:"
+                " send it again with the same change id"
+            )
+        raise Problem(503, "no-quorum", detail) from error
+    except LogError as error:
+        raise Problem(503, "log-failed", str(error)) from error
 
 
 def _change_result(body: ChangeBody, answer: ChangeAnswer) -> dict[str, Any]:
--- a/tests/operators_fixture.py
+++ b/tests/operators_fixture.py
@@ -26,6 +26,7 @@
     def __init__(self, machine: TreeMachine | None = None) -> None:
         self.machine = machine or TreeMachine(lambda _: None)
         self.quorum = True
+        self.log_error = None
         self.lose_answers = 0
         self.lagging = False
         self.proposals = 0
@@ -35,6 +36,8 @@
 
     async def propose(self, proposal_id, machine, command):
         assert machine == "tree"
+        if self.log_error is not None:
+            raise self.log_error
         if not self.quorum:
             raise NoQuorumError("1 of 3 answers")
         self.proposals += 1
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from sesameford.errors import LogError
 from tests.operators_fixture import KEY, PLATFORM_KEY
 
 TREE = "customers: {children: {a: {share: 2}}}"
@@ -107,6 +108,23 @@
     assert len((await call(instance, "GET", "/tree/history"))[1]) == 1
 
 
+async def test_a_log_that_fails_is_told_as_such(instance):
+    """The disk of the replica that took the change fails under it.
+
+    The operator is told, and another instance can be tried with the same change.
+    """
+    instance.log_error = LogError("the disk of this replica failed")
+    status, body = await call(instance, "POST", "/tree/changes", change())
+    assert (status, body["reason"]) == (503, "log-failed")
+
+
+async def test_a_change_too_large_for_the_log_is_refused(instance, monkeypatch):
+    monkeypatch.setattr("sesameford.operators.COMMAND_LIMIT_BYTES", 50)
+    status, body = await call(instance, "POST", "/tree/changes", change())
+    assert (status, body["reason"]) == (413, "change-too-large")
+    assert instance.proposals == 0
+
+
 @pytest.mark.parametrize("key", [None, "", "wrong", "\u00e9", PLATFORM_KEY])
 @pytest.mark.parametrize(
     ("method", "path"),
