Reach a large fleet by hubs: members, routed messages, messages to all

Cause: every instance had a link to every other one and beat twice a second on it. At 360 nodes that is over 700 messages a second at each, against 2 KB/s. Change: an instance may have links to the hubs of its data centre alone, and hubs to all hubs. Hubs tell on what changed among their members and compare digests of the table; messages to one instance go by way of hubs, messages to all spread by them; targets are kept by the hub. A mesh is the same code without hubs.

--- a/sesameford/codec.py
+++ b/sesameford/codec.py
@@ -4,12 +4,13 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from sesameford.errors import PeerError
-from sesameford.messages import Envelope
+from sesameford.messages import Envelope, Message
 
 MAX_ENVELOPE_BYTES = 64_000_000
 
 _encoder = Encoder()
 _decoder = Decoder(Envelope)
+_message_decoder: Decoder[Message] = Decoder(Message)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -48,3 +49,20 @@
         return _decoder.decode(encoded)
     except (DecodeError, ValidationError, UnicodeDecodeError) as error:
         raise PeerError(f"a peer's bytes are no envelope: {error}") from error
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the bytes of a message that another instance passes on unread."""
+    return _encoder.encode(message)
+
+
+def decode_message(encoded: bytes) -> Message:
+    """Return the message in bytes that were passed on.
+
+    Raises:
+        PeerError: The bytes are no message.
+    """
+    try:
+        return _message_decoder.decode(encoded)
+    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+        raise PeerError(f"passed-on bytes are no message: {error}") from error
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -25,7 +25,7 @@
 from sesameford.leased import make_leased_scheduler
 from sesameford.link_key import load_link_key
 from sesameford.log_service import make_log_service
-from sesameford.members import Members
+from sesameford.members import make_members
 from sesameford.messages import (
     Heartbeat,
     KeptAnswer,
@@ -49,6 +49,7 @@
 from sesameford.metrics import Metrics
 from sesameford.operators import OperatorsDeps, make_operators_routes
 from sesameford.outcomes import Outcomes
+from sesameford.overlay import make_overlay, make_topology
 from sesameford.owner_words import OwnerWords
 from sesameford.peers import PeerLinks
 from sesameford.processor_time import ProcessorTime
@@ -115,9 +116,15 @@
         self.metrics = Metrics()
         self.registry = TargetRegistry()
         self.targets = make_target_spread(
-            self.registry, settings.instance_id, self.incarnation, passes_on=False
+            self.registry, settings.instance_id, self.incarnation, settings.is_hub
+        )
+        self.members = make_members(
+            settings.instance_id,
+            self.incarnation,
+            settings.data_centre,
+            settings.is_hub,
+            [peer.instance_id for peer in settings.peers if peer.is_hub],
         )
-        self.members = Members()
         self._stop = StopState()
         self._drained_by_tree = False
         self.stopped = asyncio.Event()
@@ -126,16 +133,22 @@
             settings,
             self.incarnation,
             load_link_key(settings, source),
-            self._on_message,
+            self._on_link_message,
             self._now,
             self._tls,
         )
+        self.overlay = make_overlay(
+            make_topology(settings, self.incarnation),
+            self.members,
+            self.peers.send,
+            self._on_message,
+        )
         self.router = Router(
             self._make_scheduler(),
             self.registry,
             self.members,
             self.metrics,
-            self.peers.send,
+            self._send,
             self._now,
         )
         self.tree = make_tree_holder(
@@ -143,7 +156,7 @@
             settings.data_centre,
             len(settings.peers),
             TreeHolderDeps(
-                self.peers.send,
+                self._send,
                 self._configure,
                 lambda: self.members.live(self._now()),
                 lambda: self._log.role() == "leader",
@@ -163,9 +176,9 @@
             self._now,
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
         )
-        self._words = OwnerWords(settings.instance_id, self.peers.send)
+        self._words = OwnerWords(settings.instance_id, self._send)
         self.outcomes = Outcomes(
-            crc32(settings.instance_id.encode()) ^ self.incarnation, self.peers.send
+            crc32(settings.instance_id.encode()) ^ self.incarnation, self._send
         )
         ports = KeyedPorts(self._log.propose, self._words.ask, asyncio.sleep, time)
         self.keyed = KeyedRequests(settings.instance_id, self.incarnation, ports)
@@ -302,8 +315,11 @@
                 # look alive and decide nothing any more.
                 logger.exception("a system failed")
 
+    def _send(self, outgoing: Outgoing) -> None:
+        self.overlay.send(outgoing, self._now())
+
     def _send_log(self, receiver_id: str, message: Message) -> None:
-        self.peers.send(Outgoing(receiver_id, message, urgent=True))
+        self._send(Outgoing(receiver_id, message, urgent=True))
 
     def _tick(self) -> None:
         self.router.tick()
@@ -333,14 +349,23 @@
             self.stopped.set()
 
     def _beat(self) -> None:
-        beat = Heartbeat(self._settings.data_centre, self._state(), self.tree.revision)
+        now_seconds = self._now()
+        beat = self.members.heartbeat(self._state(), self.tree.revision, now_seconds)
         self.peers.send(Outgoing(None, beat))
+        self.overlay.tick(now_seconds)
+        self.targets.observe_hub(self.overlay.live_hub(now_seconds))
         metrics = self.metrics
         metrics.control_bytes.set({"direction": "sent"}, self.peers.sent_bytes)
         metrics.control_bytes.set({"direction": "received"}, self.peers.received_bytes)
         metrics.control_cpu_seconds.set({}, self._control_time.seconds)
         metrics.observe_outcomes(self.outcomes, self._now())
 
+    def _on_link_message(
+        self, sender_id: str, incarnation: int, message: Message
+    ) -> None:
+        with self._control_time.measured():
+            self.overlay.received(sender_id, incarnation, message, self._now())
+
     def _on_message(self, sender_id: str, incarnation: int, message: Message) -> None:
         with self._control_time.measured():
             now_seconds = self._now()
@@ -394,7 +419,7 @@
 
     def _send_target_messages(self) -> None:
         for outgoing in self.targets.outgoing(self._now()):
-            self.peers.send(outgoing)
+            self._send(outgoing)
 
     def _operators_deps(self) -> OperatorsDeps:
         return OperatorsDeps(
@@ -437,7 +462,7 @@
         return make_status(
             own,
             self._settings.peers,
-            self.members.all(),
+            self.members.all(self._now()),
             self.registry.known(),
             self.router.running_by_target(),
             self._log.status(),
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -13,11 +13,66 @@
 
 
 class Heartbeat(Struct, frozen=True, array_like=True, tag=True):
-    """I live; this is my state and the tree revision I am under."""
+    """I live; this is my state and the tree revision I am under.
 
+    ``change_number`` grows whenever something else here changes. A hub adds the
+    digest of its table of members, and the data centres that it hears.
+    """
+
+    data_centre: str
+    state: InstanceState
+    revision: int
+    change_number: int = 0
+    is_hub: bool = False
+    members_digest: int = 0
+    reachable: tuple[str, ...] = ()
+
+
+class MemberRow(Struct, frozen=True, array_like=True):
+    """What is known of an instance, told on by the hubs.
+
+    ``flips`` counts how often the hubs of its data centre have lost it since its
+    last change; the triple of incarnation and the two counts only grows.
+    """
+
+    instance_id: str
+    incarnation: int
+    change_number: int
+    flips: int
+    is_silent: bool
     data_centre: str
     state: InstanceState
     revision: int
+    is_hub: bool
+
+
+class MembersNews(Struct, frozen=True, array_like=True, tag=True):
+    """Rows that changed, or the whole table where it was asked for."""
+
+    rows: tuple[MemberRow, ...]
+    is_whole: bool = False
+
+
+class MembersWanted(Struct, frozen=True, array_like=True, tag=True):
+    """My table differs from yours for a while now; send me all of it."""
+
+
+class Routed(Struct, frozen=True, array_like=True, tag=True):
+    """A message to an instance that the sender has no link to, by way of hubs."""
+
+    origin_id: str
+    origin_incarnation: int
+    receiver_id: str
+    hops_left: int
+    payload: bytes
+
+
+class Flooded(Struct, frozen=True, array_like=True, tag=True):
+    """A message to all instances, by way of hubs."""
+
+    origin_id: str
+    origin_incarnation: int
+    payload: bytes
 
 
 class TargetNews(Struct, frozen=True, array_like=True, tag=True):
@@ -327,6 +382,10 @@
 
 Message = (
     Heartbeat
+    | MembersNews
+    | MembersWanted
+    | Routed
+    | Flooded
     | TargetNews
     | TargetRenewed
     | TargetRow
--- a/sesameford/settings.py
+++ b/sesameford/settings.py
@@ -24,12 +24,17 @@
 
 
 class Peer(Struct, frozen=True, forbid_unknown_fields=True):
-    """Another instance of the system; ``has_disk`` says that it is a replica."""
+    """Another instance of the system that this one has a link to.
+
+    ``has_disk`` says that it is a replica, ``is_hub`` that it passes on for its
+    data centre.
+    """
 
     instance_id: str
     data_centre: str
     peers: str
     has_disk: bool = False
+    is_hub: bool = False
 
 
 class Tls(Struct, frozen=True, forbid_unknown_fields=True):
@@ -69,6 +74,7 @@
     listen: Listen
     peers: tuple[Peer, ...] = ()
     operators: tuple[OperatorKey, ...] = ()
+    is_hub: bool = False
     data_folder: str | None = None
     shared_key_file: str | None = None
     platform_key_digest: str | None = None
--- a/tests/callers_fixture.py
+++ b/tests/callers_fixture.py
@@ -10,7 +10,7 @@
 
 from sesameford.callers import CallersDeps, make_callers_app
 from sesameford.independent import make_independent_scheduler
-from sesameford.members import Members
+from sesameford.members import make_members
 from sesameford.messages import TargetNews
 from sesameford.metrics import Metrics
 from sesameford.relay import RelayDeps
@@ -59,7 +59,7 @@
         self.router = Router(
             make_independent_scheduler("e1", 1, "a", 1),
             TargetRegistry(),
-            Members(),
+            make_members("e1", 1, "a"),
             self.metrics,
             lambda outgoing: None,
             monotonic,
--- a/tests/faults_fixture.py
+++ b/tests/faults_fixture.py
@@ -17,7 +17,7 @@
 from sesameford.http_ports import make_session
 from sesameford.independent import make_independent_scheduler
 from sesameford.keyed import KeyedPorts, KeyedRequests
-from sesameford.members import Members
+from sesameford.members import make_members
 from sesameford.messages import SuspectNews, TargetNews
 from sesameford.metrics import Metrics
 from sesameford.outcomes import Outcomes
@@ -96,7 +96,7 @@
         self.router = Router(
             make_independent_scheduler(self.router_id, 1, "a", 1),
             TargetRegistry(),
-            Members(),
+            make_members("e1", 1, "a"),
             Metrics(),
             lambda outgoing: None,
             monotonic,
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -5,6 +5,7 @@
 from hashlib import sha256
 from pathlib import Path
 from socket import socket
+from time import monotonic
 
 import pytest
 from aiohttp import ClientSession
@@ -100,7 +101,7 @@
     settings = make_settings(tmp_path, 4, 3)
     async with running(settings) as instances, ClientSession() as session:
         for instance in instances:
-            await until(lambda one=instance: len(one.members.all()) == 3)
+            await until(lambda one=instance: len(one.members.all(monotonic())) == 3)
         assert (await apply_tree(session, settings[0], "c1", 0, TREE))[0] == 200
         assert await instances[3].tree.caught_up(1, 5)
 
