Report only what a decision left waiting; decide again on slots that come back

Cause: a request that could start at once was told as waiting first and set slots moving; slots that an instance's own allocator granted waited for the next event. Change: reports come after decisions, and a decision goes round again; slopes by size as a bench.

--- /dev/null
+++ b/benchmarks/fairness_slopes.py
@@ -0,0 +1,199 @@
+"""Slopes of fair service: what one data centre's router and allocator cost by size.
+
+One data centre at a time grows to its part of the target size: 51 routers, 30
+requests/s each, 314 backlogged customers. The last line is one JSON object.
+
+Run it with ``python -m benchmarks.fairness_slopes``.
+"""
+
+import argparse
+import json
+from dataclasses import dataclass
+from random import Random
+from time import process_time
+
+from sesameford.allocator import Allocator
+from sesameford.codec import encode_envelope
+from sesameford.effective import (
+    CustomerSettings,
+    EffectiveTree,
+    FleetSettings,
+    LimitSettings,
+)
+from sesameford.leased import make_leased_scheduler
+from sesameford.messages import DemandRow, Envelope, PoolReport, ServedRow, ShareReport
+from standins.virtual_fleet import (
+    STEP_SECONDS,
+    WIRE_OVERHEAD_BYTES,
+    Network,
+    VirtualFleet,
+    make_targets,
+)
+
+REQUESTS_PER_ROUTER_SECOND = 30.0
+MEAN_COST_UNITS = 150.0
+SLOTS_PER_TARGET = 32
+SLOTS_PER_ROUTER = 43
+SIZES = ((8, 50), (24, 150), (51, 314))
+ALLOCATOR_SIZES = ((8, 314), (24, 314), (51, 314), (51, 1000), (51, 2200))
+
+
+@dataclass(slots=True)
+class _Sent:
+    """Bytes and messages that left the routers other than the allocator's."""
+
+    bytes_sent: int = 0
+    messages: int = 0
+
+
+def make_tree(customers: int) -> EffectiveTree:
+    """Return a tree with equal customers and roomy queues."""
+    limits = LimitSettings(queued_requests=10**9, queued_bytes=10**12)
+    names = [f"c{number}" for number in range(customers)]
+    return EffectiveTree(
+        1,
+        FleetSettings(queued_limit_bytes=10**12),
+        {name: CustomerSettings(name, limits=limits) for name in names},
+    )
+
+
+def measure_router(
+    routers: int, customers: int, load: float, seconds: float
+) -> dict[str, float]:
+    """Return what one router sends, and what the deciding code takes, per second.
+
+    Args:
+        routers: In the data centre.
+        customers: That enter, each through two routers.
+        load: Of the capacity; above one the customers are backlogged.
+        seconds: Of virtual time, after as long to settle.
+    """
+    engines = max(1, routers * SLOTS_PER_ROUTER // SLOTS_PER_TARGET)
+    targets = make_targets({"a": engines}, SLOTS_PER_TARGET)
+    places = {f"e{number:03d}": "a" for number in range(routers)}
+    tree = make_tree(customers)
+    fleet = VirtualFleet(make_leased_scheduler, places, targets, tree, 1, Network())
+    random = Random(1)
+    names = sorted(places)
+    slots = engines * SLOTS_PER_TARGET
+    rate = load * slots * 100.0 / MEAN_COST_UNITS
+
+    def arrive(fleet: VirtualFleet) -> None:
+        expected = rate * STEP_SECONDS
+        number = int(expected) + (random.random() < expected % 1.0)
+        for _ in range(number):
+            customer = random.randrange(customers)
+            router = names[(customer + random.randrange(2)) % routers]
+            cost = MEAN_COST_UNITS * 10.0 ** random.uniform(-0.8, 0.6) / 1.2
+            fleet.submit(router, f"c{customer}", cost, cost)
+
+    sent = _Sent()
+    own_send = fleet._send
+
+    def send(sender: str, outgoing: object) -> None:
+        before = (fleet.counted.bytes_sent, fleet.counted.messages_sent)
+        own_send(sender, outgoing)
+        if sender != names[0]:
+            sent.bytes_sent += fleet.counted.bytes_sent - before[0]
+            sent.messages += fleet.counted.messages_sent - before[1]
+
+    fleet._send = send  # type: ignore[method-assign]
+    fleet.run(seconds, arrive)
+    sent.bytes_sent = sent.messages = 0
+    total_before = fleet.counted.bytes_sent
+    began = fleet.counted.decide_seconds
+    started = fleet.counted.started
+    fleet.run(seconds, arrive)
+    others = max(routers - 1, 1) * seconds
+    allocator_bytes = fleet.counted.bytes_sent - total_before - sent.bytes_sent
+    started = fleet.counted.started - started
+    return {
+        "routers": routers,
+        "customers": customers,
+        "load": load,
+        "requests_per_router_second": round(started / seconds / routers, 1),
+        "router_sent_bytes_per_second": round(sent.bytes_sent / others),
+        "router_received_bytes_per_second": round(allocator_bytes / others),
+        "router_messages_per_second": round(sent.messages / others, 2),
+        "processor_seconds_per_router_second": round(
+            (fleet.counted.decide_seconds - began) / seconds / routers, 4
+        ),
+        "waiting_requests": sum(map(len, fleet.waiting.values())),
+        "utilisation_while_backlogged": round(fleet.utilisation_while_backlogged(), 4),
+    }
+
+
+def measure_allocator(routers: int, customers: int) -> dict[str, float]:
+    """Return processor time of one report taken and one tick, and its bytes."""
+    allocator = Allocator("e000", "a")
+    allocator.configure(make_tree(customers))
+    engines = max(1, routers * SLOTS_PER_ROUTER // SLOTS_PER_TARGET)
+    targets = make_targets({"a": engines}, SLOTS_PER_TARGET)
+    allocator.observe_targets(targets, {"m": "m"}, dict.fromkeys(targets, "a"))
+    allocator.activate([], 0.0)
+    now = 0.0
+    each = max(1, 2 * customers // routers)
+
+    def report(number: int, sequence: int, full: bool) -> ShareReport:
+        served = []
+        demands = []
+        for index in range(each if full else 5):
+            customer = f"c{(number * each // 2 + index) % customers}"
+            served.append(ServedRow(customer, 100.0 * sequence))
+            demands.append(DemandRow(customer, "m", 5 + sequence % 3, 700.0, 1.0))
+        pools = (PoolReport("m", tuple(served), tuple(demands)),)
+        return ShareReport(1, sequence, 10**9, full=full, pools=pools)
+
+    for number in range(routers):
+        allocator.take_report(f"e{number:03d}", 1, report(number, 1, True), now)
+    allocator.tick(now)
+    rounds = 6
+    take_seconds = tick_seconds = 0.0
+    bytes_sent = 0
+    for sequence in range(2, 2 + rounds):
+        now += 0.5
+        began = process_time()
+        for number in range(routers):
+            allocator.take_report(
+                f"e{number:03d}", 1, report(number, sequence, False), now
+            )
+        taken = process_time()
+        outgoing = allocator.tick(now)
+        tick_seconds += process_time() - taken
+        take_seconds += taken - began
+        for one in outgoing:
+            envelope = Envelope("e000", 1, 1, (1, 1), (one.message,))
+            bytes_sent += len(encode_envelope(envelope)) + WIRE_OVERHEAD_BYTES
+    return {
+        "routers": routers,
+        "customers": customers,
+        "report_seconds": round(take_seconds / rounds / routers, 6),
+        "tick_seconds": round(tick_seconds / rounds, 5),
+        "answer_bytes_per_router": round(bytes_sent / rounds / routers),
+    }
+
+
+def measure(seconds: float) -> dict[str, list[dict[str, float]]]:
+    """Return all slopes."""
+    routers = [
+        measure_router(size, customers, load, seconds)
+        for size, customers in SIZES
+        for load in (0.7, 1.2)
+    ]
+    allocators = [measure_allocator(*size) for size in ALLOCATOR_SIZES]
+    return {"routers": routers, "allocators": allocators}
+
+
+def main() -> None:
+    """Measure and print the slopes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=3.0)
+    results = measure(parser.parse_args().seconds)
+    for rows in results.values():
+        for row in rows:
+            print(row)
+    print(json.dumps(results))
+
+
+if __name__ == "__main__":
+    main()
--- a/sesameford/allocator.py
+++ b/sesameford/allocator.py
@@ -20,6 +20,8 @@
 
 _CHANGED_SECONDS = 0.01
 _UNCHANGED_SECONDS = 0.25
+# An allocation over many waiting customers takes longer, so it is made less often.
+_ROW_SECONDS = 2e-5
 
 
 class Allocator:
@@ -212,7 +214,9 @@
             del self.state.links[link.holder_id]
         state = self.state
         elapsed = now_seconds - state.allocated_at_seconds
-        if elapsed >= (_CHANGED_SECONDS if state.changed else _UNCHANGED_SECONDS):
+        rows = sum(len(link.demands) for link in state.links.values())
+        changed_seconds = _CHANGED_SECONDS + rows * _ROW_SECONDS
+        if elapsed >= (changed_seconds if state.changed else _UNCHANGED_SECONDS):
             state.allocated_at_seconds = now_seconds
             state.changed = False
             allocate(state, now_seconds)
--- a/sesameford/grant_answers.py
+++ b/sesameford/grant_answers.py
@@ -45,7 +45,9 @@
         heartbeat = HEARTBEAT_SECONDS
         if holder_id in joined:
             heartbeat *= JOINED_FRACTION
-        if since < (COALESCE_SECONDS if urgent else heartbeat):
+        inner = holder_id == state.instance_id
+        coalesce = 0.0 if inner else COALESCE_SECONDS
+        if since < (coalesce if urgent else heartbeat):
             continue
         if fractions is None:
             fractions = _fractions(state)
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -43,6 +43,7 @@
 
 _NEW_DEMAND_SECONDS = 0.25
 _EXCHANGE_ROUNDS = 4
+_DECIDE_ROUNDS = 3
 
 
 @dataclass(slots=True)
@@ -281,16 +282,28 @@
 
     def decide(self, now_seconds: float) -> Sequence[Attempt]:
         """Return the attempts to start now; each counts as in flight at once."""
-        self._unsent = self._exchange(now_seconds)
+        attempts: list[Attempt] = []
+        for _ in range(_DECIDE_ROUNDS):
+            # The allocator may be this very instance: slots that go back to it here
+            # can come back for other work at once.
+            self._exchange(now_seconds)
+            started = self._start_all(now_seconds)
+            attempts.extend(started)
+            if self._decided and not started:
+                break
+            self._decided = True
+        for customer, resource in self._queues.queue_keys():
+            pool = self._pool_of.get(resource, resource)
+            self._waited_at[(pool, customer)] = now_seconds
+        return attempts
+
+    def _start_all(self, now_seconds: float) -> list[Attempt]:
+        """Start what fits the free slots."""
         attempts: list[Attempt] = []
         free = self._free_slots(now_seconds)
         if free and len(self._queues):
             while (attempt := self._start_next(free, now_seconds)) is not None:
                 attempts.append(attempt)
-        for customer, resource in self._queues.queue_keys():
-            pool = self._pool_of.get(resource, resource)
-            self._waited_at[(pool, customer)] = now_seconds
-        self._decided = True
         return attempts
 
     def _free_slots(self, now_seconds: float) -> dict[str, int]:
@@ -476,34 +489,39 @@
     def outgoing(self, now_seconds: float) -> Sequence[Outgoing]:
         """Return the messages that are due now."""
         self._follow(now_seconds)
-        return self._exchange(now_seconds)
+        if self._decided:
+            self._exchange(now_seconds)
+        leaving = self._unsent
+        self._unsent = []
+        return leaving
 
-    def _exchange(self, now_seconds: float) -> list[Outgoing]:
+    def _exchange(self, now_seconds: float) -> None:
         """Run the allocator and the report to it; deliver what stays here."""
-        leaving = list(self._unsent)
-        self._unsent = []
         for _ in range(_EXCHANGE_ROUNDS):
             messages = self._allocator.tick(now_seconds)
             report = self._report(now_seconds)
             if report is not None and self._link is not None:
                 messages.append(Outgoing(self._link.receiver_id, report, urgent=True))
-            inner = [one for one in messages if one.receiver_id == self._instance_id]
-            leaving.extend(one for one in messages if one not in inner)
-            for one in inner:
-                self.received(
-                    self._instance_id, self._incarnation, one.message, now_seconds
-                )
-            if not inner:
-                break
-        return leaving
+            if not messages:
+                return
+            for one in messages:
+                if one.receiver_id == self._instance_id:
+                    self.received(
+                        self._instance_id, self._incarnation, one.message, now_seconds
+                    )
+                else:
+                    self._unsent.append(one)
 
     def _report(self, now_seconds: float) -> ShareReport | None:
         """Return the report to the allocator, or None while none is due."""
         link = self._link
-        if link is None:
+        if link is None or not self._decided:
+            # What came in since the last decision may start at once; told as
+            # waiting it would set slots moving for nothing.
             return None
         since = now_seconds - link.sent_at_seconds
-        if since < COALESCE_SECONDS:
+        inner = link.receiver_id == self._instance_id
+        if since < COALESCE_SECONDS and not inner:
             return None
         self._return_idle(link, now_seconds)
         demands = self._demands(now_seconds)
@@ -561,8 +579,6 @@
 
     def _return_idle(self, link: ReportLink, now_seconds: float) -> None:
         """Give up the slots that nothing here may use while others wait."""
-        if not self._decided:
-            return
         for target_id in self._free_slots(now_seconds):
             pool = self._pool_of_target(target_id)
             if pool is not None and self._contended(pool):
