Fuzz tied elections, and show that broken rules are caught

Change: a rule that ties an election around a crashing voter, links that hold messages back, and a check that no replica votes twice in a term.

--- a/tests/log_world.py
+++ b/tests/log_world.py
@@ -14,6 +14,7 @@
     HardState,
     Member,
     Packet,
+    VoteReply,
     decode_packet,
     encode_packet,
 )
@@ -146,7 +147,9 @@
         self.wanted: frozenset[str] | None = None
         self.in_flight: list[tuple[str, str, bytes]] = []
         self.blocked: set[tuple[str, str]] = set()
+        self.held: set[tuple[str, str]] = set()
         self.leaders: dict[int, Member] = {}
+        self.votes: dict[tuple[Member, int], str] = {}
         self.log: dict[int, tuple[Command, bytes]] = {}
         self.accepted: list[str] = []
         self.answers: dict[str, bytes] = {}
@@ -291,6 +294,8 @@
             return
         position %= len(self.in_flight)
         sender, receiver, encoded = self.in_flight[position]
+        if (sender, receiver) in self.held:
+            return
         if not keep:
             self.in_flight[position] = self.in_flight[-1]
             self.in_flight.pop()
@@ -313,7 +318,8 @@
                     elif chance < loss + delay:
                         continue
                     else:
-                        self.deliver(-1, keep=random.random() < loss / 2)
+                        position = random.randrange(400)
+                        self.deliver(position, keep=random.random() < loss / 2)
             del self.in_flight[:-400]
 
     def propose(self, name: str, command: Command) -> bool:
@@ -323,6 +329,11 @@
         return bool(done and done[0])
 
     def _send(self, sender: str, packet: Packet) -> None:
+        body = packet.body
+        if isinstance(body, VoteReply) and body.granted and not body.pre:
+            vote = (packet.sender, packet.term)
+            first = self.votes.setdefault(vote, packet.receiver_id)
+            assert first == packet.receiver_id, "a replica voted twice in one term"
         self.in_flight.append((sender, packet.receiver_id, encode_packet(packet)))
 
     def _applied(self, applied: Applied) -> None:
--- a/tests/test_log_fuzz.py
+++ b/tests/test_log_fuzz.py
@@ -9,7 +9,7 @@
 from sesameford.fencing import decode_answer, encode_command
 from sesameford.leases import LeaseCommand, LeaseKeeper, make_lease_keeper
 from sesameford.log_messages import Command
-from sesameford.log_state import Role
+from sesameford.log_state import ELECTION_MAX_SECONDS, ELECTION_MIN_SECONDS, Role
 from tests.log_world import World
 
 LEASE_SECONDS = 3.0
@@ -196,6 +196,29 @@
                     self.world.blocked.add((leader, name))
         self.world.run(ticks, Random(ticks), 0.0, 0.0)
 
+    @rule(voter=numbers, after=st.integers(0, 3), slow=numbers, seed=seeds)
+    def tie_an_election(self, voter: int, after: int, slow: int, seed: int) -> None:
+        """All but one stand at the same moment, and the power of that one fails while
+        it votes. It is back at once, and a candidate that the others don't reach asks
+        it late."""
+        world, name = self.world, self._name(voter)
+        link = (self._name(slow), name)
+        world.in_flight.clear()
+        world.now_seconds += 2 * ELECTION_MAX_SECONDS
+        for other in world.living():
+            late = ELECTION_MAX_SECONDS if other == name else 0.0
+            core = world.nodes[other].replica.core
+            core.election_due_at_seconds = world.clock(other) + late
+        self.crash_at_a_sync(voter, after, 0)
+        world.held.add(link)
+        others = [other for other in world.names if other != name]
+        world.blocked |= {(one, two) for one in others for two in others}
+        world.run(2, Random(seed), 0.0, 0.0)
+        self.restart(voter)
+        world.now_seconds += ELECTION_MIN_SECONDS
+        world.held.discard(link)
+        world.run(2, Random(seed), 0.0, 0.0)
+
     @rule(node=numbers)
     def hand_over(self, node: int) -> None:
         name = self._name(node)
@@ -242,10 +265,21 @@
         self.propose(0, 0)
         world.run(30, Random(2), 0.0, 0.0)
         assert self.proposals[-1].proposal_id in world.answers, "no change is accepted"
+        for _ in range(12):
+            if self._all_have_applied():
+                break
+            world.run(30, Random(3), 0.0, 0.0)
+        assert self._all_have_applied(), "a replica does not catch up"
         self.all_is_true()
         for node in world.nodes.values():
             assert node.revisions.values == world.accepted, "something accepted is lost"
 
+    def _all_have_applied(self) -> bool:
+        """Whether every replica has applied all that stands in the leader's log."""
+        replicas = [node.replica for node in self.world.nodes.values()]
+        last_index = max(replica.core.log.last_index for replica in replicas)
+        return all(replica.applier.applied_index == last_index for replica in replicas)
+
     def _is_whole(self) -> bool:
         """Whether one leader has every present disk among its voters."""
         leaders = self._roles()
@@ -263,7 +297,7 @@
 
 _SETTINGS = settings(
     max_examples=40,
-    stateful_step_count=30,
+    stateful_step_count=50,
     derandomize=True,
     deadline=None,
     suppress_health_check=list(HealthCheck),
