--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameford.errors import NoQuorumError, ProposalRefusedError
+from sesameford.errors import NoQuorumError, ProposalRefusedError, StorageError
 from tests.log_fakes import Fleet
 
 
@@ -100,6 +100,33 @@
         await proposed(fleet, "router", "p1", b"other")
 
 
+async def test_a_leader_whose_sync_fails_acknowledges_nothing_more(
+    tmp_path, monkeypatch
+):
+    """The leader's disk fails a sync. An acknowledgement now would count for a
+    majority that does not exist, so the replica stops at once; the others go on,
+    and its instance proposes through them."""
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "p1", b"x")
+    lost = fleet.leader()
+    storage = fleet.services[lost]._replica.storage
+
+    def failing():
+        storage._failure = StorageError("log", 0, "input/output error")
+        raise storage._failure
+
+    monkeypatch.setattr(storage, "sync", failing)
+    task = create_task(fleet.services[lost].propose("p2", "list", b"y"))
+    await fleet.run(0.2)
+    assert fleet.services[lost].role() == "failed"
+    assert "input/output error" in fleet.services[lost].status().failure
+    before = fleet.services[lost]._replica.applier.applied_index
+    await fleet.run(8, until=task.done)
+    assert await task == b"2"
+    assert fleet.leader() not in (None, lost)
+    assert fleet.services[lost]._replica.applier.applied_index == before
+
+
 async def test_a_planned_stop_of_the_leader_holds_nothing_up(tmp_path):
     """A leader is stopped as planned, for an upgrade. Without a hand-over, changes
     and keyed requests would stand still for an election timeout."""
