--- a/sesameford/caller_side.py
+++ b/sesameford/caller_side.py
@@ -1,7 +1,8 @@
 """The caller's end of a request: its stream, and what is kept of it."""
 
-from asyncio import timeout
+from asyncio import sleep, timeout
 from collections.abc import Awaitable
+from contextlib import suppress
 
 from aiohttp import ClientError
 from aiohttp.web import Request as HttpRequest
@@ -9,10 +10,11 @@
 
 from sesameford.answers_http import OUTCOME_KEY, outcome_headers, problem_body
 from sesameford.claims import ClaimAnswer
-from sesameford.silence import CALLER_STALL_SECONDS
+from sesameford.silence import CALLER_HEARTBEAT_SECONDS, CALLER_STALL_SECONDS
 from sesameford.tables import Outcome
 
 MAX_KEPT_STREAM_BYTES = 4_000_000
+COMMENT = b": still working\n\n"
 STREAM_TYPE = "text/event-stream"
 
 
@@ -34,6 +36,7 @@
         self._http = http
         self._keeps = keeps
         self._gone = False
+        self._is_idle = False
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self.started = False
@@ -58,8 +61,23 @@
         if not self.started:
             self.started = True
             await self._to_caller(self._stream.prepare(self._http))
+        self._is_idle = False
         await self._to_caller(self._stream.write(data))
 
+    async def keep_alive(self) -> None:
+        """Send comments while no events come, until cancelled.
+
+        A caller can't tell an engine that thinks from a connection that went silent
+        for good. With a sign of life every few seconds it can give up and resend.
+        """
+        while not self._gone:
+            self._is_idle = True
+            await sleep(CALLER_HEARTBEAT_SECONDS)
+            if self.started and self._is_idle:
+                # The stream's own writer meets the same and ends the request.
+                with suppress(CallerGoneError):
+                    await self._to_caller(self._stream.write(COMMENT))
+
     async def end(self) -> StreamResponse:
         """End a whole stream."""
         await self._to_caller(self._stream.write_eof())
@@ -87,6 +105,8 @@
         if self._gone:
             # Never awaited, so it is closed lest Python warn of it.
             getattr(writing, "close", lambda: None)()
+            if not self._keeps:
+                raise CallerGoneError
             return
         try:
             async with timeout(CALLER_STALL_SECONDS):
--- a/sesameford/completion_run.py
+++ b/sesameford/completion_run.py
@@ -118,6 +118,7 @@
     run: CompletionRun, response: ClientResponse, caller: CallerSide
 ) -> StreamResponse:
     """Pass a stream on as its events come."""
+    heartbeat = run.deps.spawn(caller.keep_alive())
     try:
         async with aclosing(_events(run, response)) as events:
             async for ready in events:
@@ -131,6 +132,8 @@
         run.deps.spawn(_cancel(run))
         await run.deps.judge_target(run.attempt, run.target, error)
         return await caller.cut("answer-cut", str(error))
+    finally:
+        heartbeat.cancel()
     settle(run.deps, run.call, run.attempt, _usage(run), Outcome.RAN)
     return await caller.end()
 
@@ -157,11 +160,6 @@
             break
         run.events.drop_partial()
         response = await _resume(run, broke)
-    judged = judge_stream(
-        run.events.is_done, run.events.usage is not None, run.events.in_order
-    )
-    if judged is not Completeness.COMPLETE:
-        raise TargetLostError("the stream ended without usage", Failure.ANSWER_INVALID)
 
 
 async def _read(
@@ -181,6 +179,10 @@
             raise TargetLostError(
                 "events are missing, doubled or too long", Failure.ANSWER_INVALID
             )
+        judged = judge_stream(events.is_done, events.usage is not None, events.in_order)
+        if events.is_done and judged is not Completeness.COMPLETE:
+            # Before the end mark is passed on, or the caller would take it as whole.
+            raise TargetLostError("the end came without usage", Failure.ANSWER_INVALID)
         if ready:
             yield ready
         if events.event_count >= next_progress:
--- a/sesameford/silence.py
+++ b/sesameford/silence.py
@@ -14,6 +14,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 PROBE_TIMEOUT_SECONDS = 2.0
+CALLER_HEARTBEAT_SECONDS = 5.0
 # A caller that takes nothing for so long is gone, though its connection stands.
 CALLER_STALL_SECONDS = 60.0
 MAX_FRUITLESS_RESUMES = 3
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from time import monotonic
 
 READ_BYTES = 65_536
 
@@ -37,6 +38,7 @@
     caller: asyncio.StreamWriter
     target: asyncio.StreamWriter
     silent: bool = False
+    asked: bool = False
     answered_bytes: int = 0
 
 
@@ -51,7 +53,7 @@
     def __init__(self, target_host: str, target_port: int) -> None:
         self.faults = Faults()
         self.connections = 0
-        self.requests_forwarded_bytes = 0
+        self.requests_at_seconds: list[float] = []
         self._target = (target_host, target_port)
         self._flows: list[_Flow] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -160,7 +162,9 @@
     async def _pass_request(
         self, writer: asyncio.StreamWriter, flow: _Flow, data: bytes
     ) -> bool:
-        self.requests_forwarded_bytes += len(data)
+        if not flow.asked:
+            flow.asked = True
+            self.requests_at_seconds.append(monotonic())
         writer.write(data)
         await writer.drain()
         return True
--- a/tests/faults_fixture.py
+++ b/tests/faults_fixture.py
@@ -202,10 +202,11 @@
         await self._add(target)
         return service, target
 
-    async def add_handler(self, target_id, handler):
+    async def add_handler(self, target_id, handler, kind=TargetKind.SERVICE):
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", handler)
-        target = TargetAtProxy(target_id, TargetKind.SERVICE, "roster", app)
+        name = "roster" if kind is TargetKind.SERVICE else "letters"
+        target = TargetAtProxy(target_id, kind, name, app)
         await self._add(target)
         return target
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp import web
 
+from sesameford.tables import TargetKind
 from tests.faults_fixture import GOOD_KEY, open_world
 
 
@@ -83,6 +84,41 @@
         assert b"event: error" in body
 
 
+async def test_a_stream_without_events_shows_signs_of_life(monkeypatch):
+    """An engine is silent in the middle of an answer. The caller's own connection
+    might be the silent one; without a sign of life it can't tell, and waits on."""
+    monkeypatch.setattr("sesameford.caller_side.CALLER_HEARTBEAT_SECONDS", 0.05)
+    async with open_world() as world:
+        _, target = await world.add_engine()
+        asked = asyncio.create_task(complete(world.routers[0], "m1", 60, stream=True))
+        await asyncio.sleep(0.08)
+        target.proxy.silence_open_flows()
+        _, body = await asked
+        assert body.count(b": still working\n\n") >= 1
+        assert body.endswith(b"data: [DONE]\n\n")
+
+
+@pytest.mark.parametrize("missing", ["usage", "event"])
+async def test_a_stream_with_a_hole_is_not_passed_on_as_whole(missing):
+    """An engine loses an event or its figures and still sends the end mark. The
+    caller's program looks for the mark alone, so the mark must not reach it."""
+    usage = 'id: 1\ndata: {"choices":[],"usage":{"completion_tokens":1}}\n\n'
+    events = {
+        "usage": 'id: 0\ndata: {"choices":[]}\n\nid: 1\ndata: [DONE]\n\n',
+        "event": f'id: 0\ndata: {{"choices":[]}}\n\n{usage}id: 3\ndata: [DONE]\n\n',
+    }[missing]
+
+    async def answer(http):
+        return web.Response(text=events, content_type="text/event-stream")
+
+    async with open_world() as world:
+        await world.add_handler("holey", answer, TargetKind.MODEL)
+        headers = {"Sesameford-Deadline-Seconds": "2"}
+        got, body = await complete(world.routers[0], "m1", 1, headers, stream=True)
+        assert b"data: [DONE]" not in body
+        assert got.headers["Sesameford-Outcome"] == "unknown" or b"error" in body
+
+
 async def test_a_mailing_on_a_silent_connection_is_sent_once():
     """The connection of a mailing goes silent after it was sent. Sent again on
     another, the club's members would get it twice."""
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,27 @@
+"""A drain in the tree and SIGTERM take the same way out."""
+
+from sesameford.effective import EffectiveTree, InstanceSettings
+from sesameford.instance import Instance
+from sesameford.stops import StopStep
+from tests.test_instance import make_settings
+
+
+async def test_a_drain_in_the_tree_stops_the_instance_and_can_be_taken_back(tmp_path):
+    """An operator drains an instance before its machine is serviced, sees that it was
+    the wrong one, and takes the change back while callers are still being served."""
+    (settings,) = make_settings(tmp_path, 1, 0)
+    instance = Instance(settings, "settings.yaml")
+
+    def apply(revision, drain):
+        own = InstanceSettings(settings.instance_id, drain=drain)
+        instance._configure(
+            EffectiveTree(revision, instances={settings.instance_id: own})
+        )
+        return instance._stop.step
+
+    assert apply(1, False) is StopStep.SERVING
+    assert apply(2, True) is StopStep.UNREADY
+    assert apply(3, True) is StopStep.UNREADY
+    assert instance._stop.asked == 1
+    assert apply(4, False) is StopStep.SERVING
+    assert apply(5, True) is StopStep.UNREADY
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,9 +18,9 @@
 import yaml
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
-from standins.fault_proxy import FaultProxy
 from tools.demo import apply_tree, wait_for_targets
-from tools.fleet import HOST, ROOT, Fleet, Member, Shape, free_ports
+from tools.faulty_fleet import FaultyFleet
+from tools.fleet import ROOT, Member, Shape
 from tools.soak_callers import Caller, Sent
 from tools.soak_verdict import judge, print_cut
 from tools.trees import Customer, make_tree
@@ -36,44 +36,10 @@
 SEED = 11
 
 
-class SoakFleet(Fleet):
-    """A fleet whose stand-ins keep a journal; some are behind fault proxies."""
-
-    proxies: dict[str, FaultProxy]
-    proxy_ports: dict[str, int]
-
-    def _plan_target(
-        self, kind: str, position: int, port: int, arguments: tuple[str, ...]
-    ) -> None:
-        name = f"{kind}{position + 1}"
-        more = [f"--journal={self.folder / name}.journal"]
-        if position % 3 == 0:
-            (proxy_port,) = free_ports(1)
-            self.proxies[name] = FaultProxy(HOST, port)
-            self.proxy_ports[name] = proxy_port
-            more.append(f"--announced-url=http://{HOST}:{proxy_port}")
-        super()._plan_target(kind, position, port, (*arguments, *more))
-
-    async def start(self) -> None:
-        self.proxies, self.proxy_ports = {}, {}
-        await super().start()
-        for name, proxy in self.proxies.items():
-            await proxy.start(HOST, self.proxy_ports[name])
-
-    async def reap(self) -> None:
-        await super().reap()
-        for proxy in self.proxies.values():
-            await proxy.stop()
-
-    def silence(self) -> int:
-        """Let all open connections to the targets behind proxies go silent."""
-        return sum(proxy.silence_open_flows() for proxy in self.proxies.values())
-
-
 class Soak:
     """One run: the fleet, the callers, the faults and what was seen."""
 
-    def __init__(self, fleet: SoakFleet, customer: Customer) -> None:
+    def __init__(self, fleet: FaultyFleet, customer: Customer) -> None:
         self.fleet = fleet
         self.customer = customer
         self.sent: list[Sent] = []
@@ -222,7 +188,7 @@
     """
     shutil.rmtree(RUN_FOLDER, ignore_errors=True)
     customer = Customer("desk", "staff", 1.0, ())
-    fleet = SoakFleet(SHAPE, RUN_FOLDER)
+    fleet = FaultyFleet(SHAPE, RUN_FOLDER)
     async with fleet:
         await fleet.wait_up()
         tree = yaml.safe_load(make_tree(SHAPE, (customer,), "leased"))
