--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,101 @@
+"""Allocators die, are cut off silently, and data centres part and meet again."""
+
+import pytest
+
+from sesameford.effective import (
+    CustomerSettings,
+    EffectiveTree,
+    FleetSettings,
+    LimitSettings,
+)
+from sesameford.leased import make_leased_scheduler
+from standins.virtual_fleet import VirtualFleet, make_targets
+
+SLOTS = 4
+ROUTERS = {"e0": "a", "e1": "b", "e2": "a", "e3": "b"}
+NAMES = ("c0", "c1", "c2")
+
+
+@pytest.fixture
+def fleet():
+    limits = LimitSettings(queued_requests=10**6, queued_bytes=10**9)
+    tree = EffectiveTree(
+        1,
+        FleetSettings(quantum_cost_units=100.0),
+        {name: CustomerSettings(name, limits=limits) for name in NAMES},
+    )
+    targets = make_targets({"a": 1, "b": 1}, SLOTS)
+    fleet = VirtualFleet(make_leased_scheduler, ROUTERS, targets, tree)
+    for number in range(600):
+        for name, router in zip(NAMES, ("e2", "e3", "e3"), strict=True):
+            cost = 50.0 + number % 5 * 25.0
+            fleet.submit(router, name, cost, cost)
+    fleet.run(6.0)
+    return fleet
+
+
+def served_in(fleet, seconds):
+    before = dict(fleet.served)
+    fleet.run(seconds)
+    return {name: fleet.served[name] - before.get(name, 0.0) for name in NAMES}
+
+
+def test_an_allocator_dies_and_the_next_one_serves(fleet):
+    """The instance with the smallest id of a data centre loses its power.
+
+    Its data centre's targets must not stand idle for longer than a lease, and no
+    slot is given out twice.
+    """
+    fleet.stop_router("e0")
+    fleet.run(6.0)
+    served = served_in(fleet, 5.0)
+    assert sum(served.values()) >= 0.9 * 5.0 * 100.0 * 2 * SLOTS
+    assert fleet.counted.most_running_over <= 0
+
+
+def test_an_allocator_that_hears_nobody_is_passed_over(fleet):
+    """A firewall loses track of all connections towards one instance.
+
+    Its heartbeats still go out, so the others take it for well, but it answers no
+    report: they turn to the next one when their leases run out.
+    """
+    fleet.network.cut = lambda sender, receiver: receiver == "e0"
+    fleet.run(7.0)
+    served = served_in(fleet, 5.0)
+    assert served["c0"] > 0.0
+    assert sum(served.values()) >= 0.9 * 5.0 * 100.0 * 2 * SLOTS
+    # The isolated one takes itself for the allocator too and may fill a target.
+    assert fleet.counted.most_running_over <= SLOTS
+    fleet.network.cut = lambda sender, receiver: False
+    fleet.run(15.0)
+    assert all(fleet.running(target) <= SLOTS for target in fleet.targets)
+
+
+def test_debt_from_a_cut_does_not_starve_anybody(fleet):
+    """Data centres lose each other for a minute; each serves its own customers.
+
+    The customer alone on one side gets twice what the two on the other side get.
+    When the sides meet it must wait a little, not until they have caught up.
+    """
+    places = fleet.places
+    fleet.network.cut = lambda one, other: places[one] != places[other]
+    apart = served_in(fleet, 60.0)
+    assert apart["c0"] > 1.5 * apart["c1"]
+    fleet.network.cut = lambda one, other: False
+    fleet.run(3.0)
+    together = served_in(fleet, 15.0)
+    assert min(together.values()) > 0.0
+    assert sum(together.values()) >= 0.95 * 15.0 * 100.0 * 2 * SLOTS
+
+
+def test_a_flood_does_not_slow_the_others(fleet):
+    """One customer sends a hundred times its share through every router.
+
+    The two others go on getting their thirds.
+    """
+    for number in range(2000):
+        fleet.submit(sorted(ROUTERS)[number % 4], "c2", 100.0, 25.0)
+    fleet.run(4.0)
+    served = served_in(fleet, 20.0)
+    even = sum(served.values()) / 3.0
+    assert all(amount > 0.85 * even for amount in served.values())
