Tell less of waiting work and of service

Cause: under contention a new waiting customer was told at once though slots had to come free first; every change of a small number went to every data centre. Change: it joins the next report; data centres hear changes by a quarter above two requests; service is told by the quantum.

--- a/benchmarks/fairness_bench.py
+++ b/benchmarks/fairness_bench.py
@@ -24,6 +24,7 @@
     FleetSettings,
     LimitSettings,
 )
+from sesameford.gap_bound import gap_bound
 from sesameford.independent import make_independent_scheduler
 from sesameford.leased import make_leased_scheduler
 from standins.virtual_fleet import (
@@ -131,11 +132,19 @@
     warm = replace(fleet.counted, start_delays_seconds=[])
     phases: dict[str, float] = {}
     samples: list[float] = []
+    starved: set[str] = set()
     for phase in PHASES:
         _enter_phase(phase, fleet, load, deployment)
+        served = dict(fleet.served)
+        waited = fleet.backlogged()
         fleet.gaps = GapMeter(dict.fromkeys(load.customers, 1.0))
         fleet.run(seconds, load.arrive)
         phases[phase] = round(fleet.gaps.widest, 1)
+        starved.update(
+            customer
+            for customer in waited & fleet.backlogged()
+            if fleet.served.get(customer, 0.0) <= served.get(customer, 0.0)
+        )
         if phase != "cut-off":
             samples.extend(fleet.gaps.samples)
     counted = fleet.counted
@@ -146,6 +155,10 @@
     started = counted.started - warm.started
     return {
         "gap_max": max(gap for phase, gap in phases.items() if phase != "cut-off"),
+        "gap_bound": round(
+            gap_bound(len(targets) * SLOTS, UNITS_PER_SECOND, _unserved_cost(), 200.0)
+        ),
+        "starved_customers": len(starved),
         "gap_p99": round(float(numpy.percentile(samples, 99)), 1),
         "gap_by_phase": phases,
         "utilisation_while_backlogged": round(busy / offered, 4),
@@ -161,6 +174,17 @@
     }
 
 
+def _unserved_cost() -> float:
+    """Return what of a running request is not yet served, on average."""
+    random = Random(0)
+    mu = log(MEAN_COST_UNITS) - COST_SIGMA**2 / 2.0
+    costs = [
+        min(random.lognormvariate(mu, COST_SIGMA), LARGEST_COST_UNITS)
+        for _ in range(20_000)
+    ]
+    return sum(cost * cost for cost in costs) / sum(costs) / 2.0
+
+
 def _enter_phase(
     phase: str, fleet: VirtualFleet, load: Load, deployment: Deployment
 ) -> None:
--- a/sesameford/gap_bound.py
+++ b/sesameford/gap_bound.py
@@ -19,8 +19,9 @@
     Args:
         slots: Of the whole pool.
         slot_cost_units_per_second: What one slot serves.
-        in_flight_cost_units: The most that can run per slot: the largest cost, or
-            the mean of what is found running where only that is known.
+        in_flight_cost_units: What is charged but not yet served per slot: the
+            largest cost for a bound that always holds, or half the ratio of the
+            second moment of costs to the first for what is found on average.
         quantum_cost_units: The tree's.
         smallest_share: Of the customers compared.
 
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -41,9 +41,9 @@
 from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
 from sesameford.windows import Pace
 
-_NEW_DEMAND_SECONDS = 0.25
 _EXCHANGE_ROUNDS = 4
 _DECIDE_ROUNDS = 3
+_EXACT_REQUESTS = 8
 
 
 @dataclass(slots=True)
@@ -527,7 +527,7 @@
         demands = self._demands(now_seconds)
         urgent = (
             link.returns_slots(self._running)
-            or self._demand_is_urgent(link, demands, since)
+            or self._demand_is_urgent(link, demands)
             or link.full_due
             or link.is_pressed(now_seconds)
             or link.wants_full
@@ -538,7 +538,7 @@
         threshold = SERVED_THRESHOLD_QUANTA * self._tree.fleet.quantum_cost_units
         pools = pool_reports(
             link.served_rows(self._totals.accounts(), threshold),
-            link.demand_rows(demands, now_seconds),
+            link.demand_rows(demands, _EXACT_REQUESTS, now_seconds),
         )
         holdings = tuple(link.holding_rows(self._running))
         link.full_due = False
@@ -556,7 +556,7 @@
         )
 
     def _demand_is_urgent(
-        self, link: ReportLink, demands: dict[DemandKey, Demand], since: float
+        self, link: ReportLink, demands: dict[DemandKey, Demand]
     ) -> bool:
         """Return whether new waiting work can't wait for the next report.
 
@@ -564,19 +564,11 @@
         joins the news. With none that runs nothing here would ever start: the word
         of contention outlasts it, and a free slot elsewhere may be had at once.
         """
-        patient = since < _NEW_DEMAND_SECONDS
-        running = {self._pool_of_target(target_id) for target_id in self._running}
         return any(
-            key not in link.told_demands
-            and not (patient and self._contended(key[0]) and key[0] in running)
+            key not in link.told_demands and not self._contended(key[0])
             for key in demands
         )
 
-    def _pool_of_target(self, target_id: str) -> str | None:
-        """Return the pool that a target belongs to."""
-        target = self._targets.get(target_id)
-        return self._pool_of.get(target.serves[0]) if target and target.serves else None
-
     def _return_idle(self, link: ReportLink, now_seconds: float) -> None:
         """Give up the slots that nothing here may use while others wait."""
         for target_id in self._free_slots(now_seconds):
--- a/sesameford/links.py
+++ b/sesameford/links.py
@@ -29,7 +29,6 @@
 JOINED_FRACTION = 0.5
 PRESSED_SECONDS = 1.2
 RESEND_SECONDS = 0.15
-_SMALL_DEMAND_REQUESTS = 8
 _AGE_TOLD_SECONDS = 0.2
 _COMPLETIONS_TOLD = 16
 _SENT_REPORTS_KEPT = 256
@@ -173,9 +172,15 @@
         return rows
 
     def demand_rows(
-        self, demands: Mapping[DemandKey, Demand], now_seconds: float
+        self,
+        demands: Mapping[DemandKey, Demand],
+        exact_requests: int,
+        now_seconds: float,
     ) -> dict[str, list[DemandRow]]:
-        """Return by pool the demands that are worth telling."""
+        """Return by pool the demands that are worth telling.
+
+        Up to ``exact_requests`` every change is, above that one by a quarter.
+        """
         if self.full_due:
             self.told_demands = {}
         rows: dict[str, list[DemandRow]] = {}
@@ -184,7 +189,8 @@
             del self.told_demands[key]
             rows.setdefault(key[0], []).append(DemandRow(key[1], key[2]))
         for key, demand in demands.items():
-            if not _worth_a_row(demand, self.told_demands.get(key)):
+            told = self.told_demands.get(key)
+            if not _worth_a_row(demand, told, exact_requests):
                 continue
             self.told_demands[key] = demand
             row = DemandRow(
@@ -231,11 +237,11 @@
         return rows
 
 
-def _worth_a_row(demand: Demand, told: Demand | None) -> bool:
+def _worth_a_row(demand: Demand, told: Demand | None, exact_requests: int) -> bool:
     """Return whether a changed demand is worth sending with the next report."""
     if told is None:
         return True
-    if min(demand.requests, told.requests) <= _SMALL_DEMAND_REQUESTS:
+    if min(demand.requests, told.requests) <= exact_requests:
         younger = demand.since_seconds - told.since_seconds
         return demand.requests != told.requests or younger > _AGE_TOLD_SECONDS
     return not told.requests / 1.25 <= demand.requests <= told.requests * 1.25
--- a/sesameford/place_reports.py
+++ b/sesameford/place_reports.py
@@ -18,10 +18,11 @@
     WantedRow,
 )
 
-SERVED_THRESHOLD_QUANTA = 0.5
+SERVED_THRESHOLD_QUANTA = 1.0
 _DEMANDS_TOLD = 32
 _WANTED_CHANGE_TOLD = 0.25
 _COMPARE_SECONDS = 2.5
+_EXACT_REQUESTS = 2
 _COMPARE_APART_SECONDS = 1.0
 _APART_SECONDS = 8.0
 
@@ -86,7 +87,7 @@
     threshold = SERVED_THRESHOLD_QUANTA * state.quantum()
     pools = pool_reports(
         link.served_rows(state.totals.accounts(), threshold),
-        link.demand_rows(demands, now_seconds),
+        link.demand_rows(demands, _EXACT_REQUESTS, now_seconds),
     )
     rows = _with_pool_rows(state, place, pools, full, now_seconds)
     holdings = tuple(link.holding_rows(kept))
