--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -564,11 +564,18 @@
         joins the news. With none that runs nothing here would ever start: the word
         of contention outlasts it, and a free slot elsewhere may be had at once.
         """
+        running = {self._pool_of_target(target_id) for target_id in self._running}
         return any(
-            key not in link.told_demands and not self._contended(key[0])
+            key not in link.told_demands
+            and not (self._contended(key[0]) and key[0] in running)
             for key in demands
         )
 
+    def _pool_of_target(self, target_id: str) -> str | None:
+        """Return the pool that a target belongs to."""
+        target = self._targets.get(target_id)
+        return self._pool_of.get(target.serves[0]) if target and target.serves else None
+
     def _return_idle(self, link: ReportLink, now_seconds: float) -> None:
         """Give up the slots that nothing here may use while others wait."""
         for target_id in self._free_slots(now_seconds):
