Do nothing where nothing is due

Change: the allocator ticks on change, batch or heartbeat; elections ten times a second; pools are found again only when what targets serve has changed.

--- a/sesameford/allocator.py
+++ b/sesameford/allocator.py
@@ -19,7 +19,7 @@
 from sesameford.tables import Target
 
 _CHANGED_SECONDS = 0.01
-_UNCHANGED_SECONDS = 0.25
+_UNCHANGED_SECONDS = 0.05
 # An allocation over many waiting customers takes longer, so it is made less often.
 _ROW_SECONDS = 2e-5
 
@@ -205,24 +205,28 @@
 
     def tick(self, now_seconds: float) -> list[Outgoing]:
         """Allocate what is free and return the messages that are due."""
-        if not self.active:
+        state = self.state
+        if not self.active or not self._is_due(now_seconds):
             return []
-        silent = [
-            link for link in self.state.links.values() if link.is_silent(now_seconds)
-        ]
+        silent = [link for link in state.links.values() if link.is_silent(now_seconds)]
         for link in silent:
-            del self.state.links[link.holder_id]
-        state = self.state
-        elapsed = now_seconds - state.allocated_at_seconds
-        rows = sum(len(link.demands) for link in state.links.values())
-        changed_seconds = _CHANGED_SECONDS + rows * _ROW_SECONDS
-        if elapsed >= (changed_seconds if state.changed else _UNCHANGED_SECONDS):
-            state.allocated_at_seconds = now_seconds
-            state.changed = False
-            allocate(state, now_seconds)
+            del state.links[link.holder_id]
+        state.changed = False
+        state.allocated_at_seconds = now_seconds
+        allocate(state, now_seconds)
         reports = place_reports(state, (), now_seconds)
         joined = [one.receiver_id for one in reports if one.receiver_id]
         answers = grant_answers(state, joined, now_seconds)
         joined = [one.receiver_id for one in answers if one.receiver_id]
-        reports.extend(place_reports(state, joined, now_seconds))
+        if joined:
+            reports.extend(place_reports(state, joined, now_seconds))
         return [*reports, *answers]
+
+    def _is_due(self, now_seconds: float) -> bool:
+        """Return whether something changed, or waits for a batch or a heartbeat."""
+        state = self.state
+        elapsed = now_seconds - state.allocated_at_seconds
+        if state.changed or any(link.urgent for link in state.links.values()):
+            rows = sum(len(link.demands) for link in state.links.values())
+            return elapsed >= _CHANGED_SECONDS + rows * _ROW_SECONDS
+        return elapsed >= _UNCHANGED_SECONDS
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -41,6 +41,7 @@
 from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
 from sesameford.windows import Pace
 
+_FOLLOW_SECONDS = 0.1
 _EXCHANGE_ROUNDS = 4
 _DECIDE_ROUNDS = 3
 _EXACT_REQUESTS = 8
@@ -79,6 +80,7 @@
         self._tree = EffectiveTree()
         self._targets: Mapping[str, Target] = {}
         self._pool_of: Mapping[str, str] = {}
+        self._serves: dict[str, tuple[str, ...]] = {}
         self._election = Election(instance_id, data_centre)
         self._allocator = Allocator(instance_id, data_centre)
         self._queues = Queues()
@@ -97,6 +99,7 @@
         self._term = 0
         self._link: ReportLink | None = None
         self._decided = False
+        self._followed_at_seconds = float("-inf")
         self._unsent: list[Outgoing] = []
 
     # --- what is observed ------------------------------------------------------
@@ -119,8 +122,11 @@
             if present is None or present.incarnation != known.incarnation:
                 self._affinity.forget(target_id)
                 self._paces.pop(target_id, None)
+        serves = {one.target_id: one.serves for one in targets.values()}
+        if serves != self._serves:
+            self._serves = serves
+            self._pool_of = find_pools(targets.values())
         self._targets = dict(targets)
-        self._pool_of = find_pools(self._targets.values())
         self._decided = False
         self._follow(now_seconds)
 
@@ -134,6 +140,7 @@
 
     def _follow(self, now_seconds: float) -> None:
         """Turn to the allocator that is elected now, or be it."""
+        self._followed_at_seconds = now_seconds
         own = self._tree.instances.get(self._instance_id)
         may_serve = own is None or not own.drain
         link = self._link
@@ -488,7 +495,8 @@
 
     def outgoing(self, now_seconds: float) -> Sequence[Outgoing]:
         """Return the messages that are due now."""
-        self._follow(now_seconds)
+        if now_seconds - self._followed_at_seconds >= _FOLLOW_SECONDS:
+            self._follow(now_seconds)
         if self._decided:
             self._exchange(now_seconds)
         leaving = self._unsent
@@ -564,11 +572,12 @@
         joins the news. With none that runs nothing here would ever start: the word
         of contention outlasts it, and a free slot elsewhere may be had at once.
         """
+        new = [key for key in demands if key not in link.told_demands]
+        if not new:
+            return False
         running = {self._pool_of_target(target_id) for target_id in self._running}
         return any(
-            key not in link.told_demands
-            and not (self._contended(key[0]) and key[0] in running)
-            for key in demands
+            not (self._contended(pool) and pool in running) for pool, _, _ in new
         )
 
     def _pool_of_target(self, target_id: str) -> str | None:
