Mend two faults of half worked-off changes that the fuzzing found

A whole tree that overtook a half worked-off change left that change's customers in force; and a key that was moved and moved back between two slices was forgotten, because its owner seemed unchanged. Change: a whole tree drops what was half worked off; keys are compared only while no other key has been touched. A test for each, which fails without its mend. Conclusion: both could refuse a customer's callers, or serve a customer who was gone, until the next change of that customer.

--- a/sesameford/tree_in_force.py
+++ b/sesameford/tree_in_force.py
@@ -53,7 +53,13 @@
             self._due.update(dict.fromkeys(_below(nodes, branches)))
 
     def replaced(self) -> None:
-        """Note that the store took a whole tree."""
+        """Note that the store took a whole tree.
+
+        What was worked off of a change before it is dropped: an entity that only
+        that change had is in neither tree, and would stay for good.
+        """
+        self._working = {}
+        self._working_digests = None
         for root, known in self._present().items():
             self._due.update(dict.fromkeys(f"{root}/{name}" for name in known))
         self._due.update(dict.fromkeys(self._store.declared.nodes))
@@ -111,9 +117,9 @@
         """Bring the digests of one customer's keys up to date."""
         old = former.key_digests if former else ()
         new = entity.key_digests if entity else ()
-        if old == new:
-            return
         if self._working_digests is None:
+            if old == new:
+                return
             self._working_digests = dict(self.tree.customer_ids_by_digest)
         found = self._working_digests
         for digest in old:
--- a/tests/test_tree_spread.py
+++ b/tests/test_tree_spread.py
@@ -6,7 +6,6 @@
 from sesameford.messages import TreeStepRow, TreeSteps, TreeWanted, TreeWhole
 from sesameford.tables import Instance, InstanceState
 from sesameford.tree import (
-    DeclaredTree,
     TreeDifference,
     difference,
     parse_tree,
@@ -41,6 +40,14 @@
     return steps
 
 
+def declare(spread, text):
+    """Take a declared tree as the next step."""
+    changed = difference(spread.store.declared, parse_tree(text, "t"))
+    digest = spread.store.would_be(changed)
+    assert spread.store.step(TreeStep(spread.store.revision + 1, changed, digest))
+    spread.in_force.changed(changed)
+
+
 def test_a_whole_tree_from_the_past_changes_nothing():
     """An answer is held up on a slow link until newer changes have arrived.
 
@@ -151,12 +158,43 @@
     first = "customers: {children: {a: {key_digests: [%s]}, b: {}}}"
     second = "customers: {children: {b: {key_digests: [%s]}, a: {}}}"
     for text in (first, second):
-        nodes = parse_tree(text % ("a1" * 32), "t").nodes
-        changed = difference(spread.store.declared, DeclaredTree(nodes))
-        step = TreeStep(
-            spread.store.revision + 1, changed, spread.store.would_be(changed)
-        )
-        assert spread.store.step(step)
-        spread.in_force.changed(changed)
+        declare(spread, text % ("a1" * 32))
         assert spread.in_force.work()
     assert spread.in_force.tree.customer_ids_by_digest == {"a1" * 32: "b"}
+
+
+def test_a_key_that_moves_and_returns_between_slices_stays_known():
+    """An operator moves a key and moves it back while the first change is worked off.
+
+    Seen by `make fuzz`, TreeAndSpread under seed 142698359214430. The new owner had
+    had its turn, the former one not yet; the key was then forgotten, and all its
+    callers refused.
+    """
+    spread = make_spread()
+    at_a = "customers: {children: {a: {key_digests: [%s]}, b: {}}}" % ("a1" * 32)
+    at_b = "customers: {children: {b: {key_digests: [%s]}, a: {}}}" % ("a1" * 32)
+    declare(spread, at_a)
+    assert spread.in_force.work()
+    declare(spread, at_b)
+    assert not spread.in_force.work(limit=1)
+    declare(spread, at_a)
+    assert spread.in_force.work()
+    assert spread.in_force.tree.customer_ids_by_digest == {"a1" * 32: "a"}
+
+
+def test_nothing_stays_of_a_change_that_a_whole_tree_overtook():
+    """A whole tree arrives while a change is half worked off.
+
+    Seen by `make fuzz`, TreeAndSpread under seed 142698359214430. A customer that
+    only the overtaken change had came into force, and nothing took it out again.
+    """
+    spread = make_spread()
+    declare(spread, "customers: {children: {a: {}}}")
+    assert spread.in_force.work()
+    passing = "customers: {children: {a: {}, b: {key_digests: [%s]}, c: {}}}"
+    declare(spread, passing % ("a1" * 32))
+    assert not spread.in_force.work(limit=1)
+    spread.received("e2", TreeWhole(9, NODES, DIGEST), {}, 0.0)
+    assert spread.in_force.work()
+    assert set(spread.in_force.tree.customers) == {"a"}
+    assert spread.in_force.tree.customer_ids_by_digest == {}
