--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -157,7 +157,8 @@
 
     Returns:
         The counts. Lost is a request that got neither a whole answer nor a clear
-        outcome; a stream that is cut and says so has one, and is unknown. Doubled is a request that more than one attempt started for.
+        outcome; a stream that is cut and says so has one, and is unknown. Doubled
+        is a request that more than one attempt started for.
     """
     started: Counter[str] = Counter()
     for report in counts:
--- a/benchmarks/router_slopes.py
+++ b/benchmarks/router_slopes.py
@@ -11,7 +11,7 @@
 import sys
 import time
 from argparse import ArgumentParser
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
@@ -29,7 +29,7 @@
 TOKENS = (1, 40, 120)
 REQUESTS = 240
 CONCURRENT = 48
-INSTANCES = (2, 4, 8)
+INSTANCES = (4, 8, 16)
 IDLE_SECONDS = 6.0
 START_SECONDS = 2.0
 ENGINE_TOKENS_PER_SECOND = 60.0
@@ -117,8 +117,8 @@
 
 
 async def _idle_costs(folder: Path, instances: int) -> Mapping[str, float]:
-    """Return control and memory of an instance among so many, with nothing to do."""
-    shape = Shape("slopes", ("a", "b"), instances, 1, 2, 1)
+    """Return control and memory of nodes and hubs among so many, all idle."""
+    shape = Shape("slopes", ("a", "b"), instances, 1, 2, 1, has_hubs=True)
     customer = Customer("one", "all", 1.0, ())
     async with Fleet(shape, folder) as fleet:
         await fleet.wait_up()
@@ -127,32 +127,46 @@
         await asyncio.sleep(1.0)
         async with ClientSession() as session:
             first = await _control(session, fleet)
-            begin = time.monotonic()
             await asyncio.sleep(IDLE_SECONDS)
             last = await _control(session, fleet)
-            elapsed = time.monotonic() - begin
         resident = [
             psutil.Process(member.pid).memory_info().rss / 1e6
             for member in fleet.instances.values()
         ]
         await fleet.stop_all()
-    scale = elapsed * instances
+    hubs = list(last)[: len(shape.data_centres)]
+    nodes = list(last)[len(shape.data_centres) :]
+    rates = {
+        name: [(new - old) / (last[name][0] - first[name][0]) for old, new in pairs]
+        for name in last
+        if (pairs := list(zip(first[name][1:], last[name][1:], strict=True)))
+    }
     return {
-        "sent_bytes_per_second": (last[0] - first[0]) / scale,
-        "cpu_fraction": (last[1] - first[1]) / scale,
-        "resident_mb": float(numpy.mean(resident)),
+        "node_sent_bytes_per_second": _mean(rates[name][0] for name in nodes),
+        "node_cpu_fraction": _mean(rates[name][1] for name in nodes),
+        "hub_sent_bytes_per_second": _mean(rates[name][0] for name in hubs),
+        "hub_cpu_fraction": _mean(rates[name][1] for name in hubs),
+        "resident_mb": _mean(resident),
     }
 
 
-async def _control(session: ClientSession, fleet: Fleet) -> tuple[float, float]:
-    """Return bytes sent and processor seconds of control, over all instances."""
-    sent = cpu = 0.0
+async def _control(
+    session: ClientSession, fleet: Fleet
+) -> Mapping[str, tuple[float, float, float]]:
+    """Return time, bytes sent and processor seconds of control by instance."""
+    readings = {}
     for member in fleet.instances.values():
         metrics = await read_metrics(session, member.url)
         rows = metrics.rows("sesameford_control_bytes_total")
-        sent += sum(value for labels, value in rows if labels["direction"] == "sent")
-        cpu += metrics.total("sesameford_control_cpu_seconds_total")
-    return sent, cpu
+        sent = sum(value for labels, value in rows if labels["direction"] == "sent")
+        cpu = metrics.total("sesameford_control_cpu_seconds_total")
+        readings[member.member_id] = (time.monotonic(), sent, cpu)
+    return readings
+
+
+def _mean(values: Iterable[float]) -> float:
+    """Return the mean."""
+    return float(numpy.mean(list(values)))
 
 
 def _libraries_mb() -> float:
@@ -175,10 +189,7 @@
             asyncio.run(_idle_costs(folder / f"idle{count}", count))
             for count in INSTANCES
         ]
-    slopes = {
-        name: _line(INSTANCES, [row[name] for row in idle])
-        for name in ("sent_bytes_per_second", "cpu_fraction", "resident_mb")
-    }
+    slopes = {name: _line(INSTANCES, [row[name] for row in idle]) for name in idle[0]}
     return {
         "relay": dict(relay),
         "instances": list(INSTANCES),
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -8,8 +8,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Mapping
-from importlib.util import find_spec
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from rich.console import Console
@@ -18,10 +17,9 @@
 from tools.fleet import ROOT
 
 MODULES = {
-    "router": "benchmarks.router_slopes",
-    "tree": "benchmarks.tree_bench",
-    "log": "benchmarks.log_bench",
-    "fairness": "benchmarks.fairness_slopes",
+    "router": ("benchmarks.router_slopes", "--output", "json"),
+    "tree": ("benchmarks.tree_bench", "--output", "json"),
+    "fairness": ("benchmarks.fairness_slopes",),
 }
 RESULT = ROOT / "results" / "slopes.json"
 _TIMEOUT_SECONDS = 100.0
@@ -29,11 +27,9 @@
 console = Console(width=110)
 
 
-def run_module(module: str) -> Any:
-    """Return what a module's measurement printed, None where there is no module."""
-    if find_spec(module) is None:
-        return None
-    command = [sys.executable, "-m", module, "--output", "json"]
+def run_module(arguments: Sequence[str]) -> Any:
+    """Return what a module's measurement printed on its last line."""
+    command = [sys.executable, "-m", *arguments]
     done = subprocess.run(
         command,
         cwd=ROOT,
@@ -63,11 +59,10 @@
 def main() -> int:
     """Run all measurements, print the table and write the file."""
     figures: dict[str, Any] = {}
-    for name, module in MODULES.items():
+    for name, arguments in MODULES.items():
         begin = time.monotonic()
-        figures[name] = run_module(module)
-        state = "not measured" if figures[name] is None else "measured"
-        console.print(f"{name}: {state} in {time.monotonic() - begin:.0f} s")
+        figures[name] = run_module(arguments)
+        console.print(f"{name}: measured in {time.monotonic() - begin:.0f} s")
     table = Table("figure", "value")
     for name, value in figures.items():
         for path, shown in _rows(name, value).items():
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -34,9 +34,14 @@
         "relay": relay,
         "idle": [{"resident_mb": 60.0}],
         "libraries_mb": 50.0,
-        "idle_slopes": {"sent_bytes_per_second": line, "cpu_fraction": line},
+        "idle_slopes": {
+            f"{role}_{name}": line
+            for role in ("node", "hub")
+            for name in ("sent_bytes_per_second", "cpu_fraction")
+        },
     }
     verdicts = {line.what: line.verdict for line in make_lines({"router": router})}
     assert verdicts["settings"] == "not measured"
     assert verdicts["fair service"] == "not measured"
-    assert verdicts["membership: bytes of a node, idle"].startswith("MISSED by 35.2")
+    bytes_verdict = verdicts["membership: node, idle, bytes/s"]
+    assert bytes_verdict.startswith("MISSED by 10.1 times")
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -19,11 +19,10 @@
 
 NODES, DATA_CENTRES = 360, 7
 REQUESTS_PER_SECOND, TOKENS_PER_SECOND = 11_000, 2_700_000
-BACKLOGGED = 2_200
 CHANGES_A_DAY, RESTARTS_A_DAY = 670, 220
 DAY_SECONDS = 86_400
-# A backlogged customer is taken to wait at this many nodes at once.
-NODES_OF_A_CUSTOMER = 4
+# An allocator joins what comes within 10 ms.
+MOST_TICKS_PER_SECOND = 100.0
 WIRE_HEADER_BYTES = 112
 
 CONTROL_CPU, CONTROL_MB, CONTROL_BYTES = 0.013, 32.0, 2048.0
@@ -148,82 +147,82 @@
 
 
 def _membership_lines(router: Mapping[str, Any]) -> Sequence[Line]:
-    """Return the lines of heartbeats and target news among idle instances."""
-    size = router["idle_slopes"]["sent_bytes_per_second"]
-    cpu = router["idle_slopes"]["cpu_fraction"]
-    return [
-        Line(
-            "membership: bytes of a node, idle",
-            "`peers`, `members`, `target_spread`",
-            f"{size['fixed']:.0f} + {NODES} x {size['per_instance']:.0f} bytes/s",
-            size["fixed"] + NODES * size["per_instance"],
-            CONTROL_BYTES,
-            "bytes/s",
-            "every instance greets every other; a hub for each data centre must"
-            " stand between",
-        ),
-        Line(
-            "membership: processor time of a node, idle",
-            "`peers`, `members`, `instance`",
-            f"{cpu['fixed']:.4f} + {NODES} x {cpu['per_instance']:.6f}",
-            cpu["fixed"] + NODES * cpu["per_instance"],
-            CONTROL_CPU,
-            "of a core",
-            "the same hub",
-        ),
-    ]
+    """Return the lines of heartbeats and target news among idle instances.
+
+    The slopes are over instances in two data centres, half of them in each.
+    """
+    slopes = router["idle_slopes"]
+    in_data_centre = NODES / DATA_CENTRES
+    lines = []
+    for role, allowed in (("node", CONTROL_CPU), ("hub", SET_ASIDE_CPU)):
+        for name, unit, budget in (
+            ("sent_bytes_per_second", "bytes/s", CONTROL_BYTES),
+            ("cpu_fraction", "of a core", allowed),
+        ):
+            slope = slopes[f"{role}_{name}"]
+            each = 2 * slope["per_instance"]
+            lines.append(
+                Line(
+                    f"membership: {role}, idle, {unit}",
+                    "`peers`, `members`, `target_spread`",
+                    f"{slope['fixed']:.4g} + {in_data_centre:.0f} x {each:.3g}",
+                    slope["fixed"] + in_data_centre * max(0.0, each),
+                    budget,
+                    unit,
+                    "less often, or less for each member",
+                )
+            )
+    return lines
 
 
 def _fairness_lines(fairness: Any) -> Sequence[Line]:
-    """Return the lines of fair service."""
+    """Return the lines of fair service, measured at a data centre's own size."""
     if not fairness:
         return [Line("fair service", "`allocator`, `leased`", "", None, 0, "")]
-    routers = NODES / DATA_CENTRES
-    by_customer, by_router = fairness["customer_slopes"], fairness["router_slopes"]
-    customer = by_customer["allocator_cpu_fraction"]
-    per_router = max(0.0, by_router["allocator_cpu_fraction"]["slope"])
-    measured_routers = 4
-    allocator = (
-        customer["fixed"]
-        + BACKLOGGED * max(0.0, customer["slope"])
-        + (routers - measured_routers) * per_router
-    )
-    local = BACKLOGGED * NODES_OF_A_CUSTOMER / NODES
-    router = by_customer["router_cpu_fraction"]
-    sent = max(
-        row["sent_bytes_per_instance_second"] for row in fairness["by_customers"]
-    )
-    return [
-        Line(
-            "allocator, one set aside for each data centre",
-            "`allocator`, `pool_allocation`",
-            f"{customer['fixed']:.3f} + {BACKLOGGED} customers x"
-            f" {customer['slope']:.6f} + {routers - measured_routers:.0f} routers x"
-            f" {per_router:.4f}",
-            allocator,
-            SET_ASIDE_CPU,
-            "of a core",
-            "work by change instead of by tick over all that wait",
-        ),
-        Line(
-            "router: deciding among its backlogged customers",
-            "`leased`, `virtual_time`, `queues`",
-            f"{local:.0f} customers x {router['slope']:.6f}",
-            local * max(0.0, router["slope"]),
-            CONTROL_CPU,
-            "of a core",
-            "an order of customers kept by change",
-        ),
-        Line(
-            "fair service: bytes of an instance",
-            "`links`, `grant_answers`, `place_reports`",
-            "the largest of the sizes measured",
-            sent,
-            CONTROL_BYTES,
-            "bytes/s",
-            "fewer urgent reports and answers",
-        ),
-    ]
+    loaded = [row for row in fairness["routers"] if row["load"] > 1][-1]
+    calm = [row for row in fairness["routers"] if row["load"] < 1][-1]
+    lines = []
+    for allocator in [row for row in fairness["allocators"] if row["routers"] > 50]:
+        reports = loaded["router_messages_per_second"] * allocator["routers"]
+        ticks = min(reports, MOST_TICKS_PER_SECOND)
+        cpu = reports * allocator["report_seconds"] + ticks * allocator["tick_seconds"]
+        lines.append(
+            Line(
+                f"allocator (set aside), {allocator['customers']} backlogged customers",
+                "`allocator`, `pool_allocation`",
+                f"{reports:.0f} reports/s x {allocator['report_seconds'] * 1e6:.0f} us"
+                f" + {ticks:.0f} ticks/s x {allocator['tick_seconds'] * 1e3:.1f} ms",
+                cpu,
+                SET_ASIDE_CPU,
+                "of a core",
+                "fewer ticks, or ticks over what changed alone",
+            )
+        )
+    for name, row in (("backlogged", loaded), ("load 0.7", calm)):
+        sent = row["router_sent_bytes_per_second"]
+        received = row["router_received_bytes_per_second"]
+        lines += [
+            Line(
+                f"fair service: bytes of a router, {name}",
+                "`leased`, `links`, `grant_answers`",
+                f"{row['routers']:.0f} routers, {sent} sent + {received} received",
+                float(sent + received),
+                CONTROL_BYTES,
+                "bytes/s",
+                "fewer urgent reports and answers",
+            ),
+            Line(
+                f"fair service: deciding code of a router, {name}",
+                "`leased`, `virtual_time`, `queues`",
+                f"{row['requests_per_router_second']} requests/s in virtual time",
+                row["processor_seconds_per_router_second"],
+                CONTROL_CPU,
+                "of a core",
+                "part of it is queueing and choosing targets, which is a router's"
+                " own work; the rest must shrink",
+            ),
+        ]
+    return lines
 
 
 def render(lines: Sequence[Line]) -> str:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -56,6 +56,7 @@
     engine_slots: int = 8
     tokens_per_second: float = 200.0
     service_slots: int = 8
+    has_hubs: bool = False
 
 
 DESK = Shape("desk", ("a", "b", "c"), 8, 3, 9, 3, one_way_seconds=0.0012)
@@ -404,10 +405,12 @@
                     "data_centre": peer.data_centre,
                     "peers": self._address_from(member.data_centre, peer),
                     "has_disk": peer.member_id in replicas,
+                    "is_hub": self._is_hub(peer),
                 }
                 for peer in self.instances.values()
-                if peer is not member
+                if peer is not member and self._are_linked(member, peer)
             ],
+            "is_hub": self._is_hub(member),
             "operators": [
                 {"name": OPERATOR, "key_digest": digest_of(self.keys.operator)}
             ],
@@ -423,6 +426,19 @@
         file = self.folder / f"{member_id}.yaml"
         file.write_text(yaml.safe_dump(settings, sort_keys=False), encoding="utf-8")
 
+    def _is_hub(self, member: Member) -> bool:
+        """Return whether an instance passes on for its data centre: the first one."""
+        return (
+            self.shape.has_hubs and self.instances_in(member.data_centre)[0] is member
+        )
+
+    def _are_linked(self, one: Member, other: Member) -> bool:
+        """Return whether two instances have a direct link."""
+        if not self.shape.has_hubs:
+            return True
+        hubs = self._is_hub(one) + self._is_hub(other)
+        return hubs == 2 or (hubs == 1 and one.data_centre == other.data_centre)
+
     def _address_from(self, data_centre: str, peer: Member) -> str:
         """Return where an instance in a data centre reaches a peer."""
         if peer.data_centre == data_centre:
