--- a/benchmarks/log_bench.py
+++ b/benchmarks/log_bench.py
@@ -20,6 +20,7 @@
 import uvloop
 from msgspec.msgpack import encode
 
+from sesameford import log_replica
 from sesameford.errors import StorageError
 from sesameford.fencing import FencingMachine
 from sesameford.log_replica import SNAPSHOT_ENTRIES
@@ -30,6 +31,7 @@
 RESTART_CHANGES = (100, 10_000, 100_000)
 COMMAND_BYTES = 200
 TICK_SECONDS = 0.05
+_SNAPSHOT_BYTES = log_replica.SNAPSHOT_BYTES
 
 
 class BlobMachine:
@@ -196,6 +198,7 @@
 
 async def measure_restart(folder: Path, changes: int, snapshot: bool) -> dict:
     """Return how long one replica takes to start after a number of changes."""
+    log_replica.SNAPSHOT_BYTES = _SNAPSHOT_BYTES if snapshot else sys.maxsize
     target = folder / f"restart-{changes}-{snapshot}"
     snapshot_entries = min(SNAPSHOT_ENTRIES, changes // 2) if snapshot else changes * 2
     fleet = Fleet(target, 1, False, snapshot_entries)
