Let the tree limit how long a target's lease may be

Cause: fleet.target_lease_seconds had no effect; a target could ask for a minute, and having vanished would have got work that long. Change: an announcement with a longer lease is refused with the limit; the default is 5 s, since 2 s would have refused the stand-ins' 3 s.

--- a/sesameford/announcements.py
+++ b/sesameford/announcements.py
@@ -7,7 +7,6 @@
 from sesameford.tables import TargetKind
 
 MAX_ANNOUNCEMENT_BYTES = 100_000
-MAX_LEASE_SECONDS = 60.0
 MAX_COUNTER = (1 << 62) - 1
 
 
@@ -38,9 +37,23 @@
 leave_bodies = json.Decoder(LeaveBody)
 
 
-def check_announcement(body: AnnounceBody) -> None:
-    """Refuse an announcement whose values are out of range."""
-    faults = {
+def check_announcement(body: AnnounceBody, lease_limit_seconds: float) -> None:
+    """Refuse an announcement whose values are out of range.
+
+    A target that vanishes gets work until its lease ends, so the tree limits how
+    long a lease may be.
+
+    Args:
+        body: The announcement.
+        lease_limit_seconds: The tree's ``fleet.target_lease_seconds``.
+
+    Raises:
+        Problem: It names the field.
+    """
+    if body.lease_seconds > lease_limit_seconds:
+        allowed = f"at most {lease_limit_seconds:g}, by fleet.target_lease_seconds"
+        raise Problem(400, "bad-body", f"lease_seconds: {allowed}")
+    good_fields = {
         "target_id": 0 < len(body.target_id) <= 200,
         "incarnation": 0 <= body.incarnation <= MAX_COUNTER,
         "sequence": 0 <= body.sequence <= MAX_COUNTER,
@@ -48,9 +61,9 @@
         "url": body.url.startswith(("http://", "https://")) and len(body.url) <= 500,
         "data_centre": 0 < len(body.data_centre) <= 200,
         "capacity_slots": 0 < body.capacity_slots <= 1_000_000,
-        "lease_seconds": 0 < body.lease_seconds <= MAX_LEASE_SECONDS,
+        "lease_seconds": body.lease_seconds > 0,
     }
-    for name, good in faults.items():
+    for name, good in good_fields.items():
         if not good:
             raise Problem(400, "bad-body", f"{name}: out of range")
 
--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -81,7 +81,7 @@
 
     scheduler: str = "leased"
     quantum_cost_units: float = 200.0
-    target_lease_seconds: float = 2.0
+    target_lease_seconds: float = 5.0
     balancer_delay_seconds: float = 1.0
     retry_budget_fraction: float = 0.1
     quarantine_seconds: float = 300.0
--- a/sesameford/operators.py
+++ b/sesameford/operators.py
@@ -33,6 +33,7 @@
 from sesameford.tree import (
     MAX_TEXT_BYTES,
     difference,
+    fleet_settings,
     origins,
     parse_tree_in_slices,
 )
@@ -141,7 +142,8 @@
     async def post_announce(request: web.Request) -> web.Response:
         _platform(deps, request)
         body = await read_body(request, announce_bodies, MAX_ANNOUNCEMENT_BYTES)
-        check_announcement(body)
+        fleet = fleet_settings(deps.store().declared)
+        check_announcement(body, fleet.target_lease_seconds)
         if not deps.announce(target_news(body)):
             raise Problem(409, "from-the-past", "a newer announcement is known")
         return json_response({"target_id": body.target_id})
--- a/sesameford/tree.py
+++ b/sesameford/tree.py
@@ -16,7 +16,13 @@
 from xxhash import xxh3_128_intdigest
 from yaml import YAMLError
 
-from sesameford.effective import EffectiveTree, LimitSettings, Origin, RouteSettings
+from sesameford.effective import (
+    EffectiveTree,
+    FleetSettings,
+    LimitSettings,
+    Origin,
+    RouteSettings,
+)
 from sesameford.errors import TreeError
 from sesameford.tree_fields import (
     LEAF_FIELDS,
@@ -305,9 +311,7 @@
         if read_node(encoded).is_leaf:
             root, _, name = path.partition("/")
             entities[root][name] = inheritance.entity(path)
-    fleet = (
-        inheritance.entity("fleet") if "fleet" in declared.nodes else ROOTS["fleet"]()
-    )
+    fleet = fleet_settings(declared)
     by_digest = {
         digest: customer.customer_id
         for customer in entities["customers"].values()
@@ -316,6 +320,14 @@
     return EffectiveTree(revision, fleet, **entities, customer_ids_by_digest=by_digest)
 
 
+def fleet_settings(declared: DeclaredTree) -> FleetSettings:
+    """Return the settings of the whole deployment under a declared tree."""
+    if "fleet" not in declared.nodes:
+        return FleetSettings()
+    fleet: FleetSettings = Inheritance(declared.nodes).entity("fleet")
+    return fleet
+
+
 def origins(declared: DeclaredTree, path: str) -> Mapping[str, Origin]:
     """Return each effective value of a node with the branch that it comes from.
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -258,6 +258,22 @@
     assert isinstance(answer, dict)
 
 
+async def test_the_tree_limits_the_lease_of_targets(instance):
+    """A target asks for a lease of a minute and vanishes.
+
+    Every router would send it work for that minute.
+    """
+    body = {**ANNOUNCEMENT, "lease_seconds": 4.0}
+    path = "/targets/announce"
+    assert (await call(instance, "POST", path, body, PLATFORM_KEY))[0] == 200
+    shorter = change("fleet: {target_lease_seconds: 3}")
+    assert (await call(instance, "POST", "/tree/changes", shorter))[0] == 200
+    body["sequence"] = 2
+    status, answer = await call(instance, "POST", path, body, PLATFORM_KEY)
+    assert (status, answer["reason"]) == (400, "bad-body")
+    assert "at most 3" in answer["detail"]
+
+
 async def test_an_unknown_node_or_query_is_refused(instance):
     assert (await call(instance, "GET", "/tree/effective?path=customers/x"))[0] == 404
     assert (await call(instance, "GET", "/tree/history?before=x"))[0] == 400
