Look one second ahead

Cause: slots move four times faster now than when the horizon was chosen. Change: levels look 1 s ahead instead of 2 s.

--- a/sesameford/pool_allocation.py
+++ b/sesameford/pool_allocation.py
@@ -14,7 +14,7 @@
 )
 from sesameford.links import LEASE_SECONDS, GrantLink, PendingGrant
 
-HORIZON_SECONDS = 2.0
+HORIZON_SECONDS = 1.0
 _SHORT_HORIZON_SECONDS = 0.4
 _SMALL_QUANTA = 2.0
 _MOVE_SECONDS = 0.35
