--- a/sesameford/gap_bound.py
+++ b/sesameford/gap_bound.py
@@ -4,7 +4,7 @@
 
 # A report waits for the next batch, the allocator moves slots at its own pace, and
 # a slot that was asked back passes up and down the links.
-STALENESS_SECONDS = 0.5 + 0.25 + 0.25
+STALENESS_SECONDS = 0.5 + 0.35 + 0.25
 
 
 def gap_bound(
