--- a/sesameford/log_service.py
+++ b/sesameford/log_service.py
@@ -1,14 +1,8 @@
-"""The shell of the replicated log in a daemon: messages, ticks, syncs, proposals.
-
-Decisions run on the loop's thread. Only writing and syncing run on a thread of
-their own, one job at a time, because a sync on a disk takes milliseconds in which
-streams to callers would stand still.
-"""
+"""The shell of the replicated log in a daemon: messages, ticks, proposals."""
 
 import logging
-from asyncio import Future, get_running_loop, shield, wait
+from asyncio import Future, get_running_loop, shield
 from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from secrets import randbits
@@ -21,9 +15,10 @@
     StorageError,
 )
 from sesameford.log_apply import Applied
+from sesameford.log_flusher import Flusher
 from sesameford.log_messages import Command, Packet, decode_packet, encode_packet
 from sesameford.log_proposer import PendingProposal, Proposer
-from sesameford.log_replica import FlushJob, Replica, make_replica
+from sesameford.log_replica import Replica, make_replica
 from sesameford.log_state import Role
 from sesameford.log_status import LogStatus, replica_status
 from sesameford.log_storage import open_storage
@@ -77,9 +72,8 @@
         self._seed = seed
         self._replica: Replica | None = None
         self._failure: LogError | None = None
-        self._executor = ThreadPoolExecutor(1, "log") if sync_in_thread else None
-        self._flush_due = False
-        self._job: Future[None] | None = None
+        self._sync_in_thread = sync_in_thread
+        self._flusher: Flusher | None = None
         self._proposer = Proposer(self._peer_ids)
         self._waiting: dict[str, _Waiting] = {}
         self._callbacks: list[AppliedCallback] = []
@@ -108,19 +102,18 @@
             self._now(),
         )
         self._replica.core.wanted_voters = self._wanted_voters
+        self._flusher = Flusher(
+            self._replica, self._now, self._fail, self._sync_in_thread
+        )
 
     async def stop(self) -> None:
         """Hand over the lead, finish the sync under way, let go of the folder."""
         self._stopped = True
-        if self._job is not None:
-            await wait([self._job])
-        replica = self._replica
-        if replica is not None:
-            if self._failure is None and replica.hand_over(self._now()):
-                self._flush_here(replica)
-            replica.storage.close()
-        if self._executor is not None:
-            self._executor.shutdown()
+        if self._replica is not None and self._flusher is not None:
+            await self._flusher.stop()
+            if self._failure is None and self._replica.hand_over(self._now()):
+                self._flusher.flush_here()
+            self._replica.storage.close()
         self._proposer.fail_all(NoQuorumError("this instance stops"))
 
     def tick(self, now_seconds: float) -> None:
@@ -238,14 +231,14 @@
     def _take_payload(self, payload: bytes, now_seconds: float) -> None:
         """Give a packet to the replica."""
         replica = self._living_replica()
-        if replica is None or self._stopped:
+        if replica is None or self._flusher is None or self._stopped:
             return
         try:
             replica.receive(decode_packet(payload), now_seconds)
         except PeerError as error:
             _log.warning("log packet dropped: %s", error)
         except LogError as error:
-            self._fail(error)
+            self._flusher.fail(error)
         self._flush_soon()
 
     def _take_request(self, sender_id: str, message: ProposalRequest) -> None:
@@ -354,67 +347,9 @@
             del self._waiting[proposal_id]
 
     def _flush_soon(self) -> None:
-        """Flush once the loop has taken all that is there, so that one sync serves.
-
-        Without a running loop, in a test in virtual time, flush here.
-        """
-        replica = self._living_replica()
-        if replica is None or self._flush_due or self._job or self._stopped:
-            return
-        try:
-            loop = get_running_loop()
-        except RuntimeError:
-            self._flush_here(replica)
-            return
-        self._flush_due = True
-        loop.call_soon(self._begin_flush)
-
-    def _begin_flush(self) -> None:
-        """Begin a job of the disk."""
-        self._flush_due = False
-        replica = self._living_replica()
-        if replica is None or self._stopped:
-            return
-        if self._executor is None:
-            self._flush_here(replica)
-            return
-        job = replica.begin_flush(self._now())
-        if job is None:
-            return
-        if not job.needs_disk:
-            self._finish(replica, job)
-            return
-        self._job = get_running_loop().run_in_executor(
-            self._executor, replica.persist, job
-        )
-        self._job.add_done_callback(lambda done: self._job_done(replica, job, done))
-
-    def _job_done(self, replica: Replica, job: FlushJob, done: Future[None]) -> None:
-        """Finish a job that the thread has persisted, and begin the next."""
-        self._job = None
-        error = done.exception()
-        if isinstance(error, LogError):
-            self._fail(error)
-            return
-        if error is not None:
-            raise error
-        self._finish(replica, job)
-
-    def _finish(self, replica: Replica, job: FlushJob) -> None:
-        """Send and apply what waited for a job."""
-        try:
-            replica.finish_flush(job, self._now())
-        except LogError as error:
-            self._fail(error)
-        self._flush_soon()
-
-    def _flush_here(self, replica: Replica) -> None:
-        """Flush on this thread until nothing is left to do."""
-        try:
-            while replica.flush(self._now()):
-                pass
-        except LogError as error:
-            self._fail(error)
+        """Let what was decided be carried out."""
+        if self._flusher is not None:
+            self._flusher.flush_soon()
 
     def _fail(self, error: LogError) -> None:
         """Take no part any more: what this disk holds is not known.
--- a/sesameford/log_storage.py
+++ b/sesameford/log_storage.py
@@ -8,12 +8,12 @@
 import os
 from collections.abc import Callable
 from pathlib import Path
-from typing import Protocol, TypeVar
+from typing import Protocol
 
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
 
-from sesameford.errors import LogError, StorageError
+from sesameford.errors import StorageError
 from sesameford.log_files import (
     TEMPORARY_SUFFIX,
     lock_folder,
@@ -26,14 +26,22 @@
     write_all,
 )
 from sesameford.log_messages import Entry, HardState, Member
-from sesameford.log_records import Record, RecordKind, encode_record, read_records
-from sesameford.log_snapshot import decode_image, encode_image
+from sesameford.log_records import RecordKind, encode_record, read_records
+from sesameford.log_replay import (
+    SEGMENT_GLOB,
+    Replay,
+    Reset,
+    Segment,
+    decoded,
+    load_snapshot,
+    replay_segment,
+    segment_file,
+    segment_sequence,
+)
+from sesameford.log_snapshot import encode_image
 from sesameford.log_state import SnapshotImage, StoredState
 
 SEGMENT_LIMIT_BYTES = 8_000_000
-_IDENTITY = "identity"
-_SNAPSHOT = "snapshot"
-_SEGMENT_GLOB = "log-" + "[0-9]" * 10
 
 
 class LogStorage(Protocol):
@@ -63,26 +71,9 @@
     snapshot: SnapshotImage | None = None
 
 
-class _Segment(Struct, frozen=True, array_like=True):
-    """The head of a segment, with the hard state when it was begun."""
-
-    sequence: int
-    hard_state: HardState
-
-
-class _Reset(Struct, frozen=True, array_like=True):
-    """The entries before this record are void; a snapshot stands for them."""
-
-    index: int
-    index_term: int
-
-
-Decoded = TypeVar("Decoded")
-
+_IDENTITY = "identity"
+_SNAPSHOT = "snapshot"
 _encoder = Encoder()
-_entry_decoder = Decoder(Entry)
-_hard_state_decoder = Decoder(HardState)
-_segment_decoder = Decoder(_Segment)
 _member_decoder = Decoder(Member)
 
 
@@ -152,9 +143,9 @@
         Raises:
             StorageError: The disk is full or failed.
         """
-        head = _encoder.encode(_Segment(sequence, self._hard_state))
+        head = _encoder.encode(Segment(sequence, self._hard_state))
         data = encode_record(RecordKind.SEGMENT, head) + records
-        file = _segment_file(self._folder, sequence)
+        file = segment_file(self._folder, sequence)
         replace_file(file, data)
         if self._descriptor >= 0:
             os.close(self._descriptor)
@@ -257,7 +248,7 @@
     """Return the identity on the disk; make it on an empty one."""
     file = folder / _IDENTITY
     if not file.exists():
-        if (folder / _SNAPSHOT).exists() or any(folder.glob(_SEGMENT_GLOB)):
+        if (folder / _SNAPSHOT).exists() or any(folder.glob(SEGMENT_GLOB)):
             raise StorageError(str(file), 0, "missing beside the files of a log")
         me = Member(instance_id, make_incarnation())
         replace_file(file, encode_record(RecordKind.IDENTITY, _encoder.encode(me)))
@@ -265,7 +256,7 @@
     records = list(read_records(read_file(file), str(file), may_be_torn=False))
     if [record.kind for record in records] != [RecordKind.IDENTITY]:
         raise StorageError(str(file), 0, "holds no identity")
-    me = _decoded(_member_decoder, records[0], file)
+    me = decoded(_member_decoder, records[0], file)
     if me.instance_id != instance_id:
         detail = f"belongs to instance {me.instance_id}, not {instance_id}"
         raise StorageError(str(file), 0, detail)
@@ -274,10 +265,10 @@
 
 def _load(folder: Path, lock: int, me: Member) -> tuple[FileStorage, StoredState]:
     """Read snapshot and segments, and begin a segment to write to."""
-    image = _load_snapshot(folder / _SNAPSHOT)
-    replay = _Replay(image)
-    files = sorted(folder.glob(_SEGMENT_GLOB))
-    last_indexes = [_replay_segment(file, files, replay) for file in files]
+    image = load_snapshot(folder / _SNAPSHOT)
+    replay = Replay(image)
+    files = sorted(folder.glob(SEGMENT_GLOB))
+    last_indexes = [replay_segment(file, files, replay) for file in files]
     state = replay.state(me, files[-1] if files else folder)
     storage = FileStorage(folder, lock, state)
     if not files:
@@ -292,112 +283,10 @@
     if replay.image is not None and not state.entries:
         # Entries that the snapshot voids stay void for the next start too.
         tail += _reset_bytes(replay.image)
-    storage.begin_segment(_segment_sequence(files[-1]), tail)
+    storage.begin_segment(segment_sequence(files[-1]), tail)
     return storage, state
 
 
-class _Replay:
-    """What the records say when they are read in their order."""
-
-    def __init__(self, image: SnapshotImage | None) -> None:
-        self.image = image
-        self.hard_state = HardState()
-        self.entries: list[Entry] = []
-        self.tail = bytearray()
-        self.highest_index = 0
-
-    def take(self, record: Record, file: Path) -> None:
-        """Take the next record.
-
-        Raises:
-            StorageError: It does not follow from those before it.
-        """
-        match record.kind:
-            case RecordKind.HARD_STATE:
-                self.hard_state = _decoded(_hard_state_decoder, record, file)
-            case RecordKind.ENTRY:
-                self._take_entry(_decoded(_entry_decoder, record, file), record, file)
-            case RecordKind.RESET:
-                self.entries.clear()
-            case _:
-                raise StorageError(
-                    str(file), record.offset_bytes, f"a {record.kind.name} record here"
-                )
-
-    def _take_entry(self, entry: Entry, record: Record, file: Path) -> None:
-        """Append an entry, or put it in place of those from its index on."""
-        self.highest_index = max(self.highest_index, entry.index)
-        if self.entries:
-            position = entry.index - self.entries[0].index
-            if 0 <= position <= len(self.entries):
-                del self.entries[position:]
-                self.entries.append(entry)
-                return
-        snapshot_index = self.image.index if self.image else 0
-        if entry.index > snapshot_index + 1 or self.entries:
-            detail = f"entry {entry.index} does not follow what stands before it"
-            raise StorageError(str(file), record.offset_bytes, detail)
-        self.entries.append(entry)
-
-    def state(self, me: Member, file: Path) -> StoredState:
-        """Return what is left once the snapshot is set in place of what it covers."""
-        entries = self.entries
-        if self.image is not None:
-            entries = _after_snapshot(self.image, entries)
-        return StoredState(me, self.hard_state, self.image, tuple(entries))
-
-
-def _after_snapshot(image: SnapshotImage, entries: list[Entry]) -> list[Entry]:
-    """Return the entries that follow a snapshot.
-
-    After a crash between a leader's snapshot and the new segment, entries that
-    contradict the snapshot still stand in the old one. They are dropped, as the
-    leader's snapshot said they should be.
-    """
-    if not entries:
-        return []
-    position = image.index - entries[0].index
-    if position == -1:
-        return entries
-    if position < -1 or position >= len(entries):
-        return []
-    if entries[position].term != image.index_term:
-        return []
-    return entries[position + 1 :]
-
-
-def _replay_segment(file: Path, files: list[Path], replay: _Replay) -> int:
-    """Read one segment and return its highest index."""
-    is_last = file == files[-1]
-    expected = _segment_sequence(files[0]) + files.index(file)
-    if _segment_sequence(file) != expected:
-        missing = _segment_file(file.parent, expected)
-        raise StorageError(str(missing), 0, "missing between the log's segments")
-    records = read_records(read_file(file), str(file), may_be_torn=is_last)
-    head = next(records, None)
-    if head is None or head.kind is not RecordKind.SEGMENT:
-        raise StorageError(str(file), 0, "does not begin as a segment of the log")
-    replay.hard_state = _decoded(_segment_decoder, head, file).hard_state
-    replay.tail.clear()
-    for record in records:
-        replay.take(record, file)
-        replay.tail += encode_record(record.kind, record.payload)
-    return replay.highest_index
-
-
-def _load_snapshot(file: Path) -> SnapshotImage | None:
-    """Return the snapshot on the disk, if there is one."""
-    if not file.exists():
-        return None
-    records = list(read_records(read_file(file), str(file), may_be_torn=False))
-    if [record.kind for record in records] != [RecordKind.SNAPSHOT]:
-        raise StorageError(str(file), 0, "holds no snapshot")
-    try:
-        return decode_image(records[0].payload)
-    except LogError as error:
-        raise StorageError(str(file), 0, str(error)) from error
-
-
 def _snapshot_bytes(image: SnapshotImage) -> bytes:
     """Return the content of a snapshot's file."""
     return encode_record(RecordKind.SNAPSHOT, encode_image(image))
@@ -405,23 +294,5 @@
 
 def _reset_bytes(image: SnapshotImage) -> bytes:
     """Return the record that voids the entries before it."""
-    reset = _encoder.encode(_Reset(image.index, image.index_term))
+    reset = _encoder.encode(Reset(image.index, image.index_term))
     return encode_record(RecordKind.RESET, reset)
-
-
-def _segment_file(folder: Path, sequence: int) -> Path:
-    """Return the file of a segment."""
-    return folder / f"log-{sequence:010d}"
-
-
-def _segment_sequence(file: Path) -> int:
-    """Return the number of a segment's file."""
-    return int(file.name.removeprefix("log-"))
-
-
-def _decoded(decoder: Decoder[Decoded], record: Record, file: Path) -> Decoded:
-    """Return a record's payload in its type."""
-    try:
-        return decoder.decode(record.payload)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
-        raise StorageError(str(file), record.offset_bytes, str(error)) from error
