--- a/benchmarks/log_bench.py
+++ b/benchmarks/log_bench.py
@@ -9,145 +9,32 @@
 import argparse
 import asyncio
 import json
-import os
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Sequence
 from pathlib import Path
-from statistics import median, quantiles
 
 import uvloop
-from msgspec.msgpack import encode
 
+from benchmarks.log_fleet import COMMAND_BYTES, Fleet, percentiles, sync_seconds
 from sesameford import log_replica
+from sesameford.claims import (
+    Claim,
+    ClaimOwner,
+    ClaimsMachine,
+    Completion,
+    encode_claim_command,
+)
 from sesameford.errors import StorageError
-from sesameford.fencing import FencingMachine
 from sesameford.log_replica import SNAPSHOT_ENTRIES
-from sesameford.log_service import LogService, make_log_service
-from sesameford.messages import Message
+from sesameford.log_service import LogService
 
+PARTS = ("commits", "restart", "slopes", "claims")
 BATCHES = (1, 16, 256)
 RESTART_CHANGES = (100, 10_000, 100_000)
-COMMAND_BYTES = 200
-TICK_SECONDS = 0.05
 _SNAPSHOT_BYTES = log_replica.SNAPSHOT_BYTES
 
 
-class BlobMachine:
-    """Keeps the newest commands of a fixed number of keys."""
-
-    name = "blob"
-    keys = 1000
-
-    def __init__(self) -> None:
-        self.rows: dict[int, bytes] = {}
-
-    def apply(self, index: int, command: bytes) -> bytes:
-        """Keep a command and answer with its index."""
-        self.rows[index % self.keys] = command
-        return b"%d" % index
-
-    def snapshot(self) -> bytes:
-        """Return all rows, which have one length."""
-        return b"".join(self.rows.values())
-
-    def restore(self, snapshot: bytes) -> None:
-        """Forget all rows; the measurement does not read them."""
-        self.rows = {}
-
-
-class Fleet:
-    """Replicas in one process on the loop's clock."""
-
-    def __init__(
-        self,
-        folder: Path,
-        size: int,
-        sync_in_thread: bool,
-        snapshot_entries: int = SNAPSHOT_ENTRIES,
-    ) -> None:
-        self._snapshot_entries = snapshot_entries
-        self.names = tuple(f"r{number}" for number in range(size))
-        self.sent_messages = 0
-        self.sent_bytes = 0
-        self.services = {
-            name: make_log_service(
-                name,
-                self.names,
-                folder / name,
-                (BlobMachine(), FencingMachine()),
-                self._sender(name),
-                time.monotonic,
-                seed=position,
-                sync_in_thread=sync_in_thread,
-            )
-            for position, name in enumerate(self.names)
-        }
-        self._ticker: asyncio.Task[None] | None = None
-
-    async def start(self) -> LogService:
-        """Start all replicas and return the leader."""
-        for service in self.services.values():
-            service.start()
-            replica = service._replica
-            if replica is not None:
-                replica._snapshot_entries = self._snapshot_entries
-        self._ticker = asyncio.create_task(self._tick())
-        while True:
-            for service in self.services.values():
-                if service.role() == "leader" and service.status().commit_index:
-                    return service
-            await asyncio.sleep(TICK_SECONDS)
-
-    async def stop(self) -> None:
-        """Stop all replicas."""
-        if self._ticker is not None:
-            self._ticker.cancel()
-        for service in self.services.values():
-            await service.stop()
-
-    async def _tick(self) -> None:
-        while True:
-            for service in self.services.values():
-                service.tick(time.monotonic())
-            await asyncio.sleep(TICK_SECONDS)
-
-    def _sender(self, sender: str) -> Callable[[str, Message], None]:
-        def send(receiver: str, message: Message) -> None:
-            self.sent_messages += 1
-            self.sent_bytes += len(encode(message))
-            service = self.services[receiver]
-            loop = asyncio.get_running_loop()
-            loop.call_soon(service.received, sender, 1, message, time.monotonic())
-
-        return send
-
-
-def sync_seconds(folder: Path, rounds: int = 200) -> dict[str, float]:
-    """Return the disk's own time for appending and syncing one command."""
-    times = []
-    descriptor = os.open(folder / "sync-probe", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
-    try:
-        for _ in range(rounds):
-            begun = time.perf_counter()
-            os.write(descriptor, bytes(COMMAND_BYTES))
-            os.fdatasync(descriptor)
-            times.append(time.perf_counter() - begun)
-    finally:
-        os.close(descriptor)
-    return percentiles(times)
-
-
-def percentiles(seconds: Sequence[float]) -> dict[str, float]:
-    """Return median, 99th percentile and maximum in milliseconds."""
-    return {
-        "p50_ms": round(median(seconds) * 1000, 3),
-        "p99_ms": round(quantiles(seconds, n=100, method="inclusive")[98] * 1000, 3),
-        "maximum_ms": round(max(seconds) * 1000, 3),
-    }
-
-
 async def commit_rounds(
     leader: LogService, batch: int, changes: int, label: str
 ) -> list[float]:
@@ -262,6 +149,73 @@
     return row
 
 
+def claim_command(number: int) -> bytes:
+    """Return the claim of one keyed request."""
+    owner = ClaimOwner(f"r{number % 8}", 1_700_000_000_000, f"request-{number:020d}")
+    key = f"{number:032x}"
+    return encode_claim_command(
+        Claim(f"customer-{number % 2200}", key, bytes(16), owner, float(number) / 100)
+    )
+
+
+def completion_command(number: int, claim_index: int) -> bytes:
+    """Return the end of one keyed request, whose answer its router keeps."""
+    customer, key = f"customer-{number % 2200}", f"{number:032x}"
+    at_seconds = float(number) / 100
+    return encode_claim_command(
+        Completion(customer, key, claim_index, None, at_seconds)
+    )
+
+
+async def measure_claims(folder: Path, replicas: int, batch: int) -> dict:
+    """Return what one keyed request costs, its claim and its completion together."""
+    fleet = Fleet(folder / f"claims-{replicas}-{batch}", replicas, False)
+    leader = await fleet.start()
+    leader_id = leader.leader_id() or ""
+    processor, sent = time.process_time(), fleet.sent_bytes
+    leader_sent = fleet.sent_bytes_by[leader_id]
+    requests = 512
+
+    async def one(number: int) -> None:
+        await leader.propose(f"c-{number}", "claims", claim_command(number))
+        command = completion_command(number, 1)
+        await leader.propose(f"d-{number}", "claims", command)
+
+    for first in range(0, requests, batch):
+        await asyncio.gather(*(one(first + row) for row in range(batch)))
+    row = {
+        "replicas": replicas,
+        "requests_at_once": batch,
+        "processor_ms_per_request_and_replica": round(
+            (time.process_time() - processor) * 1000 / requests / replicas, 4
+        ),
+        "sent_bytes_per_request_all_replicas": round(
+            (fleet.sent_bytes - sent) / requests
+        ),
+        "sent_bytes_per_request_leader": round(
+            (fleet.sent_bytes_by[leader_id] - leader_sent) / requests
+        ),
+    }
+    await fleet.stop()
+    return row
+
+
+def measure_claims_snapshot(claims: int) -> dict:
+    """Return size and time of a snapshot of so many claims, taken on the loop."""
+    machine = ClaimsMachine()
+    for number in range(claims):
+        machine.apply(number + 1, claim_command(number))
+    begun = time.perf_counter()
+    size_bytes = len(machine.snapshot())
+    elapsed = time.perf_counter() - begun
+    return {
+        "claims": claims,
+        "kept": len(machine),
+        "snapshot_bytes": size_bytes,
+        "snapshot_ms": round(elapsed * 1000, 1),
+    }
+
+
 def slow_down_syncs(seconds: float) -> None:
     """Let each sync of the log take at least so long, as on a slower disk."""
     from sesameford import log_storage
@@ -295,6 +249,15 @@
             for replicas in (3, 5, 7)
             for size_bytes in (200, 2_000, 20_000)
         ]
+    if "claims" in arguments.parts:
+        report["claims"] = [
+            await measure_claims(folder, replicas, batch)
+            for replicas in (3, 5)
+            for batch in (1, 32)
+        ]
+        report["claims_snapshots"] = [
+            measure_claims_snapshot(claims) for claims in (1_000, 10_000, 50_000)
+        ]
     return report
 
 
@@ -304,7 +267,9 @@
     parser.add_argument("--folder", type=Path, help="where to write; default temporary")
     parser.add_argument("--changes", type=int, default=2000)
     parser.add_argument("--sync-seconds", type=float, default=0.0)
-    parser.add_argument("--parts", nargs="+", default=["commits", "restart", "slopes"])
+    parser.add_argument(
+        "--parts", nargs="+", default=["commits", "restart", "slopes", "claims"]
+    )
     arguments = parser.parse_args()
     if arguments.sync_seconds:
         slow_down_syncs(arguments.sync_seconds)
