--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -115,15 +115,20 @@
         self._control_time = ProcessorTime()
         self.metrics = Metrics()
         self.registry = TargetRegistry()
+        hub_ids = [peer.instance_id for peer in settings.peers if peer.is_hub]
         self.targets = make_target_spread(
-            self.registry, settings.instance_id, self.incarnation, settings.is_hub
+            self.registry,
+            settings.instance_id,
+            self.incarnation,
+            settings.is_hub,
+            hub_ids,
         )
         self.members = make_members(
             settings.instance_id,
             self.incarnation,
             settings.data_centre,
             settings.is_hub,
-            [peer.instance_id for peer in settings.peers if peer.is_hub],
+            hub_ids,
         )
         self._stop = StopState()
         self._drained_by_tree = False
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -130,12 +130,13 @@
     """A keeper's word that all targets it keeps have live leases.
 
     ``digest`` is over the targets; where the receiver's differs it asks for them.
-    ``age_seconds`` is how long ago the keeper gave its word.
+    ``age_milliseconds`` is how long ago the keeper gave its word; a whole number
+    takes a third of the bytes of a float, in the most frequent message at rest.
     """
 
     keeper_id: str
     digest: int
-    age_seconds: float
+    age_milliseconds: int
 
 
 class TargetsVouched(Struct, frozen=True, array_like=True, tag=True):
--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -30,14 +30,15 @@
 # What the network carries around one message: the length that nng puts before it,
 # the headers of IP and TCP with its time stamps, and the segment that acknowledges.
 WIRE_HEADER_BYTES = 8 + 52 + 52
-MAC_BYTES = 32
+# A keyed digest cut to 128 bits is as hard to forge as needed, and half as long.
+MAC_BYTES = 16
 
 OnMessage = Callable[[str, int, Message], None]
 
 
 def seal(key: bytes, payload: bytes) -> bytes:
     """Return a payload behind its keyed digest."""
-    return hmac.digest(key, payload, sha256) + payload
+    return hmac.digest(key, payload, sha256)[:MAC_BYTES] + payload
 
 
 def unseal(key: bytes, sealed: bytes) -> bytes:
@@ -47,7 +48,8 @@
         PeerError: The digest is not of this key; the sender is no peer.
     """
     digest, payload = sealed[:MAC_BYTES], sealed[MAC_BYTES:]
-    if not hmac.compare_digest(digest, hmac.digest(key, payload, sha256)):
+    expected = hmac.digest(key, payload, sha256)[:MAC_BYTES]
+    if not hmac.compare_digest(digest, expected):
         raise PeerError("a message without the deployment's key was refused")
     return payload
 
--- a/sesameford/target_spread.py
+++ b/sesameford/target_spread.py
@@ -8,9 +8,9 @@
 digest differs asks for the rows.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
-from math import inf
+from math import ceil, inf
 
 from msgspec.structs import replace as replace_fields
 
@@ -31,12 +31,12 @@
     target_of_news,
 )
 
-VOUCH_SECONDS = 0.25
+VOUCH_SECONDS = 0.5
 # After this long without a keeper's word its targets get no new work. With the
 # time that a word may be under way it stays below the 3 s that were promised.
-VOUCHED_LEASE_SECONDS = 1.5
+VOUCHED_LEASE_SECONDS = 2.5
 WANTED_AGAIN_SECONDS = 1.0
-KEEPER_SILENT_SECONDS = 1.25
+KEEPER_SILENT_SECONDS = 1.75
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +56,7 @@
         incarnation: Of its process. Versions begin there, so that a keeper that
             restarts empty does not count again below what others have of it.
         passes_on: Whether it passes on what it hears, as a hub of its data centre.
+        hub_ids: The other hubs that it has links to.
     """
 
     def __init__(
@@ -64,8 +65,10 @@
         instance_id: str,
         incarnation: int,
         passes_on: bool,
+        hub_ids: Collection[str] = (),
     ) -> None:
         self._registry = registry
+        self._hub_ids = frozenset(hub_ids)
         self._first_version = incarnation
         self._instance_id = instance_id
         self._passes_on = passes_on
@@ -181,7 +184,7 @@
         for vouch in message.vouches:
             if vouch.keeper_id == self._instance_id:
                 continue
-            given_at_seconds = now_seconds - vouch.age_seconds
+            given_at_seconds = now_seconds - vouch.age_milliseconds / 1000
             self._word_at_seconds[vouch.keeper_id] = given_at_seconds
             if vouch.digest == self._registry.digest(vouch.keeper_id):
                 self._renew(vouch, given_at_seconds)
@@ -239,6 +242,10 @@
         is_new_life = known is None or known.target.incarnation != news.incarnation
         if known is None or is_new_life or known.target.leaving:
             return self._instance_id
+        # An instance that knew of no hub when the target came keeps it until a hub
+        # hears of it: two that each leave it to the other would both let it lapse.
+        if self._passes_on and known.keeper_id not in self._hub_ids:
+            return self._instance_id
         # A keeper that died or is cut off would go on getting the announcements,
         # and the target, though it lives, would get no work. Its silence shows it.
         word_at_seconds = self._word_at_seconds.get(known.keeper_id, -inf)
@@ -332,12 +339,13 @@
         vouches = []
         if any(k.keeper_id == self._instance_id for k in self._registry.rows()):
             digest = self._registry.digest(self._instance_id)
-            vouches.append(Vouch(self._instance_id, digest, 0.0))
+            vouches.append(Vouch(self._instance_id, digest, 0))
         if self._passes_on:
             for keeper_id, heard in self._heard.items():
                 age_seconds = now_seconds - heard.given_at_seconds
                 if age_seconds < VOUCHED_LEASE_SECONDS:
-                    vouches.append(Vouch(keeper_id, heard.digest, age_seconds))
+                    age_milliseconds = ceil(age_seconds * 1000)
+                    vouches.append(Vouch(keeper_id, heard.digest, age_milliseconds))
         return tuple(vouches)
 
 
@@ -358,7 +366,11 @@
 
 
 def make_target_spread(
-    registry: TargetRegistry, instance_id: str, incarnation: int, passes_on: bool
+    registry: TargetRegistry,
+    instance_id: str,
+    incarnation: int,
+    passes_on: bool,
+    hub_ids: Collection[str] = (),
 ) -> TargetSpread:
     """Return the spread of targets at an instance.
 
@@ -367,5 +379,6 @@
         instance_id: This instance.
         incarnation: Of its process, larger after each restart.
         passes_on: Whether it passes on what it hears, as a hub of its data centre.
+        hub_ids: The other hubs that it has links to.
     """
-    return TargetSpread(registry, instance_id, incarnation, passes_on)
+    return TargetSpread(registry, instance_id, incarnation, passes_on, hub_ids)
--- a/sesameford/targets.py
+++ b/sesameford/targets.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from xxhash import xxh3_64_intdigest
+from xxhash import xxh32_intdigest
 
 from sesameford.effective import TargetSettings
 from sesameford.messages import TargetNews
@@ -109,7 +109,7 @@
                 if known.keeper_id == keeper_id:
                     incarnation, version, _ = known.stamp
                     name = f"{known.target.target_id}/{incarnation}/{version}"
-                    digest ^= xxh3_64_intdigest(name.encode())
+                    digest ^= xxh32_intdigest(name.encode())
             self._digests[keeper_id] = digest
         return self._digests[keeper_id]
 
--- a/tests/test_target_spread_fuzz.py
+++ b/tests/test_target_spread_fuzz.py
@@ -57,6 +57,7 @@
         self.wire = []
         self.targets = {name: FakeTarget() for name in TARGETS}
         self.starts = 0
+        self.hub_heard_at = {}
         self.nodes = {}
         self.spreads = {}
         for name in ("h0", "h1", "r0", "r1"):
@@ -67,10 +68,14 @@
         self.nodes[name] = Node(incarnation=self.starts * 1000)
         is_hub = self.hubs and name in ("h0", "h1")
         spread = make_target_spread(
-            self.nodes[name].registry, name, self.nodes[name].incarnation, is_hub
+            self.nodes[name].registry,
+            name,
+            self.nodes[name].incarnation,
+            is_hub,
+            {"h0", "h1"} - {name} if self.hubs else (),
         )
-        if self.hubs:
-            spread.observe_hub(None if is_hub else "h" + name[1])
+        # An instance that has just started does not yet hear its hub.
+        self.hub_heard_at[name] = self.now + self.random.choice((0.5, 1.0, 3.0))
         self.spreads[name] = spread
 
     def peers(self, name):
@@ -172,6 +177,8 @@
                 )
                 self.spreads[at].announced(news, self.now)
         for name in list(self.nodes):
+            if self.hubs and name[0] == "r" and self.now >= self.hub_heard_at[name]:
+                self.spreads[name].observe_hub("h" + name[1])
             self.flush(name)
         due = [item for item in self.wire if item[0] <= self.now]
         self.wire = [item for item in self.wire if item[0] > self.now]
