Split the router's side by what it holds; say truly when to come again

Cause: one module held queues' bounds, standings, attempts and messages, and a refusal for a full queue said one or two seconds whatever the queue did. Change: modules for admission, attempts and standings; the time to retry is the time between two starts of that customer, as a place becomes free with each.

--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -6,16 +6,15 @@
 """
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
 from sesameford.accounts import Account, OwnTotals
+from sesameford.admission import check_admission
 from sesameford.affinity import Affinity
 from sesameford.allocator import Allocator
-from sesameford.allocator_state import PATIENCE_SECONDS
+from sesameford.attempts import Attempts, RunningAttempt
 from sesameford.costs import cost_of_usage
 from sesameford.effective import CustomerSettings, EffectiveTree
 from sesameford.election import Election
-from sesameford.errors import NotRunError
 from sesameford.estimates import Estimates
 from sesameford.limits import Limits
 from sesameford.links import (
@@ -30,7 +29,6 @@
 from sesameford.messages import (
     Message,
     Outgoing,
-    PoolNews,
     ShareReport,
     SlotGrants,
 )
@@ -38,6 +36,7 @@
 from sesameford.pools import find_pools
 from sesameford.queues import QueueKey, Queues, Waiting
 from sesameford.scheduling import Scheduler
+from sesameford.standings import Standings
 from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
 from sesameford.windows import Pace
 
@@ -47,24 +46,6 @@
 _EXACT_REQUESTS = 8
 
 
-@dataclass(slots=True)
-class _Running:
-    """An attempt under way and what was charged for it so far."""
-
-    attempt: Attempt
-    request: Request
-    account: Account
-    charged_cost_units: float
-
-
-@dataclass(slots=True)
-class _Standing:
-    """A customer's virtual time as told, and what of this router is in it."""
-
-    virtual_time: float
-    counted_cost_units: float
-
-
 class LeasedScheduler:
     """A router's queues, slots and running attempts.
 
@@ -96,11 +77,8 @@
         self._paces: dict[str, Pace] = {}
         self._estimates = Estimates()
         self._totals = OwnTotals()
-        self._attempts: dict[str, _Running] = {}
-        self._running: dict[str, int] = {}
-        self._standings: dict[Account, _Standing] = {}
-        self._waited_at: dict[Account, float] = {}
-        self._news: dict[str, PoolNews] = {}
+        self._attempts = Attempts()
+        self._standings = Standings()
         self._told_wanted: dict[str, float] = {}
         self._attempts_made = 0
         self._term = 0
@@ -166,7 +144,7 @@
                 self._instance_id,
             ]
             self._allocator.activate(expected, now_seconds)
-            for account in self._standings:
+            for account in self._standings.accounts():
                 self._allocator.seed(account, self._virtual_time(account))
         elif not serves and self._allocator.active:
             self._allocator.deactivate()
@@ -188,18 +166,11 @@
             for account in self._totals.accounts():
                 told = old.told_served.get(account, 0.0)
                 link.base[account] = old.base.get(account, 0.0) + told
-                self._rebase(account, old, told)
+                share = self._allocator.state.share(account[1])
+                self._standings.rebase(account, told, share)
         self._told_wanted = {}
         self._link = link
 
-    def _rebase(self, account: Account, old: ReportLink, told: float) -> None:
-        """Count a known virtual time from the new term's start."""
-        standing = self._standings.get(account)
-        if standing is not None:
-            uncounted = told - standing.counted_cost_units
-            standing.virtual_time += uncounted / self._allocator.state.share(account[1])
-            standing.counted_cost_units = 0.0
-
     # --- requests ------------------------------------------------------------------
 
     def submit(self, request: Request, now_seconds: float) -> None:
@@ -209,73 +180,26 @@
             NotRunError: A limit of its customer or of the router is reached.
         """
         customer = request.customer_id
-        settings = self._tree.customers.get(customer)
-        if settings is not None and settings.suspended:
-            raise NotRunError("suspended", "The customer is suspended.", 403)
-        self._check_queue(request, settings)
+        check_admission(
+            request,
+            self._tree.customers.get(customer) or CustomerSettings(customer),
+            self._tree.fleet.queued_limit_bytes,
+            self._queues,
+            self._attempts.retry_after_seconds(customer, now_seconds),
+        )
         self._limits.admit(customer, now_seconds)
         estimate = self._estimates.estimate(request, self._tree)
         account = self._account(request)
-        self._lift_locally(account, now_seconds)
+        share = self._allocator.state.share(customer)
+        self._standings.lift(account, self._served(account), share, now_seconds)
         self._queues.put(Waiting(request, estimate))
         self._decided = False
 
-    def _check_queue(self, request: Request, settings: CustomerSettings | None) -> None:
-        """Refuse what the customer's or the router's queues can't hold."""
-        limits = (settings or CustomerSettings(request.customer_id)).limits
-        customer = request.customer_id
-        queued = self._queues.requests_of(customer)
-        queued_bytes = self._queues.bytes_of(customer) + request.body_bytes
-        if queued >= limits.queued_requests or queued_bytes > limits.queued_bytes:
-            raise NotRunError(
-                "queue-full",
-                "The customer's queue at this router is full.",
-                429,
-                self._retry_after(customer),
-            )
-        total = self._queues.total_bytes() + request.body_bytes
-        most = self._tree.fleet.queued_limit_bytes
-        # A flood may fill the room that nobody else uses, and no more: the half
-        # that is kept lets each other customer up to an even part of the whole.
-        even = most / (self._queues.customers() + 1)
-        if total > most / 2 and queued_bytes > even:
-            raise NotRunError(
-                "router-full",
-                "The queues of this router are full.",
-                503,
-                self._retry_after(customer),
-            )
-
-    def _retry_after(self, customer_id: str) -> float:
-        """Return when room is likely: the time that one of its requests takes."""
-        running = [
-            row for row in self._attempts.values() if row.account[1] == customer_id
-        ]
-        return 1.0 if running else 2.0
-
     def _account(self, request: Request) -> Account:
         """Return the account that a request is charged to."""
         pool = self._pool_of.get(request.resource, request.resource)
         return pool, request.customer_id
 
-    def _lift_locally(self, account: Account, now_seconds: float) -> None:
-        """Lift a customer back from idle before the allocator's word arrives.
-
-        Its last known virtual time is from before it went idle, and a burst
-        would run on that credit until the next news.
-        """
-        waited_at = self._waited_at.get(account, float("-inf"))
-        self._waited_at[account] = now_seconds
-        if now_seconds - waited_at <= PATIENCE_SECONDS:
-            return
-        floor = self._floor(account[0])
-        if floor is None:
-            return
-        behind = floor - self._virtual_time(account)
-        standing = self._standings.get(account)
-        if behind > 0.0 and standing is not None:
-            standing.virtual_time += behind
-
     def withdraw(self, request_id: str, now_seconds: float) -> bool:
         """Take a waiting request out; False if it does not wait here any more."""
         return self._queues.take(request_id) is not None
@@ -308,7 +232,7 @@
             self._decided = True
         for customer, resource in self._queues.queue_keys():
             pool = self._pool_of.get(resource, resource)
-            self._waited_at[(pool, customer)] = now_seconds
+            self._standings.waits((pool, customer), now_seconds)
         return attempts
 
     def _start_all(self, now_seconds: float) -> list[Attempt]:
@@ -327,7 +251,7 @@
             return {}
         free = {}
         for target_id, slots in link.holdings.items():
-            left = slots - self._running.get(target_id, 0)
+            left = slots - self._attempts.by_target.get(target_id, 0)
             if left > 0 and target_id in self._targets:
                 free[target_id] = left
         return free
@@ -374,33 +298,21 @@
             head.estimated_cost_units,
         )
         account = self._account(request)
-        row = _Running(attempt, request, account, head.estimated_cost_units)
-        self._attempts[attempt.attempt_id] = row
-        self._running[target_id] = self._running.get(target_id, 0) + 1
+        row = RunningAttempt(attempt, request, account, head.estimated_cost_units)
+        self._attempts.start(row, now_seconds)
         self._totals.add(account, head.estimated_cost_units)
         self._limits.started(key[0], head.estimated_cost_units, now_seconds)
         return attempt
 
-    def _contended(self, pool: str) -> bool:
-        """Return whether work waits for a pool's slots somewhere."""
-        news = self._news.get(pool)
-        return news is not None and news.contended
-
-    def _floor(self, pool: str) -> float | None:
-        """Return the smallest virtual time that waits in a pool under contention."""
-        return self._news[pool].floor_virtual_time if self._contended(pool) else None
+    def _served(self, account: Account) -> float:
+        """Return the service through this router since the term began."""
+        total = self._totals.total(account)
+        return self._link.total_since_base(account, total) if self._link else total
 
     def _virtual_time(self, account: Account) -> float:
         """Return a customer's virtual time with what this router added since."""
-        standing = self._standings.get(account)
-        total = self._totals.total(account)
-        since = self._link.total_since_base(account, total) if self._link else total
         share = self._allocator.state.share(account[1])
-        if standing is None:
-            start = self._floor(account[0]) or 0.0
-            self._standings[account] = _Standing(start, since)
-            return start
-        return standing.virtual_time + (since - standing.counted_cost_units) / share
+        return self._standings.virtual_time(account, self._served(account), share)
 
     # --- running attempts --------------------------------------------------------
 
@@ -440,22 +352,15 @@
         waiting = Waiting(row.request, estimate, avoid_target_id)
         self._queues.put(waiting, in_front=True)
 
-    def _end(self, attempt_id: str) -> _Running | None:
+    def _end(self, attempt_id: str) -> RunningAttempt | None:
         """Take a running attempt out and free its slot."""
-        row = self._attempts.pop(attempt_id, None)
-        if row is None:
-            return None
-        target_id = row.attempt.target_id
-        left = self._running[target_id] - 1
-        if left:
-            self._running[target_id] = left
-        else:
-            del self._running[target_id]
-        self._limits.ended(row.account[1])
-        self._decided = False
+        row = self._attempts.end(attempt_id)
+        if row is not None:
+            self._limits.ended(row.account[1])
+            self._decided = False
         return row
 
-    def _charge(self, row: _Running, used: float, now_seconds: float) -> None:
+    def _charge(self, row: RunningAttempt, used: float, now_seconds: float) -> None:
         """Charge the difference between what was charged and what is used."""
         change = used - row.charged_cost_units
         row.charged_cost_units = used
@@ -491,12 +396,7 @@
             return
         self._decided = False
         for news in grants.pools:
-            self._news[news.pool] = news
-            for row in news.standings:
-                account = (news.pool, row.customer_id)
-                self._standings[account] = _Standing(
-                    row.virtual_time, row.counted_cost_units
-                )
+            self._standings.take(news)
         for limit in grants.limits:
             self._limits.set_fraction(limit.customer_id, limit.fraction)
 
@@ -541,7 +441,7 @@
         self._return_idle(link, now_seconds)
         demands = self._demands(now_seconds)
         urgent = (
-            link.returns_slots(self._running)
+            link.returns_slots(self._attempts.by_target)
             or self._demand_is_urgent(link, demands)
             or link.full_due
             or link.is_pressed(now_seconds)
@@ -555,7 +455,7 @@
             link.served_rows(self._totals.accounts(), threshold),
             link.demand_rows(demands, _EXACT_REQUESTS, now_seconds),
         )
-        holdings = tuple(link.holding_rows(self._running))
+        holdings = tuple(link.holding_rows(self._attempts.by_target))
         link.full_due = False
         return ShareReport(
             link.term,
@@ -582,9 +482,12 @@
         new = [key for key in demands if key not in link.told_demands]
         if not new:
             return False
-        running = {self._pool_of_target(target_id) for target_id in self._running}
+        running = {
+            self._pool_of_target(target_id) for target_id in self._attempts.by_target
+        }
         return any(
-            not (self._contended(pool) and pool in running) for pool, _, _ in new
+            not (self._standings.is_contended(pool) and pool in running)
+            for pool, _, _ in new
         )
 
     def _pool_of_target(self, target_id: str) -> str | None:
@@ -596,8 +499,8 @@
         """Give up the slots that nothing here may use while others wait."""
         for target_id in self._free_slots(now_seconds):
             pool = self._pool_of_target(target_id)
-            if pool is not None and self._contended(pool):
-                link.holdings[target_id] = self._running.get(target_id, 0)
+            if pool is not None and self._standings.is_contended(pool):
+                link.holdings[target_id] = self._attempts.by_target.get(target_id, 0)
 
     def _demands(self, now_seconds: float) -> dict[DemandKey, Demand]:
         """Return what waits here and may start."""
