Refuse certificates that can't be read, and test the tool over TLS

Change: exit 2 and the reason. A test runs the tool against an instance of its own, of a foreign and of an unreadable authority. Conclusion: the key is sent only to an instance whose identity is trusted.

--- a/sesameford/control_client.py
+++ b/sesameford/control_client.py
@@ -129,10 +129,16 @@
         key: The operator's key.
         timeout_seconds: How long to go on trying.
         authority_file: Certificates to trust instead of the machine's own.
+
+    Raises:
+        ControlError: The certificates can't be read.
     """
     context: SSLContext | bool = True
     if authority_file is not None:
-        context = create_default_context(cafile=authority_file)
+        try:
+            context = create_default_context(cafile=authority_file)
+        except OSError as error:
+            raise ControlError(f"{authority_file}: {error}", exit_code=2) from error
     async with ClientSession(connector=TCPConnector(ssl=context)) as session:
         yield Client(session, servers, key, timeout_seconds)
 
--- a/tests/operators_fixture.py
+++ b/tests/operators_fixture.py
@@ -82,7 +82,7 @@
             wall_seconds=lambda: 1000.0,
         )
 
-    async def start(self) -> "FakeInstance":
+    async def start(self, ssl=None) -> "FakeInstance":
         @web.middleware
         async def losing(request, handler):
             response = await handler(request)
@@ -93,8 +93,8 @@
 
         app = web.Application(middlewares=[losing])
         app.add_routes(make_operators_routes(self.deps()))
-        self.server = TestServer(app)
-        await self.server.start_server()
+        self.server = TestServer(app, scheme="https" if ssl else "http")
+        await self.server.start_server(ssl=ssl)
         return self
 
     @property
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,13 +1,25 @@
 """The command-line tool, run against an instance's operators' port."""
 
 import json
+from datetime import UTC, datetime, timedelta
+from ipaddress import ip_address
+from ssl import Purpose, create_default_context
 
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.hashes import SHA256
+from cryptography.hazmat.primitives.serialization import (
+    Encoding,
+    NoEncryption,
+    PrivateFormat,
+)
+from cryptography.x509.oid import NameOID
 
 from sesameford.control import main, make_parser, run_command
 from sesameford.control_client import ControlError
 from sesameford.control_memory import memory_file, read_memory
-from tests.operators_fixture import KEY
+from tests.operators_fixture import KEY, FakeInstance
 
 TREE = "customers: {children: {a: {share: 2}}}\n"
 UNREACHABLE = "http://127.0.0.1:9"
@@ -146,3 +158,48 @@
     with pytest.raises(SystemExit):
         main(["--help"])
     assert "exit codes" in capsys.readouterr().out
+
+
+def write_identity(folder):
+    """Write a self-signed identity of 127.0.0.1 and return its two files."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "instance")])
+    now = datetime.now(UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - timedelta(days=1))
+        .not_valid_after(now + timedelta(days=1))
+        .add_extension(
+            x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))]),
+            critical=False,
+        )
+        .sign(key, SHA256())
+    )
+    files = folder / "instance.pem", folder / "instance.key"
+    files[0].write_bytes(certificate.public_bytes(Encoding.PEM))
+    files[1].write_bytes(
+        key.private_bytes(Encoding.PEM, PrivateFormat.PKCS8, NoEncryption())
+    )
+    return files
+
+
+async def test_an_instance_of_another_authority_is_not_told_the_key(tmp_path):
+    """Somebody else answers at an instance's address.
+
+    Without the check of its identity the tool would hand it the operator's key.
+    """
+    certificate_file, key_file = write_identity(tmp_path)
+    context = create_default_context(Purpose.CLIENT_AUTH)
+    context.load_cert_chain(certificate_file, key_file)
+    instance = await FakeInstance().start(ssl=context)
+    trust = ("--authority-file", str(certificate_file))
+    assert instance.url.startswith("https://")
+    assert await run(instance, "status", *trust) == 0
+    assert await run(instance, "status") == 4
+    assert await run(instance, "status", "--authority-file", str(key_file)) == 2
+    assert await run(instance, "status", "--authority-file", "/nowhere") == 2
+    await instance.server.close()
