Bound what outsiders hold, and test who is refused

Cause: a sender of endless heads or bodies, or of connections, could hold sockets until no caller got one; the refusals of TLS had been tried by hand only. Change: a guard counts connections in all and by address and cuts a first head that does not come in time; bodies have a time limit (408, not-run). Tests: peers of another authority, without TLS, in another's name, with another key; plain HTTP and strangers at the callers' port; files that don't fit; new files without a stop.

--- a/sesameford/callers.py
+++ b/sesameford/callers.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface: keys, bodies and errors."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -44,7 +45,7 @@
     """What the callers' interface needs.
 
     ``is_ready`` answers the platform's balancer; ``is_open`` is False once new
-    requests are no longer taken.
+    requests are no longer taken. A body must have come within its timeout.
     """
 
     relay: RelayDeps
@@ -53,6 +54,7 @@
     incarnation: int
     is_ready: Callable[[], bool]
     is_open: Callable[[], bool]
+    body_timeout_seconds: float = 30.0
 
 
 def make_callers_app(deps: CallersDeps, body_limit_bytes: int) -> web.Application:
@@ -144,7 +146,7 @@
     """Read a completion request."""
     tree = deps.relay.router.tree
     customer = _admit(deps, http)
-    body = await _read_body(http)
+    body = await _read_body(deps, http)
     parsed = _parse_object(body)
     model = parsed.get("model")
     if not isinstance(model, str) or model not in tree.models:
@@ -176,7 +178,7 @@
     # The raw path keeps what the caller escaped as it was; its first two parts
     # are ours.
     path = "/" + http.raw_path.split("/", 3)[3]
-    body = await _read_body(http)
+    body = await _read_body(deps, http)
     request = _make_request(
         deps,
         http,
@@ -199,14 +201,17 @@
     return customer
 
 
-async def _read_body(http: web.Request) -> bytes:
+async def _read_body(deps: CallersDeps, http: web.Request) -> bytes:
     """Return the whole body.
 
     Raises:
-        NotRunError: It is too large or its length is not what was said.
+        NotRunError: It is too large, too slow, or its length is not what was said.
     """
     try:
-        return await http.read()
+        async with asyncio.timeout(deps.body_timeout_seconds):
+            return await http.read()
+    except TimeoutError as error:
+        raise NotRunError("slow-body", "the body did not come in time", 408) from error
     except web.HTTPRequestEntityTooLarge as error:
         raise NotRunError("body-too-large", str(error.text), 413) from error
     except (web.RequestPayloadError, ConnectionError) as error:
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -1,16 +1,19 @@
 """Listening and connecting over HTTP, with the bounds that outsiders meet."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from ssl import SSLContext
 
 from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector, web
 
+from sesameford.connection_guard import GuardCounts, GuardLimits, make_guard
 from sesameford.settings import split_address
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 KEEP_ALIVE_SECONDS = 60.0
 MAX_HEADER_BYTES = 16_384
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
+BACKLOG_CONNECTIONS = 1024
 
 
 def make_session(context: SSLContext | None) -> ClientSession:
@@ -40,7 +43,11 @@
 
 
 async def listen(
-    app: web.Application, address: str, context: SSLContext | None
+    app: web.Application,
+    address: str,
+    context: SSLContext | None,
+    limits: GuardLimits | None = None,
+    counts: GuardCounts | None = None,
 ) -> Callable[[], Awaitable[None]]:
     """Serve an application on an address.
 
@@ -48,6 +55,8 @@
         app: The application; a handler is cancelled when its caller goes away.
         address: IP number and port.
         context: For TLS, or None.
+        limits: What one outsider can hold of the listener.
+        counts: Where connections are counted.
 
     Returns:
         A function that stops serving.
@@ -66,5 +75,17 @@
     )
     await runner.setup()
     host, port = split_address(address)
-    await web.TCPSite(runner, host, port, ssl_context=context).start()
-    return runner.cleanup
+    assert runner.server is not None
+    guarded = make_guard(
+        runner.server, limits or GuardLimits(), counts or GuardCounts()
+    )
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        guarded, host, port, ssl=context, backlog=BACKLOG_CONNECTIONS
+    )
+
+    async def stop() -> None:
+        server.close()
+        await runner.cleanup()
+
+    return stop
--- a/tests/callers_fixture.py
+++ b/tests/callers_fixture.py
@@ -46,7 +46,10 @@
 class CallersPort:
     """A router without peers, with one engine and one service that count."""
 
-    def __init__(self, body_limit_bytes: int = 100_000) -> None:
+    def __init__(
+        self, body_limit_bytes: int = 100_000, body_timeout_seconds: float = 30.0
+    ) -> None:
+        self._body_timeout_seconds = body_timeout_seconds
         self.counts = Counts()
         self.is_open = True
         self._body_limit_bytes = body_limit_bytes
@@ -69,7 +72,15 @@
         self.announce(TargetKind.SERVICE, "roster")
         tracer = TracerProvider().get_tracer("test")
         relay = RelayDeps(self.router, self.session, tracer, monotonic)
-        deps = CallersDeps(relay, tracer, "e1", 1, lambda: True, lambda: self.is_open)
+        deps = CallersDeps(
+            relay,
+            tracer,
+            "e1",
+            1,
+            lambda: True,
+            lambda: self.is_open,
+            self._body_timeout_seconds,
+        )
         app = make_callers_app(deps, self._body_limit_bytes)
         self.client = TestClient(TestServer(app))
         await self.client.start_server()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -133,6 +133,25 @@
         assert port.router.scheduler.waiting_requests() == 0
 
 
+async def test_a_body_that_dribbles_is_refused():
+    """A caller sends its head and then hardly anything more.
+
+    Many of them would hold buffers and sockets until nobody else gets any.
+    """
+    async with open_port(body_timeout_seconds=0.05) as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port.client.port)
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: 100\r\n\r\n"
+        )
+        writer.write(head.encode() + b"{")
+        answer = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        assert b" 408 " in answer
+        assert b"Sesameford-Outcome: not-run" in answer
+        assert port.counts.completions == []
+
+
 async def test_an_unknown_service_is_refused():
     async with open_port() as port:
         answer = await port.client.get("/services/none/x", headers=GOOD_KEY)
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,156 @@
+"""Instances, targets and operators without a valid identity get nowhere."""
+
+import asyncio
+import ssl
+from pathlib import Path
+from shutil import copy
+from time import monotonic
+
+import pytest
+from aiohttp import ClientConnectorError, ClientError, ClientSession
+from msgspec.structs import replace as replace_fields
+
+from sesameford.codec import encode_envelope
+from sesameford.errors import PeerError, SettingsError
+from sesameford.messages import Envelope, Heartbeat, Outgoing
+from sesameford.peers import PeerLinks, seal, unseal
+from sesameford.tables import InstanceState
+from sesameford.tls import make_reloader, read_files
+from tests.authority import Authority
+from tests.test_instance import make_settings, running
+
+BEAT = Heartbeat("a", InstanceState.READY, 1)
+
+
+async def until(condition):
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def open_links(settings, identities, key=b"key"):
+    """Return links and what each heard, all sending heartbeats until stopped."""
+    links, heard = [], []
+    for one, tls in zip(settings, identities, strict=True):
+        got: list[str] = []
+        heard.append(got)
+        files = read_files(tls, "test") if tls else None
+        link = PeerLinks(
+            one,
+            1,
+            key,
+            lambda sender, *_, got=got: got.append(sender),
+            monotonic,
+            files,
+        )
+        await link.start()
+        links.append(link)
+    return links, heard
+
+
+async def test_peers_of_one_authority_hear_each_other_and_others_do_not(tmp_path):
+    """Somebody in the network listens and dials with another authority's identity.
+
+    Let in, it could grant itself capacity or tell instances of trees that nobody
+    accepted.
+    """
+    ours, theirs = Authority(tmp_path, "ours"), Authority(tmp_path, "theirs")
+    settings = make_settings(tmp_path, 4, 0)
+    identities = [
+        ours.identity("e0"),
+        ours.identity("e1"),
+        theirs.identity("e2"),
+        None,
+    ]
+    links, heard = await open_links(settings, identities)
+    try:
+        for _ in range(100):
+            for link in links:
+                link.send(Outgoing(None, BEAT))
+                link.flush()
+            await asyncio.sleep(0.02)
+            if "e1" in heard[0] and "e0" in heard[1]:
+                break
+        assert set(heard[0]) == {"e1"}
+        assert set(heard[1]) == {"e0"}
+        assert heard[2] == heard[3] == []
+    finally:
+        for link in links:
+            await link.stop()
+
+
+async def test_an_instance_does_not_talk_to_one_in_another_s_place(tmp_path):
+    """An instance's key is stolen and used to listen at another instance's address.
+
+    The certificate is of the right authority, but in the wrong name.
+    """
+    ours = Authority(tmp_path, "ours")
+    settings = make_settings(tmp_path, 2, 0)
+    stolen = ours.identity("e7")
+    links, heard = await open_links(settings, [ours.identity("e0"), stolen])
+    try:
+        for _ in range(30):
+            links[0].send(Outgoing("e1", BEAT))
+            links[0].flush()
+            await asyncio.sleep(0.02)
+        assert heard[1] == []
+    finally:
+        for link in links:
+            await link.stop()
+
+
+def test_a_seal_of_another_key_is_refused():
+    envelope = Envelope("e1", 1, 1, (0, 0), (BEAT,))
+    sealed = seal(b"one key", encode_envelope(envelope))
+    assert unseal(b"one key", sealed) == encode_envelope(envelope)
+    with pytest.raises(PeerError):
+        unseal(b"another", sealed)
+    with pytest.raises(PeerError):
+        unseal(b"one key", sealed[:-1] + bytes([sealed[-1] ^ 1]))
+    with pytest.raises(PeerError):
+        unseal(b"one key", b"")
+
+
+async def test_callers_speak_tls_and_nothing_else(tmp_path):
+    ours = Authority(tmp_path, "ours")
+    (settings,) = make_settings(tmp_path, 1, 1)
+    settings = replace_fields(settings, tls=ours.identity("e0"))
+    async with running([settings]), ClientSession() as session:
+        url = f"{settings.listen.callers}/healthz"
+        trusting = ssl.create_default_context(cafile=str(ours.file))
+        async with session.get(f"https://{url}", ssl=trusting) as answer:
+            assert answer.status == 200
+        with pytest.raises(ClientError):
+            await session.get(f"http://{url}")
+        stranger = ssl.create_default_context()
+        with pytest.raises(ClientConnectorError):
+            await session.get(f"https://{url}", ssl=stranger)
+
+
+def test_new_files_come_into_force_without_a_stop(tmp_path):
+    """Certificates run out. Where an instance had to stop for new ones, each renewal
+    would cut streams, and operators would put it off until it is too late."""
+    ours = Authority(tmp_path, "ours")
+    tls = ours.identity("e0")
+    changed = []
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    reload = make_reloader(tls, "test", (context,), changed.append)
+    reload()
+    assert changed == []
+    newer = ours.identity("e9")
+    copy(newer.certificate_file, tls.certificate_file)
+    reload()
+    assert changed == [], "one of two files is replaced: the old pair stays in force"
+    copy(newer.key_file, tls.key_file)
+    reload()
+    assert [one.certificate for one in changed] == [
+        Path(newer.certificate_file).read_text()
+    ]
+
+
+def test_files_that_do_not_belong_together_are_refused(tmp_path):
+    ours = Authority(tmp_path, "ours")
+    one, other = ours.identity("e0"), ours.identity("e1")
+    mixed = replace_fields(one, key_file=other.key_file)
+    with pytest.raises(SettingsError, match="tls"):
+        read_files(mixed, "test")
