--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -7,24 +7,18 @@
 
 from collections.abc import Mapping, Sequence
 
-from sesameford.accounts import Account, OwnTotals
+from sesameford.accounts import Account
 from sesameford.admission import check_admission
 from sesameford.affinity import Affinity
 from sesameford.allocator import Allocator
-from sesameford.attempts import Attempts, RunningAttempt
+from sesameford.attempts import RunningAttempt
 from sesameford.costs import cost_of_usage
 from sesameford.effective import CustomerSettings, EffectiveTree
 from sesameford.election import Election
 from sesameford.estimates import Estimates
-from sesameford.limits import Limits
 from sesameford.links import (
-    COALESCE_SECONDS,
-    HEARTBEAT_SECONDS,
     LEASE_SECONDS,
-    Demand,
-    DemandKey,
     ReportLink,
-    pool_reports,
 )
 from sesameford.messages import (
     Message,
@@ -32,18 +26,17 @@
     ShareReport,
     SlotGrants,
 )
-from sesameford.place_reports import SERVED_THRESHOLD_QUANTA, wanted_rows
 from sesameford.pools import find_pools
-from sesameford.queues import QueueKey, Queues, Waiting
+from sesameford.queues import QueueKey, Waiting
+from sesameford.router_reports import router_report
+from sesameford.router_state import RouterState
 from sesameford.scheduling import Scheduler
-from sesameford.standings import Standings
 from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
 from sesameford.windows import Pace
 
 _FOLLOW_SECONDS = 0.1
 _EXCHANGE_ROUNDS = 4
 _DECIDE_ROUNDS = 3
-_EXACT_REQUESTS = 8
 
 
 class LeasedScheduler:
@@ -65,21 +58,12 @@
     ) -> None:
         self._instance_id = instance_id
         self._incarnation = incarnation
-        self._tree = EffectiveTree()
-        self._targets: Mapping[str, Target] = {}
-        self._pool_of: Mapping[str, str] = {}
+        self._state = RouterState()
         self._serves: dict[str, tuple[str, ...]] = {}
         self._election = Election(instance_id, data_centre, is_hub)
         self._allocator = Allocator(instance_id, data_centre)
-        self._queues = Queues()
-        self._limits = Limits()
         self._affinity = Affinity()
-        self._paces: dict[str, Pace] = {}
         self._estimates = Estimates()
-        self._totals = OwnTotals()
-        self._attempts = Attempts()
-        self._standings = Standings()
-        self._told_wanted: dict[str, float] = {}
         self._attempts_made = 0
         self._term = 0
         self._link: ReportLink | None = None
@@ -91,8 +75,8 @@
 
     def configure(self, tree: EffectiveTree, now_seconds: float) -> None:
         """Take a newer tree into force."""
-        self._tree = tree
-        self._limits.configure(
+        self._state.tree = tree
+        self._state.limits.configure(
             {name: customer.limits for name, customer in tree.customers.items()}
         )
         self._allocator.configure(tree)
@@ -102,16 +86,16 @@
         self, targets: Mapping[str, Target], now_seconds: float
     ) -> None:
         """Take the present table of targets that may get new work."""
-        for target_id, known in self._targets.items():
+        for target_id, known in self._state.targets.items():
             present = targets.get(target_id)
             if present is None or present.incarnation != known.incarnation:
                 self._affinity.forget(target_id)
-                self._paces.pop(target_id, None)
+                self._state.paces.pop(target_id, None)
         serves = {one.target_id: one.serves for one in targets.values()}
         if serves != self._serves:
             self._serves = serves
-            self._pool_of = find_pools(targets.values())
-        self._targets = dict(targets)
+            self._state.pool_of = find_pools(targets.values())
+        self._state.targets = dict(targets)
         self._decided = False
         self._follow(now_seconds)
 
@@ -120,13 +104,13 @@
     ) -> None:
         """Take the present table of other instances."""
         self._election.observe(dict(instances))
-        self._limits.set_default_fraction(1.0 / (len(instances) + 1))
+        self._state.limits.set_default_fraction(1.0 / (len(instances) + 1))
         self._follow(now_seconds)
 
     def _follow(self, now_seconds: float) -> None:
         """Turn to the allocator that is elected now, or be it."""
         self._followed_at_seconds = now_seconds
-        own = self._tree.instances.get(self._instance_id)
+        own = self._state.tree.instances.get(self._instance_id)
         may_serve = own is None or not own.drain
         link = self._link
         if link is not None and link.receiver_id != self._instance_id:
@@ -144,14 +128,16 @@
                 self._instance_id,
             ]
             self._allocator.activate(expected, now_seconds)
-            for account in self._standings.accounts():
+            for account in self._state.standings.accounts():
                 self._allocator.seed(account, self._virtual_time(account))
         elif not serves and self._allocator.active:
             self._allocator.deactivate()
         if self._allocator.active:
             self._allocator.observe_places(others, now_seconds)
-        owners = self._election.owners(self._targets.values(), now_seconds)
-        self._allocator.observe_targets(self._targets, self._pool_of, owners)
+        owners = self._election.owners(self._state.targets.values(), now_seconds)
+        self._allocator.observe_targets(
+            self._state.targets, self._state.pool_of, owners
+        )
         if elected is not None and (link is None or link.receiver_id != elected):
             self._open_link(elected, now_seconds)
 
@@ -163,12 +149,12 @@
         if old is not None:
             link.holdings = dict(old.holdings) if old.holds(now_seconds) else {}
             link.lease_expires_at_seconds = old.lease_expires_at_seconds
-            for account in self._totals.accounts():
+            for account in self._state.totals.accounts():
                 told = old.told_served.get(account, 0.0)
                 link.base[account] = old.base.get(account, 0.0) + told
                 share = self._allocator.state.share(account[1])
-                self._standings.rebase(account, told, share)
-        self._told_wanted = {}
+                self._state.standings.rebase(account, told, share)
+        self._state.told_wanted = {}
         self._link = link
 
     # --- requests ------------------------------------------------------------------
@@ -182,39 +168,39 @@
         customer = request.customer_id
         check_admission(
             request,
-            self._tree.customers.get(customer) or CustomerSettings(customer),
-            self._tree.fleet.queued_limit_bytes,
-            self._queues,
-            self._attempts.retry_after_seconds(customer, now_seconds),
+            self._state.tree.customers.get(customer) or CustomerSettings(customer),
+            self._state.tree.fleet.queued_limit_bytes,
+            self._state.queues,
+            self._state.attempts.retry_after_seconds(customer, now_seconds),
         )
-        self._limits.admit(customer, now_seconds)
-        estimate = self._estimates.estimate(request, self._tree)
+        self._state.limits.admit(customer, now_seconds)
+        estimate = self._estimates.estimate(request, self._state.tree)
         account = self._account(request)
         share = self._allocator.state.share(customer)
-        self._standings.lift(account, self._served(account), share, now_seconds)
-        self._queues.put(Waiting(request, estimate))
+        self._state.standings.lift(account, self._served(account), share, now_seconds)
+        self._state.queues.put(Waiting(request, estimate))
         self._decided = False
 
     def _account(self, request: Request) -> Account:
         """Return the account that a request is charged to."""
-        pool = self._pool_of.get(request.resource, request.resource)
+        pool = self._state.pool_of.get(request.resource, request.resource)
         return pool, request.customer_id
 
     def withdraw(self, request_id: str, now_seconds: float) -> bool:
         """Take a waiting request out; False if it does not wait here any more."""
-        return self._queues.take(request_id) is not None
+        return self._state.queues.take(request_id) is not None
 
     def expired(self, now_seconds: float) -> Sequence[str]:
         """Take out and return the waiting requests whose deadline has passed."""
-        return self._queues.take_expired(now_seconds)
+        return self._state.queues.take_expired(now_seconds)
 
     def waiting_requests(self) -> int:
         """Return how many requests wait here."""
-        return len(self._queues)
+        return len(self._state.queues)
 
     def running_attempts(self) -> int:
         """Return how many attempts run from here."""
-        return len(self._attempts)
+        return len(self._state.attempts)
 
     # --- deciding --------------------------------------------------------------
 
@@ -230,42 +216,32 @@
             if self._decided and not started:
                 break
             self._decided = True
-        for customer, resource in self._queues.queue_keys():
-            pool = self._pool_of.get(resource, resource)
-            self._standings.waits((pool, customer), now_seconds)
+        for customer, resource in self._state.queues.queue_keys():
+            pool = self._state.pool_of.get(resource, resource)
+            self._state.standings.waits((pool, customer), now_seconds)
         return attempts
 
     def _start_all(self, now_seconds: float) -> list[Attempt]:
         """Start what fits the free slots."""
         attempts: list[Attempt] = []
-        free = self._free_slots(now_seconds)
-        if free and len(self._queues):
+        if self._link is None or not len(self._state.queues):
+            return []
+        free = self._state.free_slots(self._link, now_seconds)
+        if free:
             while (attempt := self._start_next(free, now_seconds)) is not None:
                 attempts.append(attempt)
         return attempts
 
-    def _free_slots(self, now_seconds: float) -> dict[str, int]:
-        """Return by target the slots held here that nothing runs on."""
-        link = self._link
-        if link is None or not link.holds(now_seconds):
-            return {}
-        free = {}
-        for target_id, slots in link.holdings.items():
-            left = slots - self._attempts.by_target.get(target_id, 0)
-            if left > 0 and target_id in self._targets:
-                free[target_id] = left
-        return free
-
     def _start_next(self, free: dict[str, int], now_seconds: float) -> Attempt | None:
         """Start the request that comes first and fits a free slot, if any."""
         best: QueueKey | None = None
         best_time = 0.0
-        for key in self._queues.queue_keys():
-            if not any(key[1] in self._targets[one].serves for one in free):
+        for key in self._state.queues.queue_keys():
+            if not any(key[1] in self._state.targets[one].serves for one in free):
                 continue
-            if not self._limits.may_start(key[0], now_seconds):
+            if not self._state.limits.may_start(key[0], now_seconds):
                 continue
-            account = (self._pool_of.get(key[1], key[1]), key[0])
+            account = (self._state.pool_of.get(key[1], key[1]), key[0])
             virtual_time = self._virtual_time(account)
             if best is None or virtual_time < best_time:
                 best, best_time = key, virtual_time
@@ -277,13 +253,13 @@
         self, key: QueueKey, free: dict[str, int], now_seconds: float
     ) -> Attempt:
         """Start the head of a queue on a free slot."""
-        head = self._queues.head(key)
+        head = self._state.queues.head(key)
         assert head is not None
         request = head.request
-        serving = [one for one in free if key[1] in self._targets[one].serves]
+        serving = [one for one in free if key[1] in self._state.targets[one].serves]
         target_id = self._affinity.choose(request, free, serving, head.avoid_target_id)
         self._affinity.sent(request, target_id)
-        self._queues.take(request.request_id)
+        self._state.queues.take(request.request_id)
         free[target_id] -= 1
         if free[target_id] == 0:
             del free[target_id]
@@ -293,34 +269,34 @@
             request.request_id,
             request.customer_id,
             target_id,
-            self._targets[target_id].incarnation,
+            self._state.targets[target_id].incarnation,
             now_seconds,
             head.estimated_cost_units,
         )
         account = self._account(request)
         row = RunningAttempt(attempt, request, account, head.estimated_cost_units)
-        self._attempts.start(row, now_seconds)
-        self._totals.add(account, head.estimated_cost_units)
-        self._limits.started(key[0], head.estimated_cost_units, now_seconds)
+        self._state.attempts.start(row, now_seconds)
+        self._state.totals.add(account, head.estimated_cost_units)
+        self._state.limits.started(key[0], head.estimated_cost_units, now_seconds)
         return attempt
 
     def _served(self, account: Account) -> float:
         """Return the service through this router since the term began."""
-        total = self._totals.total(account)
+        total = self._state.totals.total(account)
         return self._link.total_since_base(account, total) if self._link else total
 
     def _virtual_time(self, account: Account) -> float:
         """Return a customer's virtual time with what this router added since."""
         share = self._allocator.state.share(account[1])
-        return self._standings.virtual_time(account, self._served(account), share)
+        return self._state.standings.virtual_time(account, self._served(account), share)
 
     # --- running attempts --------------------------------------------------------
 
     def progressed(self, attempt_id: str, usage: Usage, now_seconds: float) -> None:
         """Take the usage so far of a running attempt; may be skipped at will."""
-        row = self._attempts.get(attempt_id)
+        row = self._state.attempts.get(attempt_id)
         if row is not None:
-            used = cost_of_usage(self._tree, row.request, usage)
+            used = cost_of_usage(self._state.tree, row.request, usage)
             if used > row.charged_cost_units:
                 self._charge(row, used, now_seconds)
 
@@ -331,14 +307,14 @@
         row = self._end(attempt_id)
         if row is None:
             return
-        used = cost_of_usage(self._tree, row.request, usage)
+        used = cost_of_usage(self._state.tree, row.request, usage)
         self._charge(row, used, now_seconds)
         if outcome is Outcome.RAN:
             self._estimates.learn(row.request, used)
             busy_seconds = now_seconds - row.attempt.started_at_seconds
             target_id = row.attempt.target_id
-            pace = self._paces.get(target_id, Pace())
-            self._paces[target_id] = pace.plus(Pace(1, used, busy_seconds))
+            pace = self._state.paces.get(target_id, Pace())
+            self._state.paces[target_id] = pace.plus(Pace(1, used, busy_seconds))
 
     def retried(
         self, attempt_id: str, avoid_target_id: str | None, now_seconds: float
@@ -350,13 +326,13 @@
         self._charge(row, 0.0, now_seconds)
         estimate = row.attempt.estimated_cost_units
         waiting = Waiting(row.request, estimate, avoid_target_id)
-        self._queues.put(waiting, in_front=True)
+        self._state.queues.put(waiting, in_front=True)
 
     def _end(self, attempt_id: str) -> RunningAttempt | None:
         """Take a running attempt out and free its slot."""
-        row = self._attempts.end(attempt_id)
+        row = self._state.attempts.end(attempt_id)
         if row is not None:
-            self._limits.ended(row.account[1])
+            self._state.limits.ended(row.account[1])
             self._decided = False
         return row
 
@@ -364,8 +340,8 @@
         """Charge the difference between what was charged and what is used."""
         change = used - row.charged_cost_units
         row.charged_cost_units = used
-        self._totals.add(row.account, change)
-        self._limits.charged(row.account[1], change, now_seconds)
+        self._state.totals.add(row.account, change)
+        self._state.limits.charged(row.account[1], change, now_seconds)
 
     # --- messages --------------------------------------------------------------------
 
@@ -396,9 +372,9 @@
             return
         self._decided = False
         for news in grants.pools:
-            self._standings.take(news)
+            self._state.standings.take(news)
         for limit in grants.limits:
-            self._limits.set_fraction(limit.customer_id, limit.fraction)
+            self._state.limits.set_fraction(limit.customer_id, limit.fraction)
 
     def outgoing(self, now_seconds: float) -> Sequence[Outgoing]:
         """Return the messages that are due now."""
@@ -429,94 +405,12 @@
 
     def _report(self, now_seconds: float) -> ShareReport | None:
         """Return the report to the allocator, or None while none is due."""
-        link = self._link
-        if link is None or not self._decided:
+        if self._link is None or not self._decided:
             # What came in since the last decision may start at once; told as
             # waiting it would set slots moving for nothing.
             return None
-        since = now_seconds - link.sent_at_seconds
-        inner = link.receiver_id == self._instance_id
-        if since < COALESCE_SECONDS and not inner:
-            return None
-        self._return_idle(link, now_seconds)
-        demands = self._demands(now_seconds)
-        urgent = (
-            link.returns_slots(self._attempts.by_target)
-            or self._demand_is_urgent(link, demands)
-            or link.full_due
-            or link.is_pressed(now_seconds)
-            or link.wants_full
-        )
-        if not urgent and since < HEARTBEAT_SECONDS:
-            return None
-        full = link.full_due
-        threshold = SERVED_THRESHOLD_QUANTA * self._tree.fleet.quantum_cost_units
-        pools = pool_reports(
-            link.served_rows(self._totals.accounts(), threshold),
-            link.demand_rows(demands, _EXACT_REQUESTS, now_seconds),
-        )
-        holdings = tuple(link.holding_rows(self._attempts.by_target))
-        link.full_due = False
-        return ShareReport(
-            link.term,
-            link.begin_report(now_seconds),
-            link.grants_seen,
-            "",
-            full,
-            link.wants_full,
-            tuple(pools.values()),
-            holdings,
-            wanted_rows(self._limits.wanted(now_seconds), self._told_wanted, full),
-            link.pace_rows(self._paces),
-        )
-
-    def _demand_is_urgent(
-        self, link: ReportLink, demands: dict[DemandKey, Demand]
-    ) -> bool:
-        """Return whether new waiting work can't wait for the next report.
-
-        Under contention a slot that runs here will be free soon, and a short wait
-        joins the news. With none that runs nothing here would ever start: the word
-        of contention outlasts it, and a free slot elsewhere may be had at once.
-        """
-        new = [key for key in demands if key not in link.told_demands]
-        if not new:
-            return False
-        running = {
-            self._pool_of_target(target_id) for target_id in self._attempts.by_target
-        }
-        return any(
-            not (self._standings.is_contended(pool) and pool in running)
-            for pool, _, _ in new
-        )
-
-    def _pool_of_target(self, target_id: str) -> str | None:
-        """Return the pool that a target belongs to."""
-        target = self._targets.get(target_id)
-        return self._pool_of.get(target.serves[0]) if target and target.serves else None
-
-    def _return_idle(self, link: ReportLink, now_seconds: float) -> None:
-        """Give up the slots that nothing here may use while others wait."""
-        for target_id in self._free_slots(now_seconds):
-            pool = self._pool_of_target(target_id)
-            if pool is not None and self._standings.is_contended(pool):
-                link.holdings[target_id] = self._attempts.by_target.get(target_id, 0)
-
-    def _demands(self, now_seconds: float) -> dict[DemandKey, Demand]:
-        """Return what waits here and may start."""
-        demands = {}
-        for key in self._queues.queue_keys():
-            pool = self._pool_of.get(key[1])
-            if pool is None or not self._limits.may_start(key[0], now_seconds):
-                continue
-            head = self._queues.head(key)
-            assert head is not None
-            demands[(pool, *key)] = Demand(
-                self._queues.length(key),
-                self._queues.cost_units(key),
-                head.request.arrived_at_seconds,
-            )
-        return demands
+        inner = self._link.receiver_id == self._instance_id
+        return router_report(self._state, self._link, inner, now_seconds)
 
 
 def make_leased_scheduler(
--- /dev/null
+++ b/sesameford/router_state.py
@@ -0,0 +1,46 @@
+"""The tables of a router's scheduler."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from sesameford.accounts import OwnTotals
+from sesameford.attempts import Attempts
+from sesameford.effective import EffectiveTree
+from sesameford.limits import Limits
+from sesameford.links import ReportLink
+from sesameford.queues import Queues
+from sesameford.standings import Standings
+from sesameford.tables import Target
+from sesameford.windows import Pace
+
+
+@dataclass(slots=True)
+class RouterState:
+    """What waits, what runs, what was served and what is known of the fleet."""
+
+    tree: EffectiveTree = field(default_factory=EffectiveTree)
+    targets: Mapping[str, Target] = field(default_factory=dict)
+    pool_of: Mapping[str, str] = field(default_factory=dict)
+    queues: Queues = field(default_factory=Queues)
+    limits: Limits = field(default_factory=Limits)
+    attempts: Attempts = field(default_factory=Attempts)
+    standings: Standings = field(default_factory=Standings)
+    totals: OwnTotals = field(default_factory=OwnTotals)
+    paces: dict[str, Pace] = field(default_factory=dict)
+    told_wanted: dict[str, float] = field(default_factory=dict)
+
+    def pool_of_target(self, target_id: str) -> str | None:
+        """Return the pool that a target belongs to."""
+        target = self.targets.get(target_id)
+        return self.pool_of.get(target.serves[0]) if target and target.serves else None
+
+    def free_slots(self, link: ReportLink, now_seconds: float) -> dict[str, int]:
+        """Return by target the slots held here that nothing runs on."""
+        if not link.holds(now_seconds):
+            return {}
+        free = {}
+        for target_id, slots in link.holdings.items():
+            left = slots - self.attempts.by_target.get(target_id, 0)
+            if left > 0 and target_id in self.targets:
+                free[target_id] = left
+        return free
--- a/tests/test_fair_fleet_machine.py
+++ b/tests/test_fair_fleet_machine.py
@@ -170,7 +170,7 @@
     def limits_hold(self):
         """Shares round up: one more for each router of entry."""
         running = sum(
-            scheduler._limits._running.get("capped", 0)
+            scheduler._state.limits._running.get("capped", 0)
             for scheduler in self.fleet.routers.values()
         )
         assert running <= CAPPED_REQUESTS + len(ROUTERS)
