Give a learner its vote only where that is not needed for the change itself

Change: the present voters that answer must be a majority of the next ones without it; a single voter excepted, which could else never grow. Conclusion: one way less into a lasting stop.

--- a/sesameford/log_membership.py
+++ b/sesameford/log_membership.py
@@ -179,6 +179,10 @@
             if not _majority_is_alive(core, voters, now_seconds):
                 continue
             return _changed(present, voters, present.learners)
+        if len(present.voters) > 1 and not _majority_without(
+            core, learner, now_seconds
+        ):
+            continue
         learners = tuple(other for other in present.learners if other != learner)
         return _changed(present, (*present.voters, learner), learners)
     return None
@@ -215,6 +219,20 @@
     return 2 * alive > len(voters)
 
 
+def _majority_without(core: Core, newcomer: Member, now_seconds: float) -> bool:
+    """Return whether the present voters carry the next configuration alone.
+
+    The newcomer may die in this moment. Were its vote needed to commit the change
+    that brings it in, no change would ever be accepted again.
+    """
+    alive = sum(
+        voter == core.me or _is_alive(core, voter, now_seconds)
+        for voter in core.voters
+        if voter != newcomer
+    )
+    return 2 * alive > len(core.voters) + 1
+
+
 def _changed(
     present: Configuration, voters: tuple[Member, ...], learners: tuple[Member, ...]
 ) -> Configuration:
--- a/tests/test_log_core.py
+++ b/tests/test_log_core.py
@@ -217,6 +217,19 @@
     assert next_configuration(core, 10.0).voters == (A, B, C)
 
 
+def test_a_newcomer_is_not_needed_to_commit_its_own_vote():
+    """A repaired replica is about to vote again while another voter does not answer.
+    If the repaired one died now, its vote would be missing for the very change that
+    gives it one, and no change could be accepted any more."""
+    d = Member("d", 4)
+    core = leading(configuration=Configuration(7, (A, B, C), (d,)))
+    acked(core, B, 10.0)
+    acked(core, d, 10.0)
+    assert next_configuration(core, 10.1) is None
+    acked(core, C, 10.1)
+    assert next_configuration(core, 10.2).voters == (A, B, C, d)
+
+
 def test_an_isolated_leader_steps_down():
     """A leader is cut off silently. If it went on leading, callers would wait for
     answers that can't come, instead of asking another instance."""
