--- a/sesameford/connection_guard.py
+++ b/sesameford/connection_guard.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import cast
 
 _HEAD_END = b"\r\n\r\n"
 _TAIL_BYTES = len(_HEAD_END) - 1
@@ -53,7 +54,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection, or refuse it."""
-        assert isinstance(transport, asyncio.Transport)
         peer = transport.get_extra_info("peername")
         self._address = str(peer[0]) if peer else ""
         at_address = self._counts.by_address.get(self._address, 0)
@@ -62,7 +62,7 @@
             or at_address >= self._limits.per_address
         ):
             self._counts.refused += 1
-            transport.abort()
+            _abort(transport)
             return
         self._is_counted = True
         self._counts.open += 1
@@ -113,10 +113,16 @@
             del self._counts.by_address[self._address]
         self._inner.connection_lost(exc)
 
-    def _give_up(self, transport: asyncio.Transport) -> None:
+    def _give_up(self, transport: asyncio.BaseTransport) -> None:
         self._timer = None
         self._counts.too_slow += 1
-        transport.abort()
+        _abort(transport)
+
+
+def _abort(transport: asyncio.BaseTransport) -> None:
+    """Close a connection at once, without sending what is still to be sent."""
+    # uvloop's transports are no subclasses of asyncio's, so the type can't be asked.
+    cast(asyncio.Transport, transport).abort()
 
 
 def make_guard(
