Order engines to what the tree declares, under leases of the log

Cause: the leases with their fencing numbers were used by nothing, and a model could be given or taken only outside the system. Figures: 4 tests, one with a real instance and an answer under way: the model is still there 1.5 s after the change and goes after the end of the answer. A fault was found on the way: under one id a model that was brought back would never be loaded again.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -69,10 +69,21 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetSettings:
-    """What operators declare of one target."""
+    """What operators declare of one target.
+
+    ``models`` and ``adapters`` are what an engine is to have loaded; an engine whose
+    ``models`` are empty is left as it is. ``version`` and ``role`` are ordered where
+    they are given. A model is unloaded after its last running request, at the latest
+    after ``unload_deadline_seconds`` where that is given.
+    """
 
     target_id: str
     drain: bool = False
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    version: str = ""
+    role: str = ""
+    unload_deadline_seconds: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -11,13 +11,14 @@
 from typing import Any
 from zlib import crc32
 
-from aiohttp import web
+from aiohttp import ClientSession, web
 from opentelemetry.sdk.trace import TracerProvider
 
 from sesameford.callers import CallersDeps, make_callers_app
 from sesameford.claims import ClaimsMachine
 from sesameford.effective import EffectiveTree
 from sesameford.errors import NotRunError, SettingsError
+from sesameford.fencing import FencingMachine
 from sesameford.http_ports import listen, make_session
 from sesameford.independent import make_independent_scheduler
 from sesameford.instance_status import OwnStanding, make_status, quarantine_of
@@ -32,6 +33,8 @@
     KeptAnswerWanted,
     LogPayload,
     Message,
+    ModelUse,
+    ModelUseWanted,
     Outgoing,
     ProposalReply,
     ProposalRequest,
@@ -48,6 +51,7 @@
 )
 from sesameford.metrics import Metrics
 from sesameford.operators import OperatorsDeps, make_operators_routes
+from sesameford.order_service import OrderDeps, make_order_service
 from sesameford.outcomes import Outcomes
 from sesameford.overlay import make_overlay, make_topology
 from sesameford.owner_words import OwnerWords
@@ -176,7 +180,7 @@
             settings.instance_id,
             peer_ids,
             Path(settings.data_folder) if settings.data_folder else None,
-            (self._machine, ClaimsMachine()),
+            (self._machine, ClaimsMachine(), FencingMachine()),
             self._send_log,
             self._now,
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
@@ -189,6 +193,23 @@
         self.keyed = KeyedRequests(settings.instance_id, self.incarnation, ports)
         self.outcomes.keyed = self.keyed
         self.registry.on_replaced(self.outcomes.target_replaced)
+        self._session: ClientSession | None = None
+        self._orders = make_order_service(
+            OrderDeps(
+                settings.instance_id,
+                self.incarnation,
+                settings.data_centre,
+                self._log.propose,
+                lambda: self._session,
+                self._send,
+                lambda: self.members.live(self._now()),
+                lambda: {one.target_id: one for one in self.registry.live(self._now())},
+                self._is_ready,
+                self.router.running_of,
+                lambda: self.router.tree,
+                self._now,
+            )
+        )
         self._provider: TracerProvider | None = None
         self._exit = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
@@ -217,6 +238,7 @@
         self._provider = make_tracer_provider(self._settings)
         tracer = make_tracer(self._provider)
         session = await self._exit.enter_async_context(make_session(contexts.client))
+        self._session = session
         relay = RelayDeps(self.router, session, tracer, self._now, self.outcomes)
         callers = make_callers_app(
             CallersDeps(
@@ -255,6 +277,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.keyed.close()
+        await self._orders.close()
         await self._log.stop()
         await self.peers.stop()
         await self._exit.aclose()
@@ -359,6 +382,7 @@
         self.peers.send(Outgoing(None, beat))
         self.overlay.tick(now_seconds)
         self.targets.observe_hub(self.overlay.live_hub(now_seconds))
+        self._orders.tick()
         metrics = self.metrics
         metrics.control_bytes.set({"direction": "sent"}, self.peers.sent_bytes)
         metrics.control_bytes.set({"direction": "received"}, self.peers.received_bytes)
@@ -396,6 +420,10 @@
                     self._words.asked(sender_id, message, self.keyed)
                 case KeptAnswer():
                     self._words.received(message)
+                case ModelUseWanted():
+                    self._orders.wanted(sender_id, message)
+                case ModelUse():
+                    self._orders.told(sender_id, incarnation, message)
                 case _:
                     self.router.scheduler.received(
                         sender_id, incarnation, message, now_seconds
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -381,6 +381,26 @@
     body: bytes
 
 
+# --- orders to engines ---------------------------------------------------------
+
+
+class ModelUseWanted(Struct, frozen=True, array_like=True, tag=True):
+    """How many requests of a model still run from you on a target?"""
+
+    target_id: str
+    model: str
+    revision: int
+
+
+class ModelUse(Struct, frozen=True, array_like=True, tag=True):
+    """The answer, at a revision that is no older than the one that was asked for."""
+
+    target_id: str
+    model: str
+    revision: int
+    running: int
+
+
 Message = (
     Heartbeat
     | MembersNews
@@ -404,6 +424,8 @@
     | SuspectNews
     | KeptAnswerWanted
     | KeptAnswer
+    | ModelUseWanted
+    | ModelUse
 )
 
 
--- a/sesameford/router.py
+++ b/sesameford/router.py
@@ -39,8 +39,10 @@
         self._send = send
         self._now = now
         self._waiters: dict[str, asyncio.Future[Attempt]] = {}
+        self._resource_of: dict[str, str] = {}
         self._targets: dict[str, Target] = {}
-        self._running: Counter[str] = Counter()
+        self._running: Counter[tuple[str, str]] = Counter()
+        self._unit_of: dict[str, tuple[str, str]] = {}
         self._pump_is_due = False
         self._retrying: set[str] = set()
 
@@ -76,7 +78,7 @@
             NotRunError: The deadline passed while it waited.
         """
         self.metrics.retries.inc({"reason": reason})
-        self._running[attempt.target_id] -= 1
+        self._count_out(attempt)
         self.scheduler.retried(attempt.attempt_id, attempt.target_id, self._now())
         self._retrying.add(request.request_id)
         try:
@@ -86,7 +88,7 @@
 
     def settle(self, attempt: Attempt, usage: Usage, outcome: Outcome) -> None:
         """End an attempt and free its place."""
-        self._running[attempt.target_id] -= 1
+        self._count_out(attempt)
         self.scheduler.settled(attempt.attempt_id, usage, outcome, self._now())
         self.wake()
 
@@ -96,7 +98,21 @@
 
     def running_by_target(self) -> dict[str, int]:
         """Return how many attempts run from here, by target."""
-        return dict(self._running)
+        by_target: Counter[str] = Counter()
+        for (target_id, _), running in self._running.items():
+            by_target[target_id] += running
+        return dict(by_target)
+
+    def running_of(self, target_id: str, resource: str) -> int:
+        """Return how many attempts of a model or service run from here on a target."""
+        return self._running[(target_id, resource)]
+
+    def _count_out(self, attempt: Attempt) -> None:
+        unit = self._unit_of.pop(attempt.attempt_id, None)
+        if unit is not None:
+            self._running[unit] -= 1
+            if not self._running[unit]:
+                del self._running[unit]
 
     def wake(self) -> None:
         """Decide soon, once for all events of this turn of the loop."""
@@ -148,6 +164,7 @@
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[Attempt] = loop.create_future()
         self._waiters[request.request_id] = waiter
+        self._resource_of[request.request_id] = request.resource
         self.wake()
         try:
             return await waiter
@@ -161,6 +178,7 @@
             raise
         finally:
             self._waiters.pop(request.request_id, None)
+            self._resource_of.pop(request.request_id, None)
 
     def _refuse(self, request_id: str, error: NotRunError) -> None:
         waiter = self._waiters.get(request_id)
@@ -171,11 +189,13 @@
         self._pump_is_due = False
         now_seconds = self._now()
         for attempt in self.scheduler.decide(now_seconds):
-            self._running[attempt.target_id] += 1
             waiter = self._waiters.get(attempt.request_id)
             if waiter is None or waiter.done():
                 self.settle(attempt, Usage(), Outcome.NOT_RUN)
-            else:
-                waiter.set_result(attempt)
+                continue
+            unit = (attempt.target_id, self._resource_of[attempt.request_id])
+            self._unit_of[attempt.attempt_id] = unit
+            self._running[unit] += 1
+            waiter.set_result(attempt)
         for outgoing in self.scheduler.outgoing(now_seconds):
             self._send(outgoing)
--- a/sesameford/targets.py
+++ b/sesameford/targets.py
@@ -7,7 +7,7 @@
 
 from sesameford.effective import TargetSettings
 from sesameford.messages import TargetNews
-from sesameford.tables import Table, Target
+from sesameford.tables import Table, Target, TargetKind
 from sesameford.target_health import TargetHealth, began, failed, is_held, proved
 
 MAX_LEASE_SECONDS = 60.0
@@ -118,13 +118,17 @@
     ) -> dict[str, Target]:
         """Return the targets that may get new work now."""
         return {
-            known.target.target_id: known.target
+            known.target.target_id: _as_declared(declared, known.target)
             for known in self._known
             if self.is_live(known, now_seconds)
             and not _is_drained(declared, known.target.target_id)
             and not is_held(self._health[known.target.target_id], now_seconds)
         }
 
+    def live(self, now_seconds: float) -> Sequence[Target]:
+        """Return the targets whose leases run, as they announce themselves."""
+        return [one.target for one in self._known if self.is_live(one, now_seconds)]
+
     def suspend(self, target_id: str, incarnation: int, now_seconds: float) -> None:
         """Give a target no new work for a while: a fresh connection to it failed.
 
@@ -205,3 +209,16 @@
     """Return whether the tree takes a target out."""
     settings = declared.get(target_id)
     return settings is not None and settings.drain
+
+
+def _as_declared(declared: Mapping[str, TargetSettings], target: Target) -> Target:
+    """Return a target without the models that the tree takes away from it.
+
+    An engine announces a model until it is unloaded. New requests sent there
+    meanwhile would put the end of the last one off for ever.
+    """
+    settings = declared.get(target.target_id)
+    if settings is None or not settings.models or target.kind is not TargetKind.MODEL:
+        return target
+    kept = tuple(model for model in target.serves if model in settings.models)
+    return target if kept == target.serves else replace(target, serves=kept)
--- a/sesameford/tree_fields.py
+++ b/sesameford/tree_fields.py
@@ -53,8 +53,10 @@
 MAX_ROUTES = 200
 MAX_DIGESTS = 20
 MAX_LIFTED = 100
+MAX_NAMES = 200
 
 _DIGEST = re.compile(r"[0-9a-f]{64}")
+_NAME = re.compile(r"[!-~]{1,256}")
 _METHOD = re.compile(r"\*|[A-Z]{1,20}")
 
 
@@ -180,6 +182,19 @@
     return check
 
 
+def _names(value: Any, path: str) -> list[str]:
+    """Check a list of names of models or adapters."""
+    allowed = f"a list of at most {MAX_NAMES} different names"
+    if not isinstance(value, list) or len(value) > MAX_NAMES:
+        raise Refused(path, shown(value), allowed)
+    for position, name in enumerate(value):
+        if not isinstance(name, str) or not _NAME.fullmatch(name):
+            raise Refused(f"{path}[{position}]", shown(name), allowed)
+    if len(set(value)) < len(value):
+        raise Refused(path, "a name twice", allowed)
+    return value
+
+
 def _method(value: Any, path: str) -> str:
     """Check a route's method."""
     if not isinstance(value, str) or not _METHOD.fullmatch(value):
@@ -224,6 +239,8 @@
         (CustomerSettings, "limits"): _limits,
         (ServiceSettings, "routes"): _routes,
         (ServiceSettings, "deadline_seconds"): _number(0, 86_400, above=True),
+        (TargetSettings, "models"): _names,
+        (TargetSettings, "adapters"): _names,
         (RouteSettings, "method"): _method,
         (RouteSettings, "path_prefix"): _path_prefix,
         (FleetSettings, "scheduler"): _one_of("leased", "independent"),
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,184 @@
+"""Orders to engines: what is needed, when a model may go, under which number."""
+
+import asyncio
+from dataclasses import replace
+from hashlib import sha256
+
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec.structs import replace as replace_fields
+
+from sesameford.effective import TargetSettings
+from sesameford.orders import RETRY_SECONDS, Order, OrderBook, OrderKind, needed_orders
+from sesameford.tables import Target, TargetKind
+from tests.test_instance import apply_tree, make_settings, running
+
+ENGINE = Target("g", 1, TargetKind.MODEL, ("m1",), "http://g", "a", 4, 1e9)
+UNLOAD = Order("g", 1, OrderKind.UNLOAD, "m1")
+_MODELS = st.sets(st.sampled_from(("m1", "m2", "m3", "m4")))
+
+
+@settings(derandomize=True, max_examples=200)
+@given(_MODELS, _MODELS.filter(bool))
+def test_orders_end_where_the_tree_wants_the_engine(serves, models):
+    engine = replace(ENGINE, serves=tuple(sorted(serves)))
+    declared = TargetSettings("g", models=tuple(sorted(models)))
+    for _ in range(10):
+        orders = needed_orders(declared, engine)
+        if not orders:
+            break
+        kinds = {OrderKind.LOAD: set.add, OrderKind.UNLOAD: set.discard}
+        present = set(engine.serves)
+        for order in orders:
+            kinds[order.kind](present, order.subject)
+        assert present, "an engine is never left without any model"
+        engine = replace(engine, serves=tuple(sorted(present)))
+    assert set(engine.serves) == models
+
+
+def test_a_model_goes_only_after_its_last_running_request():
+    """The tree takes a model from an engine while answers of it are still written.
+
+    Unloaded at once, those callers would hold half an answer.
+    """
+    book = OrderBook()
+    declared = {"g": TargetSettings("g", models=("m2",))}
+    engine = replace(ENGINE, serves=("m1", "m2"))
+    assert book.due(declared, [engine], 0.0) == [UNLOAD]
+    processes = [("e1", 1), ("e2", 7)]
+    assert not book.may_unload(UNLOAD, declared["g"], processes, 1.0)
+    book.use_told(("e1", 1), "g", "m1", 0, 1.0)
+    book.use_told(("e2", 7), "g", "m1", 2, 1.0)
+    assert not book.may_unload(UNLOAD, declared["g"], processes, 1.0)
+    book.use_told(("e2", 7), "g", "m1", 0, 2.0)
+    assert book.may_unload(UNLOAD, declared["g"], processes, 2.0)
+    restarted = [("e1", 1), ("e2", 8)]
+    assert not book.may_unload(UNLOAD, declared["g"], restarted, 2.0)
+    hasty = replace(declared["g"], unload_deadline_seconds=30.0)
+    assert not book.may_unload(UNLOAD, hasty, restarted, 29.0)
+    assert book.may_unload(UNLOAD, hasty, restarted, 30.0)
+
+
+def test_an_order_that_failed_is_tried_again_under_its_id_and_a_new_need_is_not():
+    """An engine recognises an order by its id. With the old id a model that was taken
+    away and brought back would be answered as loaded before, and never be loaded."""
+    book = OrderBook()
+    declared = {"g": TargetSettings("g", models=("m1", "m2"))}
+    (order,) = book.due(declared, [ENGINE], 0.0)
+    first = book.began(order, 5)
+    assert book.due(declared, [ENGINE], 0.0) == []
+    book.ended(order, False, 1.0)
+    assert book.due(declared, [ENGINE], 1.0 + RETRY_SECONDS / 2) == []
+    assert book.due(declared, [ENGINE], 1.0 + RETRY_SECONDS) == [order]
+    assert book.began(order, 5) == first
+    book.ended(order, True, 7.0)
+    assert book.due(declared, [ENGINE], 8.0) == []
+    loaded = replace(ENGINE, serves=("m1", "m2"))
+    assert book.due(declared, [loaded], 9.0) == []
+    assert book.due(declared, [ENGINE], 10.0) == [order]
+    assert book.began(order, 5) != first
+
+
+class FakeEngine:
+    """An engine that carries out orders and refuses those with an old number."""
+
+    def __init__(self):
+        self.serves = ["m1", "m2"]
+        self.orders = []
+        self.hold = asyncio.Event()
+
+    async def take_order(self, http):
+        order = await http.json()
+        self.orders.append(order)
+        change = {"load": self.serves.append, "unload": self.serves.remove}
+        change[order["kind"]](order["subject"])
+        return web.json_response({"status": "done"})
+
+    async def complete(self, http):
+        answer = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await answer.prepare(http)
+        await answer.write(b'id: 0\ndata: {"choices":[{"text":"a"}]}\n\n')
+        await self.hold.wait()
+        usage = b'{"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":1}}'
+        await answer.write(b"id: 1\ndata: " + usage + b"\n\n")
+        await answer.write(b"id: 2\ndata: [DONE]\n\n")
+        return answer
+
+    async def announce(self, session, server, instances, sequence):
+        body = {
+            "target_id": "g",
+            "incarnation": 1,
+            "sequence": sequence,
+            "kind": "model",
+            "serves": self.serves,
+            "url": str(server.make_url("")).rstrip("/"),
+            "data_centre": "a",
+            "capacity_slots": 4,
+            "lease_seconds": 3.0,
+            "checks_fencing": True,
+        }
+        url = f"http://{instances[0].listen.operators}/targets/announce"
+        headers = {"Authorization": "Bearer platform"}
+        async with session.post(url, json=body, headers=headers) as answer:
+            assert answer.status == 200
+
+
+def tree_with(models):
+    key = sha256(b"key").hexdigest()
+    return (
+        f"customers: {{children: {{club: {{key_digests: [{key}]}}}}}}\n"
+        "models: {children: {m1: {}, m2: {}, m3: {}}}\n"
+        f"targets: {{children: {{g: {{models: [{models}]}}}}}}\n"
+    )
+
+
+async def test_the_tree_loads_and_unloads_models_of_a_real_instance(tmp_path):
+    """An operator swaps a model in the tree while a caller reads an answer of it."""
+    digest = sha256(b"platform").hexdigest()
+    (settings_,) = make_settings(tmp_path, 1, 1)
+    settings_ = replace_fields(settings_, platform_key_digest=digest)
+    engine = FakeEngine()
+    app = web.Application()
+    app.router.add_post("/orders", engine.take_order)
+    app.router.add_post("/v1/completions", engine.complete)
+    server = TestServer(app)
+    await server.start_server()
+    async with running([settings_]), ClientSession() as session:
+        announcing = asyncio.create_task(
+            _announce_often(engine, session, server, [settings_])
+        )
+        await apply_tree(session, settings_, "c1", 0, tree_with("m1, m2"))
+        url = f"http://{settings_.listen.callers}/v1/completions"
+        headers = {"Authorization": "Bearer key"}
+        body = {"model": "m1", "prompt": "x", "stream": True}
+        async with asyncio.timeout(30):
+            async with session.post(url, json=body, headers=headers) as answer:
+                assert answer.status == 200
+                await answer.content.readuntil(b"\n\n")
+                await apply_tree(session, settings_, "c2", 1, tree_with("m2, m3"))
+                await _until(lambda: "m3" in engine.serves)
+                await asyncio.sleep(1.5)
+                assert "m1" in engine.serves, "an answer of it is still under way"
+                engine.hold.set()
+                assert (await answer.read()).endswith(b"data: [DONE]\n\n")
+            await _until(lambda: "m1" not in engine.serves)
+        announcing.cancel()
+        await asyncio.gather(announcing, return_exceptions=True)
+    await server.close()
+    assert [one["kind"] for one in engine.orders] == ["load", "unload"]
+    assert all(one["fencing_number"] > 0 for one in engine.orders)
+
+
+async def _announce_often(engine, session, server, instances):
+    sequence = 0
+    while True:
+        sequence += 1
+        await engine.announce(session, server, instances, sequence)
+        await asyncio.sleep(0.3)
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0.02)
