Choose the tests' loop by the hook that is meant for it

Cause: the fixture that was overridden is deprecated and warned in each test. Change: the plugin's hook names uvloop's factory.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,6 @@
     await fake.server.close()
 
 
-@pytest.fixture(scope="session")
-def event_loop_policy():
+def pytest_asyncio_loop_factories(config, item):
     """Run the tests on the daemon's own loop, whose transports are of other types."""
-    return uvloop.EventLoopPolicy()
+    return {"uvloop": uvloop.new_event_loop}
