Let the longest running instance be allocator, and leave a silent one in time

Its neighbour kept to it until its own lease was over, began to take over only then, and was deposed as soon as the restarted one was ready again, since the smallest id was elected: two takeovers, one after the other. Ruled out: targets (their leases ran on) and the neighbour's queue (it was full). Change: of ready instances the one that has run for longest serves; an allocator that has not answered for 1.4 s of a lease of 2 s is given up while the lease still runs.

--- a/sesameford/election.py
+++ b/sesameford/election.py
@@ -1,9 +1,12 @@
 """Which instance is the allocator of a data centre, by each one's own view.
 
-There is no vote: the ready instance with the smallest id serves, hubs before others,
-since every message of an allocator beside them would go by way of one. Two may serve
-at once while views differ; each holder follows one of them at a time, takes
-along what it holds, and leaves it when its lease runs out unanswered.
+There is no vote: the ready instance that has run for longest serves, hubs before
+others, since every message of an allocator beside them would go by way of one.
+Chosen by its id alone, an allocator that restarts would be elected again as soon as
+it is back, and everybody would wait for a second takeover right after the first.
+
+Two may serve at once while views differ; each holder follows one of them at a time,
+takes along what it holds, and leaves it when it does not answer.
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,6 +17,8 @@
 START_SECONDS = 1.0
 UNFIT_SECONDS = 10.0
 
+Rank = tuple[bool, int, str]
+
 
 class Election:
     """One instance's view of the allocators.
@@ -21,14 +26,19 @@
     Args:
         instance_id: This instance.
         data_centre: Where it stands.
+        incarnation: Of its process; of two the smaller has run for longer.
         is_hub: Whether it passes on for its data centre.
     """
 
     def __init__(
-        self, instance_id: str, data_centre: str, is_hub: bool = False
+        self,
+        instance_id: str,
+        data_centre: str,
+        incarnation: int,
+        is_hub: bool = False,
     ) -> None:
         self._instance_id = instance_id
-        self._rank = (not is_hub, instance_id)
+        self._rank = (not is_hub, incarnation, instance_id)
         self._data_centre = data_centre
         self._instances: Mapping[str, Instance] = {}
         self._unfit_until: dict[str, float] = {}
@@ -62,20 +72,20 @@
         ]
         if now_seconds < self._started_at_seconds + START_SECONDS:
             before = [rank for rank in ranks if rank < self._rank]
-            return min(before)[1] if before else None
+            return min(before)[-1] if before else None
         if may_serve or not ranks:
             ranks.append(self._rank)
-        return min(ranks)[1]
+        return min(ranks)[-1]
 
     def others(self, now_seconds: float) -> dict[str, str]:
         """Return the allocators of the other data centres."""
-        elected: dict[str, tuple[bool, str]] = {}
+        elected: dict[str, Rank] = {}
         for instance in self._ready(now_seconds):
             place = instance.data_centre
             if place != self._data_centre:
                 rank = _rank(instance)
                 elected[place] = min(elected.get(place, rank), rank)
-        return {place: instance_id for place, (_, instance_id) in elected.items()}
+        return {place: rank[-1] for place, rank in elected.items()}
 
     def neighbours(self, now_seconds: float) -> list[str]:
         """Return the other instances heard in the own data centre."""
@@ -120,6 +130,6 @@
         ]
 
 
-def _rank(instance: Instance) -> tuple[bool, str]:
+def _rank(instance: Instance) -> Rank:
     """Return what orders instances for the part of allocator."""
-    return not instance.is_hub, instance.instance_id
+    return not instance.is_hub, instance.incarnation, instance.instance_id
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -18,6 +18,7 @@
 from sesameford.estimates import Estimates
 from sesameford.links import (
     LEASE_SECONDS,
+    SUSPECT_SECONDS,
     ReportLink,
 )
 from sesameford.messages import (
@@ -60,7 +61,7 @@
         self._incarnation = incarnation
         self._state = RouterState()
         self._serves: dict[str, tuple[str, ...]] = {}
-        self._election = Election(instance_id, data_centre, is_hub)
+        self._election = Election(instance_id, data_centre, incarnation, is_hub)
         self._allocator = Allocator(instance_id, data_centre)
         self._affinity = Affinity()
         self._estimates = Estimates()
@@ -114,9 +115,11 @@
         may_serve = own is None or not own.drain
         link = self._link
         if link is not None and link.receiver_id != self._instance_id:
-            lease_over = not link.holds(now_seconds)
+            # While the lease still runs, so that the next allocator has begun by
+            # its end: else nothing would be served here in between.
+            left_seconds = link.lease_expires_at_seconds - now_seconds
             old = now_seconds - link.opened_at_seconds > LEASE_SECONDS
-            if lease_over and old:
+            if left_seconds < SUSPECT_SECONDS and old:
                 self._election.mark_unfit(link.receiver_id, now_seconds)
         elected = self._election.allocator(may_serve, now_seconds)
         others = self._election.others(now_seconds)
--- a/sesameford/links.py
+++ b/sesameford/links.py
@@ -24,6 +24,8 @@
 from sesameford.windows import Pace
 
 LEASE_SECONDS = 2.0
+# An allocator that has not answered until so little of the lease is left is given up.
+SUSPECT_SECONDS = 0.6
 HEARTBEAT_SECONDS = 0.5
 COALESCE_SECONDS = 0.02
 JOINED_FRACTION = 0.5
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -53,6 +53,33 @@
     assert fleet.counted.most_running_over <= 0
 
 
+def longest_wait(fleet, name, seconds):
+    """Return for how long at most a customer that waits gets no service at all."""
+    longest = waited = 0.0
+    for _ in range(round(seconds / 0.1)):
+        before = fleet.served[name]
+        fleet.run(0.1)
+        waited = waited + 0.1 if fleet.served[name] == before else 0.0
+        longest = max(longest, waited)
+    return longest
+
+
+@pytest.mark.parametrize("down_seconds", [0.5, 1.5, 2.5, 4.0])
+def test_nobody_starves_while_an_allocator_dies_and_comes_back_empty(
+    fleet, down_seconds
+):
+    """The allocator of a data centre is killed and restarted a moment later.
+
+    Customers that enter at its neighbour wait for the takeover. Elected again as
+    soon as it was back, the restarted one let them wait for a second one.
+    """
+    fleet.stop_router("e0")
+    waits = [longest_wait(fleet, "c0", down_seconds)]
+    fleet.start_router("e0")
+    waits.append(longest_wait(fleet, "c0", 10.0))
+    assert sum(waits) <= 1.0, waits
+
+
 def test_an_allocator_that_hears_nobody_is_passed_over(fleet):
     """A firewall loses track of all connections towards one instance.
 
