Watch a stream's reads with one timer, and its writes by the heartbeat

Each read and each write of a few tokens set a timeout of its own and took it back. Besides, while a slow caller held up the writing, the time counted as silence of the target. Change: one timer per connection looks how long the present read has waited; the stream's heartbeat looks for a write that waits for too long. The tests of faults over real sockets pass unchanged.

--- a/sesameford/caller_side.py
+++ b/sesameford/caller_side.py
@@ -3,6 +3,7 @@
 from asyncio import sleep, timeout
 from collections.abc import Awaitable
 from contextlib import suppress
+from time import monotonic
 
 from aiohttp import ClientError
 from aiohttp.web import Request as HttpRequest
@@ -39,6 +40,7 @@
         self._is_idle = False
         self._kept: list[bytes] = []
         self._kept_bytes = 0
+        self._writing_since_seconds: float | None = None
         self.started = False
         self.outcome = Outcome.RAN
         self._stream = StreamResponse(
@@ -62,7 +64,20 @@
             self.started = True
             await self._to_caller(self._stream.prepare(self._http))
         self._is_idle = False
-        await self._to_caller(self._stream.write(data))
+        if self._gone:
+            await self._to_caller(self._stream.write(data))
+            return
+        # No timeout of its own: it would be set and taken back for every few tokens.
+        # The heartbeat looks for how long this write has waited.
+        self._writing_since_seconds = monotonic()
+        try:
+            await self._stream.write(data)
+        except (ConnectionError, ClientError) as error:
+            self._gone = True
+            if not self._keeps:
+                raise CallerGoneError from error
+        finally:
+            self._writing_since_seconds = None
 
     async def keep_alive(self) -> None:
         """Send comments while no events come, until cancelled.
@@ -73,11 +88,20 @@
         while not self._gone:
             self._is_idle = True
             await sleep(CALLER_HEARTBEAT_SECONDS)
+            self._drop_stalled()
             if self.started and self._is_idle:
                 # The stream's own writer meets the same and ends the request.
                 with suppress(CallerGoneError):
                     await self._to_caller(self._stream.write(COMMENT))
 
+    def _drop_stalled(self) -> None:
+        """Break the connection of a caller that has taken nothing for too long."""
+        since_seconds = self._writing_since_seconds
+        if since_seconds is None or self._http.transport is None:
+            return
+        if monotonic() - since_seconds > CALLER_STALL_SECONDS:
+            self._http.transport.abort()
+
     async def end(self) -> StreamResponse:
         """End a whole stream."""
         await self._to_caller(self._stream.write_eof())
--- a/sesameford/completion_run.py
+++ b/sesameford/completion_run.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from functools import partial
 
 from aiohttp import ClientError, ClientResponse
 from aiohttp.web import Response, StreamResponse
@@ -19,6 +20,7 @@
     open_completion,
     resume_completion,
 )
+from sesameford.read_watch import ReadWatch
 from sesameford.relay_deps import Call, RelayDeps, pass_on, settle
 from sesameford.retries import AttemptHistory, Failure
 from sesameford.service_adapter import read_whole
@@ -148,13 +150,15 @@
     """
     while True:
         broke: Exception | None = None
+        watch = ReadWatch(response.content, partial(_silent_at, run), run.deps.now)
         try:
-            async with aclosing(_read(run, response)) as parts:
+            async with aclosing(_read(run, watch)) as parts:
                 async for ready in parts:
                     yield ready
         except (ClientError, TimeoutError, OSError) as error:
             broke = error
         finally:
+            watch.close()
             response.close()
         if run.events.is_done:
             break
@@ -162,15 +166,12 @@
         response = await _resume(run, broke)
 
 
-async def _read(
-    run: CompletionRun, response: ClientResponse
-) -> AsyncGenerator[bytes, None]:
+async def _read(run: CompletionRun, watch: ReadWatch) -> AsyncGenerator[bytes, None]:
     """Yield whole events of one connection until it ends, breaks or is silent."""
     events = run.events
     next_progress = events.event_count + PROGRESS_EVENTS
     while not events.is_done:
-        async with asyncio.timeout(_silence_left(run)):
-            data = await response.content.readany()
+        data = await watch.read()
         if not data:
             return
         run.progress = progressed(run.deps.now())
@@ -242,6 +243,13 @@
     await cancel_completion(run.deps.session, run.target, run.attempt.attempt_id)
 
 
+def _silent_at(run: CompletionRun, reading_since_seconds: float) -> float:
+    """Return when a read counts as silent if nothing comes before."""
+    silence_seconds = run.deps.router.tree.fleet.silence_seconds
+    by_progress_seconds = silent_at_seconds(run.progress, silence_seconds)
+    return max(by_progress_seconds, reading_since_seconds + silence_seconds)
+
+
 def _silence_left(run: CompletionRun) -> float:
     """Return for how long nothing may come before the connection is silent."""
     silence_seconds = run.deps.router.tree.fleet.silence_seconds
