--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: help setup demo soak bench bench-quick slopes count test lint format types check fuzz
+.PHONY: help setup demo soak bench bench-quick slopes count test lint format types check fuzz kills
 
 help: ## List the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -43,6 +43,9 @@
 soak: setup ## True outcomes under faults, in 3 minutes or less
 	$(BIN)/python -m tools.soak
 
+kills: setup ## Kill each replica in turn under a stream of changes
+	$(BIN)/python -m tools.replica_kills
+
 bench: setup ## Measure both deployments in 5 minutes or less
 	$(BIN)/python -m benchmarks.bench
 
