Let an answer to who lives stand for a fifth of a second

Cause: each instance worked out the live instances anew 40 times a second, and a node's processor time at rest grew with their number. Change: the answer stands for 0.2 s unless a row changes.

--- a/sesameford/members.py
+++ b/sesameford/members.py
@@ -23,6 +23,7 @@
 
 HEARD_WITHIN_SECONDS = 3.0
 WANTED_AFTER_SECONDS = 2.0
+LOOK_AGAIN_SECONDS = 0.2
 
 
 class Members:
@@ -53,6 +54,8 @@
         self._fresh_at_seconds: dict[str, float] = {}
         self._reachable: dict[str, frozenset[str]] = {}
         self._changed: dict[str, str] = {}
+        self._changes = 0
+        self._looked: tuple[float, int, dict[str, Instance]] = (-inf, 0, {})
         self._digest = 0
         self._differs_since_seconds: dict[str, float] = {}
         self._outgoing: list[Outgoing] = []
@@ -157,8 +160,20 @@
         due, self._outgoing = self._outgoing, []
         return due
 
-    def live(self, now_seconds: float) -> dict[str, Instance]:
-        """Return the other instances that are heard, directly or by hubs."""
+    def live(self, now_seconds: float) -> Mapping[str, Instance]:
+        """Return the other instances that are heard, directly or by hubs.
+
+        Systems ask for them at every tick, and at the target size there are 359; so
+        an answer stands for a short while, unless a row changes.
+        """
+        looked_at_seconds, changes, live = self._looked
+        age_seconds = now_seconds - looked_at_seconds
+        if changes != self._changes or not 0 <= age_seconds < LOOK_AGAIN_SECONDS:
+            live = self._look(now_seconds)
+            self._looked = (now_seconds, self._changes, live)
+        return live
+
+    def _look(self, now_seconds: float) -> dict[str, Instance]:
         places = self._live_places(now_seconds)
         return {
             row.instance_id: _instance_of(
@@ -205,6 +220,7 @@
             self._digest ^= _digest_of(known)
         self._digest ^= _digest_of(row)
         self._rows.put(row.instance_id, row)
+        self._changes += 1
         self._changed[row.instance_id] = source_id
 
     def _refute(self, row: MemberRow) -> None:
