--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 $(STAMP): requirements.lock
 	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	@touch $@
 
 setup: $(STAMP) ## Make the virtual environment from requirements.lock
