Take out what nothing calls, and take the targets in one place

Cause: a read through the whole change found an error, three methods and a field that nothing uses, and a router's tick that repeated its own refresh_targets. Change: TreeConflictError, Queues.largest_bytes, VirtualTimes.forget_idle, the log's on_applied with its callbacks and the time in an engine's use are gone; the tick calls refresh_targets. Tests lose an argument that was stored and never read; their assertions stand. Conclusion: behaviour as before.

--- a/sesameford/errors.py
+++ b/sesameford/errors.py
@@ -27,18 +27,6 @@
     """A declared tree of settings is unusable; nothing of it is taken over."""
 
 
-class TreeConflictError(SesamefordError):
-    """A change was based on a revision that is no longer the present one.
-
-    Args:
-        present_revision: The revision to rebase the change on.
-    """
-
-    def __init__(self, present_revision: int) -> None:
-        super().__init__(f"the present revision is {present_revision}")
-        self.present_revision = present_revision
-
-
 class OutcomeError(SesamefordError):
     """A request ended without a complete answer."""
 
--- a/sesameford/log_service.py
+++ b/sesameford/log_service.py
@@ -35,7 +35,6 @@
 NO_QUORUM = "no-quorum"
 MOVED = "moved"
 
-AppliedCallback = Callable[[str, int, bytes, bytes], None]
 
 _log = logging.getLogger(__name__)
 
@@ -76,7 +75,6 @@
         self._flusher: Flusher | None = None
         self._proposer = Proposer(self._peer_ids)
         self._waiting: dict[str, _Waiting] = {}
-        self._callbacks: list[AppliedCallback] = []
         self._wanted_voters: frozenset[str] | None = None
         self._stopped = False
 
@@ -176,14 +174,6 @@
             raise ProposalRefusedError("the id waits for another command")
         return await shield(pending.future)
 
-    def on_applied(self, callback: AppliedCallback) -> None:
-        """Call back with machine, index, command and answer once a command changes it.
-
-        Only replicas apply. A resend calls nobody again; what a snapshot brings
-        calls nobody either, so a callback is a hint and the machine is the truth.
-        """
-        self._callbacks.append(callback)
-
     def set_wanted_voters(self, instance_ids: frozenset[str] | None) -> None:
         """Let voters follow the settings tree, one change at a time; None: all."""
         self._wanted_voters = instance_ids
@@ -316,10 +306,6 @@
             self._answer(origin, applied)
         if self._proposer.find(command.proposal_id) is not None:
             self._answer(self._instance_id, applied)
-        if not applied.first or applied.refused:
-            return
-        for callback in self._callbacks:
-            callback(command.machine, applied.index, command.command, applied.answer)
 
     def _answer(self, origin: str, applied: Applied) -> None:
         """Tell one proposer what became of its proposal."""
--- a/sesameford/order_service.py
+++ b/sesameford/order_service.py
@@ -124,7 +124,6 @@
             message.target_id,
             message.model,
             message.running,
-            self._deps.now(),
         )
 
     async def close(self) -> None:
@@ -184,7 +183,7 @@
         live = self._deps.live().values()
         processes = [own, *((one.instance_id, one.incarnation) for one in live)]
         running = self._deps.running_of(order.target_id, order.subject)
-        self._book.use_told(own, order.target_id, order.subject, running, now_seconds)
+        self._book.use_told(own, order.target_id, order.subject, running)
         if self._book.may_unload(order, settings, processes, now_seconds):
             return True
         if self._book.must_ask(order, now_seconds):
--- a/sesameford/orders.py
+++ b/sesameford/orders.py
@@ -37,14 +37,6 @@
     subject: str
 
 
-@dataclass(frozen=True, slots=True)
-class ModelUseRow:
-    """What one process has told of a model's requests that run from it."""
-
-    running: int
-    told_at_seconds: float
-
-
 class OrderBook:
     """Orders that are done, under way or to be tried again, at one orderer."""
 
@@ -55,7 +47,7 @@
         self._since_seconds: dict[Order, float] = {}
         self._episodes: dict[Order, int] = {}
         self._episode = 0
-        self._uses: dict[Order, dict[tuple[str, int], ModelUseRow]] = {}
+        self._uses: dict[Order, dict[tuple[str, int], int]] = {}
         self._asked_at_seconds: dict[Order, float] = {}
 
     def due(
@@ -116,7 +108,7 @@
         if deadline_seconds is not None and waited_seconds >= deadline_seconds:
             return True
         uses = self._uses.get(order, {})
-        return all(one in uses and uses[one].running == 0 for one in processes)
+        return all(uses.get(one) == 0 for one in processes)
 
     def must_ask(self, order: Order, now_seconds: float) -> bool:
         """Return whether to ask the instances of a model's use, first or again."""
@@ -132,14 +124,12 @@
         target_id: str,
         model: str,
         running: int,
-        now_seconds: float,
     ) -> None:
         """Take a process's word on how many requests of a model run from it."""
         for order in self._since_seconds:
             names = (order.target_id, order.kind, order.subject)
             if names == (target_id, OrderKind.UNLOAD, model):
-                row = ModelUseRow(running, now_seconds)
-                self._uses.setdefault(order, {})[process] = row
+                self._uses.setdefault(order, {})[process] = running
 
     def began(self, order: Order, number: int) -> str:
         """Note that an order is on its way to its engine.
--- a/sesameford/queues.py
+++ b/sesameford/queues.py
@@ -59,10 +59,6 @@
         """Return how many body bytes of a customer wait."""
         return self._bytes.get(customer_id, 0)
 
-    def largest_bytes(self) -> int:
-        """Return the most body bytes that one customer has waiting."""
-        return max(self._bytes.values(), default=0)
-
     def customers(self) -> int:
         """Return how many customers have waiting requests."""
         return len(self._requests)
--- a/sesameford/router.py
+++ b/sesameford/router.py
@@ -130,9 +130,8 @@
         """Bring the tables up to date and decide."""
         now_seconds = self._now()
         self.registry.tick(now_seconds)
-        self._targets = self.registry.usable(self.tree.targets, now_seconds)
+        self.refresh_targets()
         live = self.members.live(now_seconds)
-        self.scheduler.observe_targets(self._targets, now_seconds)
         self.scheduler.observe_instances(live, now_seconds)
         self.metrics.live_instances.set({}, len(live))
         self.metrics.usable_targets.set({}, len(self._targets))
--- a/sesameford/virtual_time.py
+++ b/sesameford/virtual_time.py
@@ -135,14 +135,3 @@
     def _move(self, standing: Standing, low: float, high: float) -> None:
         """Adjust a virtual time into a range."""
         standing.virtual_time = min(max(standing.virtual_time, low), high)
-
-    def forget_idle(self, now_seconds: float, kept_seconds: float) -> None:
-        """Drop customers idle for long; they would be lifted anyway."""
-        horizon = now_seconds - kept_seconds
-        idle = [
-            customer
-            for customer, standing in self._standings.items()
-            if standing.backlogged_at_seconds < horizon
-        ]
-        for customer in idle:
-            del self._standings[customer]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -49,10 +49,10 @@
     assert book.due(declared, [engine], 0.0) == [UNLOAD]
     processes = [("e1", 1), ("e2", 7)]
     assert not book.may_unload(UNLOAD, declared["g"], processes, 1.0)
-    book.use_told(("e1", 1), "g", "m1", 0, 1.0)
-    book.use_told(("e2", 7), "g", "m1", 2, 1.0)
+    book.use_told(("e1", 1), "g", "m1", 0)
+    book.use_told(("e2", 7), "g", "m1", 2)
     assert not book.may_unload(UNLOAD, declared["g"], processes, 1.0)
-    book.use_told(("e2", 7), "g", "m1", 0, 2.0)
+    book.use_told(("e2", 7), "g", "m1", 0)
     assert book.may_unload(UNLOAD, declared["g"], processes, 2.0)
     restarted = [("e1", 1), ("e2", 8)]
     assert not book.may_unload(UNLOAD, declared["g"], restarted, 2.0)
