Believe no zero that was told under an older tree

Cause: found while reading: a model taken away, brought back and taken away again could be unloaded on an answer from the first time that arrived late, under requests that run. Change: an orderer passes over answers of an older tree than its own. Conclusion: kept; the question is asked again each second, so it costs a second at most while a change spreads.

--- a/sesameford/order_service.py
+++ b/sesameford/order_service.py
@@ -117,7 +117,14 @@
             self._deps.send(Outgoing(sender_id, use))
 
     def told(self, sender_id: str, incarnation: int, message: ModelUse) -> None:
-        """Take another instance's answer."""
+        """Take another instance's answer, unless it is of an older tree.
+
+        A model that was taken away, brought back and taken away again has had zeros
+        told of it before. One that arrives late would let it be unloaded under
+        requests of the time between.
+        """
+        if message.revision < self._deps.tree().revision:
+            return
         process = (sender_id, incarnation)
         self._book.use_told(
             process,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,9 +10,12 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace as replace_fields
 
-from sesameford.effective import TargetSettings
+from sesameford.effective import EffectiveTree, TargetSettings
+from sesameford.errors import NoQuorumError
+from sesameford.messages import ModelUse
+from sesameford.order_service import OrderDeps, make_order_service
 from sesameford.orders import RETRY_SECONDS, Order, OrderBook, OrderKind, needed_orders
-from sesameford.tables import Target, TargetKind
+from sesameford.tables import Instance, InstanceState, Target, TargetKind
 from tests.test_instance import apply_tree, make_settings, running
 
 ENGINE = Target("g", 1, TargetKind.MODEL, ("m1",), "http://g", "a", 4, 1e9)
@@ -81,6 +84,45 @@
     assert book.began(order, 5) != first
 
 
+async def test_a_zero_of_an_older_tree_does_not_let_a_model_go():
+    """A model is taken away, brought back and taken away again, and what an instance
+    told of the first time arrives after the second.
+
+    Believed, it would let the model go while answers of it are still written.
+    """
+    declared = {"g": TargetSettings("g", models=("m2",))}
+    other = Instance("e2", 7, "a", InstanceState.DRAINING, 3, 0.0)
+    engine = replace(ENGINE, serves=("m1", "m2"))
+
+    async def propose(proposal_id, machine, command):
+        raise NoQuorumError("nothing is agreed in this test")
+
+    service = make_order_service(
+        OrderDeps(
+            "e1",
+            1,
+            "a",
+            propose,
+            lambda: None,
+            lambda outgoing: None,
+            lambda: {"e2": other},
+            lambda: {"g": engine},
+            lambda: True,
+            lambda target_id, model: 0,
+            lambda: EffectiveTree(3, targets=declared),
+            lambda: 10.0,
+        )
+    )
+    service.tick()
+    processes = [("e1", 1), ("e2", 7)]
+    book, settings_ = service._book, declared["g"]
+    service.told("e2", 7, ModelUse("g", "m1", 1, 0))
+    assert not book.may_unload(UNLOAD, settings_, processes, 10.0)
+    service.told("e2", 7, ModelUse("g", "m1", 3, 0))
+    assert book.may_unload(UNLOAD, settings_, processes, 10.0)
+    await service.close()
+
+
 class FakeEngine:
     """An engine that carries out orders and refuses those with an old number."""
 
