--- /dev/null
+++ b/sesameford/discovery/roster.py
@@ -0,0 +1,162 @@
+"""Which instances there are, found by a few seeds.
+
+Every instance greets the seeds, and each greeting tells the instances with disks
+that its sender knows. An instance with a disk keeps a link to everybody who greets
+it; one without keeps links to those with disks alone. So a router's links don't grow
+with the number of routers.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from sesameford.messages import Greeting, ReplicaRow
+from sesameford.settings import Peer
+
+# A replica that nobody has heard for so long is told to nobody any more. Longer than
+# a restart, and short beside the seconds in which a lost machine is replaced.
+TOLD_SECONDS = 6.0
+# After so long the link to a silent instance is ended; it greets a seed when it lives.
+FORGOTTEN_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownInstance:
+    """An instance that greeted, or that a greeting told of."""
+
+    peer: Peer
+    founds: bool
+    heard_at_seconds: float
+
+
+class Roster:
+    """The instances that one of them knows.
+
+    Args:
+        own: This instance, with the address of its links.
+        seeds: Addresses of links of a few instances with disks.
+        founds: Whether the deployment starts for the first time.
+    """
+
+    def __init__(self, own: Peer, seeds: Sequence[str], founds: bool) -> None:
+        self._own = own
+        self._founds = founds
+        self._known: dict[str, KnownInstance] = {}
+        self.seeds = tuple(seeds)
+        self.routers_told = 0
+
+    def greeted(
+        self, sender_id: str, greeting: Greeting, now_seconds: float
+    ) -> Sequence[Peer]:
+        """Take a greeting.
+
+        Args:
+            sender_id: Who sent it.
+            greeting: What it says.
+            now_seconds: The present time.
+
+        Returns:
+            The instances that this one should have links to by it.
+        """
+        peer = Peer(
+            sender_id, greeting.data_centre, greeting.address, greeting.has_disk
+        )
+        self._known[sender_id] = KnownInstance(peer, greeting.founds, now_seconds)
+        self.routers_told = greeting.routers or self.routers_told
+        found = [peer]
+        for row in greeting.replicas:
+            if row.instance_id in self._known or row.instance_id == self._own_id:
+                continue
+            # Known from hearsay alone: a link is begun, and its greeting decides.
+            found.append(Peer(row.instance_id, row.data_centre, row.address, True))
+        return found
+
+    def greeting(self, now_seconds: float) -> Greeting:
+        """Return what this instance tells of itself and of those with disks."""
+        replicas = [
+            ReplicaRow(one.peer.instance_id, one.peer.data_centre, one.peer.peers)
+            for one in self._known.values()
+            if one.peer.has_disk and now_seconds - one.heard_at_seconds < TOLD_SECONDS
+        ]
+        routers = sum(
+            not one.peer.has_disk and now_seconds - one.heard_at_seconds < TOLD_SECONDS
+            for one in self._known.values()
+        )
+        return Greeting(
+            self._own.peers,
+            self._own.data_centre,
+            self._own.has_disk,
+            self._founds,
+            tuple(replicas),
+            routers,
+        )
+
+    def replica_ids(self) -> tuple[str, ...]:
+        """Return the known instances with disks, this one among them if it has one."""
+        known = {one.peer.instance_id for one in self._known.values() if _disk(one)}
+        if self._own.has_disk:
+            known.add(self._own_id)
+        return tuple(sorted(known))
+
+    def may_found(self) -> bool:
+        """Return whether this instance and all it knows with disks are the founders.
+
+        The log is founded once, by the seeds of the first start. A replica that
+        restarts with an empty disk, or one that knows only some of the seeds, would
+        else found a second log, and accepted changes would revert.
+        """
+        if not self._founds or self._own.peers not in self.seeds:
+            return False
+        founders = {
+            one.peer.peers: one.peer.instance_id
+            for one in self._known.values()
+            if _disk(one) and one.founds
+        }
+        founders[self._own.peers] = self._own_id
+        return all(seed in founders for seed in self.seeds)
+
+    def founder_ids(self) -> tuple[str, ...]:
+        """Return the ids of the seeds, as far as they are known."""
+        everybody = [one.peer for one in self._known.values()] + [self._own]
+        return tuple(
+            sorted(one.instance_id for one in everybody if one.peers in self.seeds)
+        )
+
+    def forgotten(self, now_seconds: float) -> Sequence[str]:
+        """Take out and return the instances that have been silent for long."""
+        old = [
+            instance_id
+            for instance_id, one in self._known.items()
+            if now_seconds - one.heard_at_seconds > FORGOTTEN_SECONDS
+        ]
+        for instance_id in old:
+            del self._known[instance_id]
+        return old
+
+    def live_replicas(self, now_seconds: float, within_seconds: float) -> list[str]:
+        """Return the instances with disks that were heard of late."""
+        return [
+            one.peer.instance_id
+            for one in self._known.values()
+            if _disk(one) and now_seconds - one.heard_at_seconds < within_seconds
+        ]
+
+    def heard(self, sender_id: str, now_seconds: float) -> None:
+        """Note a sign of life."""
+        known = self._known.get(sender_id)
+        if known is not None:
+            self._known[sender_id] = KnownInstance(
+                known.peer, known.founds, now_seconds
+            )
+
+    @property
+    def _own_id(self) -> str:
+        return self._own.instance_id
+
+
+def _disk(known: KnownInstance) -> bool:
+    return known.peer.has_disk
+
+
+def make_roster(own: Peer, seeds: Sequence[str], founds: bool) -> Roster:
+    """Return the roster of an instance that knows only seeds; see ``Roster``."""
+    return Roster(own, seeds, founds)
--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -25,6 +25,7 @@
     key_digests: tuple[str, ...] = ()
     suspended: bool = False
     deadline_seconds: float = 120.0
+    rank: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,12 +51,57 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSettings:
-    """A plain service and the cost units of a second of its time."""
+    """A service and the cost units of a second of its time.
+
+    ``connection_limit`` is how many connections one of its targets takes from all
+    callers together. An engine's ``batch_slots`` and ``cache_tokens`` say what one
+    target works on at once and remembers; both are null for a plain service.
+    """
 
     service: str
     second_cost_units: float = 100.0
     deadline_seconds: float = 30.0
     routes: tuple[RouteSettings, ...] = ()
+    health_path: str = "/health"
+    connection_limit: int | None = None
+    batch_slots: int | None = None
+    cache_tokens: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class BackendSettings:
+    """One service behind a route and its part of the route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRouteSettings:
+    """A leaf under ``routes``: where requests of a host and path prefix go.
+
+    ``repeatable`` requests may run more than once; a ``resumable`` stream may go on
+    at another target. ``attempts`` bounds the targets that one request is sent to.
+    ``objective_seconds`` is the time to the answer, or to a stream's first event, and
+    ``pause_objective_seconds`` the longest pause between events, that callers expect.
+    ``rank`` 0 is the most urgent. ``prefix_affinity`` says that requests name the
+    parts of their prompts. A ``public`` route asks for no customer's key.
+    """
+
+    route_id: str
+    host: str = ""
+    path_prefix: str = "/"
+    backends: tuple[BackendSettings, ...] = ()
+    repeatable: bool = False
+    is_stream: bool = False
+    resumable: bool = False
+    attempts: int = 1
+    timeout_seconds: float = 30.0
+    objective_seconds: float = 1.0
+    pause_objective_seconds: float | None = None
+    rank: int = 1
+    public: bool = False
+    prefix_affinity: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +145,10 @@
     body_limit_bytes: int = 4_000_000
     queued_limit_bytes: int = 256_000_000
     silence_seconds: float = 10.0
+    header_limit_bytes: int = 16_384
+    header_timeout_seconds: float = 10.0
+    idle_timeout_seconds: float = 60.0
+    tokens_per_second: float | None = None
     weight_store_concurrent_loads: int = 2
     lifted_digests: tuple[str, ...] = ()
 
@@ -117,6 +167,7 @@
     services: Mapping[str, ServiceSettings] = field(default_factory=dict)
     instances: Mapping[str, InstanceSettings] = field(default_factory=dict)
     targets: Mapping[str, TargetSettings] = field(default_factory=dict)
+    routes: Mapping[str, HttpRouteSettings] = field(default_factory=dict)
     customer_ids_by_digest: Mapping[str, str] = field(default_factory=dict)
 
 
--- /dev/null
+++ b/sesameford/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests by host and path: routes, placement, forwarding, and the node around."""
--- /dev/null
+++ b/sesameford/gateway/forward.py
@@ -0,0 +1,190 @@
+"""One sending of a call to one target, and what it shows of whether the call ran."""
+
+import asyncio
+from asyncio import timeout_at
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from enum import StrEnum
+
+from aiohttp import (
+    ClientConnectionError,
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ConnectionTimeoutError,
+)
+from multidict import CIMultiDict
+from yarl import URL
+
+from sesameford.errors import SesamefordError
+from sesameford.gateway.calls import AnswerHead, Call, Edge, Sending
+
+# Headers that the HTTP library would add by itself; a target gets the caller's alone.
+OWN_HEADERS = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
+
+
+class Fate(StrEnum):
+    """What became of a sending that brought no answer."""
+
+    NEVER_SENT = "never-sent"
+    NOT_RUN = "not-run"
+    WRONG_TARGET = "wrong-target"
+    LOST = "lost"
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+# After these the call has certainly not run at that target.
+NOT_RUN_FATES = frozenset({Fate.NEVER_SENT, Fate.NOT_RUN, Fate.WRONG_TARGET})
+
+
+class SendingError(SesamefordError):
+    """A sending brought no answer.
+
+    Args:
+        fate: What is known of the call at that target.
+        detail: What was seen.
+    """
+
+    def __init__(self, fate: Fate, detail: str) -> None:
+        super().__init__(f"{fate.value}: {detail}")
+        self.fate = fate
+        self.detail = detail
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """A target's answer whose head has come and whose body is to be read."""
+
+    head: AnswerHead
+    response: ClientResponse
+
+    async def chunks(self, until_seconds: float) -> AsyncIterator[bytes]:
+        """Return the body as it comes.
+
+        Args:
+            until_seconds: On the loop's clock, when to give up.
+
+        Raises:
+            SendingError: It broke off or came too late.
+        """
+        content = self.response.content
+        while True:
+            try:
+                async with timeout_at(until_seconds):
+                    chunk = await content.readany()
+            except TimeoutError as error:
+                raise SendingError(Fate.TIMEOUT, "the body came too late") from error
+            except (ClientError, OSError) as error:
+                raise SendingError(Fate.BROKEN, _shown(error)) from error
+            if not chunk:
+                return
+            yield chunk
+
+    async def whole_body(self, until_seconds: float) -> bytes:
+        """Return the complete body.
+
+        Raises:
+            SendingError: It broke off or came too late.
+        """
+        return b"".join([chunk async for chunk in self.chunks(until_seconds)])
+
+
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """Sends calls to targets."""
+
+    session: ClientSession
+    edge: Edge
+    clock: Callable[[], float]
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        call: Call,
+        body: bytes,
+        address: str,
+        sending: Sending,
+        until_seconds: float,
+    ) -> AsyncIterator[Exchange]:
+        """Send a call and wait for the head of its answer.
+
+        On the way out the connection is kept if the answer was read to its end, and
+        closed if not, so that the target stops work for a caller who left.
+
+        Args:
+            call: What to send.
+            body: Its whole body.
+            address: The target's, ``IP:port``.
+            sending: What the system adds.
+            until_seconds: On the loop's clock, when to give up.
+
+        Raises:
+            SendingError: No answer of this target to this call came.
+        """
+        response = await self._send(call, body, address, sending, until_seconds)
+        try:
+            yield Exchange(self._head_of(call, response), response)
+        finally:
+            if response.content.is_eof() and response.content.exception() is None:
+                response.release()
+            else:
+                response.close()
+
+    async def _send(
+        self,
+        call: Call,
+        body: bytes,
+        address: str,
+        sending: Sending,
+        until_seconds: float,
+    ) -> ClientResponse:
+        url = URL(f"http://{address}{call.target}", encoded=True)
+        headers = CIMultiDict(self.edge.sent_headers(call, sending))
+        try:
+            async with timeout_at(until_seconds):
+                return await self.session.request(
+                    call.method,
+                    url,
+                    headers=headers,
+                    data=body or None,
+                    allow_redirects=False,
+                    skip_auto_headers=OWN_HEADERS,
+                )
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            raise SendingError(Fate.NEVER_SENT, _shown(error)) from error
+        except TimeoutError as error:
+            raise SendingError(Fate.TIMEOUT, "no answer in time") from error
+        except (ClientConnectionError, ClientError, OSError) as error:
+            # Something of it may have arrived. Only the target could say that it
+            # did not run, and nothing more will be heard on this connection.
+            raise SendingError(Fate.LOST, _shown(error)) from error
+
+    def _head_of(self, call: Call, response: ClientResponse) -> AnswerHead:
+        """Check that an answer is this call's, and that it ran.
+
+        A target may answer twice. The second answer then comes where the next one is
+        due, and its caller would get what belongs to another. The request's id in
+        the answer shows it, and the connection is not used again.
+        """
+        headers = [(str(name), value) for name, value in response.headers.items()]
+        head = self.edge.read_answer(response.status, headers)
+        if head.is_other:
+            raise SendingError(Fate.WRONG_TARGET, "another target has the address")
+        if head.not_run:
+            raise SendingError(Fate.NOT_RUN, f"status {head.status}")
+        if head.request_id != call.request_id:
+            detail = f"an answer to {head.request_id or 'nobody'}"
+            raise SendingError(Fate.LOST, detail)
+        return head
+
+
+def _shown(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"[:200]
+
+
+def make_sender(session: ClientSession, edge: Edge) -> Sender:
+    """Return what sends calls over a session."""
+    return Sender(session, edge, asyncio.get_running_loop().time)
--- /dev/null
+++ b/sesameford/gateway/node.py
@@ -0,0 +1,418 @@
+"""One instance that finds the others by seeds: a router, or a replica of the log.
+
+A router answers callers under the settings in force. A replica keeps the log of the
+settings tree and takes the targets' heartbeats and the declarer's documents. Either
+keeps links to all replicas, and a replica to all routers.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from random import Random
+from secrets import token_hex
+from time import monotonic, time_ns
+from zlib import crc32
+
+from aiohttp import ClientSession
+
+from sesameford.claims import ClaimsMachine
+from sesameford.discovery.beat_table import make_beat_table
+from sesameford.discovery.roster import make_roster
+from sesameford.effective import EffectiveTree
+from sesameford.errors import NoQuorumError, PeerError
+from sesameford.fencing import FencingMachine
+from sesameford.gateway.calls import Edge
+from sesameford.gateway.fleet_load import make_fleet_load
+from sesameford.gateway.forward import make_sender
+from sesameford.gateway.placement import make_placement
+from sesameford.gateway.route_table import make_route_table
+from sesameford.gateway.second_sends import make_second_sends
+from sesameford.gateway.serve import GatewayDeps, GatewayState
+from sesameford.gateway.tally import make_tally
+from sesameford.http_ports import make_session
+from sesameford.link_key import load_link_key
+from sesameford.log_service import make_log_service
+from sesameford.members import make_members
+from sesameford.messages import (
+    BeatRow,
+    BeatRows,
+    BeatRowsWanted,
+    BeatsHeard,
+    FleetLoad,
+    Greeting,
+    Heartbeat,
+    IncarnationBehind,
+    LogPayload,
+    Message,
+    Outgoing,
+    ProposalReply,
+    ProposalRequest,
+    RouterLoad,
+    TreeSteps,
+    TreeWanted,
+    TreeWhole,
+)
+from sesameford.peers import PeerLinks, seed_peer_id
+from sesameford.planned_stop import PlannedStop
+from sesameford.settings import DaemonSettings, Peer
+from sesameford.stops import StopLoad
+from sesameford.tables import InstanceState
+from sesameford.tree_changes import (
+    MACHINE_NAME,
+    REFUSED,
+    DeclaredWanted,
+    TreeDeclaration,
+    TreeMachine,
+    decode_answer,
+    encode_command,
+)
+from sesameford.tree_holder import TreeHolderDeps, make_tree_holder
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.1
+BEAT_SECONDS = 0.5
+# A link that carries a heartbeat each half second and acknowledges nothing for three
+# of them is dead; a change must be in force everywhere within a few seconds.
+REDIAL_SECONDS = 1.6
+# The balancer asks once a second and leaves an instance out after two misses.
+UNREADY_SECONDS = 3.0
+CLOSE_LINKS_SECONDS = 0.05
+# How long a replica that was told the newest version may need to have it itself.
+CATCH_UP_SECONDS = 0.8
+IDLE_SECONDS = 3.0
+
+
+class DeclarationRefusedError(Exception):
+    """A declaration can never be accepted."""
+
+
+class Node:
+    """Composes the parts of one instance and runs its systems each tick."""
+
+    def __init__(self, settings: DaemonSettings, source: str, edge: Edge) -> None:
+        self._settings = settings
+        self._edge = edge
+        self._now: Callable[[], float] = monotonic
+        self.incarnation = time_ns() // 1_000_000
+        self._own = Peer(
+            settings.instance_id,
+            settings.data_centre,
+            settings.listen.peers,
+            settings.data_folder is not None,
+        )
+        self.tally = make_tally()
+        self.table = make_beat_table()
+        self._roster = make_roster(self._own, settings.seeds, settings.founds)
+        self._members = make_members(
+            settings.instance_id, self.incarnation, settings.data_centre
+        )
+        self._stop = PlannedStop()
+        self.stopped = self._stop.stopped
+        self._links = PeerLinks(
+            settings,
+            self.incarnation,
+            load_link_key(settings, source),
+            self._received,
+            self._now,
+            redial_after_seconds=REDIAL_SECONDS,
+        )
+        self._tree = make_tree_holder(
+            settings.instance_id,
+            settings.data_centre,
+            len(settings.seeds),
+            TreeHolderDeps(
+                self._links.send,
+                self._configure,
+                lambda: self._members.live(self._now()),
+                lambda: self._log.role() == "leader",
+                self._now,
+            ),
+        )
+        self._machine = TreeMachine(self._tree.committed)
+        self._log = make_log_service(
+            settings.instance_id,
+            (),
+            Path(settings.data_folder) if settings.data_folder else None,
+            (self._machine, ClaimsMachine(), FencingMachine()),
+            self._send_log,
+            self._now,
+            seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
+        )
+        self._load = make_fleet_load(settings.instance_id)
+        self.placement = make_placement(
+            self.table, settings.data_centre, settings.target_beat_seconds
+        )
+        self._state: GatewayState | None = None
+        self._session: ClientSession | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._had_replicas = False
+
+    async def start(self) -> None:
+        """Open the links and begin to run the systems."""
+        self._log.start()
+        await self._links.start()
+        for address in self._settings.seeds:
+            if address != self._own.peers:
+                seed_id = seed_peer_id(address)
+                self._links.add(Peer(seed_id, "", address, True))
+        self._greet()
+        self._links.flush()
+        self._tasks = [
+            asyncio.create_task(self._run_regularly(TICK_SECONDS, self._tick)),
+            asyncio.create_task(self._run_regularly(BEAT_SECONDS, self._beat)),
+        ]
+        logger.info("started", extra={"incarnation": self.incarnation})
+
+    def make_gateway(self) -> GatewayDeps:
+        """Return what serves callers here; to be called on the running loop."""
+        loop = asyncio.get_running_loop()
+        self._session = make_session(None, IDLE_SECONDS)
+        return GatewayDeps(
+            self._edge,
+            make_sender(self._session, self._edge),
+            self.placement,
+            make_second_sends(self._settings.retry_budget),
+            self.tally,
+            Random(self.incarnation),
+            lambda: self._state if self._tree.is_ready() else None,
+            lambda: self._load.routers,
+            lambda: not self._stop.is_ready,
+            self._now,
+            loop.time,
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return self._stop.is_ready and self._tree.is_ready()
+
+    def ask_stop(self) -> None:
+        """Begin a planned stop; asked again it cuts nothing."""
+        self._stop.ask(self._now())
+        self._beat()
+
+    async def close(self) -> None:
+        """Close all that ``start`` and ``make_gateway`` opened."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._log.stop()
+        self._links.flush()
+        await asyncio.sleep(CLOSE_LINKS_SECONDS)
+        await self._links.stop()
+        if self._session is not None:
+            await self._session.close()
+        logger.info("stopped")
+
+    # --- what control asks ----------------------------------------------------
+
+    def target_beat(self, row: BeatRow) -> None:
+        """Take a target's heartbeat and tell all others what changed."""
+        before = self.table.changes
+        self._send_all(self.table.beat(row, self._now()))
+        if self.table.changes != before:
+            self._log_target(row)
+
+    def target_left(self, target_id: str) -> None:
+        """Take a target's word that it ends."""
+        self._send_all(self.table.left(target_id, self._now()))
+        logger.info("target left", extra={"target": target_id})
+
+    async def declare(self, declaration: TreeDeclaration) -> int:
+        """Bring a declaration to agreement.
+
+        Args:
+            declaration: What is declared.
+
+        Returns:
+            The newest accepted version, which may be a higher one.
+
+        Raises:
+            NoQuorumError: It may be accepted later.
+            DeclarationRefusedError: It can't be accepted.
+        """
+        name = f"{declaration.declarer}/{declaration.version}/{token_hex(8)}"
+        answer = decode_answer(
+            await self._log.propose(name, MACHINE_NAME, encode_command(declaration))
+        )
+        if answer.status == REFUSED:
+            raise DeclarationRefusedError(answer.detail)
+        logger.info(
+            "declared",
+            extra={
+                "version": declaration.version,
+                "newest": answer.version,
+                "revision": answer.revision,
+                "status": answer.status,
+            },
+        )
+        return answer.version
+
+    async def declared_text(self) -> bytes:
+        """Return the newest accepted declaration's document.
+
+        The version is agreed anew, since a replica that was cut off does not know
+        that others have accepted a newer one.
+
+        Raises:
+            NoQuorumError: This instance can't be sure which one is the newest.
+        """
+        name = f"read/{token_hex(8)}"
+        wanted = encode_command(DeclaredWanted())
+        answer = decode_answer(await self._log.propose(name, MACHINE_NAME, wanted))
+        give_up_at_seconds = self._now() + CATCH_UP_SECONDS
+        while self._machine.declared_version < answer.version:
+            if self._now() > give_up_at_seconds:
+                raise NoQuorumError("this replica has not caught up yet")
+            await asyncio.sleep(TICK_SECONDS / 10)
+        if not self._machine.declared_version:
+            raise NoQuorumError("nothing has been declared yet")
+        return self._machine.declared_text
+
+    # --- systems --------------------------------------------------------------
+
+    def _configure(self, tree: EffectiveTree) -> None:
+        self._state = GatewayState(tree, make_route_table(tree))
+        self.tally.level("tree_revision", tree.revision)
+
+    def _instance_state(self) -> InstanceState:
+        if not self._stop.is_ready:
+            return InstanceState.DRAINING
+        return InstanceState.READY if self._tree.is_ready() else InstanceState.STARTING
+
+    def _tick(self) -> None:
+        now_seconds = self._now()
+        if self._own.has_disk:
+            self._log.know_replicas(
+                self._replica_ids(), may_found=self._roster.may_found()
+            )
+            self._log.set_wanted_voters(self._log.succession(now_seconds))
+            self._log.tick(now_seconds)
+        self._tree.tick()
+        load = StopLoad(self.tally.open_calls, 0, 0)
+        delay_seconds = 0.0 if self._own.has_disk else UNREADY_SECONDS
+        self._stop.advance(load, delay_seconds, now_seconds)
+
+    def _replica_ids(self) -> tuple[str, ...]:
+        """Return the replicas; those that found the log are the seeds alone."""
+        if self._settings.founds and self._log.is_empty():
+            return self._roster.founder_ids()
+        return self._roster.replica_ids()
+
+    def _beat(self) -> None:
+        now_seconds = self._now()
+        self._greet()
+        beat = self._members.heartbeat(
+            self._instance_state(), self._tree.revision, now_seconds
+        )
+        self._links.send(Outgoing(None, beat))
+        if self._own.has_disk:
+            self._links.send(Outgoing(None, self.table.heard()))
+            self._send_all(self._load.totals(now_seconds))
+        else:
+            self._tell_load(now_seconds)
+        self.table.forget(now_seconds)
+        self.placement.forget()
+        for peer_id in self._roster.forgotten(now_seconds):
+            self._links.remove(peer_id)
+        self._links.flush()
+        self._note_replicas(now_seconds)
+
+    def _greet(self) -> None:
+        self._links.send(Outgoing(None, self._roster.greeting(self._now())))
+
+    def _tell_load(self, now_seconds: float) -> None:
+        """Tell one replica, the same for all routers, what is under way here."""
+        replicas = sorted(self._roster.live_replicas(now_seconds, 2.0))
+        if replicas:
+            load = self._load.own(self.placement.loads())
+            self._links.send(Outgoing(replicas[0], load))
+
+    def _note_replicas(self, now_seconds: float) -> None:
+        has_replicas = bool(self._roster.live_replicas(now_seconds, 2.0))
+        if has_replicas != self._had_replicas:
+            self._had_replicas = has_replicas
+            text = "replicas are heard" if has_replicas else "no replica is heard"
+            logger.warning(text)
+        self.tally.level("open_calls", self.tally.open_calls)
+
+    async def _run_regularly(
+        self, every_seconds: float, system: Callable[[], None]
+    ) -> None:
+        while True:
+            await asyncio.sleep(every_seconds)
+            try:
+                system()
+            except Exception:
+                # One broken turn must not end all later ones: the instance would
+                # look alive and decide nothing any more.
+                logger.exception("a system failed")
+
+    # --- messages -------------------------------------------------------------
+
+    def _send_all(self, outgoing: Sequence[Outgoing]) -> None:
+        for one in outgoing:
+            self._links.send(one)
+
+    def _send_log(self, receiver_id: str, message: Message) -> None:
+        self._links.send(Outgoing(receiver_id, message, urgent=True))
+
+    def _received(self, sender_id: str, incarnation: int, message: Message) -> None:
+        now_seconds = self._now()
+        match message:
+            case Greeting():
+                for peer in self._roster.greeted(sender_id, message, now_seconds):
+                    self._link(peer)
+            case IncarnationBehind():
+                self._raise_incarnation(message.heard)
+            case Heartbeat():
+                self._roster.heard(sender_id, now_seconds)
+                self._members.heard(sender_id, incarnation, message, now_seconds)
+            case BeatRows() | BeatsHeard() | BeatRowsWanted():
+                self._send_all(self.table.received(sender_id, message, now_seconds))
+            case RouterLoad():
+                self._load.received(message, now_seconds)
+            case FleetLoad():
+                self._load.routers = max(message.routers, 1)
+                self.placement.take_others(message.places)
+            case TreeSteps() | TreeWhole() | TreeWanted():
+                self._tree.received(sender_id, message)
+            case LogPayload() | ProposalRequest() | ProposalReply():
+                self._log.received(sender_id, incarnation, message, now_seconds)
+            case _:
+                raise PeerError(f"{type(message).__name__} has no place here")
+
+    def _link(self, peer: Peer) -> None:
+        """Keep a link where either end has a disk."""
+        if peer.has_disk or self._own.has_disk:
+            self._links.add(peer)
+
+    def _raise_incarnation(self, heard: int) -> None:
+        if self._links.raise_incarnation(heard):
+            logger.warning(
+                "an earlier process had a higher number", extra={"of": heard}
+            )
+
+    def _log_target(self, row: BeatRow) -> None:
+        logger.info(
+            "target changed",
+            extra={
+                "target": row.target_id,
+                "service": row.service,
+                "address": row.address,
+                "state": row.state.value,
+                "sequence": row.sequence,
+            },
+        )
+
+
+def make_node(settings: DaemonSettings, source: str, edge: Edge) -> Node:
+    """Return an instance that is not started yet.
+
+    Args:
+        settings: Its settings.
+        source: The file that they came from, for errors.
+        edge: How callers and targets speak.
+    """
+    return Node(settings, source, edge)
--- /dev/null
+++ b/sesameford/gateway/tally.py
@@ -0,0 +1,74 @@
+"""What a router counts, on its metrics address."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+from sesameford.buckets import SECONDS_BUCKETS
+
+
+class Tally:
+    """The counters of one router or replica; ``open_calls`` are under way now."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.open_calls = 0
+        self._calls = Counter(
+            "sesameford_calls_total", "Calls by outcome, route and status"
+        )
+        self._refusals = Counter(
+            "sesameford_call_refusals_total", "Answers of the system's own, by reason"
+        )
+        self._took = Histogram(
+            "sesameford_call_seconds",
+            "Time from arrival to the end of the answer",
+            buckets=SECONDS_BUCKETS,
+        )
+        self._first_event = Histogram(
+            "sesameford_first_event_seconds",
+            "Time from arrival to a stream's first event",
+            buckets=SECONDS_BUCKETS,
+        )
+        self._gauges = Gauge("sesameford_level", "Present levels, by name")
+        for metric in (
+            self._calls,
+            self._refusals,
+            self._took,
+            self._first_event,
+            self._gauges,
+        ):
+            self.registry.register(metric)
+
+    def opened(self) -> None:
+        """Count a call that begins."""
+        self.open_calls += 1
+
+    def closed(self) -> None:
+        """Count a call that has its final answer."""
+        self.open_calls -= 1
+
+    def refused(self, reason: str) -> None:
+        """Count an answer of the system's own."""
+        self._refusals.inc({"reason": reason})
+
+    def ended(
+        self,
+        outcome: str,
+        route_id: str,
+        status: int,
+        took_seconds: float,
+        first_event_seconds: float | None,
+    ) -> None:
+        """Count a call that was passed on."""
+        labels = {"outcome": outcome, "route": route_id, "status": str(status)}
+        self._calls.inc(labels)
+        self._took.observe({"route": route_id}, took_seconds)
+        if first_event_seconds is not None:
+            self._first_event.observe({"route": route_id}, first_event_seconds)
+
+    def level(self, name: str, value: float) -> None:
+        """Set a present level."""
+        self._gauges.set({"name": name}, value)
+
+
+def make_tally() -> Tally:
+    """Return counters that all stand at zero."""
+    return Tally()
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -16,18 +16,28 @@
 BACKLOG_CONNECTIONS = 1024
 
 
-def make_session(context: SSLContext | None) -> ClientSession:
+def make_session(
+    context: SSLContext | None, idle_seconds: float | None = None
+) -> ClientSession:
     """Return the session for targets: it bounds no time but that to connect.
 
     How long an answer may take is decided where the request's deadline is known.
 
-    Each exchange has a connection of its own. On a pooled one a late answer to an
-    exchange that was given up would be read as the answer to the next, and one that
-    the target has just closed looks like a target that died with the request.
+    Args:
+        context: For TLS, or None.
+        idle_seconds: For how long a connection is kept for the next exchange. Only
+            for targets whose answers name the request that they belong to.
+
+    Without ``idle_seconds`` each exchange has a connection of its own. On a pooled
+    one a late answer to an exchange that was given up would be read as the answer to
+    the next, and one that the target has just closed looks like a target that died
+    with the request.
     """
-    connector = TCPConnector(
-        limit=0, ssl=context if context is not None else True, force_close=True
-    )
+    ssl = context if context is not None else True
+    if idle_seconds is None:
+        connector = TCPConnector(limit=0, ssl=ssl, force_close=True)
+    else:
+        connector = TCPConnector(limit=0, ssl=ssl, keepalive_timeout=idle_seconds)
     timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
     session = ClientSession(
         connector=connector,
@@ -74,18 +84,67 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
     )
     await runner.setup()
-    host, port = split_address(address)
     assert runner.server is not None
-    guarded = make_guard(
-        runner.server, limits or GuardLimits(), counts or GuardCounts()
-    )
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(
-        guarded, host, port, ssl=context, backlog=BACKLOG_CONNECTIONS
-    )
+    server = await _listen_guarded(runner.server, address, context, limits, counts)
 
     async def stop() -> None:
         server.close()
         await runner.cleanup()
 
     return stop
+
+
+async def listen_calls(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    address: str,
+    limits: GuardLimits | None = None,
+    header_limit_bytes: int = MAX_HEADER_BYTES,
+    idle_seconds: float = KEEP_ALIVE_SECONDS,
+) -> Callable[[], Awaitable[None]]:
+    """Serve all paths of an address by one handler, without an application's routes.
+
+    Args:
+        handler: Answers a request; cancelled when its caller goes away.
+        address: IP number and port.
+        limits: What one outsider can hold of the listener.
+        header_limit_bytes: The longest line of a head.
+        idle_seconds: For how long a connection may be without a request.
+
+    Returns:
+        A function that stops serving.
+
+    Raises:
+        OSError: The address can't be listened on.
+    """
+    calls = web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        max_line_size=header_limit_bytes,
+        max_field_size=header_limit_bytes,
+        keepalive_timeout=idle_seconds,
+    )
+    server = await _listen_guarded(calls, address, None, limits, None)
+
+    async def stop() -> None:
+        server.close()
+        await calls.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
+
+    return stop
+
+
+async def _listen_guarded(
+    make_protocol: Callable[[], asyncio.Protocol],
+    address: str,
+    context: SSLContext | None,
+    limits: GuardLimits | None,
+    counts: GuardCounts | None,
+) -> asyncio.Server:
+    """Listen with the bounds of ``connection_guard``."""
+    guarded = make_guard(
+        make_protocol, limits or GuardLimits(), counts or GuardCounts()
+    )
+    host, port = split_address(address)
+    return await asyncio.get_running_loop().create_server(
+        guarded, host, port, ssl=context, backlog=BACKLOG_CONNECTIONS
+    )
--- a/sesameford/log_membership.py
+++ b/sesameford/log_membership.py
@@ -44,8 +44,11 @@
 
     Were an empty disk enough, a replica that lost its disk would found a second
     log beside the living one, and accepted changes would revert. So every other
-    replica must have said of late that it has nothing either.
+    replica must have said of late that it has nothing either. Where replicas find
+    each other by seeds, ``may_found`` is False until all seeds are known.
     """
+    if not core.may_found:
+        return
     if core.log.last_index or core.me.instance_id > min(core.peer_ids, default="~"):
         return
     members = [core.me]
--- a/sesameford/log_proposer.py
+++ b/sesameford/log_proposer.py
@@ -36,6 +36,10 @@
         self._pending: dict[str, PendingProposal] = {}
         self.leader_hint: str | None = None
 
+    def know_replicas(self, replica_ids: tuple[str, ...]) -> None:
+        """Take other instances to ask, where they are found as they come."""
+        self._replica_ids = replica_ids
+
     def __len__(self) -> int:
         return len(self._pending)
 
--- a/sesameford/log_service.py
+++ b/sesameford/log_service.py
@@ -19,9 +19,10 @@
 from sesameford.log_messages import Command, Packet, decode_packet, encode_packet
 from sesameford.log_proposer import PendingProposal, Proposer
 from sesameford.log_replica import Replica, make_replica
-from sesameford.log_state import Role
+from sesameford.log_state import ELECTION_MIN_SECONDS, Role
 from sesameford.log_status import LogStatus, replica_status
 from sesameford.log_storage import open_storage
+from sesameford.log_succession import voters_by_health
 from sesameford.messages import LogPayload, Message, ProposalReply, ProposalRequest
 from sesameford.state_machine import StateMachine
 
@@ -180,6 +181,42 @@
         if self._replica is not None:
             self._replica.core.wanted_voters = instance_ids
 
+    def know_replicas(self, replica_ids: tuple[str, ...], may_found: bool) -> None:
+        """Take who the instances with disks are, where they are found as they come.
+
+        Args:
+            replica_ids: All that are known, with or without this one.
+            may_found: Whether they are all that found the log together.
+        """
+        self._peer_ids = tuple(sorted(set(replica_ids) - {self._instance_id}))
+        self._proposer.know_replicas(self._peer_ids)
+        if self._replica is not None:
+            self._replica.core.peer_ids = self._peer_ids
+            self._replica.core.may_found = may_found
+
+    def is_empty(self) -> bool:
+        """Return whether this replica has no entry of any log yet."""
+        replica = self._living_replica()
+        return replica is not None and replica.core.log.last_index == 0
+
+    def succession(self, now_seconds: float) -> frozenset[str] | None:
+        """Return who is to vote by who answers, None where this is no leader."""
+        replica = self._living_replica()
+        if replica is None:
+            return None
+        return voters_by_health(replica.core, now_seconds)
+
+    def hears_majority(self, now_seconds: float) -> bool:
+        """Return whether this replica leads or has heard its leader of late."""
+        replica = self._living_replica()
+        if replica is None:
+            return False
+        core = replica.core
+        if core.role is Role.LEADER:
+            return True
+        silent_seconds = now_seconds - core.heard_leader_at_seconds
+        return core.leader is not None and silent_seconds < ELECTION_MIN_SECONDS
+
     def leader_id(self) -> str | None:
         """Return the instance that leads, as far as this one knows."""
         replica = self._living_replica()
--- a/sesameford/log_state.py
+++ b/sesameford/log_state.py
@@ -127,6 +127,7 @@
     random: Random
     snapshot: SnapshotImage | None = None
     wanted_voters: frozenset[str] | None = None
+    may_found: bool = True
     chunk_bytes: int = CHUNK_BYTES
 
     role: Role = Role.FOLLOWER
--- a/sesameford/logs.py
+++ b/sesameford/logs.py
@@ -4,6 +4,7 @@
 import sys
 from contextvars import ContextVar
 from datetime import UTC, datetime
+from typing import TextIO
 
 from msgspec.json import encode
 
@@ -40,9 +41,14 @@
         return encode(fields).decode()
 
 
-def configure_logging(settings: DaemonSettings) -> None:
-    """Send all records to standard error in the form that the settings ask for."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(settings: DaemonSettings, stream: TextIO | None = None) -> None:
+    """Send all records to a stream in the form that the settings ask for.
+
+    Args:
+        settings: Of the daemon.
+        stream: Standard error where none is given.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
     if settings.logging.format == "json":
         handler.setFormatter(JsonFormatter(settings.instance_id, settings.data_centre))
     else:
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -7,7 +7,99 @@
 
 from msgspec import Struct
 
-from sesameford.tables import InstanceState, TargetKind
+from sesameford.tables import InstanceState, TargetKind, TargetState
+
+# --- discovery -----------------------------------------------------------------
+
+
+class ReplicaRow(Struct, frozen=True, array_like=True):
+    """Where an instance with a disk is reached by links."""
+
+    instance_id: str
+    data_centre: str
+    address: str
+
+
+class Greeting(Struct, frozen=True, array_like=True, tag=True):
+    """Who I am, where links reach me, and the instances with disks that I know.
+
+    ``founds`` says that this deployment starts for the first time. ``routers`` is
+    how many instances without a disk the sender hears.
+    """
+
+    address: str
+    data_centre: str
+    has_disk: bool
+    founds: bool
+    replicas: tuple[ReplicaRow, ...]
+    routers: int = 0
+
+
+class IncarnationBehind(Struct, frozen=True, array_like=True, tag=True):
+    """An earlier process of yours had a higher number; count from above it."""
+
+    heard: int
+
+
+# --- targets by their heartbeats -----------------------------------------------
+
+
+class BeatRow(Struct, frozen=True, array_like=True):
+    """What a target last said of itself.
+
+    A target has a new id at each start. ``sequence`` grows with its heartbeats;
+    ``state`` is ready, draining or gone, and gone is for good.
+    """
+
+    target_id: str
+    sequence: int
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    state: TargetState
+    slow_seconds: float = 0.0
+
+
+class BeatRows(Struct, frozen=True, array_like=True, tag=True):
+    """Targets that are new or have changed, or all of them where asked."""
+
+    rows: tuple[BeatRow, ...]
+
+
+class BeatsHeard(Struct, frozen=True, array_like=True, tag=True):
+    """Short names of the targets that beat here of late, and a digest of all rows."""
+
+    names: tuple[int, ...]
+    digest: int
+
+
+class BeatRowsWanted(Struct, frozen=True, array_like=True, tag=True):
+    """Your digest differs from mine; send me all rows."""
+
+
+class PlaceLoad(Struct, frozen=True, array_like=True):
+    """What one router has under way at one target: requests and unread tokens."""
+
+    name: int
+    requests: int
+    prompt_tokens: int
+
+
+class RouterLoad(Struct, frozen=True, array_like=True, tag=True):
+    """All that a router has under way, by target."""
+
+    router_id: str
+    sequence: int
+    places: tuple[PlaceLoad, ...]
+
+
+class FleetLoad(Struct, frozen=True, array_like=True, tag=True):
+    """What all routers but the receiver have under way, by target."""
+
+    places: tuple[PlaceLoad, ...]
+    routers: int
+
 
 # --- membership ----------------------------------------------------------------
 
@@ -403,6 +495,13 @@
 
 Message = (
     Heartbeat
+    | Greeting
+    | IncarnationBehind
+    | BeatRows
+    | BeatsHeard
+    | BeatRowsWanted
+    | RouterLoad
+    | FleetLoad
     | MembersNews
     | MembersWanted
     | Routed
--- a/sesameford/metrics.py
+++ b/sesameford/metrics.py
@@ -2,23 +2,9 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from sesameford.buckets import SECONDS_BUCKETS
 from sesameford.outcomes import Outcomes
 
-SECONDS_BUCKETS = (
-    0.001,
-    0.003,
-    0.01,
-    0.03,
-    0.1,
-    0.3,
-    1.0,
-    3.0,
-    10.0,
-    30.0,
-    100.0,
-    float("inf"),
-)
-
 
 class Metrics:
     """The metrics of one instance and the registry that renders them."""
--- a/sesameford/operators_http.py
+++ b/sesameford/operators_http.py
@@ -70,6 +70,11 @@
     scheme, _, key = request.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key.strip():
         raise Problem(401, "no-key", "an Authorization: Bearer header is needed")
+    return digest_of_key(key)
+
+
+def digest_of_key(key: str) -> str:
+    """Return what the tree holds in place of a key."""
     return sha256(key.strip().encode("utf-8", "surrogateescape")).hexdigest()
 
 
--- a/sesameford/peer_state.py
+++ b/sesameford/peer_state.py
@@ -45,7 +45,11 @@
     return state
 
 
-def should_redial(state: PeerState, now_seconds: float) -> bool:
+def should_redial(
+    state: PeerState,
+    now_seconds: float,
+    redial_after_seconds: float = REDIAL_AFTER_SECONDS,
+) -> bool:
     """Return whether the outgoing connection is to be given up for a new one.
 
     A flow that a box between the two ends has forgotten stays open and silent for
@@ -56,4 +60,4 @@
     last_sign_seconds = max(
         state.dialled_at_seconds, state.acknowledged_at_seconds or 0.0
     )
-    return now_seconds - last_sign_seconds > REDIAL_AFTER_SECONDS
+    return now_seconds - last_sign_seconds > redial_after_seconds
--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -17,8 +17,19 @@
 
 from sesameford.codec import MAX_ENVELOPE_BYTES, decode_envelope, encode_envelope
 from sesameford.errors import PeerError
-from sesameford.messages import Envelope, Message, Outgoing
-from sesameford.peer_state import PeerState, should_redial, take_envelope
+from sesameford.messages import (
+    Envelope,
+    Greeting,
+    IncarnationBehind,
+    Message,
+    Outgoing,
+)
+from sesameford.peer_state import (
+    REDIAL_AFTER_SECONDS,
+    PeerState,
+    should_redial,
+    take_envelope,
+)
 from sesameford.settings import DaemonSettings, Peer
 from sesameford.tls import TlsFiles, make_dialler_config, make_listener_config
 
@@ -36,6 +47,11 @@
 OnMessage = Callable[[str, int, Message], None]
 
 
+def seed_peer_id(address: str) -> str:
+    """Return what a link is called while only the address of its end is known."""
+    return f"seed@{address}"
+
+
 def seal(key: bytes, payload: bytes) -> bytes:
     """Return a payload behind its keyed digest."""
     return hmac.digest(key, payload, sha256)[:MAC_BYTES] + payload
@@ -65,6 +81,7 @@
         on_message: OnMessage,
         now: Callable[[], float],
         tls: TlsFiles | None = None,
+        redial_after_seconds: float = REDIAL_AFTER_SECONDS,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -72,6 +89,7 @@
         self._on_message = on_message
         self._now = now
         self._tls = tls
+        self._redial_after_seconds = redial_after_seconds
         self._scheme = "tls+tcp" if tls else "tcp"
         self._peers = {peer.instance_id: peer for peer in settings.peers}
         self._states = {peer_id: PeerState(now()) for peer_id in self._peers}
@@ -85,6 +103,59 @@
         self.received_bytes = 0
         self.refused_messages = 0
 
+    def peer_ids(self) -> list[str]:
+        """Return whom there are links to, seeds without a known id among them."""
+        return list(self._peers)
+
+    def add(self, peer: Peer) -> None:
+        """Begin a link to an instance that became known, or to its new address.
+
+        A seed is known by its address before it has told its id; the link that was
+        begun under the address goes on under the id.
+        """
+        known = self._peers.get(peer.instance_id)
+        if known is not None and known.peers == peer.peers:
+            self._peers[peer.instance_id] = peer
+            return
+        seed_id = seed_peer_id(peer.peers)
+        if known is None and seed_id in self._peers:
+            self._rename(seed_id, peer)
+            return
+        self._peers[peer.instance_id] = peer
+        self._states.setdefault(peer.instance_id, PeerState(self._now()))
+        self._pending.setdefault(peer.instance_id, [])
+        if self._listener is not None:
+            self._dial(peer)
+
+    def remove(self, peer_id: str) -> None:
+        """End the link to an instance that is gone."""
+        self._peers.pop(peer_id, None)
+        self._states.pop(peer_id, None)
+        self._pending.pop(peer_id, None)
+        socket = self._sockets.pop(peer_id, None)
+        if socket is not None:
+            socket.close()
+
+    def raise_incarnation(self, above: int) -> bool:
+        """Count as newer than an earlier process of this instance.
+
+        The time of day may have been set back between the two starts. Peers would
+        then take all that this process sends as said before its predecessor's end,
+        and it would be dead to them; so they tell it the number that they know.
+        """
+        if above <= self._incarnation:
+            return False
+        self._incarnation = above + 1
+        return True
+
+    def _rename(self, seed_id: str, peer: Peer) -> None:
+        del self._peers[seed_id]
+        self._peers[peer.instance_id] = peer
+        self._states[peer.instance_id] = self._states.pop(seed_id)
+        self._pending[peer.instance_id] = self._pending.pop(seed_id)
+        if seed_id in self._sockets:
+            self._sockets[peer.instance_id] = self._sockets.pop(seed_id)
+
     async def start(self) -> None:
         """Listen, dial every peer and begin to send batches.
 
@@ -131,7 +202,7 @@
         if self._urgent is not None:
             self._urgent.cancel()
             self._urgent = None
-        for peer_id, messages in self._pending.items():
+        for peer_id, messages in list(self._pending.items()):
             if messages:
                 self._pending[peer_id] = []
                 self._send_envelope(peer_id, tuple(messages))
@@ -184,8 +255,10 @@
             await asyncio.sleep(FLUSH_SECONDS)
             self.flush()
             now_seconds = self._now()
-            for peer_id, peer in self._peers.items():
-                if should_redial(self._states[peer_id], now_seconds):
+            for peer_id, peer in list(self._peers.items()):
+                if should_redial(
+                    self._states[peer_id], now_seconds, self._redial_after_seconds
+                ):
                     self._dial(peer)
 
     def _dial(self, peer: Peer) -> None:
@@ -224,10 +297,33 @@
                 self.refused_messages += 1
                 logger.warning("%s", error)
 
+    def _greeted(self, envelope: Envelope) -> PeerState:
+        """Begin a link back to an instance that found this one by a seed.
+
+        Raises:
+            PeerError: It does not say who it is, or nobody may come unasked.
+        """
+        for message in envelope.messages:
+            if isinstance(message, Greeting) and self._settings.seeds:
+                self.add(
+                    Peer(
+                        envelope.sender_id,
+                        message.data_centre,
+                        message.address,
+                        message.has_disk,
+                    )
+                )
+                return self._states[envelope.sender_id]
+        raise PeerError(f"{envelope.sender_id!r} is no peer of this instance")
+
     def _take(self, envelope: Envelope) -> None:
         state = self._states.get(envelope.sender_id)
         if state is None:
-            raise PeerError(f"{envelope.sender_id!r} is no peer of this instance")
+            state = self._greeted(envelope)
+        if envelope.incarnation < state.heard[0]:
+            behind = IncarnationBehind(state.heard[0])
+            self.send(Outgoing(envelope.sender_id, behind, urgent=True))
+            return
         new_state = take_envelope(state, envelope, self._incarnation, self._now())
         if new_state is None:
             return
--- a/sesameford/settings.py
+++ b/sesameford/settings.py
@@ -66,19 +66,40 @@
     key_digest: str
 
 
+class RetryBudget(Struct, frozen=True, forbid_unknown_fields=True):
+    """What second sendings may cost one service over the whole fleet.
+
+    In any window they may be ``fraction`` of the requests for the service, and
+    ``spare_requests`` more.
+    """
+
+    fraction: float = 0.1
+    window_seconds: float = 10.0
+    spare_requests: int = 20
+
+
 class DaemonSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """All settings of one daemon."""
+    """All settings of one daemon.
+
+    ``seeds`` are addresses for links of a few instances with disks, by which all
+    others are found where ``peers`` names none. ``founds`` says that the deployment
+    starts for the first time, so that the seeds may found its log.
+    """
 
     instance_id: str
     data_centre: str
     listen: Listen
     peers: tuple[Peer, ...] = ()
+    seeds: tuple[str, ...] = ()
+    founds: bool = False
     operators: tuple[OperatorKey, ...] = ()
     is_hub: bool = False
     data_folder: str | None = None
     shared_key_file: str | None = None
     platform_key_digest: str | None = None
     tls: Tls | None = None
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    target_beat_seconds: float = 1.0
     logging: Logging = field(default_factory=Logging)
     tracing: Tracing = field(default_factory=Tracing)
 
--- a/sesameford/tables.py
+++ b/sesameford/tables.py
@@ -57,6 +57,14 @@
     UNKNOWN = "unknown"
 
 
+class TargetState(StrEnum):
+    """What a target says of itself in its heartbeats."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
 class InstanceState(StrEnum):
     """Where an instance stands between start and stop."""
 
--- a/sesameford/tree.py
+++ b/sesameford/tree.py
@@ -17,8 +17,10 @@
 from yaml import YAMLError
 
 from sesameford.effective import (
+    BackendSettings,
     EffectiveTree,
     FleetSettings,
+    HttpRouteSettings,
     LimitSettings,
     Origin,
     RouteSettings,
@@ -43,6 +45,8 @@
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
 _NAME_ALLOWED = "a name of 1 to 64 letters, digits, '.', '_', ':' and '-'"
 _DIGEST_MODULUS = 1 << 128
+# Fields that hold lists of rows, and the data class of one row.
+_ROW_KINDS: Mapping[str, type] = {"routes": RouteSettings, "backends": BackendSettings}
 
 
 class Node(Struct, frozen=True, array_like=True):
@@ -80,6 +84,12 @@
     return _decoder.decode(encoded)
 
 
+def joined_nodes(below: bytes, above: bytes) -> bytes:
+    """Return a node with the fields of two, those of ``above`` before the others."""
+    node, other = read_node(below), read_node(above)
+    return _encoder.encode(Node(other.is_leaf, {**node.settings, **other.settings}))
+
+
 def node_digest(path: str, encoded: bytes) -> int:
     """Return a number that stands for one node; a tree's digest is their sum.
 
@@ -161,6 +171,22 @@
     except YAMLError as error:
         found = " ".join(str(error).split())
         raise TreeError(source, "(text)", found, "YAML") from error
+    return (yield from check_tree_in_slices(raw, source))
+
+
+def check_tree_in_slices(raw: Any, source: str) -> Sliced[DeclaredTree]:
+    """Check a declared tree that was read from another format than YAML.
+
+    Args:
+        raw: Plain mappings, lists, texts and numbers.
+        source: The name to give in errors.
+
+    Returns:
+        The tree.
+
+    Raises:
+        TreeError: As ``parse_tree`` does.
+    """
     try:
         return (yield from _check_in_slices(raw))
     except Refused as refused:
@@ -187,9 +213,43 @@
                 raise Refused(path, f"over {MAX_NODES} nodes", f"at most {MAX_NODES}")
             if len(nodes) % SLICE_NODES == 0:
                 yield
+    _check_routes(nodes)
     return DeclaredTree(nodes)
 
 
+def _check_routes(nodes: Mapping[str, bytes]) -> None:
+    """Refuse routes that contradict each other or lead nowhere.
+
+    With two routes of one host and prefix it would be chance which one a request
+    takes, and a route to a service that nobody declared answers every caller with a
+    refusal that no target could ever lift.
+    """
+    inheritance = Inheritance(nodes)
+    places: dict[tuple[str, str], str] = {}
+    for path in nodes:
+        if not path.startswith("routes/") or not read_node(nodes[path]).is_leaf:
+            continue
+        route: HttpRouteSettings = inheritance.entity(path)
+        place = (route.host, route.path_prefix)
+        if places.setdefault(place, path) != path:
+            found = f"the host and prefix of {places[place]}"
+            raise Refused(f"{path}.path_prefix", found, "each host and prefix once")
+        _check_backends(path, route, nodes)
+
+
+def _check_backends(
+    path: str, route: HttpRouteSettings, nodes: Mapping[str, bytes]
+) -> None:
+    """Refuse a route without a service that requests can go to."""
+    for backend in route.backends:
+        leaf = nodes.get(f"services/{backend.service}")
+        if leaf is None or not read_node(leaf).is_leaf:
+            found = shown(backend.service)
+            raise Refused(f"{path}.backends", found, "services that are declared")
+    if sum(backend.weight for backend in route.backends) <= 0:
+        raise Refused(f"{path}.backends", "no weight", "a weight above 0 in all")
+
+
 def _root_name(root: Any) -> str:
     """Return a wrong root as the path of an error."""
     return root if isinstance(root, str) else shown(root)
@@ -277,8 +337,9 @@
         values = self.settings(path)
         if "limits" in values:
             values["limits"] = self._shared_limits(values["limits"])
-        if "routes" in values:
-            values["routes"] = [RouteSettings(**one) for one in values["routes"]]
+        for name_of_rows, kind in _ROW_KINDS.items():
+            if name_of_rows in values:
+                values[name_of_rows] = [kind(**one) for one in values[name_of_rows]]
         values = {
             field: tuple(value) if isinstance(value, list) else value
             for field, value in values.items()
--- a/sesameford/tree_changes.py
+++ b/sesameford/tree_changes.py
@@ -7,12 +7,18 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.msgpack import Decoder, Encoder
 
-from sesameford.tree import TreeDifference, tree_digest
+from sesameford.tree import (
+    DeclaredTree,
+    TreeDifference,
+    difference,
+    joined_nodes,
+    tree_digest,
+)
 from sesameford.tree_store import TreeStep, TreeStore
 
 MACHINE_NAME = "tree"
@@ -53,12 +59,36 @@
     before_revision: int
 
 
+class TreeDeclaration(Struct, frozen=True, tag=True):
+    """All of some roots as a declarer outside wants them, under its own version.
+
+    The highest version wins. ``nodes`` replaces everything under ``roots``; the
+    fields of ``fleet`` are put beside those that others have set there. ``text`` is
+    the declarer's own document, which it may read back.
+    """
+
+    declarer: str
+    version: int
+    at_seconds: float
+    roots: tuple[str, ...]
+    nodes: dict[str, bytes]
+    text: bytes
+
+
+class DeclaredWanted(Struct, frozen=True, tag=True):
+    """Agree on which version is the newest accepted one; it changes nothing."""
+
+
 class ChangeAnswer(Struct, frozen=True):
-    """What became of a change; ``revision`` is the present one at that moment."""
+    """What became of a change; ``revision`` is the present one at that moment.
+
+    ``version`` is that of the newest accepted declaration, 0 while there is none.
+    """
 
     status: str
     revision: int
     detail: str = ""
+    version: int = 0
 
 
 class HistoryEntry(Struct, frozen=True):
@@ -88,16 +118,20 @@
     history: tuple[HistoryEntry, ...]
     answered: tuple[_Recorded, ...]
     turned_down: tuple[_Recorded, ...]
+    declared_version: int = 0
+    declared_text: bytes = b""
 
 
 _encoder = Encoder()
-_commands = Decoder(TreeChange | HistoryWanted)
+_commands = Decoder(TreeChange | HistoryWanted | TreeDeclaration | DeclaredWanted)
 _snapshots = Decoder(_Snapshot)
 _answers = Decoder(ChangeAnswer)
 _histories = Decoder(tuple[HistoryEntry, ...])
 
 
-def encode_command(command: TreeChange | HistoryWanted) -> bytes:
+def encode_command(
+    command: TreeChange | HistoryWanted | TreeDeclaration | DeclaredWanted,
+) -> bytes:
     """Return a command as the log carries it."""
     return _encoder.encode(command)
 
@@ -133,13 +167,15 @@
         self._answered: OrderedDict[str, _Recorded] = OrderedDict()
         self._turned_down: OrderedDict[str, _Recorded] = OrderedDict()
         self.store = TreeStore()
+        self.declared_version = 0
+        self.declared_text = b""
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply one committed command and return the answer for its proposer.
 
         Args:
             index: The command's place in the log.
-            command: A ``TreeChange`` or ``HistoryWanted``; anything else is refused.
+            command: One of the four commands; anything else is refused.
 
         Returns:
             A coded ``ChangeAnswer``, or the history.
@@ -150,6 +186,10 @@
             return _encoder.encode(self._answer(REFUSED, f"malformed: {error}"))
         if isinstance(decoded, HistoryWanted):
             return _encoder.encode(self.history(decoded.before_revision))
+        if isinstance(decoded, DeclaredWanted):
+            return _encoder.encode(self._answer(UNCHANGED))
+        if isinstance(decoded, TreeDeclaration):
+            return _encoder.encode(self._declare(decoded))
         return _encoder.encode(self._change(decoded))
 
     def history(self, before_revision: int) -> tuple[HistoryEntry, ...]:
@@ -171,6 +211,8 @@
                 tuple(self._history.values()),
                 tuple(self._answered.values()),
                 tuple(self._turned_down.values()),
+                self.declared_version,
+                self.declared_text,
             )
         )
 
@@ -181,10 +223,37 @@
         self._history = OrderedDict((one.revision, one) for one in decoded.history)
         self._answered = _by_change_id(decoded.answered)
         self._turned_down = _by_change_id(decoded.turned_down)
+        self.declared_version = decoded.declared_version
+        self.declared_text = decoded.declared_text
         self._committed(self)
 
     def _answer(self, status: str, detail: str = "") -> ChangeAnswer:
-        return ChangeAnswer(status, self.store.revision, detail)
+        return ChangeAnswer(status, self.store.revision, detail, self.declared_version)
+
+    def _declare(self, declaration: TreeDeclaration) -> ChangeAnswer:
+        """Take a declaration whose version is the highest so far.
+
+        One that comes again, or late, is acknowledged like the first time: its
+        declarer only wants to know that the fleet has this version or a newer one.
+        """
+        if declaration.version <= self.declared_version:
+            return self._answer(UNCHANGED)
+        self.declared_version = declaration.version
+        self.declared_text = declaration.text
+        nodes = _with_declared(self.store.declared.nodes, declaration)
+        found = difference(self.store.declared, DeclaredTree(nodes))
+        if found.is_empty():
+            return self._answer(ACCEPTED)
+        revision = self.store.revision + 1
+        self.store.step(TreeStep(revision, found, self.store.would_be(found)))
+        self._note(
+            f"{declaration.declarer}/{declaration.version}",
+            declaration.declarer,
+            declaration.at_seconds,
+            found,
+        )
+        self._committed(self)
+        return self._answer(ACCEPTED)
 
     def _change(self, change: TreeChange) -> ChangeAnswer:
         """Accept or turn down a change, once for each change id."""
@@ -220,17 +289,21 @@
         # This says nothing about the change, so it is not kept as its answer.
         if not self.store.step(step):
             return self._answer(BEHIND, "the difference does not fit the tree")
-        self._note(change)
+        self._note(
+            change.change_id, change.operator, change.at_seconds, step.difference
+        )
         return self._answer(ACCEPTED)
 
-    def _note(self, change: TreeChange) -> None:
+    def _note(
+        self, change_id: str, operator: str, at_seconds: float, done: TreeDifference
+    ) -> None:
         """Put an accepted change into the history."""
-        paths = sorted({*change.put, *change.removed})
+        paths = sorted({*done.put, *done.removed})
         self._history[self.store.revision] = HistoryEntry(
             self.store.revision,
-            change.change_id,
-            change.operator,
-            change.at_seconds,
+            change_id,
+            operator,
+            at_seconds,
             tuple(paths[:HISTORY_PATHS]),
             len(paths),
         )
@@ -238,6 +311,21 @@
             self._history.popitem(last=False)
 
 
+def _with_declared(
+    present: Mapping[str, bytes], declaration: TreeDeclaration
+) -> dict[str, bytes]:
+    """Return the nodes as they are once a declaration is taken over."""
+    nodes = {
+        path: encoded
+        for path, encoded in present.items()
+        if path.partition("/")[0] not in declaration.roots
+    }
+    nodes.update(declaration.nodes)
+    if "fleet" in declaration.nodes and "fleet" in present:
+        nodes["fleet"] = joined_nodes(present["fleet"], declaration.nodes["fleet"])
+    return nodes
+
+
 def _record(
     table: OrderedDict[str, _Recorded],
     change: TreeChange,
--- a/sesameford/tree_fields.py
+++ b/sesameford/tree_fields.py
@@ -14,8 +14,10 @@
 from typing import Any, get_type_hints
 
 from sesameford.effective import (
+    BackendSettings,
     CustomerSettings,
     FleetSettings,
+    HttpRouteSettings,
     InstanceSettings,
     LimitSettings,
     ModelSettings,
@@ -32,6 +34,7 @@
         "services": ServiceSettings,
         "instances": InstanceSettings,
         "targets": TargetSettings,
+        "routes": HttpRouteSettings,
     }
 )
 
@@ -43,6 +46,7 @@
         "services": "service",
         "instances": "instance_id",
         "targets": "target_id",
+        "routes": "route_id",
     }
 )
 
@@ -51,6 +55,7 @@
 
 MAX_NUMBER = 1e12
 MAX_ROUTES = 200
+MAX_BACKENDS = 100
 MAX_DIGESTS = 20
 MAX_LIFTED = 100
 MAX_NAMES = 200
@@ -58,6 +63,7 @@
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _NAME = re.compile(r"[!-~]{1,256}")
 _METHOD = re.compile(r"\*|[A-Z]{1,20}")
+_HOST = re.compile(r"[a-z0-9._:\[\]-]{0,255}")
 
 
 class Refused(Exception):
@@ -209,19 +215,31 @@
     return value
 
 
-def _routes(value: Any, path: str) -> list[dict[str, Any]]:
-    """Check the list of a service's routes."""
-    if not isinstance(value, list) or len(value) > MAX_ROUTES:
-        raise Refused(path, shown(value), f"a list of at most {MAX_ROUTES} routes")
-    routes = []
-    for position, route in enumerate(value):
-        where = f"{path}[{position}]"
-        checked = check_fields(route, RouteSettings, where)
-        missing = sorted(set(field_checks(RouteSettings)) - set(checked))
-        if missing:
-            raise Refused(where, "no " + ", ".join(missing), "all fields of a route")
-        routes.append(checked)
-    return routes
+def _host(value: Any, path: str) -> str:
+    """Check a route's host."""
+    if not isinstance(value, str) or not _HOST.fullmatch(value):
+        raise Refused(path, shown(value), "a host name in lower case")
+    return value
+
+
+def _whole_rows(kind: type, limit: int, what: str) -> Check:
+    """Return a check for a list of mappings that give all fields of a data class."""
+
+    def check(value: Any, path: str) -> list[dict[str, Any]]:
+        if not isinstance(value, list) or len(value) > limit:
+            raise Refused(path, shown(value), f"a list of at most {limit} {what}s")
+        rows = []
+        for position, row in enumerate(value):
+            where = f"{path}[{position}]"
+            checked = check_fields(row, kind, where)
+            missing = sorted(set(field_checks(kind)) - set(checked))
+            if missing:
+                allowed = f"all fields of a {what}"
+                raise Refused(where, "no " + ", ".join(missing), allowed)
+            rows.append(checked)
+        return rows
+
+    return check
 
 
 def _limits(value: Any, path: str) -> dict[str, Any]:
@@ -237,7 +255,14 @@
             MAX_DIGESTS, "the SHA-256 of a key"
         ),
         (CustomerSettings, "limits"): _limits,
-        (ServiceSettings, "routes"): _routes,
+        (ServiceSettings, "routes"): _whole_rows(RouteSettings, MAX_ROUTES, "route"),
+        (HttpRouteSettings, "backends"): _whole_rows(
+            BackendSettings, MAX_BACKENDS, "backend"
+        ),
+        (HttpRouteSettings, "host"): _host,
+        (HttpRouteSettings, "path_prefix"): _path_prefix,
+        (HttpRouteSettings, "attempts"): _integer(1, 100),
+        (HttpRouteSettings, "timeout_seconds"): _number(0, 86_400, above=True),
         (ServiceSettings, "deadline_seconds"): _number(0, 86_400, above=True),
         (TargetSettings, "models"): _names,
         (TargetSettings, "adapters"): _names,
