--- a/sesameford/discovery/roster.py
+++ b/sesameford/discovery/roster.py
@@ -121,6 +121,10 @@
             sorted(one.instance_id for one in everybody if one.peers in self.seeds)
         )
 
+    def knows_address(self, address: str) -> bool:
+        """Return whether an instance with this address of links has greeted."""
+        return any(one.peer.peers == address for one in self._known.values())
+
     def forgotten(self, now_seconds: float) -> Sequence[str]:
         """Take out and return the instances that have been silent for long."""
         old = [
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -23,7 +23,7 @@
 from sesameford.errors import NoQuorumError, PeerError
 from sesameford.fencing import FencingMachine
 from sesameford.gateway.calls import Edge
-from sesameford.gateway.fleet_load import make_fleet_load
+from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
 from sesameford.gateway.forward import make_sender
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.route_table import make_route_table
@@ -76,8 +76,9 @@
 # A link that carries a heartbeat each half second and acknowledges nothing for three
 # of them is dead; a change must be in force everywhere within a few seconds.
 REDIAL_SECONDS = 1.6
-# The balancer asks once a second and leaves an instance out after two misses.
-UNREADY_SECONDS = 3.0
+# The balancer asks once a second and leaves an instance out after two misses; what
+# comes later than this might not end before the process is ended.
+UNREADY_SECONDS = 2.6
 CLOSE_LINKS_SECONDS = 0.05
 # How long a replica that was told the newest version may need to have it itself.
 CATCH_UP_SECONDS = 0.8
@@ -140,7 +141,10 @@
             self._now,
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
         )
-        self._load = make_fleet_load(settings.instance_id)
+        self._load = make_fleet_load(
+            settings.instance_id,
+            crc32(settings.instance_id.encode()) ^ (self.incarnation << 1),
+        )
         self.placement = make_placement(
             self.table, settings.data_centre, settings.target_beat_seconds
         )
@@ -148,6 +152,8 @@
         self._session: ClientSession | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._had_replicas = False
+        self._load_due_at_seconds = 0.0
+        self._at_finishing: list[Callable[[], None]] = []
 
     async def start(self) -> None:
         """Open the links and begin to run the systems."""
@@ -162,6 +168,7 @@
         self._tasks = [
             asyncio.create_task(self._run_regularly(TICK_SECONDS, self._tick)),
             asyncio.create_task(self._run_regularly(BEAT_SECONDS, self._beat)),
+            asyncio.create_task(self._run_regularly(TELL_SECONDS, self._tell_load)),
         ]
         logger.info("started", extra={"incarnation": self.incarnation})
 
@@ -179,6 +186,7 @@
             lambda: self._state if self._tree.is_ready() else None,
             lambda: self._load.routers,
             lambda: not self._stop.is_ready,
+            lambda: self._stop.accepts_requests,
             self._now,
             loop.time,
         )
@@ -187,6 +195,23 @@
         """Return whether the balancer may send callers here."""
         return self._stop.is_ready and self._tree.is_ready()
 
+    def at_finishing(self, act: Callable[[], None]) -> None:
+        """Call back when a planned stop takes no new requests any more."""
+        self._at_finishing.append(act)
+
+    def reload(self, settings: DaemonSettings) -> None:
+        """Take settings that have changed while the process runs.
+
+        Only the seeds can change: whoever lost all that it knew finds the others by
+        the new ones.
+        """
+        for address in settings.seeds:
+            is_known = address in (*self._roster.seeds, self._own.peers)
+            if not is_known and not self._roster.knows_address(address):
+                self._links.add(Peer(seed_peer_id(address), "", address, True))
+        logger.info("settings reloaded", extra={"seeds": settings.seeds})
+        self._greet()
+
     def ask_stop(self) -> None:
         """Begin a planned stop; asked again it cuts nothing."""
         self._stop.ask(self._now())
@@ -292,7 +317,11 @@
         self._tree.tick()
         load = StopLoad(self.tally.open_calls, 0, 0)
         delay_seconds = 0.0 if self._own.has_disk else UNREADY_SECONDS
+        was_serving = self._stop.accepts_requests
         self._stop.advance(load, delay_seconds, now_seconds)
+        if was_serving and not self._stop.accepts_requests:
+            for act in self._at_finishing:
+                act()
 
     def _replica_ids(self) -> tuple[str, ...]:
         """Return the replicas; those that found the log are the seeds alone."""
@@ -309,9 +338,6 @@
         self._links.send(Outgoing(None, beat))
         if self._own.has_disk:
             self._links.send(Outgoing(None, self.table.heard()))
-            self._send_all(self._load.totals(now_seconds))
-        else:
-            self._tell_load(now_seconds)
         self.table.forget(now_seconds)
         self.placement.forget()
         for peer_id in self._roster.forgotten(now_seconds):
@@ -322,12 +348,19 @@
     def _greet(self) -> None:
         self._links.send(Outgoing(None, self._roster.greeting(self._now())))
 
-    def _tell_load(self, now_seconds: float) -> None:
+    def _tell_load(self) -> None:
         """Tell one replica, the same for all routers, what is under way here."""
-        replicas = sorted(self._roster.live_replicas(now_seconds, 2.0))
-        if replicas:
-            load = self._load.own(self.placement.loads())
-            self._links.send(Outgoing(replicas[0], load))
+        now_seconds = self._now()
+        is_due = now_seconds >= self._load_due_at_seconds
+        if is_due:
+            self._load_due_at_seconds = now_seconds + BEAT_SECONDS
+        if self._own.has_disk:
+            self._send_all(self._load.totals(is_due, now_seconds))
+            return
+        load = self._load.own(self.placement.loads(), is_due, now_seconds)
+        replicas = self._roster.live_replicas(now_seconds, 2 * BEAT_SECONDS + 0.5)
+        if load is not None and replicas:
+            self._links.send(Outgoing(min(replicas), load, urgent=True))
 
     def _note_replicas(self, now_seconds: float) -> None:
         has_replicas = bool(self._roster.live_replicas(now_seconds, 2.0))
@@ -374,8 +407,8 @@
             case RouterLoad():
                 self._load.received(message, now_seconds)
             case FleetLoad():
-                self._load.routers = max(message.routers, 1)
-                self.placement.take_others(message.places)
+                is_new = self._load.heard(message)
+                self.placement.take_others(message.places, is_new, now_seconds)
             case TreeSteps() | TreeWhole() | TreeWanted():
                 self._tree.received(sender_id, message)
             case LogPayload() | ProposalRequest() | ProposalReply():
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -13,15 +13,22 @@
 
 from sesameford.discovery.beat_table import BeatTable, KnownTarget, short_name
 from sesameford.gateway.calls import Prompt
+from sesameford.gateway.engine_backlog import EngineBacklog, make_engine_backlog
 from sesameford.messages import PlaceLoad
 from sesameford.tables import TargetState
 
-# What a running request adds to a wait, in prompt tokens: each step of a batch is
-# longer by some hundredth for each request in it, at about a hundred tokens a step.
-RUNNING_TOKENS = 12
-# A request more than an engine has places waits for one to end, which takes as long
-# as reading some ten thousand tokens.
-NO_PLACE_TOKENS = 8_000
+# What each running request adds to the wait for a first event: a batch's step takes
+# some hundredth longer for each request in it.
+RUNNING_SECONDS = 0.0002
+# A request more than an engine has places waits until one of them ends.
+NO_PLACE_SECONDS = 0.1
+# A shared part that is read once more holds up all that comes after it at that engine,
+# so its time counts this often again beside the wait of the request itself.
+READ_AGAIN_FACTOR = 2.0
+# Beyond this part of its objective, a wait counts more: the rest is for what the
+# estimate can't see.
+SAFE_PART = 0.5
+LATE_FACTOR = 3.0
 # A part is taken as kept where it was read so short a time ago.
 KEPT_SECONDS = 60.0
 # Parts remembered of one target; a hundred bytes each.
@@ -40,14 +47,15 @@
 class Place:
     """What this router knows of one target beside its heartbeats.
 
-    ``unread_tokens`` are those of requests without a first event; the ``others_``
-    fields are what all other routers told last.
+    ``sent_tokens`` is the total of all prompts that it sent there; the ``others_``
+    fields are what all other routers have under way and have sent.
     """
 
     requests: int = 0
-    unread_tokens: int = 0
+    sent_tokens: int = 0
     others_requests: int = 0
-    others_tokens: int = 0
+    others_sent_tokens: int | None = None
+    backlog: EngineBacklog = field(default_factory=make_engine_backlog)
     failures: int = 0
     rests_until_seconds: float = 0.0
     parts: dict[int, float] = field(default_factory=dict)
@@ -59,7 +67,10 @@
 
     target_id: str
     address: str
-    tokens: int
+    tokens: int = 0
+    sent_at_seconds: float = 0.0
+    expected_at_seconds: float = 0.0
+    rate_tokens: float = 0.0
 
 
 class Placement:
@@ -78,6 +89,7 @@
         service: str,
         prompt: Prompt | None,
         slots: int | None,
+        objective_seconds: float,
         tried: frozenset[str],
         now_seconds: float,
     ) -> Lease | None:
@@ -87,6 +99,7 @@
             service: The service it is for.
             prompt: What is known of its prompt, None for a plain service.
             slots: Places in one engine's batch.
+            objective_seconds: When its answer should begin.
             tried: Targets that had it already.
             now_seconds: The present time.
         """
@@ -98,30 +111,30 @@
         usable = self._usable(found, now_seconds)
         if not usable:
             return None
-        if prompt is None or not prompt.prompt_tokens:
+        if prompt is None:
             best = min(usable, key=self._plain_cost)
-            return self._lease(best, 0)
+            self._place(best.row.target_id).requests += 1
+            return Lease(best.row.target_id, best.row.address)
         home = _home(prompt, usable)
-        costs = [
-            (self._engine_cost(known, prompt, slots, home, now_seconds), known)
-            for known in usable
-        ]
-        _, best = min(costs, key=lambda pair: pair[0])
-        lease = self._lease(best, self._unread(best, prompt, home, now_seconds))
-        self._note_parts(best.row.target_id, prompt, now_seconds)
-        return lease
 
-    def first_event(self, lease: Lease) -> None:
+        def cost(known: KnownTarget) -> float:
+            wait_seconds = self._wait_seconds(known, prompt, slots, home, now_seconds)
+            return _cost(wait_seconds, objective_seconds) + self._read_again_seconds(
+                known, prompt, home, now_seconds
+            )
+
+        return self._engine_lease(min(usable, key=cost), prompt, home, now_seconds)
+
+    def first_event(self, lease: Lease, now_seconds: float) -> None:
         """Note that a request's prompt has been read."""
-        place = self._place(lease.target_id)
-        place.unread_tokens = max(place.unread_tokens - lease.tokens, 0)
+        self._place(lease.target_id).backlog.first_event(
+            lease.tokens, lease.sent_at_seconds, lease.expected_at_seconds, now_seconds
+        )
 
-    def released(self, lease: Lease, had_first_event: bool) -> None:
+    def released(self, lease: Lease) -> None:
         """Give back a request's share of its target."""
         place = self._place(lease.target_id)
         place.requests = max(place.requests - 1, 0)
-        if not had_first_event:
-            self.first_event(lease)
 
     def failed(self, target_id: str, now_seconds: float) -> None:
         """Let a target rest at which a connection failed or broke."""
@@ -137,19 +150,31 @@
     def loads(self) -> tuple[PlaceLoad, ...]:
         """Return what this router has under way."""
         return tuple(
-            PlaceLoad(short_name(target_id), place.requests, place.unread_tokens)
+            PlaceLoad(short_name(target_id), place.requests, place.sent_tokens)
             for target_id, place in self._places.items()
-            if place.requests
+            if place.requests or place.sent_tokens
         )
 
-    def take_others(self, loads: Iterable[PlaceLoad]) -> None:
-        """Take what all other routers have under way."""
+    def take_others(
+        self, loads: Iterable[PlaceLoad], is_new_book: bool, now_seconds: float
+    ) -> None:
+        """Take what all other routers have under way and have sent.
+
+        Args:
+            loads: By target; totals of sent tokens only grow in one book.
+            is_new_book: Whether another instance adds up than the last time.
+            now_seconds: The present time.
+        """
         by_name = {load.name: load for load in loads}
         for target_id in self._table.known:
             load = by_name.get(short_name(target_id))
             place = self._place(target_id)
             place.others_requests = load.requests if load else 0
-            place.others_tokens = load.prompt_tokens if load else 0
+            total = load.sent_tokens if load else 0
+            before = place.others_sent_tokens
+            place.others_sent_tokens = total
+            if before is not None and total > before and not is_new_book:
+                place.backlog.sent(total - before, now_seconds)
 
     def forget(self) -> None:
         """Drop what is known of targets that the table has forgotten."""
@@ -204,11 +229,24 @@
             place = self._places[target_id] = Place()
         return place
 
-    def _lease(self, known: KnownTarget, tokens: int) -> Lease:
+    def _engine_lease(
+        self, known: KnownTarget, prompt: Prompt, home: str, now_seconds: float
+    ) -> Lease:
+        """Count a request at an engine."""
         place = self._place(known.row.target_id)
+        tokens = self._unread(known, prompt, home, now_seconds)
         place.requests += 1
-        place.unread_tokens += tokens
-        return Lease(known.row.target_id, known.row.address, tokens)
+        place.sent_tokens += tokens
+        expected_at_seconds = place.backlog.sent(tokens, now_seconds)
+        self._note_parts(known.row.target_id, prompt, now_seconds)
+        return Lease(
+            known.row.target_id,
+            known.row.address,
+            tokens,
+            now_seconds,
+            expected_at_seconds,
+            place.backlog.rate_tokens,
+        )
 
     def _plain_cost(self, known: KnownTarget) -> tuple[float, int]:
         place = self._place(known.row.target_id)
@@ -216,7 +254,7 @@
         far = 0.0 if known.row.data_centre == self._data_centre else FAR_REQUESTS
         return (requests + far) / max(known.row.slots, 1), place.requests
 
-    def _engine_cost(
+    def _wait_seconds(
         self,
         known: KnownTarget,
         prompt: Prompt,
@@ -224,15 +262,27 @@
         home: str,
         now_seconds: float,
     ) -> float:
-        """Return the wait before the first event, in prompt tokens."""
+        """Return the time to the first event that is to be expected at an engine."""
         place = self._place(known.row.target_id)
         requests = place.requests + place.others_requests
-        cost = place.unread_tokens + place.others_tokens
-        cost += RUNNING_TOKENS * requests
+        unread = self._unread(known, prompt, home, now_seconds)
+        wait_seconds = place.backlog.wait_seconds(now_seconds)
+        wait_seconds += place.backlog.read_seconds(unread)
+        wait_seconds += RUNNING_SECONDS * requests
         places = slots or known.row.slots
         if requests >= places:
-            cost += NO_PLACE_TOKENS * (1 + requests - places)
-        return cost + self._unread(known, prompt, home, now_seconds)
+            wait_seconds += NO_PLACE_SECONDS * (1 + requests - places)
+        return wait_seconds
+
+    def _read_again_seconds(
+        self, known: KnownTarget, prompt: Prompt, home: str, now_seconds: float
+    ) -> float:
+        """Return what reading shared parts again costs all others at an engine."""
+        own_tokens = prompt.parts[-1].tokens if prompt.parts else prompt.prompt_tokens
+        unread = self._unread(known, prompt, home, now_seconds)
+        again = max(unread - own_tokens, 0)
+        backlog = self._place(known.row.target_id).backlog
+        return READ_AGAIN_FACTOR * backlog.read_seconds(again)
 
     def _unread(
         self, known: KnownTarget, prompt: Prompt, home: str, now_seconds: float
@@ -260,6 +310,12 @@
                 del parts[part_id]
 
 
+def _cost(wait_seconds: float, objective_seconds: float) -> float:
+    """Return what a wait costs; one that endangers the objective costs more."""
+    safe_seconds = SAFE_PART * objective_seconds
+    return wait_seconds + LATE_FACTOR * max(wait_seconds - safe_seconds, 0.0)
+
+
 def _home(prompt: Prompt, usable: list[KnownTarget]) -> str:
     """Return the target that all routers prefer for a prompt's last shared part."""
     shared = prompt.shared_parts or prompt.parts
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -29,6 +29,8 @@
 # A caller is told to come back after so long where nothing better is known: about
 # the time in which a resting target is tried again.
 RETRY_AFTER_SECONDS = 0.5
+# A caller of an instance that stops is served by another one at once.
+STOPPING_RETRY_SECONDS = 0.02
 # With less left than this a sending could bring no answer in time.
 LEAST_LEFT_SECONDS = 0.02
 
@@ -54,6 +56,7 @@
     state: Callable[[], GatewayState | None]
     routers: Callable[[], int]
     is_leaving: Callable[[], bool]
+    accepts: Callable[[], bool]
     now: Callable[[], float]
     loop_time: Callable[[], float]
 
@@ -94,6 +97,9 @@
     passed: EventStream | None = None
     status: int = 0
     first_event_seconds: float | None = None
+    expected_seconds: float = 0.0
+    unread_tokens: int = 0
+    rate_tokens: float = 0.0
 
     @property
     def may_repeat(self) -> bool:
@@ -156,6 +162,8 @@
     state = deps.state()
     if state is None:
         raise Refusal(503, "no-configuration", RETRY_AFTER_SECONDS)
+    if not deps.accepts():
+        raise Refusal(503, "stopping", STOPPING_RETRY_SECONDS)
     route = state.routes.find(call.host, call.path)
     if route is None:
         raise Refusal(404, "no-route")
@@ -231,7 +239,14 @@
     slots = settings.batch_slots if settings is not None else None
     prompt = run.call.prompt if slots else None
     now_seconds = deps.now()
-    lease = deps.placement.choose(run.service, prompt, slots, run.tried, now_seconds)
+    lease = deps.placement.choose(
+        run.service,
+        prompt,
+        slots,
+        run.route.objective_seconds,
+        run.tried,
+        now_seconds,
+    )
     if lease is None:
         if run.may_have_run:
             raise Refusal(502, "no-target-left")
@@ -251,17 +266,17 @@
     if left_seconds < LEAST_LEFT_SECONDS:
         raise SendingError(Fate.TIMEOUT, "no time is left")
     run.sendings += 1
+    run.expected_seconds = lease.expected_at_seconds - lease.sent_at_seconds
+    run.unread_tokens = lease.tokens
+    run.rate_tokens = lease.rate_tokens
     run.tried |= {lease.target_id}
     resume_after = run.call.resume_after
     if run.passed is not None and run.passed.last_event_id >= 0:
         resume_after = str(run.passed.last_event_id)
     sending = Sending(lease.target_id, run.customer, left_seconds, resume_after)
-    had_first_event = False
 
     def first_event() -> None:
-        nonlocal had_first_event
-        had_first_event = True
-        deps.placement.first_event(lease)
+        deps.placement.first_event(lease, deps.now())
 
     try:
         async with deps.sender.exchange(
@@ -269,7 +284,7 @@
         ) as exchange:
             answer = await _pass_on(deps, http, run, exchange, first_event)
     finally:
-        deps.placement.released(lease, had_first_event)
+        deps.placement.released(lease)
     deps.placement.proved(lease.target_id)
     return answer
 
@@ -473,5 +488,8 @@
             "detail": detail,
             "took_seconds": round(took_seconds, 3),
             "first_event_seconds": "" if first is None else round(first, 3),
+            "expected_seconds": round(run.expected_seconds, 3),
+            "unread_tokens": run.unread_tokens,
+            "rate_tokens": round(run.rate_tokens),
         },
     )
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from ssl import SSLContext
 
 from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector, web
 
 from sesameford.connection_guard import GuardCounts, GuardLimits, make_guard
 from sesameford.settings import split_address
+from sesameford.target_connections import make_connector
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 KEEP_ALIVE_SECONDS = 60.0
@@ -37,7 +39,7 @@
     if idle_seconds is None:
         connector = TCPConnector(limit=0, ssl=ssl, force_close=True)
     else:
-        connector = TCPConnector(limit=0, ssl=ssl, keepalive_timeout=idle_seconds)
+        connector = make_connector(ssl, idle_seconds)
     timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
     session = ClientSession(
         connector=connector,
@@ -94,13 +96,41 @@
     return stop
 
 
+@dataclass(frozen=True, slots=True)
+class CallsPort:
+    """An address on which calls are served."""
+
+    calls: web.Server
+    server: asyncio.Server
+
+    def take_no_more(self) -> None:
+        """Take no new connection, and end each kept one when its request is answered.
+
+        Callers go on using the connections that they have until somebody ends them,
+        and would be cut when the process does.
+        """
+        self.server.close()
+        for connection in self.calls.connections:
+            is_idle = connection._current_request is None
+            connection.close()
+            # The library ends the handler of an idle connection and leaves it open;
+            # a request that comes there would be read by nobody.
+            if is_idle and connection.transport is not None:
+                connection.transport.close()
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        self.server.close()
+        await self.calls.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
+
+
 async def listen_calls(
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     address: str,
     limits: GuardLimits | None = None,
     header_limit_bytes: int = MAX_HEADER_BYTES,
     idle_seconds: float = KEEP_ALIVE_SECONDS,
-) -> Callable[[], Awaitable[None]]:
+) -> CallsPort:
     """Serve all paths of an address by one handler, without an application's routes.
 
     Args:
@@ -111,7 +141,7 @@
         idle_seconds: For how long a connection may be without a request.
 
     Returns:
-        A function that stops serving.
+        The open port.
 
     Raises:
         OSError: The address can't be listened on.
@@ -125,12 +155,7 @@
         keepalive_timeout=idle_seconds,
     )
     server = await _listen_guarded(calls, address, None, limits, None)
-
-    async def stop() -> None:
-        server.close()
-        await calls.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
-
-    return stop
+    return CallsPort(calls, server)
 
 
 async def _listen_guarded(
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -79,11 +79,11 @@
 
 
 class PlaceLoad(Struct, frozen=True, array_like=True):
-    """What one router has under way at one target: requests and unread tokens."""
+    """Requests under way at one target, and the total of prompt tokens sent there."""
 
     name: int
     requests: int
-    prompt_tokens: int
+    sent_tokens: int
 
 
 class RouterLoad(Struct, frozen=True, array_like=True, tag=True):
@@ -95,7 +95,12 @@
 
 
 class FleetLoad(Struct, frozen=True, array_like=True, tag=True):
-    """What all routers but the receiver have under way, by target."""
+    """What all routers but the receiver have under way and have sent, by target.
+
+    The totals grow as long as ``book``, which names who adds up, stays the same.
+    """
+
+    book: int
 
     places: tuple[PlaceLoad, ...]
     routers: int
