--- a/sesameford/gateway/calls.py
+++ b/sesameford/gateway/calls.py
@@ -22,6 +22,15 @@
     prompt_tokens: int
     output_tokens_limit: int
     parts: tuple[PromptPart, ...] = ()
+    output_tokens_hint: int | None = None
+
+    @property
+    def cost_tokens(self) -> int:
+        """Return the tokens read, and twice those that will likely be generated."""
+        output_tokens = self.output_tokens_hint
+        if output_tokens is None:
+            output_tokens = self.output_tokens_limit // 2
+        return self.prompt_tokens + 2 * min(output_tokens, self.output_tokens_limit)
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -3,7 +3,14 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from sesameford.messages import FleetLoad, Outgoing, PlaceLoad, RouterLoad
+from sesameford.gateway.shares import make_share_book
+from sesameford.messages import (
+    AskedRow,
+    FleetLoad,
+    Outgoing,
+    PlaceLoad,
+    RouterLoad,
+)
 
 # A router's word counts for so long; it speaks at least each half second.
 WORD_SECONDS = 1.6
@@ -38,14 +45,24 @@
         self._last_places: tuple[PlaceLoad, ...] = ()
         self._next_seconds = 0.0
         self.routers = 1
+        self.shares = make_share_book()
 
     def own(
-        self, places: tuple[PlaceLoad, ...], is_due: bool, now_seconds: float
+        self,
+        places: tuple[PlaceLoad, ...],
+        asked: tuple[AskedRow, ...],
+        wait_seconds: float,
+        begun_tokens: int,
+        is_due: bool,
+        now_seconds: float,
     ) -> RouterLoad | None:
         """Return what a router tells of itself, None where there is no news.
 
         Args:
             places: What it has under way and has sent.
+            asked: What customers have asked here.
+            wait_seconds: How long a prompt waits at an engine.
+            begun_tokens: What engines have begun to answer, in all.
             is_due: Whether it tells all the same, to be counted as living.
             now_seconds: The present time.
         """
@@ -55,10 +72,20 @@
         self._last_places = places
         self._next_seconds = now_seconds + self._tell_seconds()
         self._sequence += 1
-        return RouterLoad(self._instance_id, self._sequence, places)
+        return RouterLoad(
+            self._instance_id,
+            self._sequence,
+            places,
+            asked,
+            round(wait_seconds, 4),
+            begun_tokens,
+        )
 
     def received(self, load: RouterLoad, now_seconds: float) -> None:
         """Take a router's word."""
+        self.shares.told(
+            load.router_id, load.asked, load.wait_seconds, load.begun_tokens
+        )
         told = self._told.get(load.router_id)
         if told is None:
             # What it sent before it was heard here is long read.
@@ -83,6 +110,7 @@
         for router_id, told in list(self._told.items()):
             if now_seconds - told.at_seconds > WORD_SECONDS:
                 del self._told[router_id]
+                self.shares.forget(router_id)
         self.routers = max(len(self._told), 1)
         requests: Counter[int] = Counter()
         for told in self._told.values():
@@ -113,7 +141,7 @@
             )
             for name, count in requests.items()
         )
-        return FleetLoad(self._book, places, len(self._told))
+        return FleetLoad(self._book, places, len(self._told), self.shares.rows())
 
 
 def make_fleet_load(instance_id: str, book: int) -> FleetLoadBook:
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -26,9 +26,9 @@
 from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
 from sesameford.gateway.forward import make_sender
 from sesameford.gateway.placement import make_placement
-from sesameford.gateway.route_table import make_route_table
 from sesameford.gateway.second_sends import make_second_sends
-from sesameford.gateway.serve import GatewayDeps, GatewayState
+from sesameford.gateway.serve import GatewayDeps, GatewayState, make_gateway_state
+from sesameford.gateway.shares import make_share_gate
 from sesameford.gateway.tally import make_tally
 from sesameford.http_ports import make_session
 from sesameford.link_key import load_link_key
@@ -83,6 +83,9 @@
 # How long a replica that was told the newest version may need to have it itself.
 CATCH_UP_SECONDS = 0.8
 IDLE_SECONDS = 3.0
+# How long prompts may wait on average, as a part of the shortest objective: the rest
+# is for reading the prompt itself and for what waits longer than the average.
+WAIT_PART = 0.5
 
 
 class DeclarationRefusedError(Exception):
@@ -148,6 +151,7 @@
         self.placement = make_placement(
             self.table, settings.data_centre, settings.target_beat_seconds
         )
+        self._gate = make_share_gate()
         self._state: GatewayState | None = None
         self._session: ClientSession | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -180,6 +184,7 @@
             self._edge,
             make_sender(self._session, self._edge),
             self.placement,
+            self._gate,
             make_second_sends(self._settings.retry_budget),
             self.tally,
             Random(self.incarnation),
@@ -298,7 +303,7 @@
     # --- systems --------------------------------------------------------------
 
     def _configure(self, tree: EffectiveTree) -> None:
-        self._state = GatewayState(tree, make_route_table(tree))
+        self._state = make_gateway_state(tree)
         self.tally.level("tree_revision", tree.revision)
 
     def _instance_state(self) -> InstanceState:
@@ -355,13 +360,32 @@
         if is_due:
             self._load_due_at_seconds = now_seconds + BEAT_SECONDS
         if self._own.has_disk:
+            self._share_out(now_seconds)
             self._send_all(self._load.totals(is_due, now_seconds))
             return
-        load = self._load.own(self.placement.loads(), is_due, now_seconds)
+        engines = self._state.engine_services if self._state is not None else ()
+        load = self._load.own(
+            self.placement.loads(),
+            self._gate.rows(),
+            self.placement.wait_seconds(engines, now_seconds),
+            self._gate.begun_tokens,
+            is_due,
+            now_seconds,
+        )
         replicas = self._roster.live_replicas(now_seconds, 2 * BEAT_SECONDS + 0.5)
         if load is not None and replicas:
             self._links.send(Outgoing(min(replicas), load, urgent=True))
 
+    def _share_out(self, now_seconds: float) -> None:
+        """Bring the shares of customers up to date, where this instance adds up."""
+        if self._state is None:
+            return
+        self._load.shares.tick(
+            self._state.tree.fleet.tokens_per_second,
+            WAIT_PART * self._state.shortest_objective_seconds,
+            now_seconds,
+        )
+
     def _note_replicas(self, now_seconds: float) -> None:
         has_replicas = bool(self._roster.live_replicas(now_seconds, 2.0))
         if has_replicas != self._had_replicas:
@@ -409,6 +433,7 @@
             case FleetLoad():
                 is_new = self._load.heard(message)
                 self.placement.take_others(message.places, is_new, now_seconds)
+                self._gate.take(message.shares)
             case TreeSteps() | TreeWhole() | TreeWanted():
                 self._tree.received(sender_id, message)
             case LogPayload() | ProposalRequest() | ProposalReply():
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -115,15 +115,8 @@
             best = min(usable, key=self._plain_cost)
             self._place(best.row.target_id).requests += 1
             return Lease(best.row.target_id, best.row.address)
-        home = _home(prompt, usable)
-
-        def cost(known: KnownTarget) -> float:
-            wait_seconds = self._wait_seconds(known, prompt, slots, home, now_seconds)
-            return _cost(wait_seconds, objective_seconds) + self._read_again_seconds(
-                known, prompt, home, now_seconds
-            )
-
-        return self._engine_lease(min(usable, key=cost), prompt, home, now_seconds)
+        best = self._best_engine(usable, prompt, slots, objective_seconds, now_seconds)
+        return self._engine_lease(best, prompt, _home(prompt, usable), now_seconds)
 
     def first_event(self, lease: Lease, now_seconds: float) -> None:
         """Note that a request's prompt has been read."""
@@ -147,6 +140,38 @@
         """Note that a target gave a whole answer."""
         self._place(target_id).failures = 0
 
+    def wait_seconds(self, services: Iterable[str], now_seconds: float) -> float:
+        """Return how long a prompt waits on average at the engines of some services."""
+        waits = [
+            self._place(known.row.target_id).backlog.wait_seconds(now_seconds)
+            for service in services
+            for known in self._usable(self._of_service(service), now_seconds)
+        ]
+        return sum(waits) / len(waits) if waits else 0.0
+
+    def queue_seconds(
+        self,
+        service: str,
+        prompt: Prompt,
+        slots: int | None,
+        objective_seconds: float,
+        now_seconds: float,
+    ) -> float:
+        """Return how long a prompt would wait at the engine that it would be sent to.
+
+        Args:
+            service: The service it is for.
+            prompt: What is known of it.
+            slots: Places in one engine's batch.
+            objective_seconds: When its answer should begin.
+            now_seconds: The present time.
+        """
+        usable = self._usable(self._of_service(service), now_seconds)
+        if not usable:
+            return float("inf")
+        best = self._best_engine(usable, prompt, slots, objective_seconds, now_seconds)
+        return self._queue_seconds(best, slots, now_seconds)
+
     def loads(self) -> tuple[PlaceLoad, ...]:
         """Return what this router has under way."""
         return tuple(
@@ -229,6 +254,25 @@
             place = self._places[target_id] = Place()
         return place
 
+    def _best_engine(
+        self,
+        usable: list[KnownTarget],
+        prompt: Prompt,
+        slots: int | None,
+        objective_seconds: float,
+        now_seconds: float,
+    ) -> KnownTarget:
+        """Return the engine at which a prompt costs its caller and the others least."""
+        home = _home(prompt, usable)
+
+        def cost(known: KnownTarget) -> float:
+            wait_seconds = self._wait_seconds(known, prompt, slots, home, now_seconds)
+            return _cost(wait_seconds, objective_seconds) + self._read_again_seconds(
+                known, prompt, home, now_seconds
+            )
+
+        return min(usable, key=cost)
+
     def _engine_lease(
         self, known: KnownTarget, prompt: Prompt, home: str, now_seconds: float
     ) -> Lease:
@@ -263,11 +307,18 @@
         now_seconds: float,
     ) -> float:
         """Return the time to the first event that is to be expected at an engine."""
+        backlog = self._place(known.row.target_id).backlog
+        unread = self._unread(known, prompt, home, now_seconds)
+        wait_seconds = self._queue_seconds(known, slots, now_seconds)
+        return wait_seconds + backlog.read_seconds(unread)
+
+    def _queue_seconds(
+        self, known: KnownTarget, slots: int | None, now_seconds: float
+    ) -> float:
+        """Return the time until an engine would begin to read one more prompt."""
         place = self._place(known.row.target_id)
         requests = place.requests + place.others_requests
-        unread = self._unread(known, prompt, home, now_seconds)
         wait_seconds = place.backlog.wait_seconds(now_seconds)
-        wait_seconds += place.backlog.read_seconds(unread)
         wait_seconds += RUNNING_SECONDS * requests
         places = slots or known.row.slots
         if requests >= places:
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -10,7 +10,7 @@
 
 from sesameford.effective import EffectiveTree, HttpRouteSettings
 from sesameford.event_stream import EventStream
-from sesameford.gateway.calls import BadCallError, Call, Edge, Headers, Sending
+from sesameford.gateway.calls import BadCallError, Call, Edge, Headers, Prompt, Sending
 from sesameford.gateway.forward import (
     NOT_RUN_FATES,
     Exchange,
@@ -19,8 +19,13 @@
     SendingError,
 )
 from sesameford.gateway.placement import Lease, Placement
-from sesameford.gateway.route_table import RouteTable, choose_service
+from sesameford.gateway.route_table import (
+    RouteTable,
+    choose_service,
+    make_route_table,
+)
 from sesameford.gateway.second_sends import SecondSends
+from sesameford.gateway.shares import ShareGate
 from sesameford.gateway.tally import Tally
 from sesameford.operators_http import digest_of_key
 
@@ -29,6 +34,11 @@
 # A caller is told to come back after so long where nothing better is known: about
 # the time in which a resting target is tried again.
 RETRY_AFTER_SECONDS = 0.5
+# Beyond its share a customer is served while the engine that it would be sent to would
+# begin within this part of the shortest objective: nobody is held up by it.
+ROOM_PART = 0.1
+# A customer over its share is told to come back when a burst is likely over.
+SHARE_RETRY_SECONDS = 1.0
 # A caller of an instance that stops is served by another one at once.
 STOPPING_RETRY_SECONDS = 0.02
 # With less left than this a sending could bring no answer in time.
@@ -41,6 +51,25 @@
 
     tree: EffectiveTree
     routes: RouteTable
+    engine_services: frozenset[str]
+    shortest_objective_seconds: float
+
+
+def make_gateway_state(tree: EffectiveTree) -> GatewayState:
+    """Return what follows from a tree for a router."""
+    engines = frozenset(
+        service.service
+        for service in tree.services.values()
+        if service.batch_slots is not None
+    )
+    objectives = [
+        route.objective_seconds
+        for route in tree.routes.values()
+        if any(one.service in engines for one in route.backends)
+    ]
+    return GatewayState(
+        tree, make_route_table(tree), engines, min(objectives, default=1.0)
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +79,7 @@
     edge: Edge
     sender: Sender
     placement: Placement
+    gate: ShareGate
     second_sends: SecondSends
     tally: Tally
     random: Random
@@ -168,6 +198,9 @@
     if route is None:
         raise Refusal(404, "no-route")
     customer = _customer_of(state.tree, route, call)
+    service = choose_service(route, deps.random.random())
+    if service in state.engine_services and call.prompt is not None:
+        _check_share(deps, state, route, service, customer or "", call.prompt)
     body = await _body(http, state.tree.fleet.body_limit_bytes)
     patience_seconds = route.timeout_seconds
     if call.patience_seconds is not None:
@@ -178,12 +211,30 @@
         body,
         route,
         customer,
-        choose_service(route, deps.random.random()),
+        service,
         arrived_at_seconds,
         deps.loop_time() + patience_seconds - spent_seconds,
     )
 
 
+def _check_share(
+    deps: GatewayDeps,
+    state: GatewayState,
+    route: HttpRouteSettings,
+    service: str,
+    customer: str,
+    prompt: Prompt,
+) -> None:
+    """Reject a request beyond its customer's share, unless an engine is free now.
+
+    Raises:
+        Refusal: Others would wait for it.
+    """
+    if deps.gate.admits(customer, route.route_id, prompt.cost_tokens):
+        return
+    raise Refusal(429, "over-share", SHARE_RETRY_SECONDS)
+
+
 def _customer_of(
     tree: EffectiveTree, route: HttpRouteSettings, call: Call
 ) -> str | None:
@@ -332,6 +383,8 @@
     async for chunk in exchange.chunks(run.until_seconds):
         if run.first_event_seconds is None:
             run.first_event_seconds = deps.now() - run.arrived_at_seconds
+            if run.call.prompt is not None:
+                deps.gate.begun_tokens += run.call.prompt.cost_tokens
             first_event()
         ready = run.passed.feed(chunk) if run.passed is not None else chunk
         if ready:
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -86,12 +86,33 @@
     sent_tokens: int
 
 
+class AskedRow(Struct, frozen=True, array_like=True):
+    """The total of tokens that a customer asked at one router."""
+
+    customer: str
+    tokens: int
+
+
+class ShareRow(Struct, frozen=True, array_like=True):
+    """The part of its requests that a customer is served while all ask too much."""
+
+    customer: str
+    fraction: float
+
+
 class RouterLoad(Struct, frozen=True, array_like=True, tag=True):
-    """All that a router has under way, by target."""
+    """All that a router has under way, by target, and what customers asked there.
+
+    ``wait_seconds`` is how long a prompt waits at an engine, as the router sees it;
+    ``begun_tokens`` the total of what engines have begun to answer.
+    """
 
     router_id: str
     sequence: int
     places: tuple[PlaceLoad, ...]
+    asked: tuple[AskedRow, ...] = ()
+    wait_seconds: float = 0.0
+    begun_tokens: int = 0
 
 
 class FleetLoad(Struct, frozen=True, array_like=True, tag=True):
@@ -104,6 +125,7 @@
 
     places: tuple[PlaceLoad, ...]
     routers: int
+    shares: tuple[ShareRow, ...] = ()
 
 
 # --- membership ----------------------------------------------------------------
--- a/sesameford/tree_holder.py
+++ b/sesameford/tree_holder.py
@@ -107,7 +107,15 @@
         in_force = self._spread.in_force
         if in_force.work():
             self._deps.in_force(in_force.tree)
-            logger.info("tree in force", extra={"revision": self.revision})
+            logger.info(
+                "tree in force",
+                extra={
+                    "revision": self.revision,
+                    "routes": len(in_force.tree.routes),
+                    "customers": len(in_force.tree.customers),
+                    "tokens_per_second": in_force.tree.fleet.tokens_per_second,
+                },
+            )
             self._risen.set()
             self._risen = asyncio.Event()
         self._work_soon()
