--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -37,8 +37,8 @@
 # Beyond its share a customer is served while the engine that it would be sent to would
 # begin within this part of the shortest objective: nobody is held up by it.
 ROOM_PART = 0.1
-# A customer over its share is told to come back when a burst is likely over.
-SHARE_RETRY_SECONDS = 1.0
+# A customer over its share is told to come back while its objective can still be met.
+SHARE_RETRY_PART = 0.25
 # A caller of an instance that stops is served by another one at once.
 STOPPING_RETRY_SECONDS = 0.02
 # With less left than this a sending could bring no answer in time.
@@ -232,7 +232,7 @@
     """
     if deps.gate.admits(customer, route.route_id, prompt.cost_tokens):
         return
-    raise Refusal(429, "over-share", SHARE_RETRY_SECONDS)
+    raise Refusal(429, "over-share", SHARE_RETRY_PART * route.objective_seconds)
 
 
 def _customer_of(
