--- a/sesameford/gateway/tally.py
+++ b/sesameford/gateway/tally.py
@@ -12,30 +12,30 @@
         self.registry = Registry()
         self.open_calls = 0
         self._calls = Counter(
-            "sesameford_calls_total", "Calls by outcome, route and status"
+            "sesameford_calls_total",
+            "Calls by outcome, route and status",
+            registry=self.registry,
         )
         self._refusals = Counter(
-            "sesameford_call_refusals_total", "Answers of the system's own, by reason"
+            "sesameford_call_refusals_total",
+            "Answers of the system's own, by reason",
+            registry=self.registry,
         )
         self._took = Histogram(
             "sesameford_call_seconds",
             "Time from arrival to the end of the answer",
             buckets=SECONDS_BUCKETS,
+            registry=self.registry,
         )
         self._first_event = Histogram(
             "sesameford_first_event_seconds",
             "Time from arrival to a stream's first event",
             buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self._gauges = Gauge(
+            "sesameford_level", "Present levels, by name", registry=self.registry
         )
-        self._gauges = Gauge("sesameford_level", "Present levels, by name")
-        for metric in (
-            self._calls,
-            self._refusals,
-            self._took,
-            self._first_event,
-            self._gauges,
-        ):
-            self.registry.register(metric)
 
     def opened(self) -> None:
         """Count a call that begins."""
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,192 @@
+"""A stand-in for a server of the users' platform: answers calls, misbehaves on demand.
+
+It writes its answers byte by byte, since the faults are about framing: answers that
+come twice, without a length, cut short, or from another server.
+"""
+
+import asyncio
+import socket
+import struct
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+EVENT = b"id: %d\ndata: word\n\n"
+EVENTS = 3
+
+
+class Fault(StrEnum):
+    """How a server treats the next calls."""
+
+    NONE = "none"
+    TWICE = "answers twice"
+    UNFRAMED = "no length, ends in order"
+    UNFRAMED_RESET = "no length, reset in the middle"
+    CUT_STREAM = "a stream that ends inside an event"
+    MUTE = "runs and never answers"
+    CLOSE = "runs and closes without an answer"
+    SHED = "does not run it and says so"
+    ERROR = "runs and fails"
+
+
+@dataclass(slots=True)
+class Seen:
+    """A call as it reached the server."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class PlatformServer:
+    """One incarnation of a server; ``runs`` counts by the call's id."""
+
+    target_id: str
+    fault: Fault = Fault.NONE
+    seen: list[Seen] = field(default_factory=list)
+    runs: Counter[str] = field(default_factory=Counter)
+    connections: int = 0
+    left_early: int = 0
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on a port of the system's choice."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while True:
+                call = await _read_call(reader)
+                self.seen.append(call)
+                if not await self._answer(call, reader, writer):
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.left_early += 1
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, call: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one call; False ends the connection."""
+        call_id = call.headers["x-sesameford-attempt-id"]
+        if call.headers.get("x-sesameford-expect-instance") != self.target_id:
+            writer.write(_head(421, call_id, {"Content-Length": "0"}))
+            return True
+        if self.fault is Fault.SHED:
+            extra = {"Content-Length": "0", "X-Sesameford-Not-Executed": "1"}
+            writer.write(_head(503, call_id, extra))
+            return True
+        self.runs[call_id] += 1
+        if self.fault is Fault.MUTE:
+            await reader.read()
+            self.left_early += 1
+            return False
+        if self.fault is Fault.CLOSE:
+            return False
+        if "/stream/" in call.target:
+            return await self._stream(call, call_id, writer)
+        return await self._plain(call, call_id, writer)
+
+    async def _plain(
+        self, call: Seen, call_id: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        status = 500 if self.fault is Fault.ERROR else 200
+        body = b"answer to " + call.body
+        if self.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
+            writer.write(_head(status, call_id, {"Connection": "close"}) + body)
+            await writer.drain()
+            if self.fault is Fault.UNFRAMED_RESET:
+                # Long enough for the first part to be read, as on a real network.
+                await asyncio.sleep(0.05)
+                _reset(writer)
+            return False
+        answer = _head(status, call_id, {"Content-Length": str(len(body))}) + body
+        writer.write(answer)
+        await writer.drain()
+        if self.fault is Fault.TWICE:
+            # So late that the connection lies idle when the second answer comes.
+            await asyncio.sleep(0.02)
+            writer.write(answer)
+            await writer.drain()
+        return True
+
+    async def _stream(
+        self, call: Seen, call_id: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        first = int(call.headers.get("last-event-id", "0")) + 1
+        headers = {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        writer.write(_head(200, call_id, headers))
+        for number in range(first, EVENTS + 1):
+            event = EVENT % number
+            if self.fault is Fault.CUT_STREAM and number == 2:
+                writer.write(_chunk(event[:5]))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                return False
+            writer.write(_chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset, not in order."""
+    at_once = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
+    writer.transport.abort()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _head(status: int, call_id: str, extra: dict[str, str]) -> bytes:
+    headers = {
+        "X-Sesameford-Attempt-Id": call_id,
+        "X-Sesameford-Response-Signature": f"signed-{call_id}",
+        **extra,
+    }
+    lines = [f"HTTP/1.1 {status} Said", *(f"{k}: {v}" for k, v in headers.items())]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+async def _read_call(reader: asyncio.StreamReader) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *rest = head.split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in rest:
+        name, colon, value = line.partition(":")
+        if colon:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Seen(method, target, headers, body)
+
+
+def make_platform_server(target_id: str, fault: Fault = Fault.NONE) -> PlatformServer:
+    """Return a server that is not started yet."""
+    return PlatformServer(target_id, fault)
--- /dev/null
+++ b/tests/gateway_fixture.py
@@ -0,0 +1,130 @@
+"""A router in this process before servers that misbehave, and a client of it."""
+
+from asyncio import get_running_loop
+from contextlib import asynccontextmanager
+from functools import partial
+from random import Random
+from time import monotonic
+
+from aiohttp import ClientSession, DummyCookieJar, TCPConnector
+
+from sesameford.discovery.beat_table import make_beat_table
+from sesameford.effective import EffectiveTree
+from sesameford.gateway.forward import make_sender
+from sesameford.gateway.placement import make_placement
+from sesameford.gateway.second_sends import make_second_sends
+from sesameford.gateway.serve import GatewayDeps, make_gateway_state, serve_call
+from sesameford.gateway.shares import make_share_gate
+from sesameford.gateway.tally import make_tally
+from sesameford.http_ports import listen_calls, make_session
+from sesameford.messages import BeatRow
+from sesameford.operators_http import digest_of_key
+from sesameford.settings import RetryBudget
+from sesameford.tables import TargetState
+from sesameford.tree import effective_tree, parse_tree
+from sesameford_platform.edge import make_edge
+from standins.platform_server import make_platform_server
+
+KEY = "the-clubs-key"
+TREE = f"""
+customers: {{children: {{club: {{key_digests: [{digest_of_key(KEY)}]}}}}}}
+services: {{children: {{pool: {{}}}}}}
+routes:
+  host: desk.example
+  timeout_seconds: 2
+  backends: [{{service: pool, weight: 1}}]
+  children:
+    safe: {{path_prefix: /safe/, repeatable: true, attempts: 2}}
+    unsafe: {{path_prefix: /unsafe/}}
+    stream: {{path_prefix: /stream/, is_stream: true}}
+    resumed:
+      path_prefix: /stream/resumed/
+      is_stream: true
+      resumable: true
+      attempts: 2
+    open: {{path_prefix: /open/, public: true}}
+    short: {{path_prefix: /short/, timeout_seconds: 0.2}}
+"""
+
+
+class Desk:
+    """A router and its servers; ``ask`` sends one request as a client would."""
+
+    def __init__(self, session, servers, table, deps):
+        self.session = session
+        self.servers = servers
+        self.table = table
+        self.deps = deps
+        self.address = ""
+        self.port = None
+        self.asked = 0
+
+    def headers(self, **more):
+        self.asked += 1
+        return {
+            "Host": "desk.example",
+            "X-Sesameford-Attempt-Id": f"id-{self.asked}",
+            "X-Sesameford-Deadline-Ms": "2000",
+            "Authorization": f"Bearer {KEY}",
+            **more,
+        }
+
+    async def ask(self, path, method="POST", body=b"notes", **more):
+        async with self.session.request(
+            method,
+            f"http://{self.address}{path}",
+            data=body,
+            headers=self.headers(**more),
+        ) as answer:
+            return answer.status, await answer.read(), answer.headers
+
+    @property
+    def runs(self):
+        return sum(sum(server.runs.values()) for server in self.servers)
+
+
+@asynccontextmanager
+async def open_desk(*faults, tree: EffectiveTree | None = None):
+    """Start a router before one server for each fault."""
+    table = make_beat_table()
+    servers = [make_platform_server(f"s{n}", fault) for n, fault in enumerate(faults)]
+    for server in servers:
+        await server.start()
+        row = BeatRow(
+            server.target_id, 1, "pool", server.address, "a", 8, TargetState.READY
+        )
+        table.beat(row, monotonic())
+    state = make_gateway_state(tree or effective_tree(parse_tree(TREE, "t"), 1))
+    targets = make_session(None, 3.0)
+    edge = make_edge()
+    deps = GatewayDeps(
+        edge,
+        make_sender(targets, edge),
+        make_placement(table, "a", 1000.0),
+        make_share_gate(),
+        make_second_sends(RetryBudget()),
+        make_tally(),
+        Random(1),
+        lambda: state,
+        lambda: 1,
+        lambda: False,
+        lambda: True,
+        monotonic,
+        get_running_loop().time,
+    )
+    port = await listen_calls(partial(serve_call, deps), "127.0.0.1:0")
+    host, number = port.server.sockets[0].getsockname()[:2]
+    async with ClientSession(
+        connector=TCPConnector(limit=0), cookie_jar=DummyCookieJar()
+    ) as session:
+        session._retry_connection = False
+        desk = Desk(session, servers, table, deps)
+        desk.address = f"{host}:{number}"
+        desk.port = port
+        try:
+            yield desk
+        finally:
+            await port.stop()
+            await targets.close()
+            for server in servers:
+                await server.stop()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,207 @@
+"""Callers, a router and servers that misbehave, over real sockets."""
+
+import asyncio
+
+import pytest
+from aiohttp import ClientPayloadError
+
+from standins.platform_server import Fault
+from tests.gateway_fixture import open_desk
+
+
+async def test_a_call_reaches_a_server_as_it_was_sent():
+    async with open_desk(Fault.NONE) as desk:
+        path = "/unsafe/a%2Fb/?q=%20x&y"
+        status, body, headers = await desk.ask(path, Accept="text/plain")
+        assert (status, body) == (200, b"answer to notes")
+        assert headers["X-Sesameford-Response-Signature"] == "signed-id-1"
+        seen = desk.servers[0].seen[0]
+        assert (seen.method, seen.target, seen.body) == ("POST", path, b"notes")
+        assert seen.headers["accept"] == "text/plain"
+        assert seen.headers["x-sesameford-tenant"] == "club"
+        assert "authorization" not in seen.headers
+        assert 0 < int(seen.headers["x-sesameford-deadline-ms"]) <= 2000
+
+
+async def test_what_only_the_system_may_set_is_not_taken_from_a_caller():
+    """A caller claims to be another customer and to hold another request's memory.
+
+    Passed on, the rival would be charged for the work.
+    """
+    async with open_desk(Fault.NONE) as desk:
+        forged = {"X-Sesameford-Tenant": "rival", "Kv-From": "10.0.0.1:1/h"}
+        await desk.ask("/unsafe/", **forged, **{"X-Sesameford-Hold": "h"})
+        headers = desk.servers[0].seen[0].headers
+        assert headers["x-sesameford-tenant"] == "club"
+        assert "kv-from" not in headers
+        assert "x-sesameford-hold" not in headers
+
+
+async def test_unknown_routes_and_keys_are_refused():
+    async with open_desk(Fault.NONE) as desk:
+        assert (await desk.ask("/nowhere/"))[0] == 404
+        assert (await desk.ask("/unsafe/", Authorization="Bearer other"))[0] == 401
+        assert (await desk.ask("/open/", Authorization="Bearer other"))[0] == 200
+        assert desk.runs == 1
+
+
+async def test_an_answer_that_comes_twice_reaches_nobody_else():
+    """A server answers a call twice on one connection.
+
+    Without care the next caller on that connection gets the second answer, which
+    belongs to somebody else.
+    """
+    async with open_desk(Fault.TWICE) as desk:
+        for number in range(6):
+            body = b"notes %d" % number
+            status, answer, headers = await desk.ask("/unsafe/", body=body)
+            assert (status, answer) == (200, b"answer to " + body)
+            assert headers["X-Sesameford-Attempt-Id"] == f"id-{number + 1}"
+            await asyncio.sleep(0.05)
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection():
+    async with open_desk(Fault.UNFRAMED) as desk:
+        assert (await desk.ask("/unsafe/"))[:2] == (200, b"answer to notes")
+
+
+async def test_an_answer_without_a_length_that_is_reset_is_not_whole():
+    """A server breaks off in an answer that has no length.
+
+    The caller would get half of it, framed as if it were complete. The call may have
+    run, so it is not sent again and not said not to have run.
+    """
+    async with open_desk(Fault.UNFRAMED_RESET) as desk:
+        assert (await desk.ask("/unsafe/"))[0] == 502
+        assert desk.runs == 1
+
+
+@pytest.mark.parametrize("fault", [Fault.CLOSE, Fault.MUTE])
+async def test_a_call_that_may_have_run_is_not_sent_again(fault):
+    """A server takes a call that may run once, and its answer is lost.
+
+    Sent to a second server it would run twice, and told "not run" the caller would
+    send it again himself: two mailings.
+    """
+    async with open_desk(fault, fault) as desk:
+        status = (await desk.ask("/unsafe/"))[0]
+        assert status in (502, 504)
+        assert desk.runs == 1
+
+
+async def test_a_repeatable_call_goes_to_a_second_server():
+    """A server closes without an answer; the caller of a lookup notices nothing."""
+    async with open_desk(Fault.CLOSE, Fault.NONE) as desk:
+        for _ in range(4):
+            assert (await desk.ask("/safe/"))[0] == 200
+
+
+async def test_a_failure_of_a_repeatable_call_is_tried_once_more_and_then_told():
+    async with open_desk(Fault.ERROR, Fault.ERROR) as desk:
+        status, _, headers = await desk.ask("/safe/")
+        assert status == 500
+        assert headers["X-Sesameford-Response-Signature"] == "signed-id-1"
+        assert desk.runs == 2
+
+
+async def test_a_call_that_a_server_did_not_run_is_said_not_to_have_run():
+    """All servers are full and say so; the caller may send the call again."""
+    async with open_desk(Fault.SHED) as desk:
+        status, _, headers = await desk.ask("/unsafe/")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert desk.runs == 0
+
+
+async def test_a_port_that_nobody_listens_on_is_passed_over():
+    """A server died without a word. Nothing was sent, so the call goes elsewhere."""
+    async with open_desk(Fault.NONE, Fault.NONE) as desk:
+        await desk.servers[0].stop()
+        for _ in range(4):
+            assert (await desk.ask("/open/"))[0] in (200, 503)
+        assert desk.servers[1].runs.total() > 0
+
+
+async def test_another_server_at_the_address_runs_nothing():
+    """An address was given to another server; it says so and the call is not run."""
+    async with open_desk(Fault.NONE) as desk:
+        desk.servers[0].target_id = "another"
+        assert (await desk.ask("/unsafe/"))[0] == 503
+        assert desk.runs == 0
+
+
+async def test_a_stream_is_passed_on_whole():
+    async with open_desk(Fault.NONE) as desk:
+        status, body, _ = await desk.ask("/stream/")
+        assert status == 200
+        assert body.count(b"id: ") == 3
+
+
+async def test_a_resumable_stream_goes_on_at_another_server():
+    """A server dies in the middle of an event.
+
+    The caller reads each event once and in order, and no half of one.
+    """
+    async with open_desk(Fault.CUT_STREAM, Fault.NONE) as desk:
+        for _ in range(2):
+            _, body, _ = await desk.ask("/stream/resumed/")
+            assert body == b"".join(b"id: %d\ndata: word\n\n" % n for n in (1, 2, 3))
+
+
+async def test_a_stream_that_breaks_off_does_not_look_complete():
+    """A server dies inside a stream that can't be resumed.
+
+    Ended in order, the half of a letter would be printed as the whole of it.
+    """
+    async with open_desk(Fault.CUT_STREAM) as desk:
+        with pytest.raises(ClientPayloadError):
+            await desk.ask("/stream/")
+        assert desk.runs == 1
+
+
+async def test_a_caller_who_leaves_frees_the_server():
+    """A caller gives up before the answer; the server's connection is closed."""
+    async with open_desk(Fault.MUTE) as desk:
+        asking = asyncio.create_task(desk.ask("/unsafe/"))
+        async with asyncio.timeout(2):
+            while not desk.runs:
+                await asyncio.sleep(0.01)
+            asking.cancel()
+            while not desk.servers[0].left_early:
+                await asyncio.sleep(0.01)
+
+
+async def test_a_route_s_time_ends_a_call():
+    """A server never answers; the caller hears so when the route's time is over."""
+    async with open_desk(Fault.MUTE) as desk:
+        started = asyncio.get_running_loop().time()
+        assert (await desk.ask("/short/"))[0] == 504
+        assert asyncio.get_running_loop().time() - started < 1.0
+
+
+async def test_connections_to_servers_are_kept():
+    async with open_desk(Fault.NONE) as desk:
+        for _ in range(5):
+            await desk.ask("/unsafe/")
+        assert desk.servers[0].connections == 1
+
+
+async def test_a_planned_stop_ends_idle_connections():
+    """A router stops while a client keeps a connection open and sends again on it.
+
+    A request on a connection that nobody reads any more would wait until the process
+    ends and then be cut. Closed at once, the client sends it to another router.
+    """
+    async with open_desk(Fault.NONE) as desk:
+        host, port = desk.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"GET /safe/ HTTP/1.1\r\nHost: desk.example\r\n"
+            b"X-Sesameford-Attempt-Id: x\r\nAuthorization: Bearer the-clubs-key\r\n\r\n"
+        )
+        assert b"200" in await reader.readuntil(b"\r\n\r\n")
+        desk.port.take_no_more()
+        async with asyncio.timeout(1):
+            rest = await reader.read()
+        assert rest == b"answer to "
+        writer.close()
