--- a/sesameford/discovery/roster.py
+++ b/sesameford/discovery/roster.py
@@ -97,6 +97,15 @@
             known.add(self._own_id)
         return tuple(sorted(known))
 
+    def log_peer_ids(self, log_is_empty: bool) -> tuple[str, ...]:
+        """Return the instances that keep the log together, as far as they are known.
+
+        Until there is a log, those are the seeds of the first start alone.
+        """
+        if self._founds and log_is_empty:
+            return self.founder_ids()
+        return self.replica_ids()
+
     def may_found(self) -> bool:
         """Return whether this instance and all it knows with disks are the founders.
 
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -315,7 +315,8 @@
         now_seconds = self._now()
         if self._own.has_disk:
             self._log.know_replicas(
-                self._replica_ids(), may_found=self._roster.may_found()
+                self._roster.log_peer_ids(self._log.is_empty()),
+                may_found=self._roster.may_found(),
             )
             self._log.set_wanted_voters(self._log.succession(now_seconds))
             self._log.tick(now_seconds)
@@ -328,12 +329,6 @@
             for act in self._at_finishing:
                 act()
 
-    def _replica_ids(self) -> tuple[str, ...]:
-        """Return the replicas; those that found the log are the seeds alone."""
-        if self._settings.founds and self._log.is_empty():
-            return self._roster.founder_ids()
-        return self._roster.replica_ids()
-
     def _beat(self) -> None:
         now_seconds = self._now()
         self._greet()
--- /dev/null
+++ b/tests/test_beat_table.py
@@ -0,0 +1,140 @@
+"""The table of targets at several instances, over messages that fail."""
+
+from random import Random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from sesameford.discovery.beat_table import make_beat_table
+from sesameford.messages import BeatRow
+from sesameford.tables import TargetState
+
+
+def row(name, sequence, state=TargetState.READY):
+    return BeatRow(name, sequence, "pool", f"{name}:1", "a", 8, state)
+
+
+def test_a_late_heartbeat_does_not_bring_a_leaving_target_back():
+    """A heartbeat is held up on its way and arrives after the target said it leaves.
+
+    Taken as news, requests would go to where nobody listens any more.
+    """
+    table = make_beat_table()
+    table.beat(row("t", 4, TargetState.DRAINING), 0.0)
+    table.beat(row("t", 3), 1.0)
+    assert table.known["t"].row.state is TargetState.DRAINING
+    table.left("t", 2.0)
+    table.beat(row("t", 9), 3.0)
+    assert table.known["t"].row.state is TargetState.GONE
+
+
+def test_a_leave_before_any_heartbeat_is_remembered():
+    table = make_beat_table()
+    table.left("t", 0.0)
+    table.beat(row("t", 1), 1.0)
+    assert table.known["t"].row.state is TargetState.GONE
+
+
+def test_the_same_again_is_told_to_nobody():
+    table = make_beat_table()
+    assert table.beat(row("t", 1), 0.0)
+    assert not table.beat(row("t", 2), 1.0)
+
+
+class BeatTables(RuleBasedStateMachine):
+    """Two replicas and a router; beats and leaves go to any replica.
+
+    Messages are lost, doubled and late. The oracle knows the last thing that each
+    target said. When all is delivered, every table says the same.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.tables = {name: make_beat_table() for name in ("c1", "c2", "r1")}
+        self.links = []
+        self.said = {}
+        self.now_seconds = 0.0
+
+    def _send(self, sender, outgoing):
+        for one in outgoing:
+            for receiver in self.tables:
+                if receiver == sender or one.receiver_id not in (None, receiver):
+                    continue
+                if "c" in sender + receiver:
+                    self.links.append((sender, receiver, one.message))
+
+    def _deliver(self, position):
+        sender, receiver, message = self.links[position]
+        answer = self.tables[receiver].received(sender, message, self.now_seconds)
+        self._send(receiver, answer)
+
+    @rule(name=st.sampled_from("tuv"), at=st.sampled_from(["c1", "c2"]))
+    def beat(self, name, at):
+        sequence, state = self.said.get(name, (0, TargetState.READY))
+        if state is not TargetState.GONE:
+            self.said[name] = (sequence + 1, state)
+            beat = row(name, sequence + 1, state)
+            self._send(at, self.tables[at].beat(beat, self.now_seconds))
+
+    @rule(name=st.sampled_from("tuv"))
+    def drain(self, name):
+        sequence, state = self.said.get(name, (0, TargetState.READY))
+        if state is TargetState.READY:
+            self.said[name] = (sequence, TargetState.DRAINING)
+            self.beat(name, "c1")
+
+    @rule(name=st.sampled_from("tuv"), at=st.sampled_from(["c1", "c2"]))
+    def leave(self, name, at):
+        self.said[name] = (self.said.get(name, (0, None))[0], TargetState.GONE)
+        self._send(at, self.tables[at].left(name, self.now_seconds))
+
+    @rule(position=st.integers(0, 30), fate=st.sampled_from(["take", "lose", "double"]))
+    def message(self, position, fate):
+        if not self.links:
+            return
+        position %= len(self.links)
+        if fate != "lose":
+            self._deliver(position)
+        if fate != "double":
+            del self.links[position]
+
+    @rule(name=st.sampled_from(["c2", "r1"]))
+    def restart_empty(self, name):
+        self.tables[name] = make_beat_table()
+
+    @rule(name=st.sampled_from("tuv"), at=st.sampled_from(["c1", "c2"]))
+    def late_beat(self, name, at):
+        if name in self.said:
+            self._send(at, self.tables[at].beat(row(name, 1), self.now_seconds))
+
+    @rule(seed=st.integers(0, 99))
+    def settle(self, seed):
+        """Mend the network: all tables agree after a few rounds."""
+        random = Random(seed)
+        for _ in range(6):
+            self.now_seconds += 1.0
+            for name, (sequence, state) in list(self.said.items()):
+                if state is not TargetState.GONE:
+                    self.said[name] = (sequence + 1, state)
+                    beat = row(name, sequence + 1, state)
+                    self._send("c1", self.tables["c1"].beat(beat, self.now_seconds))
+            for name, table in self.tables.items():
+                if name != "r1":
+                    heard = table.heard()
+                    for receiver in self.tables:
+                        if receiver != name:
+                            self.links.append((name, receiver, heard))
+            while self.links:
+                position = random.randrange(len(self.links))
+                self._deliver(position)
+                del self.links[position]
+        for table in self.tables.values():
+            for name, (_, state) in self.said.items():
+                known = table.known.get(name)
+                if state is TargetState.GONE:
+                    assert known is None or known.row.state is TargetState.GONE
+                else:
+                    assert known.row.state is state
+
+
+TestBeatTables = BeatTables.TestCase
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,149 @@
+"""Who is served while customers ask for more than engines can give."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesameford.gateway.shares import fair_level, make_share_book, make_share_gate
+from sesameford.messages import AskedRow, ShareRow
+
+DECLARED_TOKENS = 100_000.0
+WANTED_WAIT_SECONDS = 0.1
+TICK_SECONDS = 0.05
+
+
+@settings(derandomize=True)
+@given(
+    st.dictionaries(st.text(max_size=3), st.floats(0.1, 1e6), min_size=1),
+    st.floats(1.0, 1e6),
+)
+def test_the_level_is_max_min(asked, capacity):
+    level = fair_level(asked, capacity)
+    given_out = sum(min(amount, level) for amount in asked.values())
+    assert given_out <= capacity * 1.0001
+    if level < float("inf"):
+        assert given_out >= capacity * 0.9999
+    else:
+        assert sum(asked.values()) <= capacity * 1.0001
+
+
+class Engines:
+    """One fluid queue in place of all engines; what they can do is not declared."""
+
+    def __init__(self, rate_tokens):
+        self.rate_tokens = rate_tokens
+        self.backlog_tokens = 0.0
+        self.begun_tokens = 0
+
+    def pass_time(self):
+        done = min(self.backlog_tokens, self.rate_tokens * TICK_SECONDS)
+        self.backlog_tokens -= done
+        self.begun_tokens += int(done)
+
+    @property
+    def wait_seconds(self):
+        return self.backlog_tokens / self.rate_tokens
+
+
+def play(seconds, asked_of, rate_of, size_tokens=1_000):
+    """Play a fleet with one router; return served tokens by customer and waits.
+
+    Args:
+        seconds: How long.
+        asked_of: Tokens a second by customer, at a time.
+        rate_of: Tokens that the engines read a second, at a time.
+        size_tokens: Of one request.
+    """
+    book, gate = make_share_book(), make_share_gate()
+    engines = Engines(rate_of(0.0))
+    served, waits, due = {}, [], {}
+    for step in range(int(seconds / TICK_SECONDS)):
+        now_seconds = step * TICK_SECONDS
+        engines.rate_tokens = rate_of(now_seconds)
+        for customer, tokens in asked_of(now_seconds).items():
+            due[customer] = due.get(customer, 0.0) + tokens * TICK_SECONDS
+            while due[customer] >= size_tokens:
+                due[customer] -= size_tokens
+                if gate.admits(customer, "r", size_tokens):
+                    engines.backlog_tokens += size_tokens
+                    served[customer] = served.get(customer, 0) + size_tokens
+        engines.pass_time()
+        waits.append(engines.wait_seconds)
+        book.told("r1", gate.rows(), engines.wait_seconds, engines.begun_tokens)
+        book.tick(DECLARED_TOKENS, WANTED_WAIT_SECONDS, now_seconds)
+        gate.take(book.rows())
+    return served, waits
+
+
+def test_a_flood_of_one_customer_is_that_customer_s_to_wait_for():
+    """One customer sends ten times what all engines can do; two others ask little.
+
+    Without shares the two would wait behind the flood and be late like it.
+    """
+    asked = {"flood": 1e6, "small": 20_000.0, "tiny": 5_000.0}
+    served, waits = play(10, lambda _: asked, lambda _: DECLARED_TOKENS)
+    assert served["small"] >= 0.95 * 10 * asked["small"]
+    assert served["tiny"] >= 0.95 * 10 * asked["tiny"]
+    settled = waits[int(4 / TICK_SECONDS) :]
+    assert max(settled) < 3 * WANTED_WAIT_SECONDS
+
+
+def test_customers_who_ask_too_much_get_the_same():
+    asked = {"a": 400_000.0, "b": 200_000.0, "c": 10_000.0}
+    served, _ = play(10, lambda _: asked, lambda _: DECLARED_TOKENS)
+    assert 0.8 < served["a"] / served["b"] < 1.25
+
+
+def test_engines_don_t_idle_while_customers_are_rejected():
+    """Engines do twice what is declared, as they keep most prompts.
+
+    Held to what is declared, half of the engines would stand still while callers are
+    turned away.
+    """
+    asked = {"a": 200_000.0, "b": 200_000.0}
+    served, _ = play(12, lambda _: asked, lambda _: 2 * DECLARED_TOKENS)
+    assert sum(served.values()) > 0.85 * 12 * 2 * DECLARED_TOKENS
+
+
+def test_less_is_let_in_when_engines_are_lost():
+    """Two thirds of the engines are lost while the fleet is busy.
+
+    What is let in has to follow, or prompts would wait longer and longer.
+    """
+    served, waits = play(
+        20,
+        lambda _: {"a": 90_000.0, "b": 60_000.0},
+        lambda at: DECLARED_TOKENS if at < 5 else DECLARED_TOKENS / 3,
+    )
+    settled = waits[int(12 / TICK_SECONDS) :]
+    assert sum(settled) / len(settled) < 4 * WANTED_WAIT_SECONDS
+    assert served["a"] > 0
+
+
+def test_nobody_is_rejected_while_there_is_room():
+    served, _ = play(10, lambda _: {"a": 60_000.0, "b": 20_000.0}, lambda _: 100_000.0)
+    assert served["a"] >= 0.99 * 600_000 - 1_000
+    assert served["b"] >= 0.99 * 200_000 - 1_000
+
+
+def test_a_router_that_restarts_counts_from_its_new_total():
+    """A router restarts and its totals begin anew; nothing is asked twice by it."""
+    book = make_share_book()
+    book.tick(None, 0.1, 0.0)
+    book.told("r1", (AskedRow("a", 1_000_000),), 0.0, 0)
+    book.told("r1", (AskedRow("a", 10),), 0.0, 0)
+    book.tick(None, 0.1, 0.1)
+    assert book.asked_tokens == {}
+
+
+def test_each_route_of_a_limited_customer_gets_its_part():
+    gate = make_share_gate()
+    gate.take((ShareRow("a", 0.5),))
+    for route in ("large", "small"):
+        admitted = sum(gate.admits("a", route, 10) for _ in range(100))
+        assert admitted == 50
+
+
+def test_a_customer_that_is_not_limited_is_always_admitted():
+    gate = make_share_gate()
+    gate.take((ShareRow("a", 0.1),))
+    assert all(gate.admits("b", "r", 1_000_000) for _ in range(100))
