--- /dev/null
+++ b/tests/test_platform_fleet.py
@@ -0,0 +1,194 @@
+"""Replicas and routers on loopback that know only seeds, as the platform has them."""
+
+import asyncio
+import json
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+
+from aiohttp import ClientSession, TCPConnector
+
+from sesameford.gateway.node import make_node
+from sesameford.gateway.serve import serve_call
+from sesameford.http_ports import listen, listen_calls
+from sesameford.settings import DaemonSettings, Listen
+from sesameford_platform.control import make_control_app
+from sesameford_platform.edge import make_edge
+from standins.platform_server import make_platform_server
+from tests.test_platform_adapter import CONFIGURATION
+
+LINKS_PORT = 17_400
+CONTROL_PORT = 17_401
+FRONT_PORT = 17_402
+LIMIT_SECONDS = 20
+
+
+class Fleet:
+    """Three replicas and two routers, each with an IP number of its own."""
+
+    def __init__(self, folder, session, net):
+        self.folder = folder
+        self.net = net
+        self.session = session
+        self.nodes = {}
+        self.stacks = {}
+        self.founds = True
+
+    def address(self, number, port):
+        return f"127.0.{self.net}.{number}:{port}"
+
+    async def start(self, number):
+        is_replica = number <= 3
+        settings = DaemonSettings(
+            instance_id=f"i{number}",
+            data_centre="a",
+            listen=Listen(
+                self.address(number, FRONT_PORT),
+                self.address(number, CONTROL_PORT),
+                self.address(number, LINKS_PORT),
+            ),
+            seeds=tuple(self.address(seed, LINKS_PORT) for seed in (1, 2, 3)),
+            founds=self.founds,
+            data_folder=str(self.folder / f"i{number}") if is_replica else None,
+        )
+        node = make_node(settings, "test", make_edge())
+        stack = self.stacks[number] = AsyncExitStack()
+        stack.push_async_callback(node.close)
+        await node.start()
+        if is_replica:
+            app = make_control_app(node)
+            stop = await listen(app, self.address(number, CONTROL_PORT), None)
+            stack.push_async_callback(stop)
+        else:
+            handler = partial(serve_call, node.make_gateway())
+            port = await listen_calls(handler, self.address(number, FRONT_PORT))
+            stack.push_async_callback(port.stop)
+        self.nodes[number] = node
+
+    async def stop(self, number):
+        await self.stacks.pop(number).aclose()
+        del self.nodes[number]
+
+    async def control(self, number, method, path, body=None):
+        url = f"http://{self.address(number, CONTROL_PORT)}{path}"
+        async with self.session.request(method, url, data=body) as answer:
+            return answer.status, await answer.read()
+
+    async def declare(self, number, configuration):
+        body = json.dumps(configuration).encode()
+        return (await self.control(number, "PUT", "/v1/config", body))[0]
+
+    async def ask(self, number, path, key="k1"):
+        url = f"http://{self.address(number, FRONT_PORT)}{path}"
+        headers = {
+            "Host": "h.example",
+            "X-Sesameford-Attempt-Id": "id",
+            "Authorization": f"Bearer {key}",
+        }
+        async with self.session.post(url, headers=headers) as answer:
+            return answer.status
+
+
+async def until(condition):
+    """Wait until something holds."""
+    async with asyncio.timeout(LIMIT_SECONDS):
+        while not await condition():
+            await asyncio.sleep(0.05)
+
+
+@asynccontextmanager
+async def open_fleet(folder, net, numbers=(1, 2, 3, 4, 5)):
+    async with ClientSession(connector=TCPConnector(force_close=True)) as session:
+        fleet = Fleet(folder, session, net)
+        try:
+            for number in numbers:
+                await fleet.start(number)
+            yield fleet
+        finally:
+            for number in list(fleet.nodes):
+                await fleet.stop(number)
+
+
+async def test_a_deployment_that_knows_only_seeds_serves_and_keeps_what_it_accepted(
+    tmp_path,
+):
+    """The whole way, from the first start to a replica that ends and comes back."""
+    async with open_fleet(tmp_path, 77) as fleet:
+
+        async def declared():
+            return await fleet.declare(2, CONFIGURATION) == 200
+
+        await until(declared)
+        server = make_platform_server("s1")
+        await server.start()
+        beat = {
+            "service": "pool",
+            "address": server.address,
+            "zone": "a",
+            "slots": 32,
+            "state": "ready",
+            "sequence": 1,
+        }
+        body = json.dumps(beat).encode()
+        status, _ = await fleet.control(3, "PUT", "/v1/instances/s1", body)
+        assert status == 200
+        for router in (4, 5):
+            await until(lambda router=router: served(fleet, router))
+        assert await fleet.ask(4, "/elsewhere/") == 404
+        assert await fleet.ask(4, "/a/stream/x", key="nobody's") == 401
+
+        # Read back anywhere, also after a late older one.
+        older = {**CONFIGURATION, "version": 3, "routes": []}
+        assert await fleet.declare(1, older) == 200
+        for replica in (1, 2, 3):
+            status, text = await fleet.control(replica, "GET", "/v1/config")
+            assert (status, json.loads(text)) == (200, CONFIGURATION)
+        assert await fleet.declare(1, {**CONFIGURATION, "routes": "none"}) == 400
+
+        # One replica ends and comes back; changes are accepted meanwhile.
+        await fleet.stop(1)
+        fleet.founds = False
+        newer = {**CONFIGURATION, "version": 9, "tenants": []}
+
+        async def declared_newer():
+            return await fleet.declare(2, newer) == 200
+
+        await until(declared_newer)
+        await fleet.start(1)
+
+        async def read_newer():
+            status, text = await fleet.control(1, "GET", "/v1/config")
+            return status == 200 and json.loads(text)["version"] == 9
+
+        await until(read_newer)
+
+        # A target that leaves gets nothing more.
+        status, _ = await fleet.control(2, "DELETE", "/v1/instances/s1")
+        assert status == 200
+
+        async def refused():
+            return await fleet.ask(4, "/a/stream/x") == 503
+
+        await until(refused)
+        await server.stop()
+
+
+async def served(fleet, router):
+    return await fleet.ask(router, "/a/stream/x") == 200
+
+
+async def test_a_replica_alone_is_not_sure_of_the_newest_configuration(tmp_path):
+    """Two of three replicas are down; the third can't know what they accepted.
+
+    Told an old configuration as the newest, an operator would build on it.
+    """
+    async with open_fleet(tmp_path, 78, (1, 2, 3)) as fleet:
+
+        async def declared():
+            return await fleet.declare(1, CONFIGURATION) == 200
+
+        await until(declared)
+        await fleet.stop(2)
+        await fleet.stop(3)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            status, _ = await fleet.control(1, "GET", "/v1/config")
+        assert status == 503
