Write log lines without waiting for their reader, within a stated rate

Cause: each request logs a line to standard output, and a write waits when nobody reads. A test floods it with a reader that stands still.

--- a/sesameford/logs.py
+++ b/sesameford/logs.py
@@ -4,7 +4,6 @@
 import sys
 from contextvars import ContextVar
 from datetime import UTC, datetime
-from typing import TextIO
 
 from msgspec.json import encode
 
@@ -41,14 +40,16 @@
         return encode(fields).decode()
 
 
-def configure_logging(settings: DaemonSettings, stream: TextIO | None = None) -> None:
-    """Send all records to a stream in the form that the settings ask for.
+def configure_logging(
+    settings: DaemonSettings, handler: logging.Handler | None = None
+) -> None:
+    """Send all records to a handler in the form that the settings ask for.
 
     Args:
         settings: Of the daemon.
-        stream: Standard error where none is given.
+        handler: Standard error's where none is given.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     if settings.logging.format == "json":
         handler.setFormatter(JsonFormatter(settings.instance_id, settings.data_centre))
     else:
--- /dev/null
+++ b/tests/test_bounded_log.py
@@ -0,0 +1,105 @@
+"""Log lines under load, with a reader that stands still."""
+
+import logging
+import os
+from time import monotonic
+
+import pytest
+
+from sesameford.bounded_log import (
+    FAILURE_LINES_A_SECOND,
+    INFO_LINES_A_SECOND,
+    MOST_PENDING_BYTES,
+    BoundedHandler,
+)
+
+LINES = 20_000
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+class Clock:
+    """A time that tests set."""
+
+    seconds = 0.0
+
+    def __call__(self):
+        return self.seconds
+
+
+def record(level, text="x" * 100):
+    return logging.LogRecord("t", level, "f", 1, text, (), None)
+
+
+def read_all(reader):
+    os.set_blocking(reader, False)
+    parts = []
+    while True:
+        try:
+            parts.append(os.read(reader, 65_536))
+        except BlockingIOError:
+            return b"".join(parts).decode()
+
+
+def drain(handler, reader):
+    """Read until nothing waits any more, and return the lines."""
+    text = read_all(reader)
+    while handler._pending:
+        handler.flush()
+        text += read_all(reader)
+    return text.splitlines()
+
+
+def test_a_reader_that_stands_still_holds_nothing_up(pipe):
+    """The process that collects the logs hangs while requests come in.
+
+    Waiting for it, the router would pass no token on any more.
+    """
+    reader, writer = pipe
+    clock = Clock()
+    handler = BoundedHandler(writer, clock)
+    started = monotonic()
+    for number in range(LINES):
+        clock.seconds = number / 200
+        handler.emit(record(logging.WARNING))
+    assert monotonic() - started < 5.0
+    assert len(handler._pending) <= MOST_PENDING_BYTES
+    drain(handler, reader)
+    clock.seconds += 1
+    handler.emit(record(logging.WARNING, "last"))
+    seen = drain(handler, reader)
+    assert seen[-1] == "last"
+    assert any("lines left out" in line for line in seen)
+
+
+def test_lines_of_failures_are_the_last_to_be_left_out(pipe):
+    """A flood of requests that went well must not push out the one that failed."""
+    reader, writer = pipe
+    clock = Clock()
+    handler = BoundedHandler(writer, clock)
+    for _ in range(2 * INFO_LINES_A_SECOND):
+        handler.emit(record(logging.INFO, "well"))
+    for _ in range(2 * FAILURE_LINES_A_SECOND):
+        handler.emit(record(logging.WARNING, "failed"))
+    clock.seconds = 1.0
+    handler.emit(record(logging.INFO, "next"))
+    seen = drain(handler, reader)
+    assert seen.count("well") == INFO_LINES_A_SECOND
+    assert seen.count("failed") == FAILURE_LINES_A_SECOND
+    left_out = INFO_LINES_A_SECOND + FAILURE_LINES_A_SECOND
+    assert f'{{"message": "lines left out", "count": {left_out}}}' in seen
+
+
+def test_a_reader_that_is_gone_is_no_error():
+    reader, writer = os.pipe()
+    os.close(reader)
+    handler = BoundedHandler(writer, Clock())
+    for _ in range(3):
+        handler.emit(record(logging.WARNING))
+    os.close(writer)
