Read a replica's disk anew after it has failed

Cause: a replica whose disk was full for some seconds took no part for the rest of its process's life. Ruled out: ending the process (counts as an end of its own, and callers of the other role would be cut); going on after the failed sync (pages that look clean may never have been written). Two tests fail without it. A replica takes part again 1 s after the disk does.

--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -58,6 +58,7 @@
 from sesameford.peers import PeerLinks, seed_peer_id
 from sesameford.planned_stop import PlannedStop
 from sesameford.settings import DaemonSettings, Peer
+from sesameford.state_machine import StateMachine
 from sesameford.stops import StopLoad
 from sesameford.tables import InstanceState, TargetState
 from sesameford.tree_changes import (
@@ -143,15 +144,16 @@
                 self._now,
             ),
         )
-        self._machine = TreeMachine(self._tree.committed)
+        machines = self._new_machines()
         self._log = make_log_service(
             settings.instance_id,
             (),
             Path(settings.data_folder) if settings.data_folder else None,
-            (self._machine, ClaimsMachine(), FencingMachine()),
+            machines,
             self._send_log,
             self._now,
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
+            renew=self._new_machines,
         )
         self._load = make_fleet_load(
             settings.instance_id,
@@ -333,6 +335,11 @@
             raise NoQuorumError("nothing has been declared yet")
         return self._machine.declared_text
 
+    def _new_machines(self) -> tuple[StateMachine, ...]:
+        """Return the log's state machines in their first state."""
+        self._machine = TreeMachine(self._tree.committed)
+        return (self._machine, ClaimsMachine(), FencingMachine())
+
     # --- systems --------------------------------------------------------------
 
     def _configure(self, tree: EffectiveTree) -> None:
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -39,6 +39,7 @@
 from sesameford.router import Router
 from sesameford.schedulers import make_fleet_scheduler
 from sesameford.settings import DaemonSettings
+from sesameford.state_machine import StateMachine
 from sesameford.status import StatusReport
 from sesameford.stops import StopLoad, StopStep
 from sesameford.tables import InstanceState
@@ -140,7 +141,7 @@
                 self._now,
             ),
         )
-        self._machine = TreeMachine(self.tree.committed)
+        machines = self._new_machines()
         peer_ids = tuple(peer.instance_id for peer in settings.peers if peer.has_disk)
         own_ids = (settings.instance_id,) if settings.data_folder else ()
         self._replica_ids = own_ids + peer_ids
@@ -148,10 +149,11 @@
             settings.instance_id,
             peer_ids,
             Path(settings.data_folder) if settings.data_folder else None,
-            (self._machine, ClaimsMachine(), FencingMachine()),
+            machines,
             self._send_log,
             self._now,
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
+            renew=self._new_machines,
         )
         self._words = OwnerWords(settings.instance_id, self._send)
         self.outcomes = Outcomes(
@@ -197,6 +199,11 @@
         self._exit = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _new_machines(self) -> tuple[StateMachine, ...]:
+        """Return the log's state machines in their first state."""
+        self._machine = TreeMachine(self.tree.committed)
+        return (self._machine, ClaimsMachine(), FencingMachine())
+
     async def start(self) -> None:
         """Open the listeners and begin to run the systems.
 
--- a/sesameford/log_service.py
+++ b/sesameford/log_service.py
@@ -1,7 +1,7 @@
 """The shell of the replicated log in a daemon: messages, ticks, proposals."""
 
 import logging
-from asyncio import Future, get_running_loop, shield
+from asyncio import Future, Task, get_running_loop, shield, to_thread, wait
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -19,9 +19,9 @@
 from sesameford.log_messages import Command, Packet, decode_packet, encode_packet
 from sesameford.log_proposer import PendingProposal, Proposer
 from sesameford.log_replica import Replica, make_replica
-from sesameford.log_state import ELECTION_MIN_SECONDS, Role
+from sesameford.log_state import ELECTION_MIN_SECONDS, Role, StoredState
 from sesameford.log_status import LogStatus, replica_status
-from sesameford.log_storage import open_storage
+from sesameford.log_storage import LogStorage, open_storage
 from sesameford.log_succession import voters_by_health
 from sesameford.messages import LogPayload, Message, ProposalReply, ProposalRequest
 from sesameford.state_machine import StateMachine
@@ -30,6 +30,9 @@
 INCARNATION_BITS = 62
 # A proposer resends more often than this, so nothing is lost by forgetting it.
 WAITING_SECONDS = 10.0
+# How long after a failure of the disk it is read anew: long enough not to be busy with
+# a disk that stays full, short beside the seconds until the next loss may come.
+REOPEN_SECONDS = 1.0
 
 ACCEPTED = "accepted"
 REFUSED = "refused"
@@ -62,7 +65,12 @@
         now: Callable[[], float],
         seed: int,
         sync_in_thread: bool,
+        renew: Callable[[], Sequence[StateMachine]] | None = None,
     ) -> None:
+        self._renew = renew
+        self._reopen_at_seconds = 0.0
+        self._reopening: Task[None] | None = None
+        self._may_found = True
         self._instance_id = instance_id
         self._peer_ids = tuple(sorted(set(peers_with_disk) - {instance_id}))
         self._folder = data_folder
@@ -87,9 +95,23 @@
         """
         if self._folder is None:
             return
-        storage, stored = open_storage(
-            self._folder, self._instance_id, lambda: randbits(INCARNATION_BITS) + 1
+        try:
+            storage, stored = self._open(self._folder)
+        except StorageError as error:
+            if self._renew is None:
+                raise
+            self._fail(error)
+            return
+        self._begin(storage, stored)
+
+    def _open(self, folder: Path) -> tuple[LogStorage, StoredState]:
+        """Read the data folder."""
+        return open_storage(
+            folder, self._instance_id, lambda: randbits(INCARNATION_BITS) + 1
         )
+
+    def _begin(self, storage: LogStorage, stored: StoredState) -> None:
+        """Take part with what the disk holds."""
         self._replica = make_replica(
             stored,
             storage,
@@ -101,6 +123,7 @@
             self._now(),
         )
         self._replica.core.wanted_voters = self._wanted_voters
+        self._replica.core.may_found = self._may_found
         self._flusher = Flusher(
             self._replica, self._now, self._fail, self._sync_in_thread
         )
@@ -108,6 +131,8 @@
     async def stop(self) -> None:
         """Hand over the lead, finish the sync under way, let go of the folder."""
         self._stopped = True
+        if self._reopening is not None:
+            await wait([self._reopening])
         if self._replica is not None and self._flusher is not None:
             await self._flusher.stop()
             if self._failure is None and self._replica.hand_over(self._now()):
@@ -120,6 +145,7 @@
         replica = self._living_replica()
         if replica is not None:
             replica.tick(now_seconds)
+        self._reopen_if_due(now_seconds)
         self._forget_waiting(now_seconds)
         for pending in self._proposer.due(now_seconds):
             self._dispatch(pending)
@@ -190,6 +216,7 @@
         """
         self._peer_ids = tuple(sorted(set(replica_ids) - {self._instance_id}))
         self._proposer.know_replicas(self._peer_ids)
+        self._may_found = may_found
         if self._replica is not None:
             self._replica.core.peer_ids = self._peer_ids
             self._replica.core.may_found = may_found
@@ -385,6 +412,44 @@
         offset = error.offset_bytes if isinstance(error, StorageError) else None
         _log.critical("replica stopped: %s", error, extra={"offset_bytes": offset})
         self._waiting.clear()
+        self._reopen_at_seconds = self._now() + REOPEN_SECONDS
+
+    def _reopen_if_due(self, now_seconds: float) -> None:
+        """Begin to read the disk anew some time after it failed."""
+        if self._failure is None or self._renew is None or self._stopped:
+            return
+        if now_seconds < self._reopen_at_seconds:
+            return
+        if self._reopening is None or self._reopening.done():
+            self._reopening = get_running_loop().create_task(self._reopen())
+
+    async def _reopen(self) -> None:
+        """Take part again from what is really on the disk.
+
+        A disk that was full or refused a write for seconds would else cost its vote
+        until the process ends, and the next loss would stop all changes. Reading it
+        anew writes the newest segment to another file, as after a restart, so that
+        nothing rests on what the failed sync left in memory.
+        """
+        assert self._folder is not None
+        assert self._renew is not None
+        try:
+            if self._flusher is not None:
+                await self._flusher.stop()
+            if self._replica is not None:
+                self._replica.storage.close()
+            storage, stored = await to_thread(self._open, self._folder)
+        except StorageError as error:
+            _log.warning("the disk still fails: %s", error)
+            self._reopen_at_seconds = self._now() + REOPEN_SECONDS
+            return
+        if self._stopped:
+            storage.close()
+            return
+        self._machines = self._renew()
+        self._begin(storage, stored)
+        self._failure = None
+        _log.warning("replica takes part again")
 
 
 def make_log_service(
@@ -396,6 +461,7 @@
     now: Callable[[], float],
     seed: int,
     sync_in_thread: bool = True,
+    renew: Callable[[], Sequence[StateMachine]] | None = None,
 ) -> LogService:
     """Return the replicated log of an instance; ``start`` begins it.
 
@@ -409,6 +475,8 @@
         seed: For the spread of election times; another one for each instance.
         sync_in_thread: Whether a thread does the syncs; False for a disk that is
             faster than the change of threads.
+        renew: Returns state machines in their first state, for a disk that is read
+            anew after it has failed; without it one failure ends the replica.
     """
     return LogService(
         instance_id,
@@ -419,4 +487,5 @@
         now,
         seed,
         sync_in_thread,
+        renew,
     )
--- a/tests/log_fakes.py
+++ b/tests/log_fakes.py
@@ -40,22 +40,31 @@
         for instance_id in disks:
             self.start(instance_id)
 
-    def start(self, instance_id: str) -> LogService:
-        """Start an instance from what its disk holds."""
-        machine = ListMachine()
+    def start(self, instance_id: str, renews: bool = False) -> LogService:
+        """Start an instance from what its disk holds.
+
+        Args:
+            instance_id: Which one.
+            renews: Whether it reads its disk anew after a failure.
+        """
+
+        def new_machines() -> list[ListMachine]:
+            self.machines[instance_id] = ListMachine()
+            return [self.machines[instance_id]]
+
         replicas = tuple(name for name, disk in self.disks.items() if disk)
         service = make_log_service(
             instance_id,
             replicas,
             self.disks[instance_id],
-            [machine],
+            new_machines(),
             self._sender(instance_id),
             lambda: self.now_seconds,
             seed=len(self.services),
             sync_in_thread=False,
+            renew=new_machines if renews else None,
         )
         service.start()
-        self.machines[instance_id] = machine
         self.services[instance_id] = service
         return service
 
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -187,3 +187,62 @@
         fleet._deliver()
     assert task.done()
     assert await task == b"2"
+
+
+async def test_a_disk_that_was_full_is_used_again(tmp_path, monkeypatch):
+    """The disks of a replica fill up for some seconds, then another replica is lost.
+
+    A replica that never took part again would leave no majority, and operators would
+    be refused until somebody restarted it.
+    """
+    fleet = three(tmp_path)
+    for name in "abc":
+        await fleet.services[name].stop()
+        fleet.start(name, renews=True)
+    await proposed(fleet, "a", "p1", b"x")
+    full = next(name for name in "abc" if name != fleet.leader())
+
+    def refuse(*_):
+        raise StorageError("disk", 0, "no space left")
+
+    storage = fleet.services[full]._replica.storage
+    monkeypatch.setattr(storage, "write", refuse)
+    await proposed(fleet, fleet.leader(), "p2", b"y")
+    await fleet.run(0.5)
+    assert fleet.services[full].role() == "failed"
+    await run_with_threads(fleet, 4)
+    assert fleet.services[full].role() != "failed"
+    fleet.cut.add(next(n for n in "abc" if n not in (full, fleet.leader())))
+    assert await proposed(fleet, full, "p3", b"z") == b"3"
+    await fleet.run(1)
+    assert fleet.machines[full].commands == [b"x", b"y", b"z"]
+
+
+async def test_a_disk_that_stays_full_is_tried_again(tmp_path, monkeypatch):
+    """The disk is full at the start and for a while after it."""
+    fleet = three(tmp_path)
+    await proposed(fleet, "a", "p1", b"x")
+    other = next(name for name in "abc" if name != fleet.leader())
+    await fleet.services[other].stop()
+    tries = []
+
+    def refuse(*arguments):
+        tries.append(1)
+        raise StorageError("disk", 0, "no space left")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("sesameford.log_service.open_storage", refuse)
+        fleet.start(other, renews=True)
+        await run_with_threads(fleet, 4)
+    assert len(tries) > 2
+    assert fleet.services[other].role() == "failed"
+    await run_with_threads(fleet, 4)
+    await fleet.run(1)
+    assert fleet.machines[other].commands == [b"x"]
+
+
+async def run_with_threads(fleet, seconds):
+    """Let virtual time pass while a thread reads the disk."""
+    for _ in range(int(seconds * 10)):
+        await fleet.run(0.1)
+        await sleep(0.01)
