--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -86,6 +86,10 @@
 # How long a replica that was told the newest version may need to have it itself.
 CATCH_UP_SECONDS = 0.8
 IDLE_SECONDS = 3.0
+# A target in another data centre answers within some hundredths; one that is dark would
+# hold each call up. A lost first packet is sent again only after a second, which is
+# longer than a call can wait.
+CONNECT_SECONDS = 0.3
 # A target waits a second for an acknowledgement; a replica that is heard answers
 # within some hundredths.
 TAKEN_SECONDS = 0.3
@@ -170,6 +174,7 @@
         self._load_due_at_seconds = 0.0
         self._taken: dict[int, asyncio.Event] = {}
         self._at_finishing: list[Callable[[], None]] = []
+        self._at_configured: list[Callable[[EffectiveTree], None]] = []
 
     async def start(self) -> None:
         """Open the links and begin to run the systems."""
@@ -191,7 +196,7 @@
     def make_gateway(self) -> GatewayDeps:
         """Return what serves callers here; to be called on the running loop."""
         loop = asyncio.get_running_loop()
-        self._session = make_session(None, IDLE_SECONDS)
+        self._session = make_session(None, IDLE_SECONDS, CONNECT_SECONDS)
         return GatewayDeps(
             self._edge,
             make_sender(self._session, self._edge),
@@ -216,6 +221,10 @@
         """Call back when a planned stop takes no new requests any more."""
         self._at_finishing.append(act)
 
+    def at_configured(self, act: Callable[[EffectiveTree], None]) -> None:
+        """Call back with each tree that comes into force."""
+        self._at_configured.append(act)
+
     def reload(self, settings: DaemonSettings) -> None:
         """Take settings that have changed while the process runs.
 
@@ -344,6 +353,8 @@
 
     def _configure(self, tree: EffectiveTree) -> None:
         self._state = make_gateway_state(tree)
+        for act in self._at_configured:
+            act(tree)
         self.tally.level("tree_revision", tree.revision)
 
     def _instance_state(self) -> InstanceState:
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -36,6 +36,9 @@
 # A target at which a connection failed rests so long, doubled with each failure.
 REST_SECONDS = 0.5
 LONGEST_REST_SECONDS = 8.0
+# A request without an answer so long after it was expected shows a silent target, if
+# nothing else has come from there meanwhile either.
+OVERDUE_SECONDS = 0.5
 # A target that no replica has heard for so many of its beats is taken last.
 MISSED_BEATS = 3.5
 # What another data centre costs, in requests at a plain service: less than one, so
@@ -59,6 +62,19 @@
     failures: int = 0
     rests_until_seconds: float = 0.0
     parts: dict[int, float] = field(default_factory=dict)
+    heard_at_seconds: float = float("-inf")
+    unanswered: dict[int, tuple[float, float]] = field(default_factory=dict)
+
+    def is_silent(self, now_seconds: float) -> bool:
+        """Return whether the oldest request without an answer is overdue.
+
+        A server that is cut off or hangs closes no connection. What is sent there
+        meanwhile is lost until its heartbeats are missed, which takes seconds.
+        """
+        for sent_at_seconds, due_at_seconds in self.unanswered.values():
+            is_overdue = now_seconds > due_at_seconds + OVERDUE_SECONDS
+            return is_overdue and self.heard_at_seconds < sent_at_seconds
+        return False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +83,7 @@
 
     target_id: str
     address: str
+    number: int
     tokens: int = 0
     sent_at_seconds: float = 0.0
     expected_at_seconds: float = 0.0
@@ -83,6 +100,7 @@
         self._places: dict[str, Place] = {}
         self._by_service: dict[str, list[KnownTarget]] = {}
         self._seen_changes = -1
+        self._leases = 0
 
     def choose(
         self,
@@ -113,21 +131,33 @@
             return None
         if prompt is None:
             best = min(usable, key=self._plain_cost)
-            self._place(best.row.target_id).requests += 1
-            return Lease(best.row.target_id, best.row.address)
+            return self._plain_lease(best, now_seconds)
         best = self._best_engine(usable, prompt, slots, objective_seconds, now_seconds)
         return self._engine_lease(best, prompt, _home(prompt, usable), now_seconds)
 
+    def heard(self, lease: Lease, now_seconds: float) -> None:
+        """Note that something of an answer came from a target."""
+        place = self._place(lease.target_id)
+        place.heard_at_seconds = now_seconds
+        place.unanswered.pop(lease.number, None)
+
     def first_event(self, lease: Lease, now_seconds: float) -> None:
         """Note that a request's prompt has been read."""
         self._place(lease.target_id).backlog.first_event(
             lease.tokens, lease.sent_at_seconds, lease.expected_at_seconds, now_seconds
         )
 
-    def released(self, lease: Lease) -> None:
-        """Give back a request's share of its target."""
+    def released(self, lease: Lease, now_seconds: float) -> None:
+        """Give back a request's share of its target.
+
+        One that ends while its target is silent leaves the target to rest; forgotten,
+        the next requests would have to find out again.
+        """
         place = self._place(lease.target_id)
+        if lease.number in place.unanswered and place.is_silent(now_seconds):
+            self.failed(lease.target_id, now_seconds)
         place.requests = max(place.requests - 1, 0)
+        place.unanswered.pop(lease.number, None)
 
     def failed(self, target_id: str, now_seconds: float) -> None:
         """Let a target rest at which a connection failed or broke."""
@@ -246,7 +276,12 @@
             for known in heard
             if self._place(known.row.target_id).rests_until_seconds <= now_seconds
         ]
-        return rested or heard
+        answering = [
+            known
+            for known in rested
+            if not self._place(known.row.target_id).is_silent(now_seconds)
+        ]
+        return answering or rested or heard
 
     def _place(self, target_id: str) -> Place:
         place = self._places.get(target_id)
@@ -254,6 +289,21 @@
             place = self._places[target_id] = Place()
         return place
 
+    def _plain_lease(self, known: KnownTarget, now_seconds: float) -> Lease:
+        """Count a request at a plain service."""
+        place = self._place(known.row.target_id)
+        place.requests += 1
+        number = self._open(place, now_seconds, now_seconds)
+        return Lease(known.row.target_id, known.row.address, number)
+
+    def _open(
+        self, place: Place, now_seconds: float, expected_at_seconds: float
+    ) -> int:
+        """Remember a request until something of its answer comes."""
+        self._leases += 1
+        place.unanswered[self._leases] = (now_seconds, expected_at_seconds)
+        return self._leases
+
     def _best_engine(
         self,
         usable: list[KnownTarget],
@@ -286,6 +336,7 @@
         return Lease(
             known.row.target_id,
             known.row.address,
+            self._open(place, now_seconds, expected_at_seconds),
             tokens,
             now_seconds,
             expected_at_seconds,
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -41,6 +41,9 @@
 SHARE_RETRY_PART = 0.25
 # A caller of an instance that stops is served by another one at once.
 STOPPING_RETRY_SECONDS = 0.02
+# Targets to which no connection comes about, before a call is given up: each costs up
+# to the time to connect.
+MOST_NEVER_SENT = 3
 # With less left than this a sending could bring no answer in time.
 LEAST_LEFT_SECONDS = 0.02
 
@@ -122,6 +125,7 @@
     until_seconds: float
     tried: frozenset[str] = frozenset()
     sendings: int = 0
+    never_sent: int = 0
     may_have_run: bool = False
     response: web.StreamResponse | None = None
     passed: EventStream | None = None
@@ -329,13 +333,17 @@
     def first_event() -> None:
         deps.placement.first_event(lease, deps.now())
 
+    def heard() -> None:
+        deps.placement.heard(lease, deps.now())
+
     try:
         async with deps.sender.exchange(
             run.call, run.body, lease.address, sending, run.until_seconds
         ) as exchange:
-            answer = await _pass_on(deps, http, run, exchange, first_event)
+            heard()
+            answer = await _pass_on(deps, http, run, exchange, first_event, heard)
     finally:
-        deps.placement.released(lease)
+        deps.placement.released(lease, deps.now())
     deps.placement.proved(lease.target_id)
     return answer
 
@@ -346,11 +354,12 @@
     run: _Run,
     exchange: Exchange,
     first_event: Callable[[], None],
+    heard: Callable[[], None],
 ) -> web.StreamResponse:
     head = exchange.head
     run.status = run.status or head.status
     if run.route.is_stream and 200 <= head.status < 300:
-        return await _pass_stream(deps, http, run, exchange, first_event)
+        return await _pass_stream(deps, http, run, exchange, first_event, heard)
     if run.response is not None:
         raise SendingError(Fate.BROKEN, f"status {head.status} in place of the rest")
     body = await exchange.whole_body(run.until_seconds)
@@ -372,6 +381,7 @@
     run: _Run,
     exchange: Exchange,
     first_event: Callable[[], None],
+    heard: Callable[[], None],
 ) -> web.StreamResponse:
     """Pass events on as they come; only whole ones where it may be resumed."""
     response = run.response
@@ -386,6 +396,7 @@
             if run.call.prompt is not None:
                 deps.gate.begun_tokens += run.call.prompt.cost_tokens
             first_event()
+        heard()
         ready = run.passed.feed(chunk) if run.passed is not None else chunk
         if ready:
             await _write(http, run, response, ready)
@@ -420,6 +431,10 @@
         deps.placement.failed(lease.target_id, deps.now())
     if error.fate not in NOT_RUN_FATES:
         run.may_have_run = True
+    if error.fate is Fate.NEVER_SENT:
+        # No target had the call, so this was none of its attempts.
+        run.sendings -= 1
+        run.never_sent += 1
     if error.fate is Fate.BROKEN and run.passed is not None:
         run.passed.drop_partial()
 
@@ -428,6 +443,8 @@
     """Return whether a call goes to another target after a failure."""
     if error.fate is Fate.TIMEOUT or _is_last(run):
         return False
+    if run.never_sent > MOST_NEVER_SENT:
+        return False
     if run.may_have_run and not run.may_repeat:
         return False
     if run.response is not None and not run.route.resumable:
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -19,7 +19,9 @@
 
 
 def make_session(
-    context: SSLContext | None, idle_seconds: float | None = None
+    context: SSLContext | None,
+    idle_seconds: float | None = None,
+    connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
 ) -> ClientSession:
     """Return the session for targets: it bounds no time but that to connect.
 
@@ -29,6 +31,7 @@
         context: For TLS, or None.
         idle_seconds: For how long a connection is kept for the next exchange. Only
             for targets whose answers name the request that they belong to.
+        connect_seconds: How long a new connection may take.
 
     Without ``idle_seconds`` each exchange has a connection of its own. On a pooled
     one a late answer to an exchange that was given up would be read as the answer to
@@ -40,7 +43,7 @@
         connector = TCPConnector(limit=0, ssl=ssl, force_close=True)
     else:
         connector = make_connector(ssl, idle_seconds)
-    timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
+    timeout = ClientTimeout(total=None, sock_connect=connect_seconds)
     session = ClientSession(
         connector=connector,
         timeout=timeout,
@@ -118,6 +121,10 @@
             if is_idle and connection.transport is not None:
                 connection.transport.close()
 
+    def set_idle_seconds(self, idle_seconds: float) -> None:
+        """Let connections from now on be without a request for so long."""
+        self.calls._kwargs["keepalive_timeout"] = idle_seconds
+
     async def stop(self) -> None:
         """Stop serving."""
         self.server.close()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -122,6 +122,35 @@
         assert desk.servers[1].runs.total() > 0
 
 
+async def test_a_call_that_never_left_has_had_none_of_its_attempts():
+    """Two of three servers died, and the call may be sent to one server only.
+
+    Given up after the first port without a listener, the call would be refused
+    although a server is well.
+    """
+    async with open_desk(Fault.NONE, Fault.NONE, Fault.NONE) as desk:
+        await desk.servers[0].stop()
+        await desk.servers[1].stop()
+        for _ in range(4):
+            assert (await desk.ask("/unsafe/"))[0] == 200
+        assert desk.servers[2].runs.total() == 4
+
+
+async def test_idle_connections_of_callers_end_with_the_setting():
+    """Callers leave connections open; each holds a descriptor and its buffers."""
+    async with open_desk(Fault.NONE) as desk:
+        desk.port.set_idle_seconds(0.1)
+        host, port = desk.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"GET /safe/ HTTP/1.1\r\nHost: desk.example\r\n"
+            b"X-Sesameford-Attempt-Id: x\r\nAuthorization: Bearer the-clubs-key\r\n\r\n"
+        )
+        async with asyncio.timeout(2):
+            assert (await reader.read()).endswith(b"answer to ")
+        writer.close()
+
+
 async def test_another_server_at_the_address_runs_nothing():
     """An address was given to another server; it says so and the call is not run."""
     async with open_desk(Fault.NONE) as desk:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -48,6 +48,7 @@
 def test_a_part_is_counted_as_read_once():
     placement, _ = make(4)
     first = choose(placement, prompt(7), now=0.0)
+    placement.heard(first, 0.1)
     again = choose(placement, prompt(7), now=5.0)
     assert (again.target_id, again.tokens) == (first.target_id, 1_000)
 
@@ -92,6 +93,40 @@
     assert "e0" in chosen
 
 
+def test_a_target_that_answers_nothing_any_more_is_passed_over():
+    """A server is cut off; its connections stay open and nothing comes back.
+
+    Each request sent there until its heartbeats are missed would be lost.
+    """
+    placement, _ = make(2)
+    for _ in range(12):
+        choose(placement, prompt(1), now=0.0)
+    silent = {"e0", "e1"}
+    lease = choose(placement, prompt(1), now=0.3)
+    placement.heard(lease, 0.4)
+    silent.discard(lease.target_id)
+    chosen = {choose(placement, prompt(n), now=1.6).target_id for n in range(20)}
+    assert chosen == {"e0", "e1"} - silent
+
+
+def test_a_target_that_was_silent_to_the_end_of_a_request_rests():
+    """Callers give up on requests to a dark server one by one."""
+    placement, _ = make(2)
+    lease = choose(placement, prompt(1), now=0.0)
+    placement.released(lease, 2.0)
+    chosen = {choose(placement, prompt(n), now=2.1).target_id for n in range(20)}
+    assert lease.target_id not in chosen
+
+
+def test_a_slow_answer_is_no_silence_while_others_come():
+    """An engine reads a very long prompt and answers others meanwhile."""
+    placement, _ = make(1)
+    choose(placement, prompt(1, own=50_000), now=0.0)
+    other = choose(placement, prompt(2), now=0.1)
+    placement.heard(other, 4.0)
+    assert not placement._place("e0").is_silent(4.1)
+
+
 def test_a_target_that_drains_gets_nothing():
     placement, table = make(2)
     table.beat(engine("e0", 2, state=TargetState.DRAINING), 1.0)
@@ -131,5 +166,5 @@
     placement, _ = make(1)
     lease = choose(placement, prompt(1))
     placement.first_event(lease, 0.1)
-    placement.released(lease)
+    placement.released(lease, 0.2)
     assert placement.loads()[0].requests == 0
