--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3.11
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-export PYTHONPATH := $(CURDIR)
+export PYTHONPATH := $(CURDIR):$(CURDIR)/platform
 
 .PHONY: help setup demo soak bench bench-quick slopes count test lint format types check fuzz kills
 
