--- /dev/null
+++ b/sesameford/gateway/admit.py
@@ -0,0 +1,92 @@
+"""Whether a call is to run: its route, its customer's key and share, its body."""
+
+from aiohttp import web
+
+from sesameford.effective import EffectiveTree, HttpRouteSettings
+from sesameford.gateway.calls import Call, Prompt
+from sesameford.gateway.route_table import choose_service
+from sesameford.gateway.run import (
+    RETRY_AFTER_SECONDS,
+    GatewayDeps,
+    Refusal,
+    Run,
+)
+from sesameford.operators_http import digest_of_key
+
+# A customer over its share is told to come back while its objective can still be met.
+SHARE_RETRY_PART = 0.25
+# A caller of an instance that stops is served by another one at once.
+STOPPING_RETRY_SECONDS = 0.02
+
+
+async def admit(
+    deps: GatewayDeps, http: web.BaseRequest, call: Call, arrived_at_seconds: float
+) -> Run:
+    """Find a call's route and customer, and read its body.
+
+    Raises:
+        Refusal: It is not to run.
+    """
+    state = deps.state()
+    if state is None:
+        raise Refusal(503, "no-configuration", RETRY_AFTER_SECONDS)
+    if not deps.accepts():
+        raise Refusal(503, "stopping", STOPPING_RETRY_SECONDS)
+    route = state.routes.find(call.host, call.path)
+    if route is None:
+        raise Refusal(404, "no-route")
+    customer = _customer_of(state.tree, route, call)
+    service = choose_service(route, deps.random.random())
+    if service in state.engine_services and call.prompt is not None:
+        _check_share(deps, route, customer or "", call.prompt)
+    body = await _body(http, state.tree.fleet.body_limit_bytes)
+    patience_seconds = route.timeout_seconds
+    if call.patience_seconds is not None:
+        patience_seconds = min(patience_seconds, call.patience_seconds)
+    spent_seconds = deps.now() - arrived_at_seconds
+    return Run(
+        call,
+        body,
+        route,
+        customer,
+        service,
+        arrived_at_seconds,
+        deps.loop_time() + patience_seconds - spent_seconds,
+    )
+
+
+def _check_share(
+    deps: GatewayDeps, route: HttpRouteSettings, customer: str, prompt: Prompt
+) -> None:
+    """Reject a request beyond its customer's share.
+
+    Raises:
+        Refusal: Others would wait for it.
+    """
+    if deps.gate.admits(customer, route.route_id, prompt.cost_tokens):
+        return
+    raise Refusal(429, "over-share", SHARE_RETRY_PART * route.objective_seconds)
+
+
+def _customer_of(
+    tree: EffectiveTree, route: HttpRouteSettings, call: Call
+) -> str | None:
+    """Return the customer whose key a call has."""
+    if call.key is not None:
+        customer = tree.customer_ids_by_digest.get(digest_of_key(call.key))
+        if customer is not None:
+            return customer
+    if route.public or not tree.customers:
+        return None
+    raise Refusal(401, "unknown-key")
+
+
+async def _body(http: web.BaseRequest, limit_bytes: int) -> bytes:
+    if not http.body_exists:
+        return b""
+    body = bytearray()
+    async for chunk in http.content.iter_any():
+        body += chunk
+        if len(body) > limit_bytes:
+            raise Refusal(413, "body-too-large")
+    return bytes(body)
--- /dev/null
+++ b/sesameford/gateway/call_log.py
@@ -0,0 +1,72 @@
+"""The log lines of a call: refused, a sending that failed, and its end."""
+
+import logging
+
+from sesameford.gateway.calls import Call
+from sesameford.gateway.forward import SendingError
+from sesameford.gateway.placement import Lease
+from sesameford.gateway.run import GatewayDeps, Refusal, Run
+
+logger = logging.getLogger(__name__)
+
+
+def log_refusal(
+    deps: GatewayDeps,
+    call: Call | None,
+    run: Run | None,
+    refusal: Refusal,
+    arrived_at_seconds: float,
+) -> None:
+    state = deps.state()
+    logger.warning(
+        "refused",
+        extra={
+            "request": call.request_id if call else "",
+            "status": refusal.status,
+            "reason": refusal.reason,
+            "route": run.route.route_id if run else "",
+            "customer": run.customer if run else "",
+            "sendings": run.sendings if run else 0,
+            "revision": state.tree.revision if state else 0,
+            "after_seconds": round(deps.now() - arrived_at_seconds, 3),
+        },
+    )
+
+
+def log_failure(deps: GatewayDeps, run: Run, lease: Lease, error: SendingError) -> None:
+    logger.warning(
+        "sending failed",
+        extra={
+            "request": run.call.request_id,
+            "target": lease.target_id,
+            "address": lease.address,
+            "fate": error.fate.value,
+            "detail": error.detail,
+            "sendings": run.sendings,
+        },
+    )
+
+
+def log_end(deps: GatewayDeps, run: Run, outcome: str, detail: str) -> None:
+    took_seconds = deps.now() - run.arrived_at_seconds
+    deps.tally.ended(
+        outcome, run.route.route_id, run.status, took_seconds, run.first_event_seconds
+    )
+    first = run.first_event_seconds
+    logger.info(
+        outcome,
+        extra={
+            "request": run.call.request_id,
+            "route": run.route.route_id,
+            "customer": run.customer or "",
+            "targets": ",".join(run.tried),
+            "sendings": run.sendings,
+            "status": run.status,
+            "detail": detail,
+            "took_seconds": round(took_seconds, 3),
+            "first_event_seconds": "" if first is None else round(first, 3),
+            "expected_seconds": round(run.expected_seconds, 3),
+            "unread_tokens": run.unread_tokens,
+            "rate_tokens": round(run.rate_tokens),
+        },
+    )
--- a/sesameford/gateway/calls.py
+++ b/sesameford/gateway/calls.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
+from sesameford.errors import SesamefordError
+
 Headers = Sequence[tuple[str, str]]
 
 
@@ -91,7 +93,7 @@
     is_other: bool = False
 
 
-class BadCallError(Exception):
+class BadCallError(SesamefordError):
     """A request that can't be understood.
 
     Args:
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -21,14 +21,14 @@
 from sesameford.discovery.founding_mark import is_founder
 from sesameford.discovery.roster import make_roster
 from sesameford.effective import EffectiveTree
-from sesameford.errors import NoQuorumError, PeerError
+from sesameford.errors import NoQuorumError, PeerError, SesamefordError
 from sesameford.fencing import FencingMachine
 from sesameford.gateway.calls import Edge
 from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
 from sesameford.gateway.forward import make_sender
 from sesameford.gateway.placement import make_placement
+from sesameford.gateway.run import GatewayDeps, GatewayState, make_gateway_state
 from sesameford.gateway.second_sends import make_second_sends
-from sesameford.gateway.serve import GatewayDeps, GatewayState, make_gateway_state
 from sesameford.gateway.shares import make_share_gate
 from sesameford.gateway.tally import make_tally
 from sesameford.http_ports import make_session
@@ -99,7 +99,7 @@
 WAIT_PART = 0.5
 
 
-class DeclarationRefusedError(Exception):
+class DeclarationRefusedError(SesamefordError):
     """A declaration can never be accepted."""
 
 
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -179,29 +179,6 @@
         ]
         return sum(waits) / len(waits) if waits else 0.0
 
-    def queue_seconds(
-        self,
-        service: str,
-        prompt: Prompt,
-        slots: int | None,
-        objective_seconds: float,
-        now_seconds: float,
-    ) -> float:
-        """Return how long a prompt would wait at the engine that it would be sent to.
-
-        Args:
-            service: The service it is for.
-            prompt: What is known of it.
-            slots: Places in one engine's batch.
-            objective_seconds: When its answer should begin.
-            now_seconds: The present time.
-        """
-        usable = self._usable(self._of_service(service), now_seconds)
-        if not usable:
-            return float("inf")
-        best = self._best_engine(usable, prompt, slots, objective_seconds, now_seconds)
-        return self._queue_seconds(best, slots, now_seconds)
-
     def loads(self) -> tuple[PlaceLoad, ...]:
         """Return what this router has under way."""
         return tuple(
--- /dev/null
+++ b/sesameford/gateway/run.py
@@ -0,0 +1,124 @@
+"""One call on its way through a router, and the parts of the router that it meets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from aiohttp import web
+
+from sesameford.effective import EffectiveTree, HttpRouteSettings
+from sesameford.errors import SesamefordError
+from sesameford.event_stream import EventStream
+from sesameford.gateway.calls import Call, Edge
+from sesameford.gateway.forward import Sender
+from sesameford.gateway.placement import Placement
+from sesameford.gateway.route_table import RouteTable, make_route_table
+from sesameford.gateway.second_sends import SecondSends
+from sesameford.gateway.shares import ShareGate
+from sesameford.gateway.tally import Tally
+
+# A caller is told to come back after so long where nothing better is known: about
+# the time in which a resting target is tried again.
+RETRY_AFTER_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayState:
+    """What is in force at one router."""
+
+    tree: EffectiveTree
+    routes: RouteTable
+    engine_services: frozenset[str]
+    shortest_objective_seconds: float
+
+
+def make_gateway_state(tree: EffectiveTree) -> GatewayState:
+    """Return what follows from a tree for a router."""
+    engines = frozenset(
+        service.service
+        for service in tree.services.values()
+        if service.batch_slots is not None
+    )
+    objectives = [
+        route.objective_seconds
+        for route in tree.routes.values()
+        if any(one.service in engines for one in route.backends)
+    ]
+    return GatewayState(
+        tree, make_route_table(tree), engines, min(objectives, default=1.0)
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayDeps:
+    """The parts of a router that a call meets."""
+
+    edge: Edge
+    sender: Sender
+    placement: Placement
+    gate: ShareGate
+    second_sends: SecondSends
+    tally: Tally
+    random: Random
+    state: Callable[[], GatewayState | None]
+    routers: Callable[[], int]
+    is_leaving: Callable[[], bool]
+    accepts: Callable[[], bool]
+    now: Callable[[], float]
+    loop_time: Callable[[], float]
+
+
+class Refusal(SesamefordError):
+    """A final answer of the system's own.
+
+    Args:
+        status: The HTTP status code; 429 and 503 say that the call has not run.
+        reason: A short, stable word.
+        retry_after_seconds: When a new try makes sense.
+    """
+
+    def __init__(
+        self, status: int, reason: str, retry_after_seconds: float | None = None
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_seconds = retry_after_seconds
+
+
+@dataclass(slots=True)
+class Run:
+    """One call on its way; ``until_seconds`` is on the loop's clock."""
+
+    call: Call
+    body: bytes
+    route: HttpRouteSettings
+    customer: str | None
+    service: str
+    arrived_at_seconds: float
+    until_seconds: float
+    tried: frozenset[str] = frozenset()
+    sendings: int = 0
+    never_sent: int = 0
+    may_have_run: bool = False
+    response: web.StreamResponse | None = None
+    passed: EventStream | None = None
+    status: int = 0
+    first_event_seconds: float | None = None
+    expected_seconds: float = 0.0
+    unread_tokens: int = 0
+    rate_tokens: float = 0.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a call that may have run can be sent again."""
+        return self.route.repeatable or self.route.resumable
+
+
+class CutError(SesamefordError):
+    """A stream broke off that its caller has a part of."""
+
+    def __init__(self, run: Run, detail: str) -> None:
+        super().__init__(detail)
+        self.run = run
+        self.detail = detail
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -1,46 +1,29 @@
 """A call from its arrival to its final answer."""
 
 import asyncio
-import logging
 from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
 
 from aiohttp import web
 
-from sesameford.effective import EffectiveTree, HttpRouteSettings
 from sesameford.event_stream import EventStream
-from sesameford.gateway.calls import BadCallError, Call, Edge, Headers, Prompt, Sending
+from sesameford.gateway.admit import admit
+from sesameford.gateway.call_log import log_end, log_failure, log_refusal
+from sesameford.gateway.calls import BadCallError, Call, Headers, Sending
 from sesameford.gateway.forward import (
     NOT_RUN_FATES,
     Exchange,
     Fate,
-    Sender,
     SendingError,
 )
-from sesameford.gateway.placement import Lease, Placement
-from sesameford.gateway.route_table import (
-    RouteTable,
-    choose_service,
-    make_route_table,
+from sesameford.gateway.placement import Lease
+from sesameford.gateway.run import (
+    RETRY_AFTER_SECONDS,
+    CutError,
+    GatewayDeps,
+    Refusal,
+    Run,
 )
-from sesameford.gateway.second_sends import SecondSends
-from sesameford.gateway.shares import ShareGate
-from sesameford.gateway.tally import Tally
-from sesameford.operators_http import digest_of_key
-
-logger = logging.getLogger(__name__)
-
-# A caller is told to come back after so long where nothing better is known: about
-# the time in which a resting target is tried again.
-RETRY_AFTER_SECONDS = 0.5
-# Beyond its share a customer is served while the engine that it would be sent to would
-# begin within this part of the shortest objective: nobody is held up by it.
-ROOM_PART = 0.1
-# A customer over its share is told to come back while its objective can still be met.
-SHARE_RETRY_PART = 0.25
-# A caller of an instance that stops is served by another one at once.
-STOPPING_RETRY_SECONDS = 0.02
+
 # Targets to which no connection comes about, before a call is given up: each costs up
 # to the time to connect.
 MOST_NEVER_SENT = 3
@@ -48,108 +31,6 @@
 LEAST_LEFT_SECONDS = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayState:
-    """What is in force at one router."""
-
-    tree: EffectiveTree
-    routes: RouteTable
-    engine_services: frozenset[str]
-    shortest_objective_seconds: float
-
-
-def make_gateway_state(tree: EffectiveTree) -> GatewayState:
-    """Return what follows from a tree for a router."""
-    engines = frozenset(
-        service.service
-        for service in tree.services.values()
-        if service.batch_slots is not None
-    )
-    objectives = [
-        route.objective_seconds
-        for route in tree.routes.values()
-        if any(one.service in engines for one in route.backends)
-    ]
-    return GatewayState(
-        tree, make_route_table(tree), engines, min(objectives, default=1.0)
-    )
-
-
-@dataclass(frozen=True, slots=True)
-class GatewayDeps:
-    """The parts of a router that a call meets."""
-
-    edge: Edge
-    sender: Sender
-    placement: Placement
-    gate: ShareGate
-    second_sends: SecondSends
-    tally: Tally
-    random: Random
-    state: Callable[[], GatewayState | None]
-    routers: Callable[[], int]
-    is_leaving: Callable[[], bool]
-    accepts: Callable[[], bool]
-    now: Callable[[], float]
-    loop_time: Callable[[], float]
-
-
-class Refusal(Exception):
-    """A final answer of the system's own.
-
-    Args:
-        status: The HTTP status code; 429 and 503 say that the call has not run.
-        reason: A short, stable word.
-        retry_after_seconds: When a new try makes sense.
-    """
-
-    def __init__(
-        self, status: int, reason: str, retry_after_seconds: float | None = None
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_seconds = retry_after_seconds
-
-
-@dataclass(slots=True)
-class _Run:
-    """One call on its way; ``until_seconds`` is on the loop's clock."""
-
-    call: Call
-    body: bytes
-    route: HttpRouteSettings
-    customer: str | None
-    service: str
-    arrived_at_seconds: float
-    until_seconds: float
-    tried: frozenset[str] = frozenset()
-    sendings: int = 0
-    never_sent: int = 0
-    may_have_run: bool = False
-    response: web.StreamResponse | None = None
-    passed: EventStream | None = None
-    status: int = 0
-    first_event_seconds: float | None = None
-    expected_seconds: float = 0.0
-    unread_tokens: int = 0
-    rate_tokens: float = 0.0
-
-    @property
-    def may_repeat(self) -> bool:
-        """Whether a call that may have run can be sent again."""
-        return self.route.repeatable or self.route.resumable
-
-
-class _CutError(Exception):
-    """A stream broke off that its caller has a part of."""
-
-    def __init__(self, run: _Run, detail: str) -> None:
-        super().__init__(detail)
-        self.run = run
-        self.detail = detail
-
-
 async def serve_call(deps: GatewayDeps, http: web.BaseRequest) -> web.StreamResponse:
     """Answer one request of a caller."""
     call = None
@@ -157,23 +38,23 @@
     run = None
     try:
         call = _read_call(deps, http)
-        run = await _admitted(deps, http, call, arrived_at_seconds)
+        run = await admit(deps, http, call, arrived_at_seconds)
         deps.tally.opened()
         try:
             response = await _run_to_answer(deps, http, run)
         finally:
             deps.tally.closed()
-        _log_end(deps, run, "answered", "")
+        log_end(deps, run, "answered", "")
         return response
-    except _CutError as cut:
+    except CutError as cut:
         return _cut(deps, http, cut)
     except Refusal as refusal:
         deps.tally.refused(refusal.reason)
-        _log_refusal(deps, call, run, refusal, arrived_at_seconds)
+        log_refusal(deps, call, run, refusal, arrived_at_seconds)
         return _own_answer(deps, call, refusal)
     except asyncio.CancelledError:
         if run is not None:
-            _log_end(deps, run, "caller-left", "")
+            log_end(deps, run, "caller-left", "")
         raise
 
 
@@ -185,86 +66,8 @@
         raise Refusal(error.status, error.detail) from error
 
 
-async def _admitted(
-    deps: GatewayDeps, http: web.BaseRequest, call: Call, arrived_at_seconds: float
-) -> _Run:
-    """Find a call's route and customer, and read its body.
-
-    Raises:
-        Refusal: It is not to run.
-    """
-    state = deps.state()
-    if state is None:
-        raise Refusal(503, "no-configuration", RETRY_AFTER_SECONDS)
-    if not deps.accepts():
-        raise Refusal(503, "stopping", STOPPING_RETRY_SECONDS)
-    route = state.routes.find(call.host, call.path)
-    if route is None:
-        raise Refusal(404, "no-route")
-    customer = _customer_of(state.tree, route, call)
-    service = choose_service(route, deps.random.random())
-    if service in state.engine_services and call.prompt is not None:
-        _check_share(deps, state, route, service, customer or "", call.prompt)
-    body = await _body(http, state.tree.fleet.body_limit_bytes)
-    patience_seconds = route.timeout_seconds
-    if call.patience_seconds is not None:
-        patience_seconds = min(patience_seconds, call.patience_seconds)
-    spent_seconds = deps.now() - arrived_at_seconds
-    return _Run(
-        call,
-        body,
-        route,
-        customer,
-        service,
-        arrived_at_seconds,
-        deps.loop_time() + patience_seconds - spent_seconds,
-    )
-
-
-def _check_share(
-    deps: GatewayDeps,
-    state: GatewayState,
-    route: HttpRouteSettings,
-    service: str,
-    customer: str,
-    prompt: Prompt,
-) -> None:
-    """Reject a request beyond its customer's share, unless an engine is free now.
-
-    Raises:
-        Refusal: Others would wait for it.
-    """
-    if deps.gate.admits(customer, route.route_id, prompt.cost_tokens):
-        return
-    raise Refusal(429, "over-share", SHARE_RETRY_PART * route.objective_seconds)
-
-
-def _customer_of(
-    tree: EffectiveTree, route: HttpRouteSettings, call: Call
-) -> str | None:
-    """Return the customer whose key a call has."""
-    if call.key is not None:
-        customer = tree.customer_ids_by_digest.get(digest_of_key(call.key))
-        if customer is not None:
-            return customer
-    if route.public or not tree.customers:
-        return None
-    raise Refusal(401, "unknown-key")
-
-
-async def _body(http: web.BaseRequest, limit_bytes: int) -> bytes:
-    if not http.body_exists:
-        return b""
-    body = bytearray()
-    async for chunk in http.content.iter_any():
-        body += chunk
-        if len(body) > limit_bytes:
-            raise Refusal(413, "body-too-large")
-    return bytes(body)
-
-
 async def _run_to_answer(
-    deps: GatewayDeps, http: web.BaseRequest, run: _Run
+    deps: GatewayDeps, http: web.BaseRequest, run: Run
 ) -> web.StreamResponse:
     """Send a call to one target after another until there is an answer.
 
@@ -277,13 +80,13 @@
         try:
             return await _send_once(deps, http, run, lease)
         except SendingError as error:
-            _log_failure(deps, run, lease, error)
+            log_failure(deps, run, lease, error)
             _judge(deps, run, lease, error)
             if not _may_send_again(deps, run, error):
                 raise _final(run, error) from error
 
 
-def _place(deps: GatewayDeps, run: _Run) -> Lease:
+def _place(deps: GatewayDeps, run: Run) -> Lease:
     """Choose a target.
 
     Raises:
@@ -310,7 +113,7 @@
 
 
 async def _send_once(
-    deps: GatewayDeps, http: web.BaseRequest, run: _Run, lease: Lease
+    deps: GatewayDeps, http: web.BaseRequest, run: Run, lease: Lease
 ) -> web.StreamResponse:
     """Send a call to one target and pass its answer on.
 
@@ -351,7 +154,7 @@
 async def _pass_on(
     deps: GatewayDeps,
     http: web.BaseRequest,
-    run: _Run,
+    run: Run,
     exchange: Exchange,
     first_event: Callable[[], None],
     heard: Callable[[], None],
@@ -371,14 +174,14 @@
     return answer
 
 
-def _is_last(run: _Run) -> bool:
+def _is_last(run: Run) -> bool:
     return run.sendings >= run.route.attempts
 
 
 async def _pass_stream(
     deps: GatewayDeps,
     http: web.BaseRequest,
-    run: _Run,
+    run: Run,
     exchange: Exchange,
     first_event: Callable[[], None],
     heard: Callable[[], None],
@@ -412,7 +215,7 @@
 
 
 async def _write(
-    http: web.BaseRequest, run: _Run, response: web.StreamResponse, data: bytes
+    http: web.BaseRequest, run: Run, response: web.StreamResponse, data: bytes
 ) -> None:
     """Write to the caller; one who left is the end of the call."""
     try:
@@ -425,7 +228,7 @@
         raise asyncio.CancelledError from error
 
 
-def _judge(deps: GatewayDeps, run: _Run, lease: Lease, error: SendingError) -> None:
+def _judge(deps: GatewayDeps, run: Run, lease: Lease, error: SendingError) -> None:
     """Note what a failed sending shows of its target and of the call."""
     if error.fate in (Fate.NEVER_SENT, Fate.LOST, Fate.WRONG_TARGET):
         deps.placement.failed(lease.target_id, deps.now())
@@ -439,7 +242,7 @@
         run.passed.drop_partial()
 
 
-def _may_send_again(deps: GatewayDeps, run: _Run, error: SendingError) -> bool:
+def _may_send_again(deps: GatewayDeps, run: Run, error: SendingError) -> bool:
     """Return whether a call goes to another target after a failure."""
     if error.fate is Fate.TIMEOUT or _is_last(run):
         return False
@@ -456,10 +259,10 @@
     return deps.second_sends.allowed(run.service, deps.routers(), deps.now())
 
 
-def _final(run: _Run, error: SendingError) -> Exception:
+def _final(run: Run, error: SendingError) -> Exception:
     """Return the end of a call that has no whole answer."""
     if run.response is not None:
-        return _CutError(run, error.detail)
+        return CutError(run, error.detail)
     if not run.may_have_run:
         return Refusal(503, error.fate.value, RETRY_AFTER_SECONDS)
     if error.fate is Fate.TIMEOUT:
@@ -467,11 +270,9 @@
     return Refusal(502, error.fate.value)
 
 
-def _cut(
-    deps: GatewayDeps, http: web.BaseRequest, cut: _CutError
-) -> web.StreamResponse:
+def _cut(deps: GatewayDeps, http: web.BaseRequest, cut: CutError) -> web.StreamResponse:
     """End a stream without its end mark, so that its caller sees that it is cut."""
-    _log_end(deps, cut.run, "cut", cut.detail)
+    log_end(deps, cut.run, "cut", cut.detail)
     if http.transport is not None:
         http.transport.close()
     assert cut.run.response is not None
@@ -496,70 +297,3 @@
     if refusal.status in (400, 408, 413) or deps.is_leaving():
         response.force_close()
     return response
-
-
-# --- log lines -----------------------------------------------------------------
-
-
-def _log_refusal(
-    deps: GatewayDeps,
-    call: Call | None,
-    run: _Run | None,
-    refusal: Refusal,
-    arrived_at_seconds: float,
-) -> None:
-    state = deps.state()
-    logger.warning(
-        "refused",
-        extra={
-            "request": call.request_id if call else "",
-            "status": refusal.status,
-            "reason": refusal.reason,
-            "route": run.route.route_id if run else "",
-            "customer": run.customer if run else "",
-            "sendings": run.sendings if run else 0,
-            "revision": state.tree.revision if state else 0,
-            "after_seconds": round(deps.now() - arrived_at_seconds, 3),
-        },
-    )
-
-
-def _log_failure(
-    deps: GatewayDeps, run: _Run, lease: Lease, error: SendingError
-) -> None:
-    logger.warning(
-        "sending failed",
-        extra={
-            "request": run.call.request_id,
-            "target": lease.target_id,
-            "address": lease.address,
-            "fate": error.fate.value,
-            "detail": error.detail,
-            "sendings": run.sendings,
-        },
-    )
-
-
-def _log_end(deps: GatewayDeps, run: _Run, outcome: str, detail: str) -> None:
-    took_seconds = deps.now() - run.arrived_at_seconds
-    deps.tally.ended(
-        outcome, run.route.route_id, run.status, took_seconds, run.first_event_seconds
-    )
-    first = run.first_event_seconds
-    logger.info(
-        outcome,
-        extra={
-            "request": run.call.request_id,
-            "route": run.route.route_id,
-            "customer": run.customer or "",
-            "targets": ",".join(run.tried),
-            "sendings": run.sendings,
-            "status": run.status,
-            "detail": detail,
-            "took_seconds": round(took_seconds, 3),
-            "first_event_seconds": "" if first is None else round(first, 3),
-            "expected_seconds": round(run.expected_seconds, 3),
-            "unread_tokens": run.unread_tokens,
-            "rate_tokens": round(run.rate_tokens),
-        },
-    )
