--- a/sesameford/gateway/call_log.py
+++ b/sesameford/gateway/call_log.py
@@ -53,7 +53,10 @@
         outcome, run.route.route_id, run.status, took_seconds, run.first_event_seconds
     )
     first = run.first_event_seconds
-    logger.info(
+    # The line of a call that failed is among the last to be left out.
+    level = logging.WARNING if outcome == "cut" else logging.INFO
+    logger.log(
+        level,
         outcome,
         extra={
             "request": run.call.request_id,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -177,7 +177,7 @@
             assert body == b"".join(b"id: %d\ndata: word\n\n" % n for n in (1, 2, 3))
 
 
-async def test_a_stream_that_breaks_off_does_not_look_complete():
+async def test_a_stream_that_breaks_off_does_not_look_complete(caplog):
     """A server dies inside a stream that can't be resumed.
 
     Ended in order, the half of a letter would be printed as the whole of it.
@@ -186,6 +186,8 @@
         with pytest.raises(ClientPayloadError):
             await desk.ask("/stream/")
         assert desk.runs == 1
+        line = next(one for one in caplog.records if one.message == "cut")
+        assert (line.request, line.status, line.levelname) == ("id-1", 200, "WARNING")
 
 
 async def test_a_caller_who_leaves_frees_the_server():
