Take out what nothing reads: unused methods, parameters and message fields

Found by reading the whole change: six methods, parameters or settings fields that no code called or read, and two fields of messages that were sent and never looked at.

--- a/sesameford/discovery/beat_table.py
+++ b/sesameford/discovery/beat_table.py
@@ -1,9 +1,9 @@
 """The table of targets as their heartbeats tell it, the same at every instance.
 
 A target beats at any one instance with a disk. That instance tells all others at
-once when something changed, and once a second only which targets beat there, with a
+once when something changed, and twice a second only which targets beat there, with a
 digest over all rows; one whose digest differs asks for the rows. So a lost message
-costs a second, and what is sent each second does not repeat what all know.
+costs half a second, and what is sent regularly does not repeat what all know.
 """
 
 from collections.abc import Sequence
@@ -135,10 +135,9 @@
         if row.sequence <= known.row.sequence and not is_end:
             return False
         known.heard_at_seconds = now_seconds
-        same = replace(row, sequence=known.row.sequence, slow_seconds=0.0)
-        if same == replace(known.row, slow_seconds=0.0):
+        if replace(row, sequence=known.row.sequence) == known.row:
             # The number is not told on, and does not count for the digest.
-            known.row = replace(row, slow_seconds=known.row.slow_seconds)
+            known.row = row
             return False
         self._put(row, now_seconds)
         return True
--- a/sesameford/discovery/roster.py
+++ b/sesameford/discovery/roster.py
@@ -42,7 +42,6 @@
         self._founds = founds
         self._known: dict[str, KnownInstance] = {}
         self.seeds = tuple(seeds)
-        self.routers_told = 0
 
     def greeted(
         self, sender_id: str, greeting: Greeting, now_seconds: float
@@ -61,7 +60,6 @@
             sender_id, greeting.data_centre, greeting.address, greeting.has_disk
         )
         self._known[sender_id] = KnownInstance(peer, greeting.founds, now_seconds)
-        self.routers_told = greeting.routers or self.routers_told
         found = [peer]
         for row in greeting.replicas:
             if row.instance_id in self._known or row.instance_id == self._own_id:
@@ -77,17 +75,12 @@
             for one in self._known.values()
             if one.peer.has_disk and now_seconds - one.heard_at_seconds < TOLD_SECONDS
         ]
-        routers = sum(
-            not one.peer.has_disk and now_seconds - one.heard_at_seconds < TOLD_SECONDS
-            for one in self._known.values()
-        )
         return Greeting(
             self._own.peers,
             self._own.data_centre,
             self._own.has_disk,
             self._founds,
             tuple(replicas),
-            routers,
         )
 
     def replica_ids(self) -> tuple[str, ...]:
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -6,7 +6,7 @@
 a hash of both, so that a part is read at few engines without anybody agreeing on it.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from xxhash import xxh32_intdigest
@@ -213,14 +213,6 @@
         for target_id in [one for one in self._places if one not in self._table.known]:
             del self._places[target_id]
 
-    def counts(self, now_seconds: float) -> Mapping[str, int]:
-        """Return how many targets of each service may get work, for the metrics."""
-        self._refresh()
-        return {
-            service: len(self._usable(found, now_seconds))
-            for service, found in self._by_service.items()
-        }
-
     def _of_service(self, service: str) -> list[KnownTarget]:
         self._refresh()
         return self._by_service.get(service, [])
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -25,6 +25,8 @@
 FIRST_CAPACITY_TOKENS = 100_000.0
 # A customer whose average has fallen below this has asked nothing for seconds.
 LEAST_ASKED_TOKENS = 1.0
+# A customer with few requests at each router must not be refused its first everywhere.
+FIRST_CREDIT = 0.5
 
 
 @dataclass(slots=True)
@@ -120,7 +122,6 @@
                 self.asked_tokens.pop(customer, None)
             else:
                 self.asked_tokens[customer] = average
-
         begun, self._new_begun = self._new_begun, 0
         self._begun_tokens += part * (begun / since_seconds - self._begun_tokens)
 
@@ -182,10 +183,6 @@
         self._credit[key] = credit - 1.0 if admitted else credit
         return admitted
 
-    def is_limited(self, customer: str) -> bool:
-        """Return whether a customer does not get all that it asks."""
-        return customer in self.fractions
-
     def take(self, rows: Iterable[ShareRow]) -> None:
         """Take the present fractions; credit of former ones is dropped."""
         self.fractions = {row.customer: row.fraction for row in rows}
@@ -202,10 +199,6 @@
         )
 
 
-# A customer with few requests at each router must not be refused its first everywhere.
-FIRST_CREDIT = 0.5
-
-
 def make_share_book() -> ShareBook:
     """Return a book in which nobody has asked for anything."""
     return ShareBook()
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -135,8 +135,6 @@
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     address: str,
     limits: GuardLimits | None = None,
-    header_limit_bytes: int = MAX_HEADER_BYTES,
-    idle_seconds: float = KEEP_ALIVE_SECONDS,
 ) -> CallsPort:
     """Serve all paths of an address by one handler, without an application's routes.
 
@@ -144,8 +142,6 @@
         handler: Answers a request; cancelled when its caller goes away.
         address: IP number and port.
         limits: What one outsider can hold of the listener.
-        header_limit_bytes: The longest line of a head.
-        idle_seconds: For how long a connection may be without a request.
 
     Returns:
         The open port.
@@ -157,9 +153,9 @@
         handler,
         handler_cancellation=True,
         access_log=None,
-        max_line_size=header_limit_bytes,
-        max_field_size=header_limit_bytes,
-        keepalive_timeout=idle_seconds,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
+        keepalive_timeout=KEEP_ALIVE_SECONDS,
     )
     server = await _listen_guarded(calls, address, None, limits, None)
     return CallsPort(calls, server)
--- a/sesameford/log_service.py
+++ b/sesameford/log_service.py
@@ -19,7 +19,7 @@
 from sesameford.log_messages import Command, Packet, decode_packet, encode_packet
 from sesameford.log_proposer import PendingProposal, Proposer
 from sesameford.log_replica import Replica, make_replica
-from sesameford.log_state import ELECTION_MIN_SECONDS, Role, StoredState
+from sesameford.log_state import Role, StoredState
 from sesameford.log_status import LogStatus, replica_status
 from sesameford.log_storage import LogStorage, open_storage
 from sesameford.log_succession import voters_by_health
@@ -233,17 +233,6 @@
             return None
         return voters_by_health(replica.core, now_seconds)
 
-    def hears_majority(self, now_seconds: float) -> bool:
-        """Return whether this replica leads or has heard its leader of late."""
-        replica = self._living_replica()
-        if replica is None:
-            return False
-        core = replica.core
-        if core.role is Role.LEADER:
-            return True
-        silent_seconds = now_seconds - core.heard_leader_at_seconds
-        return core.leader is not None and silent_seconds < ELECTION_MIN_SECONDS
-
     def leader_id(self) -> str | None:
         """Return the instance that leads, as far as this one knows."""
         replica = self._living_replica()
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -23,8 +23,7 @@
 class Greeting(Struct, frozen=True, array_like=True, tag=True):
     """Who I am, where links reach me, and the instances with disks that I know.
 
-    ``founds`` says that this deployment starts for the first time. ``routers`` is
-    how many instances without a disk the sender hears.
+    ``founds`` says that this deployment starts for the first time.
     """
 
     address: str
@@ -32,7 +31,6 @@
     has_disk: bool
     founds: bool
     replicas: tuple[ReplicaRow, ...]
-    routers: int = 0
 
 
 class IncarnationBehind(Struct, frozen=True, array_like=True, tag=True):
@@ -58,7 +56,6 @@
     data_centre: str
     slots: int
     state: TargetState
-    slow_seconds: float = 0.0
 
 
 class BeatRows(Struct, frozen=True, array_like=True, tag=True):
