Work out a prompt's home and unread tokens once, and totals only when they are told

Each request hashed all engines for its shared part twice and counted unread tokens three times an engine; each router listed all customers' totals and all waits every 0.05 s and threw them away where nothing was to be told; the shares were listed once for each router.

--- a/sesameford/gateway/calls.py
+++ b/sesameford/gateway/calls.py
@@ -34,6 +34,11 @@
             output_tokens = self.output_tokens_limit // 2
         return self.prompt_tokens + 2 * min(output_tokens, self.output_tokens_limit)
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens that no other request has, as far as it says."""
+        return self.parts[-1].tokens if self.parts else self.prompt_tokens
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """Return the parts that other requests have; the last is this one's own."""
--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -10,10 +10,11 @@
     Outgoing,
     PlaceLoad,
     RouterLoad,
+    ShareRow,
 )
 
-# A router's word counts for so long; it speaks at least each half second.
-WORD_SECONDS = 1.6
+# A router's report counts for so long; it comes at least each half second.
+REPORT_VALID_SECONDS = 1.6
 # Routers tell what changed this often while they are few. An engine reads some
 # thousand tokens meanwhile, which is what routers can err by.
 TELL_SECONDS = 0.05
@@ -24,7 +25,7 @@
 
 @dataclass(slots=True)
 class _Told:
-    """The last word of one router, and all that it has sent since it was heard."""
+    """The last report of one router, and all that it has sent since it was heard."""
 
     load: RouterLoad
     at_seconds: float
@@ -47,28 +48,36 @@
         self.routers = 1
         self.shares = make_share_book()
 
+    def is_news(
+        self, places: tuple[PlaceLoad, ...], is_due: bool, now_seconds: float
+    ) -> bool:
+        """Return whether a router has to tell what it has under way.
+
+        Args:
+            places: What it has under way and has sent.
+            is_due: Whether it tells all the same, to be counted as living.
+            now_seconds: The present time.
+        """
+        is_changed = places != self._last_places
+        return is_due or (is_changed and now_seconds >= self._next_seconds)
+
     def own(
         self,
         places: tuple[PlaceLoad, ...],
         asked: tuple[AskedRow, ...],
         wait_seconds: float,
         begun_tokens: int,
-        is_due: bool,
         now_seconds: float,
-    ) -> RouterLoad | None:
-        """Return what a router tells of itself, None where there is no news.
+    ) -> RouterLoad:
+        """Return what a router tells of itself.
 
         Args:
             places: What it has under way and has sent.
             asked: What customers have asked here.
             wait_seconds: How long a prompt waits at an engine.
             begun_tokens: What engines have begun to answer, in all.
-            is_due: Whether it tells all the same, to be counted as living.
             now_seconds: The present time.
         """
-        is_news = places != self._last_places and now_seconds >= self._next_seconds
-        if not is_due and not is_news:
-            return None
         self._last_places = places
         self._next_seconds = now_seconds + self._tell_seconds()
         self._sequence += 1
@@ -82,7 +91,7 @@
         )
 
     def received(self, load: RouterLoad, now_seconds: float) -> None:
-        """Take a router's word."""
+        """Take a router's report."""
         self.shares.told(
             load.router_id, load.asked, load.wait_seconds, load.begun_tokens
         )
@@ -108,7 +117,7 @@
         self._is_changed = False
         self._next_seconds = now_seconds + self._tell_seconds()
         for router_id, told in list(self._told.items()):
-            if now_seconds - told.at_seconds > WORD_SECONDS:
+            if now_seconds - told.at_seconds > REPORT_VALID_SECONDS:
                 del self._told[router_id]
                 self.shares.forget(router_id)
         self.routers = max(len(self._told), 1)
@@ -116,8 +125,9 @@
         for told in self._told.values():
             for place in told.load.places:
                 requests[place.name] += place.requests
+        shares = self.shares.rows()
         return [
-            Outgoing(router_id, self._without(told, requests), urgent=True)
+            Outgoing(router_id, self._without(told, requests, shares), urgent=True)
             for router_id, told in self._told.items()
         ]
 
@@ -131,7 +141,9 @@
     def _tell_seconds(self) -> float:
         return max(TELL_SECONDS, TELL_SECONDS_A_ROUTER * self.routers)
 
-    def _without(self, told: _Told, requests: Counter[int]) -> FleetLoad:
+    def _without(
+        self, told: _Told, requests: Counter[int], shares: tuple[ShareRow, ...]
+    ) -> FleetLoad:
         mine = {place.name: place.requests for place in told.load.places}
         places = tuple(
             PlaceLoad(
@@ -141,7 +153,7 @@
             )
             for name, count in requests.items()
         )
-        return FleetLoad(self._book, places, len(self._told), self.shares.rows())
+        return FleetLoad(self._book, places, len(self._told), shares)
 
 
 def make_fleet_load(instance_id: str, book: int) -> FleetLoadBook:
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -409,17 +409,19 @@
             self._share_out(now_seconds)
             self._send_all(self._load.totals(is_due, now_seconds))
             return
+        places = self.placement.loads()
+        if not self._load.is_news(places, is_due, now_seconds):
+            return
         engines = self._state.engine_services if self._state is not None else ()
         load = self._load.own(
-            self.placement.loads(),
+            places,
             self._gate.rows(),
             self.placement.wait_seconds(engines, now_seconds),
             self._gate.begun_tokens,
-            is_due,
             now_seconds,
         )
         replicas = self._roster.live_replicas(now_seconds, 2 * BEAT_SECONDS + 0.5)
-        if load is not None and replicas:
+        if replicas:
             self._links.send(Outgoing(min(replicas), load, urgent=True))
 
     def _share_out(self, now_seconds: float) -> None:
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -132,8 +132,19 @@
         if prompt is None:
             best = min(usable, key=self._plain_cost)
             return self._plain_lease(best, now_seconds)
-        best = self._best_engine(usable, prompt, slots, objective_seconds, now_seconds)
-        return self._engine_lease(best, prompt, _home(prompt, usable), now_seconds)
+        home = _home(prompt, usable)
+
+        def cost(option: tuple[KnownTarget, int]) -> float:
+            known, unread = option
+            return self._engine_cost(
+                known, unread, prompt, slots, objective_seconds, now_seconds
+            )
+
+        options = [
+            (known, self._unread(known, prompt, home, now_seconds)) for known in usable
+        ]
+        best, unread = min(options, key=cost)
+        return self._engine_lease(best, prompt, unread, now_seconds)
 
     def heard(self, lease: Lease, now_seconds: float) -> None:
         """Note that something of an answer came from a target."""
@@ -273,31 +284,11 @@
         place.unanswered[self._leases] = (now_seconds, expected_at_seconds)
         return self._leases
 
-    def _best_engine(
-        self,
-        usable: list[KnownTarget],
-        prompt: Prompt,
-        slots: int | None,
-        objective_seconds: float,
-        now_seconds: float,
-    ) -> KnownTarget:
-        """Return the engine at which a prompt costs its caller and the others least."""
-        home = _home(prompt, usable)
-
-        def cost(known: KnownTarget) -> float:
-            wait_seconds = self._wait_seconds(known, prompt, slots, home, now_seconds)
-            return _cost(wait_seconds, objective_seconds) + self._read_again_seconds(
-                known, prompt, home, now_seconds
-            )
-
-        return min(usable, key=cost)
-
     def _engine_lease(
-        self, known: KnownTarget, prompt: Prompt, home: str, now_seconds: float
+        self, known: KnownTarget, prompt: Prompt, tokens: int, now_seconds: float
     ) -> Lease:
-        """Count a request at an engine."""
+        """Count a request at an engine that has so many tokens to read for it."""
         place = self._place(known.row.target_id)
-        tokens = self._unread(known, prompt, home, now_seconds)
         place.requests += 1
         place.sent_tokens += tokens
         expected_at_seconds = place.backlog.sent(tokens, now_seconds)
@@ -318,19 +309,22 @@
         far = 0.0 if known.row.data_centre == self._data_centre else FAR_REQUESTS
         return (requests + far) / max(known.row.slots, 1), place.requests
 
-    def _wait_seconds(
+    def _engine_cost(
         self,
         known: KnownTarget,
+        unread: int,
         prompt: Prompt,
         slots: int | None,
-        home: str,
+        objective_seconds: float,
         now_seconds: float,
     ) -> float:
-        """Return the time to the first event that is to be expected at an engine."""
+        """Return what a prompt costs its caller and the others at an engine."""
         backlog = self._place(known.row.target_id).backlog
-        unread = self._unread(known, prompt, home, now_seconds)
         wait_seconds = self._queue_seconds(known, slots, now_seconds)
-        return wait_seconds + backlog.read_seconds(unread)
+        wait_seconds += backlog.read_seconds(unread)
+        again = max(unread - prompt.own_tokens, 0)
+        again_seconds = READ_AGAIN_FACTOR * backlog.read_seconds(again)
+        return _wait_cost(wait_seconds, objective_seconds) + again_seconds
 
     def _queue_seconds(
         self, known: KnownTarget, slots: int | None, now_seconds: float
@@ -345,16 +339,6 @@
             wait_seconds += NO_PLACE_SECONDS * (1 + requests - places)
         return wait_seconds
 
-    def _read_again_seconds(
-        self, known: KnownTarget, prompt: Prompt, home: str, now_seconds: float
-    ) -> float:
-        """Return what reading shared parts again costs all others at an engine."""
-        own_tokens = prompt.parts[-1].tokens if prompt.parts else prompt.prompt_tokens
-        unread = self._unread(known, prompt, home, now_seconds)
-        again = max(unread - own_tokens, 0)
-        backlog = self._place(known.row.target_id).backlog
-        return READ_AGAIN_FACTOR * backlog.read_seconds(again)
-
     def _unread(
         self, known: KnownTarget, prompt: Prompt, home: str, now_seconds: float
     ) -> int:
@@ -381,7 +365,7 @@
                 del parts[part_id]
 
 
-def _cost(wait_seconds: float, objective_seconds: float) -> float:
+def _wait_cost(wait_seconds: float, objective_seconds: float) -> float:
     """Return what a wait costs; one that endangers the objective costs more."""
     safe_seconds = SAFE_PART * objective_seconds
     return wait_seconds + LATE_FACTOR * max(wait_seconds - safe_seconds, 0.0)
