--- a/sesameford/callers.py
+++ b/sesameford/callers.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from aiohttp import web
-from aioprometheus import render
 from msgspec import DecodeError
 from msgspec.json import decode
 from opentelemetry.trace import Tracer
@@ -22,6 +21,7 @@
 from sesameford.effective import CustomerSettings
 from sesameford.errors import NotRunError, UnknownOutcomeError
 from sesameford.logs import log_context
+from sesameford.metrics_http import make_metrics_handler
 from sesameford.prompts import prefix_digests, prompt_text, prompt_tokens
 from sesameford.relay import Call, RelayDeps, outcome_of, serve
 from sesameford.router import Router
@@ -67,7 +67,9 @@
     app.router.add_route("*", "/services/{service}/{path:.*}", handler(_service_call))
     app.router.add_get("/healthz", _healthz)
     app.router.add_get("/readyz", _make_readyz(deps))
-    app.router.add_get("/metrics", _make_metrics(deps))
+    app.router.add_get(
+        "/metrics", make_metrics_handler(deps.relay.router.metrics.registry)
+    )
     return app
 
 
@@ -315,14 +317,3 @@
         return web.Response(status=503, text="not ready\n")
 
     return readyz
-
-
-def _make_metrics(deps: CallersDeps) -> Handler:
-    """Return the handler that renders the metrics."""
-
-    async def metrics(http: web.Request) -> web.Response:
-        registry = deps.relay.router.metrics.registry
-        content, headers = render(registry, http.headers.getall("Accept", []))
-        return web.Response(body=content, headers=headers)
-
-    return metrics
--- a/sesameford/discovery/roster.py
+++ b/sesameford/discovery/roster.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from sesameford.discovery.greeted_peer import greeted_peer
 from sesameford.messages import Greeting, ReplicaRow
 from sesameford.settings import Peer
 
@@ -56,9 +57,7 @@
         Returns:
             The instances that this one should have links to by it.
         """
-        peer = Peer(
-            sender_id, greeting.data_centre, greeting.address, greeting.has_disk
-        )
+        peer = greeted_peer(sender_id, greeting)
         self._known[sender_id] = KnownInstance(peer, greeting.founds, now_seconds)
         found = [peer]
         for row in greeting.replicas:
--- a/sesameford/gateway/call_log.py
+++ b/sesameford/gateway/call_log.py
@@ -53,6 +53,7 @@
         outcome, run.route.route_id, run.status, took_seconds, run.first_event_seconds
     )
     first = run.first_event_seconds
+    lease = run.lease
     # The line of a call that failed is among the last to be left out.
     level = logging.WARNING if outcome == "cut" else logging.INFO
     logger.log(
@@ -68,8 +69,8 @@
             "detail": detail,
             "took_seconds": round(took_seconds, 3),
             "first_event_seconds": "" if first is None else round(first, 3),
-            "expected_seconds": round(run.expected_seconds, 3),
-            "unread_tokens": run.unread_tokens,
-            "rate_tokens": round(run.rate_tokens),
+            "expected_seconds": round(lease.expected_seconds, 3) if lease else 0.0,
+            "unread_tokens": lease.tokens if lease else 0,
+            "rate_tokens": round(lease.rate_tokens) if lease else 0,
         },
     )
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -57,6 +57,7 @@
 )
 from sesameford.peers import PeerLinks, seed_peer_id
 from sesameford.planned_stop import PlannedStop
+from sesameford.regular_run import run_regularly
 from sesameford.settings import DaemonSettings, Peer
 from sesameford.state_machine import StateMachine
 from sesameford.stops import StopLoad
@@ -187,9 +188,9 @@
         self._greet()
         self._links.flush()
         self._tasks = [
-            asyncio.create_task(self._run_regularly(TICK_SECONDS, self._tick)),
-            asyncio.create_task(self._run_regularly(BEAT_SECONDS, self._beat)),
-            asyncio.create_task(self._run_regularly(TELL_SECONDS, self._tell_load)),
+            asyncio.create_task(run_regularly(TICK_SECONDS, self._tick)),
+            asyncio.create_task(run_regularly(BEAT_SECONDS, self._beat)),
+            asyncio.create_task(run_regularly(TELL_SECONDS, self._tell_load)),
         ]
         logger.info("started", extra={"incarnation": self.incarnation})
 
@@ -442,18 +443,6 @@
             logger.warning(text)
         self.tally.level("open_calls", self.tally.open_calls)
 
-    async def _run_regularly(
-        self, every_seconds: float, system: Callable[[], None]
-    ) -> None:
-        while True:
-            await asyncio.sleep(every_seconds)
-            try:
-                system()
-            except Exception:
-                # One broken turn must not end all later ones: the instance would
-                # look alive and decide nothing any more.
-                logger.exception("a system failed")
-
     # --- messages -------------------------------------------------------------
 
     def _send_all(self, outgoing: Sequence[Outgoing]) -> None:
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -89,6 +89,11 @@
     expected_at_seconds: float = 0.0
     rate_tokens: float = 0.0
 
+    @property
+    def expected_seconds(self) -> float:
+        """Return how long the prompt was expected to take until it is read."""
+        return self.expected_at_seconds - self.sent_at_seconds
+
 
 class Placement:
     """The targets as one router sees them."""
--- a/sesameford/gateway/run.py
+++ b/sesameford/gateway/run.py
@@ -11,7 +11,7 @@
 from sesameford.event_stream import EventStream
 from sesameford.gateway.calls import Call, Edge
 from sesameford.gateway.forward import Sender
-from sesameford.gateway.placement import Placement
+from sesameford.gateway.placement import Lease, Placement
 from sesameford.gateway.route_table import RouteTable, make_route_table
 from sesameford.gateway.second_sends import SecondSends
 from sesameford.gateway.shares import ShareGate
@@ -105,9 +105,7 @@
     passed: EventStream | None = None
     status: int = 0
     first_event_seconds: float | None = None
-    expected_seconds: float = 0.0
-    unread_tokens: int = 0
-    rate_tokens: float = 0.0
+    lease: Lease | None = None
 
     @property
     def may_repeat(self) -> bool:
--- a/sesameford/gateway/second_sends.py
+++ b/sesameford/gateway/second_sends.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from sesameford.settings import RetryBudget
+from sesameford.settings import RetryBudgetSettings
 
 # Other routers may see fewer requests than they sent, and windows of routers don't
 # begin together, so a part of the fraction is left unused.
@@ -32,7 +32,7 @@
 class SecondSends:
     """The budget of one router."""
 
-    def __init__(self, budget: RetryBudget) -> None:
+    def __init__(self, budget: RetryBudgetSettings) -> None:
         self._budget = budget
         self._windows: dict[str, _Window] = {}
 
@@ -63,6 +63,6 @@
         return window
 
 
-def make_second_sends(budget: RetryBudget) -> SecondSends:
+def make_second_sends(budget: RetryBudgetSettings) -> SecondSends:
     """Return the budget of a router that has sent nothing yet."""
     return SecondSends(budget)
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -124,9 +124,7 @@
     if left_seconds < LEAST_LEFT_SECONDS:
         raise SendingError(Fate.TIMEOUT, "no time is left")
     run.sendings += 1
-    run.expected_seconds = lease.expected_at_seconds - lease.sent_at_seconds
-    run.unread_tokens = lease.tokens
-    run.rate_tokens = lease.rate_tokens
+    run.lease = lease
     run.tried |= {lease.target_id}
     resume_after = run.call.resume_after
     if run.passed is not None and run.passed.last_event_id >= 0:
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -35,6 +35,7 @@
 from sesameford.peers import PeerLinks
 from sesameford.planned_stop import PlannedStop
 from sesameford.processor_time import ProcessorTime
+from sesameford.regular_run import run_regularly
 from sesameford.relay import RelayDeps
 from sesameford.router import Router
 from sesameford.schedulers import make_fleet_scheduler
@@ -313,15 +314,11 @@
     async def _run_regularly(
         self, every_seconds: float, system: Callable[[], None]
     ) -> None:
-        while True:
-            await asyncio.sleep(every_seconds)
-            try:
-                with self._control_time.measured():
-                    system()
-            except Exception:
-                # One broken turn must not end all later ones: the instance would
-                # look alive and decide nothing any more.
-                logger.exception("a system failed")
+        def measured() -> None:
+            with self._control_time.measured():
+                system()
+
+        await run_regularly(every_seconds, measured)
 
     def _send(self, outgoing: Outgoing) -> None:
         self.overlay.send(outgoing, self._now())
--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -16,6 +16,7 @@
 from pynng.exceptions import NNGException, TryAgain
 
 from sesameford.codec import MAX_ENVELOPE_BYTES, decode_envelope, encode_envelope
+from sesameford.discovery.greeted_peer import greeted_peer
 from sesameford.errors import PeerError
 from sesameford.messages import (
     Envelope,
@@ -305,14 +306,7 @@
         """
         for message in envelope.messages:
             if isinstance(message, Greeting) and self._settings.seeds:
-                self.add(
-                    Peer(
-                        envelope.sender_id,
-                        message.data_centre,
-                        message.address,
-                        message.has_disk,
-                    )
-                )
+                self.add(greeted_peer(envelope.sender_id, message))
                 return self._states[envelope.sender_id]
         raise PeerError(f"{envelope.sender_id!r} is no peer of this instance")
 
--- a/sesameford/settings.py
+++ b/sesameford/settings.py
@@ -66,7 +66,7 @@
     key_digest: str
 
 
-class RetryBudget(Struct, frozen=True, forbid_unknown_fields=True):
+class RetryBudgetSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """What second sendings may cost one service over the whole fleet.
 
     In any window they may be ``fraction`` of the requests for the service, and
@@ -98,7 +98,7 @@
     shared_key_file: str | None = None
     platform_key_digest: str | None = None
     tls: Tls | None = None
-    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     target_beat_seconds: float = 1.0
     logging: Logging = field(default_factory=Logging)
     tracing: Tracing = field(default_factory=Tracing)
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -20,7 +20,7 @@
 from sesameford.http_ports import listen_calls, make_session
 from sesameford.messages import BeatRow
 from sesameford.operators_http import digest_of_key
-from sesameford.settings import RetryBudget
+from sesameford.settings import RetryBudgetSettings
 from sesameford.tables import TargetState
 from sesameford.tree import effective_tree, parse_tree
 from sesameford_platform.edge import make_edge
@@ -103,7 +103,7 @@
         make_sender(targets, edge),
         make_placement(table, "a", 1000.0),
         make_share_gate(),
-        make_second_sends(RetryBudget()),
+        make_second_sends(RetryBudgetSettings()),
         make_tally(),
         Random(1),
         lambda: state,
