--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -36,6 +36,18 @@
     return decode_answer(machine.apply(1, encode_command(command)))
 
 
+def first_change(machine, text):
+    """Return an operator's change from the empty tree."""
+    return make_tree_change(
+        machine.store,
+        difference(machine.store.declared, parse_tree(text, "t")),
+        change_id="c",
+        base_revision=0,
+        operator="o",
+        at_seconds=0.0,
+    )
+
+
 def customers_of(machine):
     return set(effective_tree(machine.store.copy(), 1).customers)
 
@@ -81,15 +93,7 @@
 
 def test_a_declaration_leaves_what_others_set():
     machine = make_machine()
-    declared = parse_tree("targets: {children: {t: {drain: true}}}", "t")
-    change = make_tree_change(
-        machine.store,
-        difference(machine.store.declared, declared),
-        change_id="c",
-        base_revision=0,
-        operator="o",
-        at_seconds=0.0,
-    )
+    change = first_change(machine, "targets: {children: {t: {drain: true}}}")
     assert apply(machine, change).status == ACCEPTED
     apply(machine, declaration(1, ("a",)))
     tree = effective_tree(machine.store.copy(), 1)
@@ -107,15 +111,7 @@
 
 def test_a_change_on_a_base_before_a_declaration_conflicts():
     machine = make_machine()
-    declared = parse_tree("customers: {children: {z: {}}}", "t")
-    change = make_tree_change(
-        machine.store,
-        difference(machine.store.declared, declared),
-        change_id="c",
-        base_revision=0,
-        operator="o",
-        at_seconds=0.0,
-    )
+    change = first_change(machine, "customers: {children: {z: {}}}")
     apply(machine, declaration(1, ("a",)))
     assert apply(machine, change).status == CONFLICT
 
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -50,6 +50,15 @@
     world.run(int(seconds * 10), Random(2), 0.0, 0.0)
 
 
+def running_world(size, seconds):
+    """Return a world in which all nodes were started so long ago."""
+    world = SeedWorld(size)
+    for name in world.names:
+        world.start(name)
+    run(world, seconds)
+    return world
+
+
 @pytest.mark.parametrize("order", [(0, 1, 2, 3), (3, 2, 1, 0), (2, 0, 3, 1)])
 def test_replicas_found_one_log_in_any_order(order):
     world = SeedWorld(4)
@@ -78,10 +87,7 @@
 
 def test_a_replica_with_an_empty_disk_founds_nothing():
     """A replica loses its disk while the two others are cut off from it."""
-    world = SeedWorld(3)
-    for name in world.names:
-        world.start(name)
-    run(world, 6)
+    world = running_world(3, 6)
     accept(world)
     world.crash("r0")
     world.empty_disk("r0")
@@ -120,27 +126,18 @@
 
 def test_a_fourth_replica_waits_for_a_vote():
     """Four voters bear no more losses than three and wait for one disk more."""
-    world = SeedWorld(4)
-    for name in world.names:
-        world.start(name)
-    run(world, 10)
+    world = running_world(4, 10)
     assert len(voters(world)) == 3
 
 
 def test_two_more_replicas_make_five_voters():
-    world = SeedWorld(5)
-    for name in world.names:
-        world.start(name)
-    run(world, 10)
+    world = running_world(5, 10)
     assert len(voters(world)) == 5
 
 
 def test_replicas_that_are_down_for_a_while_keep_their_votes():
     """A data centre loses power for some seconds, and nobody can take its place."""
-    world = SeedWorld(3)
-    for name in world.names:
-        world.start(name)
-    run(world, 6)
+    world = running_world(3, 6)
     world.crash("r1")
     run(world, 15)
     assert voters(world) == {"r0", "r1", "r2"}
