Tell unread tokens as levels, copy shared parts, serve who asks too much where there is room

Each late event moved the engine's clock by 0.4 of its lateness, so sixty of them moved it by up to 9 s, and the rate was learnt from prompts that had waited for a place.

Ruled out: engines at fault (first events came after 30 to 60 ms all the while) and a book that changed hands (the capacity fell under one book).

Change: routers tell unread tokens as levels, which are gone once the engine has answered; requests beyond an engine's places wait for one; a rate is learnt from all that was read before a first event and forgotten within seconds; a router that hears no sums works shares out by itself; who asks too much is served where the engine that has its prompt's parts has room; engines copy shared parts from each other.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -56,6 +56,8 @@
     ``connection_limit`` is how many connections one of its targets takes from all
     callers together. An engine's ``batch_slots`` and ``cache_tokens`` say what one
     target works on at once and remembers; both are null for a plain service.
+    ``cache_copy_tokens_per_second`` is how fast an engine copies from another what
+    that one remembers of a prompt; null where it can't.
     """
 
     service: str
@@ -66,6 +68,7 @@
     connection_limit: int | None = None
     batch_slots: int | None = None
     cache_tokens: int | None = None
+    cache_copy_tokens_per_second: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -8,6 +8,7 @@
 from sesameford.gateway.run import (
     RETRY_AFTER_SECONDS,
     GatewayDeps,
+    GatewayState,
     Refusal,
     Run,
 )
@@ -15,6 +16,9 @@
 
 # A customer over its share is told to come back while its objective can still be met.
 SHARE_RETRY_PART = 0.25
+# An engine that would begin to read within this part of the shortest objective has
+# room: whoever asks is served there, as the rest of the objective is left to others.
+ROOM_PART = 0.04
 # A caller of an instance that stops is served by another one at once.
 STOPPING_RETRY_SECONDS = 0.02
 
@@ -38,7 +42,7 @@
     customer = _customer_of(state.tree, route, call)
     service = choose_service(route, deps.random.random())
     if service in state.engine_services and call.prompt is not None:
-        _check_share(deps, route, customer or "", call.prompt)
+        _check_share(deps, state, route, customer or "", call.prompt, service)
     body = await _body(http, state.tree.fleet.body_limit_bytes)
     patience_seconds = route.timeout_seconds
     if call.patience_seconds is not None:
@@ -56,14 +60,30 @@
 
 
 def _check_share(
-    deps: GatewayDeps, route: HttpRouteSettings, customer: str, prompt: Prompt
+    deps: GatewayDeps,
+    state: GatewayState,
+    route: HttpRouteSettings,
+    customer: str,
+    prompt: Prompt,
+    service: str,
 ) -> None:
     """Reject a request beyond its customer's share.
 
     Raises:
         Refusal: Others would wait for it.
     """
-    if deps.gate.admits(customer, route.route_id, prompt.cost_tokens):
+
+    def has_room() -> bool:
+        return deps.placement.has_room(
+            service,
+            prompt,
+            state.tree.services[service],
+            route.objective_seconds,
+            ROOM_PART * state.shortest_objective_seconds,
+            deps.now(),
+        )
+
+    if deps.gate.admits(customer, route.route_id, prompt.cost_tokens, has_room):
         return
     raise Refusal(429, "over-share", SHARE_RETRY_PART * route.objective_seconds)
 
--- a/sesameford/gateway/call_log.py
+++ b/sesameford/gateway/call_log.py
@@ -4,7 +4,7 @@
 
 from sesameford.gateway.calls import Call
 from sesameford.gateway.forward import SendingError
-from sesameford.gateway.placement import Lease
+from sesameford.gateway.place import Lease
 from sesameford.gateway.run import GatewayDeps, Refusal, Run
 
 logger = logging.getLogger(__name__)
--- a/sesameford/gateway/calls.py
+++ b/sesameford/gateway/calls.py
@@ -73,12 +73,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Sending:
-    """What the system tells one target beside the caller's own request."""
+    """What the system tells one target beside the caller's own request.
+
+    ``copy_from`` is the address of another engine that remembers the prompt's shared
+    parts, for the target to copy them instead of reading them.
+    """
 
     target_id: str
     customer: str | None
     left_seconds: float
     resume_after: str | None = None
+    copy_from: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesameford/gateway/engine_backlog.py
+++ b/sesameford/gateway/engine_backlog.py
@@ -1,86 +1,96 @@
 """How long the prompts at a model engine will take to be read, as one router sees it.
 
-An engine reads prompts at some tokens a second, and says so late or not at all. So a
-router keeps a clock for each engine: when it will have read all that was sent. What
-any router sends moves the clock on, and each first event that comes sooner or later
-than the clock said sets it right.
+An engine reads prompts at some tokens a second, and says so late or not at all. A
+router counts the tokens that it has sent there and that no first event has answered
+yet, and is told the same sum of all other routers. Both are levels, not totals: what
+was wrong with them is gone once the engine has answered, so that an engine which was
+slow for a second is not avoided for ten.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Tokens that an engine reads in a second, until the first prompts show it. A guess on
 # the slow side spreads the first prompts over more engines, which does no harm.
 FIRST_RATE_TOKENS = 60_000.0
+# The first guess counts like so many seconds of reading. An engine that was once slow
+# gets few prompts that could show otherwise; the guess lets it be tried again.
+FIRST_GUESS_SECONDS = 0.2
 LOWEST_RATE_TOKENS = 2_000.0
+# What was observed loses two thirds of its weight in this time: some twenty prompts at
+# a busy engine.
+REMEMBERED_SECONDS = 4.0
 # From sending to a first event of an empty prompt: a step, and the ways there and back.
 FIXED_SECONDS = 0.012
-# A prompt shorter than this says more of the network than of the engine.
+# Fewer tokens than this say more of the network than of the engine.
 TELLING_TOKENS = 1_500
-# The part of a new observation in the average; some ten prompts make a new one.
-RATE_GAIN = 0.1
-# The part of an error that is believed to be the engine's backlog; the rest is noise
-# of the one request, which may have been read among others.
-ERROR_GAIN = 0.4
-# A clock that is wrong by more is set right only so far by one request.
-MOST_ERROR_SECONDS = 1.0
 
 
 @dataclass(slots=True)
 class EngineBacklog:
-    """The clock of one engine."""
+    """The prompts at one engine that are not read yet.
 
-    busy_until_seconds: float = 0.0
-    rate_tokens: float = FIRST_RATE_TOKENS
+    ``unread_tokens`` are this router's, ``others_unread_tokens`` those of all others.
+    """
 
-    def wait_seconds(self, now_seconds: float) -> float:
+    unread_tokens: int = 0
+    others_unread_tokens: int = 0
+    _unread: dict[int, int] = field(default_factory=dict)
+    _read_tokens: float = 0.0
+    _read_seconds: float = 0.0
+    _learnt_at_seconds: float = 0.0
+
+    @property
+    def rate_tokens(self) -> float:
+        """Return how many tokens the engine reads in a second."""
+        tokens = self._read_tokens + FIRST_RATE_TOKENS * FIRST_GUESS_SECONDS
+        seconds = self._read_seconds + FIRST_GUESS_SECONDS
+        return max(tokens / seconds, LOWEST_RATE_TOKENS)
+
+    @property
+    def ahead_tokens(self) -> int:
+        """Return what is to be read before a prompt that is sent now."""
+        return self.unread_tokens + self.others_unread_tokens
+
+    def wait_seconds(self) -> float:
         """Return how long until all that was sent will have been read."""
-        return max(self.busy_until_seconds - now_seconds, 0.0)
+        return self.read_seconds(self.ahead_tokens)
 
     def read_seconds(self, tokens: int) -> float:
         """Return how long the engine reads so many tokens."""
         return tokens / self.rate_tokens
 
-    def sent(self, tokens: int, now_seconds: float) -> float:
-        """Add a prompt, of this router or of others.
+    def sent(self, number: int, tokens: int) -> None:
+        """Add a prompt.
 
         Args:
+            number: By which it is taken out again.
             tokens: Those that the engine has to read.
-            now_seconds: The present time.
-
-        Returns:
-            When it will have been read.
         """
-        start_seconds = max(self.busy_until_seconds, now_seconds)
-        self.busy_until_seconds = start_seconds + self.read_seconds(tokens)
-        return self.busy_until_seconds
-
-    def first_event(
-        self,
-        tokens: int,
-        sent_at_seconds: float,
-        expected_at_seconds: float,
-        now_seconds: float,
-    ) -> None:
-        """Learn from a first event.
+        self._unread[number] = tokens
+        self.unread_tokens += tokens
+
+    def read(self, number: int) -> None:
+        """Take a prompt out that has been read, or will never be; once is enough."""
+        self.unread_tokens -= self._unread.pop(number, 0)
+
+    def observed(self, tokens: int, took_seconds: float, now_seconds: float) -> None:
+        """Learn the engine's rate from a first event.
 
         Args:
-            tokens: What the engine had to read for it.
-            sent_at_seconds: When the request was sent.
-            expected_at_seconds: What ``sent`` returned.
+            tokens: What the engine had to read until then.
+            took_seconds: From sending to the event.
             now_seconds: The present time.
         """
-        late_seconds = now_seconds - FIXED_SECONDS - expected_at_seconds
-        bounded = min(max(late_seconds, -MOST_ERROR_SECONDS), MOST_ERROR_SECONDS)
-        moved = self.busy_until_seconds + ERROR_GAIN * bounded
-        self.busy_until_seconds = max(moved, now_seconds)
-        waited_seconds = expected_at_seconds - sent_at_seconds
-        alone = waited_seconds <= 1.05 * self.read_seconds(tokens)
-        if tokens >= TELLING_TOKENS and alone:
-            took_seconds = max(now_seconds - sent_at_seconds - FIXED_SECONDS, 1e-3)
-            rate = max(tokens / took_seconds, LOWEST_RATE_TOKENS)
-            self.rate_tokens += RATE_GAIN * (rate - self.rate_tokens)
+        if tokens < TELLING_TOKENS:
+            return
+        since_seconds = max(now_seconds - self._learnt_at_seconds, 0.0)
+        kept = max(1.0 - since_seconds / REMEMBERED_SECONDS, 0.0)
+        self._learnt_at_seconds = now_seconds
+        self._read_tokens = kept * self._read_tokens + tokens
+        self._read_seconds = kept * self._read_seconds
+        self._read_seconds += max(took_seconds - FIXED_SECONDS, 1e-3)
 
 
 def make_engine_backlog() -> EngineBacklog:
-    """Return the clock of an engine that nothing is known of."""
+    """Return the backlog of an engine that nothing is known of."""
     return EngineBacklog()
--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -1,7 +1,7 @@
 """What all routers have under way at each target, added up by one replica."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from sesameford.gateway.shares import make_share_book
 from sesameford.messages import (
@@ -25,26 +25,23 @@
 
 @dataclass(slots=True)
 class _Told:
-    """The last report of one router, and all that it has sent since it was heard."""
+    """The last report of one router."""
 
     load: RouterLoad
     at_seconds: float
-    sent_tokens: Counter[int] = field(default_factory=Counter)
 
 
 class FleetLoadBook:
     """Both ends: what this instance tells, and what it adds up of others."""
 
-    def __init__(self, instance_id: str, book: int) -> None:
+    def __init__(self, instance_id: str) -> None:
         self._instance_id = instance_id
-        self._book = book
         self._sequence = 0
         self._told: dict[str, _Told] = {}
-        self._sent_tokens: Counter[int] = Counter()
         self._is_changed = False
-        self._heard_book = 0
         self._last_places: tuple[PlaceLoad, ...] = ()
         self._next_seconds = 0.0
+        self._heard_at_seconds = float("-inf")
         self.routers = 1
         self.shares = make_share_book()
 
@@ -54,7 +51,7 @@
         """Return whether a router has to tell what it has under way.
 
         Args:
-            places: What it has under way and has sent.
+            places: What it has under way.
             is_due: Whether it tells all the same, to be counted as living.
             now_seconds: The present time.
         """
@@ -72,7 +69,7 @@
         """Return what a router tells of itself.
 
         Args:
-            places: What it has under way and has sent.
+            places: What it has under way.
             asked: What customers have asked here.
             wait_seconds: How long a prompt waits at an engine.
             begun_tokens: What engines have begun to answer, in all.
@@ -95,19 +92,7 @@
         self.shares.told(
             load.router_id, load.asked, load.wait_seconds, load.begun_tokens
         )
-        told = self._told.get(load.router_id)
-        if told is None:
-            # What it sent before it was heard here is long read.
-            self._told[load.router_id] = _Told(load, now_seconds)
-            return
-        before = {place.name: place.sent_tokens for place in told.load.places}
-        for place in load.places:
-            more = place.sent_tokens - before.get(place.name, 0)
-            if more > 0:
-                told.sent_tokens[place.name] += more
-                self._sent_tokens[place.name] += more
-        told.load = load
-        told.at_seconds = now_seconds
+        self._told[load.router_id] = _Told(load, now_seconds)
         self._is_changed = True
 
     def totals(self, is_due: bool, now_seconds: float) -> list[Outgoing]:
@@ -122,45 +107,51 @@
                 self.shares.forget(router_id)
         self.routers = max(len(self._told), 1)
         requests: Counter[int] = Counter()
+        unread_tokens: Counter[int] = Counter()
         for told in self._told.values():
             for place in told.load.places:
                 requests[place.name] += place.requests
+                unread_tokens[place.name] += place.unread_tokens
         shares = self.shares.rows()
         return [
-            Outgoing(router_id, self._without(told, requests, shares), urgent=True)
+            Outgoing(
+                router_id,
+                self._without(told.load, requests, unread_tokens, shares),
+                urgent=True,
+            )
             for router_id, told in self._told.items()
         ]
 
-    def heard(self, fleet: FleetLoad) -> bool:
-        """Take who adds up; return whether it is another one than before."""
+    def heard(self, fleet: FleetLoad, now_seconds: float) -> None:
+        """Note at a router that the sums of the fleet have come."""
         self.routers = max(fleet.routers, 1)
-        is_new = fleet.book != self._heard_book
-        self._heard_book = fleet.book
-        return is_new
+        self._heard_at_seconds = now_seconds
+
+    def is_alone(self, now_seconds: float) -> bool:
+        """Return whether a router has had no sums for so long that it is cut off."""
+        return now_seconds - self._heard_at_seconds > REPORT_VALID_SECONDS
 
     def _tell_seconds(self) -> float:
         return max(TELL_SECONDS, TELL_SECONDS_A_ROUTER * self.routers)
 
     def _without(
-        self, told: _Told, requests: Counter[int], shares: tuple[ShareRow, ...]
+        self,
+        mine: RouterLoad,
+        requests: Counter[int],
+        unread_tokens: Counter[int],
+        shares: tuple[ShareRow, ...],
     ) -> FleetLoad:
-        mine = {place.name: place.requests for place in told.load.places}
-        places = tuple(
-            PlaceLoad(
-                name,
-                count - mine.get(name, 0),
-                self._sent_tokens[name] - told.sent_tokens[name],
-            )
-            for name, count in requests.items()
-        )
-        return FleetLoad(self._book, places, len(self._told), shares)
-
-
-def make_fleet_load(instance_id: str, book: int) -> FleetLoadBook:
-    """Return the book of one instance.
-
-    Args:
-        instance_id: This instance.
-        book: A number that no other book has, such as its start time.
-    """
-    return FleetLoadBook(instance_id, book)
+        own = {place.name: place for place in mine.places}
+        places = []
+        for name, count in requests.items():
+            place = own.get(name, PlaceLoad(name, 0, 0))
+            others_requests = count - place.requests
+            others_unread = unread_tokens[name] - place.unread_tokens
+            if others_requests or others_unread:
+                places.append(PlaceLoad(name, others_requests, others_unread))
+        return FleetLoad(tuple(places), len(self._told), shares)
+
+
+def make_fleet_load(instance_id: str) -> FleetLoadBook:
+    """Return the book of one instance."""
+    return FleetLoadBook(instance_id)
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -160,10 +160,7 @@
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
             renew=self._new_machines,
         )
-        self._load = make_fleet_load(
-            settings.instance_id,
-            crc32(settings.instance_id.encode()) ^ (self.incarnation << 1),
-        )
+        self._load = make_fleet_load(settings.instance_id)
         self.placement = make_placement(
             self.table, settings.data_centre, settings.target_beat_seconds
         )
@@ -407,17 +404,18 @@
         if is_due:
             self._load_due_at_seconds = now_seconds + BEAT_SECONDS
         if self._own.has_disk:
-            self._share_out(now_seconds)
+            self._share_out(now_seconds, 1)
             self._send_all(self._load.totals(is_due, now_seconds))
             return
+        wait_seconds = self._wait_seconds(now_seconds)
+        self._share_alone(wait_seconds, now_seconds)
         places = self.placement.loads()
         if not self._load.is_news(places, is_due, now_seconds):
             return
-        engines = self._state.engine_services if self._state is not None else ()
         load = self._load.own(
             places,
             self._gate.rows(),
-            self.placement.wait_seconds(engines, now_seconds),
+            wait_seconds,
             self._gate.begun_tokens,
             now_seconds,
         )
@@ -425,12 +423,46 @@
         if replicas:
             self._links.send(Outgoing(min(replicas), load, urgent=True))
 
-    def _share_out(self, now_seconds: float) -> None:
-        """Bring the shares of customers up to date, where this instance adds up."""
+    def _wait_seconds(self, now_seconds: float) -> float:
+        """Return how long a prompt waits on average at an engine."""
+        if self._state is None:
+            return 0.0
+        services = self._state.tree.services
+        waits = [
+            wait_seconds
+            for service in self._state.engine_services
+            for wait_seconds in self.placement.waits_seconds(
+                service, services[service].batch_slots or 1, now_seconds
+            )
+        ]
+        return sum(waits) / len(waits) if waits else 0.0
+
+    def _share_alone(self, wait_seconds: float, now_seconds: float) -> None:
+        """Work shares out from what is asked here, for when nobody else does.
+
+        A router that is cut off from all replicas is told no shares. Were it to let
+        everything in, one customer's flood would fill the engines for everybody.
+        """
+        shares = self._load.shares
+        shares.told(
+            self._own.instance_id,
+            self._gate.rows(),
+            wait_seconds,
+            self._gate.begun_tokens,
+        )
+        self._share_out(now_seconds, self._load.routers)
+        if self._load.is_alone(now_seconds):
+            self._gate.take(shares.rows())
+
+    def _share_out(self, now_seconds: float, routers: int) -> None:
+        """Bring shares up to date from what some of so many routers were asked."""
         if self._state is None:
             return
+        declared_tokens = self._state.tree.fleet.tokens_per_second
+        if declared_tokens is not None:
+            declared_tokens /= routers
         self._load.shares.tick(
-            self._state.tree.fleet.tokens_per_second,
+            declared_tokens,
             WAIT_PART * self._state.shortest_objective_seconds,
             now_seconds,
         )
@@ -471,8 +503,8 @@
             case RouterLoad():
                 self._load.received(message, now_seconds)
             case FleetLoad():
-                is_new = self._load.heard(message)
-                self.placement.take_others(message.places, is_new, now_seconds)
+                self._load.heard(message, now_seconds)
+                self.placement.take_others(message.places)
                 self._gate.take(message.shares)
             case TreeSteps() | TreeWhole() | TreeWanted():
                 self._tree.received(sender_id, message)
--- /dev/null
+++ b/sesameford/gateway/place.py
@@ -0,0 +1,65 @@
+"""What one router knows of one target beside its heartbeats."""
+
+from dataclasses import dataclass, field
+
+from sesameford.gateway.engine_backlog import EngineBacklog, make_engine_backlog
+from sesameford.gateway.prompt_cache import PromptCache, make_prompt_cache
+
+# A request without an answer so long after it was expected shows a silent target, if
+# nothing else has come from there meanwhile either.
+OVERDUE_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class Place:
+    """A target's work, answers and failures.
+
+    ``requests`` are this router's under way, ``others_requests`` those of all others.
+    ``unanswered`` holds when each request was sent and when its answer was due.
+    """
+
+    requests: int = 0
+    others_requests: int = 0
+    backlog: EngineBacklog = field(default_factory=make_engine_backlog)
+    cache: PromptCache = field(default_factory=make_prompt_cache)
+    failures: int = 0
+    rests_until_seconds: float = 0.0
+    heard_at_seconds: float = float("-inf")
+    unanswered: dict[int, tuple[float, float]] = field(default_factory=dict)
+
+    @property
+    def all_requests(self) -> int:
+        """Return the requests of all routers that are under way there."""
+        return self.requests + self.others_requests
+
+    def is_silent(self, now_seconds: float) -> bool:
+        """Return whether the oldest request without an answer is overdue.
+
+        A server that is cut off or hangs closes no connection. What is sent there
+        meanwhile is lost until its heartbeats are missed, which takes seconds.
+        """
+        for sent_at_seconds, due_at_seconds in self.unanswered.values():
+            is_overdue = now_seconds > due_at_seconds + OVERDUE_SECONDS
+            return is_overdue and self.heard_at_seconds < sent_at_seconds
+        return False
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """One request's share of a target's work, to be given back by ``released``.
+
+    ``tokens`` are to be read for it and ``ahead_tokens`` before it;
+    ``expected_seconds`` is the time until it is read, as it looked when it was sent.
+    ``copy_from`` is the engine that it copies shared parts of the prompt from.
+    """
+
+    target_id: str
+    address: str
+    number: int
+    tokens: int = 0
+    ahead_tokens: int = 0
+    sent_at_seconds: float = 0.0
+    expected_seconds: float = 0.0
+    rate_tokens: float = 0.0
+    waits_for_place: bool = False
+    copy_from: str | None = None
--- a/sesameford/gateway/run.py
+++ b/sesameford/gateway/run.py
@@ -11,7 +11,8 @@
 from sesameford.event_stream import EventStream
 from sesameford.gateway.calls import Call, Edge
 from sesameford.gateway.forward import Sender
-from sesameford.gateway.placement import Lease, Placement
+from sesameford.gateway.place import Lease
+from sesameford.gateway.placement import Placement
 from sesameford.gateway.route_table import RouteTable, make_route_table
 from sesameford.gateway.second_sends import SecondSends
 from sesameford.gateway.shares import ShareGate
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -15,7 +15,7 @@
     Fate,
     SendingError,
 )
-from sesameford.gateway.placement import Lease
+from sesameford.gateway.place import Lease
 from sesameford.gateway.run import (
     RETRY_AFTER_SECONDS,
     CutError,
@@ -93,17 +93,14 @@
         Refusal: None can take the call.
     """
     state = deps.state()
-    settings = state.tree.services.get(run.service) if state is not None else None
-    slots = settings.batch_slots if settings is not None else None
-    prompt = run.call.prompt if slots else None
-    now_seconds = deps.now()
+    engine = state.tree.services.get(run.service) if state is not None else None
     lease = deps.placement.choose(
         run.service,
-        prompt,
-        slots,
+        run.call.prompt,
+        engine,
         run.route.objective_seconds,
         run.tried,
-        now_seconds,
+        deps.now(),
     )
     if lease is None:
         if run.may_have_run:
@@ -129,7 +126,9 @@
     resume_after = run.call.resume_after
     if run.passed is not None and run.passed.last_event_id >= 0:
         resume_after = str(run.passed.last_event_id)
-    sending = Sending(lease.target_id, run.customer, left_seconds, resume_after)
+    sending = Sending(
+        lease.target_id, run.customer, left_seconds, resume_after, lease.copy_from
+    )
 
     def first_event() -> None:
         deps.placement.first_event(lease, deps.now())
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -7,7 +7,7 @@
 each of the latter gets, and reject the rest at once.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from sesameford.messages import AskedRow, ShareRow
@@ -167,15 +167,28 @@
     fractions: dict[str, float] = field(default_factory=dict)
     _credit: dict[tuple[str, str], float] = field(default_factory=dict)
 
-    def admits(self, customer: str, route_id: str, tokens: int) -> bool:
-        """Count a request, and return whether it is within its customer's share.
+    def admits(
+        self,
+        customer: str,
+        route_id: str,
+        tokens: int,
+        has_room: Callable[[], bool] = lambda: False,
+    ) -> bool:
+        """Count a request, and return whether it is served.
 
         Requests are counted by number and by route, so that large ones are served as
         often as small ones, and no kind of request gives way to another.
+
+        Args:
+            customer: Whose request it is.
+            route_id: Its route.
+            tokens: What it costs.
+            has_room: Asked for a customer over its share, whether an engine could
+                begin at once. Nobody else would be served sooner by a rejection.
         """
         self.asked[customer] = self.asked.get(customer, 0) + tokens
         fraction = self.fractions.get(customer)
-        if fraction is None:
+        if fraction is None or has_room():
             return True
         key = (customer, route_id)
         credit = self._credit.get(key, FIRST_CREDIT) + fraction
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -86,11 +86,11 @@
 
 
 class PlaceLoad(Struct, frozen=True, array_like=True):
-    """Requests under way at one target, and the total of prompt tokens sent there."""
+    """Requests under way at one target, and the tokens of them not read yet."""
 
     name: int
     requests: int
-    sent_tokens: int
+    unread_tokens: int
 
 
 class AskedRow(Struct, frozen=True, array_like=True):
@@ -123,12 +123,7 @@
 
 
 class FleetLoad(Struct, frozen=True, array_like=True, tag=True):
-    """What all routers but the receiver have under way and have sent, by target.
-
-    The totals grow as long as ``book``, which names who adds up, stays the same.
-    """
-
-    book: int
+    """What all routers but the receiver have under way, by target."""
 
     places: tuple[PlaceLoad, ...]
     routers: int
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -29,11 +29,16 @@
     Passed on, the rival would be charged for the work.
     """
     async with open_desk(Fault.NONE) as desk:
-        forged = {"X-Sesameford-Tenant": "rival", "Kv-From": "10.0.0.1:1/h"}
+        forged = {
+            "X-Sesameford-Tenant": "rival",
+            "Kv-From": "10.0.0.1:1/h",
+            "Kv-Fetch": "10.0.0.1:1",
+        }
         await desk.ask("/unsafe/", **forged, **{"X-Sesameford-Hold": "h"})
         headers = desk.servers[0].seen[0].headers
         assert headers["x-sesameford-tenant"] == "club"
         assert "kv-from" not in headers
+        assert "kv-fetch" not in headers
         assert "x-sesameford-hold" not in headers
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,12 +1,17 @@
 """Where requests go, by loads that are made up here; no network."""
 
 from sesameford.discovery.beat_table import make_beat_table, short_name
+from sesameford.effective import ServiceSettings
 from sesameford.gateway.calls import Prompt, PromptPart
 from sesameford.gateway.placement import LONGEST_REST_SECONDS, make_placement
 from sesameford.messages import BeatRow, PlaceLoad
 from sesameford.tables import TargetState
 
 OBJECTIVE_SECONDS = 0.25
+ENGINE = ServiceSettings("pool", batch_slots=32)
+COPYING_ENGINE = ServiceSettings(
+    "pool", batch_slots=32, cache_copy_tokens_per_second=400_000.0
+)
 BEAT_SECONDS = 1.0
 
 
@@ -28,8 +33,12 @@
     return Prompt("m", shared + own, 100, parts)
 
 
-def choose(placement, wanted, now=0.0, tried=frozenset()):
-    return placement.choose("pool", wanted, 32, OBJECTIVE_SECONDS, tried, now)
+def choose(placement, wanted, now=0.0, tried=frozenset(), engine=ENGINE):
+    return placement.choose("pool", wanted, engine, OBJECTIVE_SECONDS, tried, now)
+
+
+def others(target_id, requests, unread_tokens):
+    return PlaceLoad(short_name(target_id), requests, unread_tokens)
 
 
 def test_routers_that_never_spoke_send_a_shared_part_to_one_engine():
@@ -57,9 +66,7 @@
     """A subject's engine has seconds of prompts ahead of it; another is idle."""
     placement, _ = make(2)
     home = choose(placement, prompt(7), now=0.0).target_id
-    loads = [PlaceLoad(short_name(home), 40, 0)]
-    placement.take_others(loads, True, 9.0)
-    placement.take_others([PlaceLoad(short_name(home), 40, 200_000)], False, 9.0)
+    placement.take_others([others(home, 20, 200_000)])
     assert choose(placement, prompt(7), now=9.0).target_id != home
 
 
@@ -71,15 +78,106 @@
         assert short.target_id != long.target_id
 
 
-def test_a_new_book_of_totals_is_no_load():
-    """Another replica adds up from now on; its totals begin elsewhere.
+def test_what_others_have_is_what_was_told_last():
+    """Another replica adds up from now on, or the same one tells a lower sum.
+
+    Were sums added to each other, an engine would look busy that has nothing to do.
+    """
+    placement, _ = make(1)
+    placement.take_others([others("e0", 1, 900_000)])
+    assert waits(placement) > 1.0
+    placement.take_others([others("e0", 1, 10)])
+    assert waits(placement) < 0.01
+    placement.take_others([])
+    assert waits(placement) == 0.0
+
+
+def test_late_answers_of_a_busy_moment_are_forgotten_once_all_have_come():
+    """A router is cut off from the others and fills engines that are full already.
+
+    All of its sixty first events come a second late. Added up, they would make the
+    engine look busy for half a minute while it stands idle, and callers would be
+    turned away until then.
+    """
+    placement, _ = make(1)
+    leases = [choose(placement, prompt(n, 100, 1_000, 1_000 + n)) for n in range(60)]
+    for number, lease in enumerate(leases):
+        placement.first_event(lease, 2.0 + number * 0.02)
+    for lease in leases:
+        placement.released(lease, 4.0)
+    assert waits(placement) == 0.0
+
+
+def waits(placement, now=0.0):
+    return placement.waits_seconds("pool", 32, now)[0]
+
+
+def test_a_request_beyond_the_places_of_an_engine_waits_for_one():
+    """Thirty-two requests run at an engine that has read all prompts.
+
+    A thirty-third begins only when one of them ends; another engine begins at once.
+    """
+    placement, _ = make(2)
+    placement.take_others([others("e0", 32, 0), others("e1", 0, 0)])
+    chosen = {choose(placement, prompt(n, 0, 50), now=0.0).target_id for n in range(9)}
+    assert chosen == {"e1"}
+
 
-    The difference of two books is nothing that anybody has sent.
+def test_an_engine_that_was_slow_is_tried_again():
+    """An engine read little for some seconds, as its machine was slow.
+
+    If that were remembered for good, nothing would be sent there that could show
+    that it is well again.
+    """
+    placement, _ = make(1)
+    lease = choose(placement, prompt(1, 0, 6_000))
+    placement.first_event(lease, 3.0)
+    placement.released(lease, 3.0)
+    slow = choose(placement, prompt(2, 0, 6_000), now=3.0)
+    assert slow.expected_seconds > 0.8
+    placement.released(slow, 3.1)
+    for number in range(10):
+        small = choose(placement, prompt(50 + number, 0, 2_000), now=4.0 + number)
+        placement.first_event(small, 4.05 + number)
+        placement.released(small, 4.05 + number)
+    well = choose(placement, prompt(3, 0, 6_000), now=14.0)
+    assert well.expected_seconds < 0.3
+
+
+def test_a_part_that_another_engine_has_is_copied_and_not_read_again():
+    """A subject's engine is busy; the next one copies 5,000 tokens from it.
+
+    Reading them takes some 80 ms, in which everybody else waits there; the copy 13 ms.
     """
+    placement, _ = make(2)
+    home = choose(placement, prompt(7), engine=COPYING_ENGINE)
+    assert home.copy_from is None
+    placement.take_others([others(home.target_id, 40, 200_000)])
+    elsewhere = choose(placement, prompt(7), engine=COPYING_ENGINE)
+    assert elsewhere.target_id != home.target_id
+    assert elsewhere.copy_from == home.address
+    assert elsewhere.tokens == 1_000
+
+
+def test_engines_that_copy_nothing_are_not_asked_to():
+    placement, _ = make(2)
+    home = choose(placement, prompt(7))
+    placement.take_others([others(home.target_id, 40, 200_000)])
+    elsewhere = choose(placement, prompt(7))
+    assert (elsewhere.copy_from, elsewhere.tokens) == (None, 6_000)
+
+
+def has_room(placement, wanted):
+    return placement.has_room("pool", wanted, ENGINE, OBJECTIVE_SECONDS, 0.01, 0.0)
+
+
+def test_there_is_room_where_an_engine_has_the_parts_and_nothing_waits():
     placement, _ = make(1)
-    placement.take_others([PlaceLoad(short_name("e0"), 1, 10)], True, 0.0)
-    placement.take_others([PlaceLoad(short_name("e0"), 1, 900_000)], True, 0.0)
-    assert placement.wait_seconds(["pool"], 0.0) == 0.0
+    assert has_room(placement, prompt(7))
+    placement.take_others([others("e0", 4, 20_000)])
+    assert not has_room(placement, prompt(7))
+    placement.take_others([others("e0", 20, 0)])
+    assert not has_room(placement, prompt(7))
 
 
 def test_a_target_at_which_connections_fail_rests_and_is_tried_again():
@@ -165,6 +263,8 @@
 def test_given_back_requests_count_no_more():
     placement, _ = make(1)
     lease = choose(placement, prompt(1))
+    assert placement.loads() == (others("e0", 1, lease.tokens),)
     placement.first_event(lease, 0.1)
+    assert placement.loads() == (others("e0", 1, 0),)
     placement.released(lease, 0.2)
-    assert placement.loads()[0].requests == 0
+    assert placement.loads() == ()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -234,6 +234,9 @@
     assert sent["X-Sesameford-Expect-Instance"] == "i-7"
     assert sent["X-Sesameford-Tenant"] == "club"
     assert sent["Last-Event-Id"] == "4"
+    assert "Kv-Fetch" not in sent
+    copying = Sending("i-7", "club", 1.25, None, "10.0.0.9:80")
+    assert dict(edge.sent_headers(call, copying))["Kv-Fetch"] == "10.0.0.9:80"
     head = edge.read_answer(503, [("x-sesameford-not-executed", "1")])
     assert head.not_run
     assert edge.read_answer(421, []).is_other
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -147,3 +147,15 @@
     gate = make_share_gate()
     gate.take((ShareRow("a", 0.1),))
     assert all(gate.admits("b", "r", 1_000_000) for _ in range(100))
+
+
+def test_who_asks_too_much_is_served_where_there_is_room():
+    """A customer floods the fleet while some engines have nothing to do.
+
+    Turning its requests away would serve nobody else sooner.
+    """
+    gate = make_share_gate()
+    gate.take((ShareRow("a", 0.01),))
+    assert all(gate.admits("a", "r", 10, lambda: True) for _ in range(50))
+    admitted = sum(gate.admits("a", "r", 10, lambda: False) for _ in range(50))
+    assert admitted <= 1
