Count what waits as demand when a customer's limit is split over routers

Cause: a router told how many requests of a limited customer arrived of late, decayed by half each two seconds. Forty requests that arrived at one router at once and waited for half a minute were no demand any more; the limit of two concurrent requests was split evenly over four routers, and the only one with work ran one request instead of two.

Ruled out: the lease and the slots (the customer never ran more than its share of the limit, with free slots at hand), and a check that is too wide (it is the limit's split that was wrong, not the customer's own limit).

Change: what waits and runs at a router counts as demand. Test first in test_limits.

--- a/sesameford/limits.py
+++ b/sesameford/limits.py
@@ -6,6 +6,7 @@
 customer is never shut out of the router that its requests enter through.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import ceil
 
@@ -124,14 +125,29 @@
         else:
             self._running.pop(customer_id, None)
 
-    def wanted(self, now_seconds: float) -> dict[str, float]:
-        """Return the recent demand in requests per second of limited customers."""
+    def wanted(
+        self,
+        now_seconds: float,
+        waiting_requests: Callable[[str], int] = lambda customer_id: 0,
+    ) -> dict[str, float]:
+        """Return the recent demand in requests per second of limited customers.
+
+        A backlog that arrived long ago is still demand. Were only arrivals counted,
+        the split would become even again, and a customer that waits at one router
+        would run there a fraction of what its limit allows.
+
+        Args:
+            now_seconds: The present time.
+            waiting_requests: How many of a customer's requests wait here.
+        """
         rates = {}
         for customer, usage in self._usage.items():
             decay = 0.5 ** (
                 (now_seconds - usage.wanted_at_seconds) / _WANTED_DECAY_SECONDS
             )
-            rates[customer] = usage.wanted * decay / (_WANTED_DECAY_SECONDS * 1.44)
+            standing = waiting_requests(customer) + self._running.get(customer, 0)
+            wanted = max(usage.wanted * decay, standing)
+            rates[customer] = wanted / (_WANTED_DECAY_SECONDS * 1.44)
         return rates
 
     def _fill(self, customer_id: str, now_seconds: float) -> _Usage:
--- a/sesameford/router_reports.py
+++ b/sesameford/router_reports.py
@@ -57,7 +57,11 @@
         link.wants_full,
         tuple(pools.values()),
         holdings,
-        wanted_rows(state.limits.wanted(now_seconds), state.told_wanted, full),
+        wanted_rows(
+            state.limits.wanted(now_seconds, state.queues.requests_of),
+            state.told_wanted,
+            full,
+        ),
         link.pace_rows(state.paces),
     )
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -49,3 +49,20 @@
                 pass
     # A burst of a second, and at least one request, at each router.
     assert admitted <= rate * 20.0 + rate + len(routers)
+
+
+def test_a_backlog_that_arrived_long_ago_is_still_demand():
+    """Forty requests of a customer wait at one router; nothing new has come for long.
+
+    If only arrivals counted, its limit would be split evenly over all routers again,
+    and its callers would wait several times as long as the limit makes them.
+    """
+    limits = Limits()
+    limits.configure({"c": LimitSettings(concurrent_requests=2)})
+    for _ in range(40):
+        limits.admit("c", 0.0)
+    limits.started("c", 1.0, 0.0)
+    fresh = limits.wanted(0.0, lambda customer: 39)["c"]
+    assert limits.wanted(60.0, lambda customer: 39)["c"] == pytest.approx(fresh)
+    limits.ended("c")
+    assert limits.wanted(60.0, lambda customer: 0)["c"] < 0.01 * fresh
