Give loads and shares a module; tell when customers are limited

New lines: the customers that are limited, whenever they are others than before, with the capacity; and a router that works shares out by itself.

--- /dev/null
+++ b/sesameford/gateway/load_system.py
@@ -0,0 +1,175 @@
+"""What an instance tells of its work, what it is told, and shares that follow."""
+
+import logging
+from collections.abc import Callable, Collection
+
+from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
+from sesameford.gateway.loop_lag import make_loop_lag
+from sesameford.gateway.placement import Placement
+from sesameford.gateway.run import GatewayState
+from sesameford.gateway.shares import make_share_gate
+from sesameford.messages import FleetLoad, Outgoing
+
+logger = logging.getLogger(__name__)
+
+# A router tells its work at least this often, so that it is counted as living.
+AT_LEAST_SECONDS = 0.5
+# A replica counts as living that was heard within two heartbeats and a half second.
+HEARD_SECONDS = 1.5
+# How long prompts may wait on average, as a part of the shortest objective: the rest
+# is for reading the prompt itself and for what waits longer than the average.
+WAIT_PART = 0.5
+
+
+class LoadSystem:
+    """Loads and shares at one instance, a router or the replica that adds up."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        has_disk: bool,
+        placement: Placement,
+        state: Callable[[], GatewayState | None],
+        live_replicas: Callable[[float, float], Collection[str]],
+        send: Callable[[Outgoing], None],
+    ) -> None:
+        self.book = make_fleet_load(instance_id)
+        self.gate = make_share_gate()
+        self.lag = make_loop_lag()
+        self._instance_id = instance_id
+        self._has_disk = has_disk
+        self._placement = placement
+        self._state = state
+        self._live_replicas = live_replicas
+        self._send = send
+        self._due_at_seconds = 0.0
+        self._was_alone = True
+        self._limited_customers: tuple[str, ...] = ()
+
+    def heard(self, fleet: FleetLoad, now_seconds: float) -> None:
+        """Take what all other routers have under way, and the shares."""
+        self.book.heard(fleet, now_seconds)
+        self._placement.take_others(fleet.places)
+        self.gate.take(fleet.shares)
+
+    def tell(self, now_seconds: float) -> None:
+        """Tell one replica, the same for all routers, what is under way here.
+
+        The replica adds up and tells each router what all others have.
+        """
+        self.lag.ran(TELL_SECONDS, now_seconds)
+        is_due = now_seconds >= self._due_at_seconds
+        if is_due:
+            self._due_at_seconds = now_seconds + AT_LEAST_SECONDS
+        if self._has_disk:
+            self._share_out(now_seconds, 1)
+            for one in self.book.totals(is_due, now_seconds):
+                self._send(one)
+            return
+        wait_seconds = self._wait_seconds(now_seconds)
+        self._share_alone(wait_seconds, now_seconds)
+        places = self._placement.loads()
+        if not self.book.is_news(places, is_due, now_seconds):
+            return
+        load = self.book.own(
+            places,
+            self.gate.rows(),
+            wait_seconds,
+            self.gate.begun_tokens,
+            now_seconds,
+        )
+        replicas = self._live_replicas(now_seconds, HEARD_SECONDS)
+        if replicas:
+            self._send(Outgoing(min(replicas), load, urgent=True))
+
+    def _wait_seconds(self, now_seconds: float) -> float:
+        """Return how long a prompt waits on average at an engine."""
+        state = self._state()
+        if state is None:
+            return 0.0
+        services = state.tree.services
+        waits = [
+            wait_seconds
+            for service in state.engine_services
+            for wait_seconds in self._placement.waits_seconds(
+                service, services[service].batch_slots or 1, now_seconds
+            )
+        ]
+        return sum(waits) / len(waits) if waits else 0.0
+
+    def _share_alone(self, wait_seconds: float, now_seconds: float) -> None:
+        """Work shares out from what is asked here, for when nobody else does.
+
+        A router that is cut off from all replicas is told no shares. Were it to let
+        everything in, one customer's flood would fill the engines for everybody.
+        """
+        shares = self.book.shares
+        shares.told(
+            self._instance_id,
+            self.gate.rows(),
+            wait_seconds,
+            self.gate.begun_tokens,
+        )
+        self._share_out(now_seconds, self.book.routers)
+        is_alone = self.book.is_alone(now_seconds)
+        if is_alone:
+            self.gate.take(shares.rows())
+        if is_alone != self._was_alone:
+            self._was_alone = is_alone
+            source = "what is asked here" if is_alone else "a replica"
+            logger.warning("shares follow another source", extra={"source": source})
+
+    def _share_out(self, now_seconds: float, routers: int) -> None:
+        """Bring shares up to date from what some of so many routers were asked."""
+        state = self._state()
+        if state is None:
+            return
+        declared_tokens = state.tree.fleet.tokens_per_second
+        if declared_tokens is not None:
+            declared_tokens /= routers
+        self.book.shares.tick(
+            declared_tokens,
+            WAIT_PART * state.shortest_objective_seconds,
+            now_seconds,
+        )
+
+    def log_shares(self) -> None:
+        """Tell which customers ask too much, when they are others than before."""
+        if not self._has_disk and not self._was_alone:
+            return
+        shares = self.book.shares
+        limited = tuple(sorted(shares.fractions))
+        if limited == self._limited_customers:
+            return
+        self._limited_customers = limited
+        logger.info(
+            "shares limited",
+            extra={
+                "customers": ",".join(
+                    f"{one}:{shares.fractions[one]:.2f}" for one in limited
+                ),
+                "capacity_tokens": round(shares.capacity_tokens),
+                "asked_tokens": round(sum(shares.asked_tokens.values())),
+            },
+        )
+
+
+def make_load_system(
+    instance_id: str,
+    has_disk: bool,
+    placement: Placement,
+    state: Callable[[], GatewayState | None],
+    live_replicas: Callable[[float, float], Collection[str]],
+    send: Callable[[Outgoing], None],
+) -> LoadSystem:
+    """Return the loads and shares of an instance.
+
+    Args:
+        instance_id: This instance.
+        has_disk: Whether it is a replica, which adds up.
+        placement: What it has under way at targets.
+        state: What is in force.
+        live_replicas: Replicas heard within so many seconds before a time.
+        send: Sends a message.
+    """
+    return LoadSystem(instance_id, has_disk, placement, state, live_replicas, send)
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -24,13 +24,12 @@
 from sesameford.errors import NoQuorumError, PeerError, SesamefordError
 from sesameford.fencing import FencingMachine
 from sesameford.gateway.calls import Edge
-from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
+from sesameford.gateway.fleet_load import TELL_SECONDS
 from sesameford.gateway.forward import make_sender
-from sesameford.gateway.loop_lag import make_loop_lag
+from sesameford.gateway.load_system import make_load_system
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.run import GatewayDeps, GatewayState, make_gateway_state
 from sesameford.gateway.second_sends import make_second_sends
-from sesameford.gateway.shares import make_share_gate
 from sesameford.gateway.tally import make_tally
 from sesameford.http_ports import make_session
 from sesameford.link_key import load_link_key
@@ -96,9 +95,6 @@
 # within some hundredths.
 TAKEN_SECONDS = 0.3
 TOKEN_BITS = 48
-# How long prompts may wait on average, as a part of the shortest objective: the rest
-# is for reading the prompt itself and for what waits longer than the average.
-WAIT_PART = 0.5
 
 
 class DeclarationRefusedError(SesamefordError):
@@ -161,20 +157,24 @@
             seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
             renew=self._new_machines,
         )
-        self._load = make_fleet_load(settings.instance_id)
         self.placement = make_placement(
             self.table,
             settings.data_centre,
             settings.target_beat_seconds,
             Random(self.incarnation),
         )
-        self._gate = make_share_gate()
-        self._lag = make_loop_lag()
+        self.load = make_load_system(
+            settings.instance_id,
+            self._own.has_disk,
+            self.placement,
+            lambda: self._state,
+            self._roster.live_replicas,
+            self._links.send,
+        )
         self._state: GatewayState | None = None
         self._session: ClientSession | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._had_replicas = False
-        self._load_due_at_seconds = 0.0
         self._taken: dict[int, asyncio.Event] = {}
         self._at_finishing: list[Callable[[], None]] = []
         self._at_configured: list[Callable[[EffectiveTree], None]] = []
@@ -204,13 +204,13 @@
             self._edge,
             make_sender(self._session, self._edge),
             self.placement,
-            self._gate,
+            self.load.gate,
             make_second_sends(self._settings.retry_budget),
-            self._lag,
+            self.load.lag,
             self.tally,
             Random(self.incarnation),
             lambda: self._state if self._tree.is_ready() else None,
-            lambda: self._load.routers,
+            lambda: self.load.book.routers,
             lambda: not self._stop.is_ready,
             lambda: self._stop.accepts_requests,
             self._now,
@@ -399,80 +399,13 @@
             self._links.remove(peer_id)
         self._links.flush()
         self._note_replicas(now_seconds)
+        self.load.log_shares()
 
     def _greet(self) -> None:
         self._links.send(Outgoing(None, self._roster.greeting(self._now())))
 
     def _tell_load(self) -> None:
-        """Tell one replica, the same for all routers, what is under way here."""
-        now_seconds = self._now()
-        self._lag.ran(TELL_SECONDS, now_seconds)
-        is_due = now_seconds >= self._load_due_at_seconds
-        if is_due:
-            self._load_due_at_seconds = now_seconds + BEAT_SECONDS
-        if self._own.has_disk:
-            self._share_out(now_seconds, 1)
-            self._send_all(self._load.totals(is_due, now_seconds))
-            return
-        wait_seconds = self._wait_seconds(now_seconds)
-        self._share_alone(wait_seconds, now_seconds)
-        places = self.placement.loads()
-        if not self._load.is_news(places, is_due, now_seconds):
-            return
-        load = self._load.own(
-            places,
-            self._gate.rows(),
-            wait_seconds,
-            self._gate.begun_tokens,
-            now_seconds,
-        )
-        replicas = self._roster.live_replicas(now_seconds, 2 * BEAT_SECONDS + 0.5)
-        if replicas:
-            self._links.send(Outgoing(min(replicas), load, urgent=True))
-
-    def _wait_seconds(self, now_seconds: float) -> float:
-        """Return how long a prompt waits on average at an engine."""
-        if self._state is None:
-            return 0.0
-        services = self._state.tree.services
-        waits = [
-            wait_seconds
-            for service in self._state.engine_services
-            for wait_seconds in self.placement.waits_seconds(
-                service, services[service].batch_slots or 1, now_seconds
-            )
-        ]
-        return sum(waits) / len(waits) if waits else 0.0
-
-    def _share_alone(self, wait_seconds: float, now_seconds: float) -> None:
-        """Work shares out from what is asked here, for when nobody else does.
-
-        A router that is cut off from all replicas is told no shares. Were it to let
-        everything in, one customer's flood would fill the engines for everybody.
-        """
-        shares = self._load.shares
-        shares.told(
-            self._own.instance_id,
-            self._gate.rows(),
-            wait_seconds,
-            self._gate.begun_tokens,
-        )
-        self._share_out(now_seconds, self._load.routers)
-        if self._load.is_alone(now_seconds):
-            self._gate.take(shares.rows())
-
-    def _share_out(self, now_seconds: float, routers: int) -> None:
-        """Bring shares up to date from what some of so many routers were asked."""
-        if self._state is None:
-            return
-        declared_tokens = self._state.tree.fleet.tokens_per_second
-        if declared_tokens is not None:
-            declared_tokens /= routers
-        self._load.shares.tick(
-            declared_tokens,
-            WAIT_PART * self._state.shortest_objective_seconds,
-            now_seconds,
-        )
+        self.load.tell(self._now())
 
     def _note_replicas(self, now_seconds: float) -> None:
         has_replicas = bool(self._roster.live_replicas(now_seconds, 2.0))
@@ -509,11 +442,9 @@
                 if message.token in self._taken:
                     self._taken[message.token].set()
             case RouterLoad():
-                self._load.received(message, now_seconds)
+                self.load.book.received(message, now_seconds)
             case FleetLoad():
-                self._load.heard(message, now_seconds)
-                self.placement.take_others(message.places)
-                self._gate.take(message.shares)
+                self.load.heard(message, now_seconds)
             case TreeSteps() | TreeWhole() | TreeWanted():
                 self._tree.received(sender_id, message)
             case LogPayload() | ProposalRequest() | ProposalReply():
