A fault soak of the platform's programs

Seven real processes, four servers behind proxies and sixteen callers on loopback, under faults that a seed draws: kills, pauses, planned stops, changed settings, lost disks, the whole core killed, servers that crash, drain or answer wrongly, connections delayed, reset or silenced, changes and races of changes. Callers keep their connections. Checked: runs against what callers were told, whole and own answers, cuts, routes and keys, drains, refused changes, read-back, recovery, processes that end by themselves.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR):$(CURDIR)/platform
 
-.PHONY: help setup demo soak bench bench-quick slopes count experiment test lint format types check fuzz kills
+.PHONY: help setup demo soak bench bench-quick slopes count experiment platform-soak test lint format types check fuzz kills
 
 help: ## List the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -44,6 +44,10 @@
 soak: setup ## True outcomes under faults, in 3 minutes or less
 	$(BIN)/python -m tools.soak
 
+SEEDS ?= 1-50
+platform-soak: setup ## The platform's programs under drawn faults, SEEDS=1-50
+	$(BIN)/python -m tools.platform_soak --seeds $(SEEDS) --jobs 3
+
 kills: setup ## Kill each replica in turn under a stream of changes
 	$(BIN)/python -m tools.replica_kills
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -41,10 +41,15 @@
 
 @dataclass(slots=True)
 class PlatformServer:
-    """One incarnation of a server; ``runs`` counts by the call's id."""
+    """One incarnation of a server; ``runs`` counts by the call's id.
+
+    It works for ``pause_seconds`` before an answer and before each event.
+    """
 
     target_id: str
     fault: Fault = Fault.NONE
+    pause_seconds: float = 0.0
+    last_arrival_seconds: float = 0.0
     seen: list[Seen] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     connections: int = 0
@@ -96,6 +101,7 @@
             writer.write(_head(503, call_id, extra))
             return True
         self.runs[call_id] += 1
+        self.last_arrival_seconds = asyncio.get_running_loop().time()
         if self.fault is Fault.MUTE:
             await reader.read()
             self.left_early += 1
@@ -109,6 +115,7 @@
     async def _plain(
         self, call: Seen, call_id: str, writer: asyncio.StreamWriter
     ) -> bool:
+        await asyncio.sleep(self.pause_seconds)
         status = 500 if self.fault is Fault.ERROR else 200
         body = b"answer to " + call.body
         if self.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
@@ -139,6 +146,7 @@
         }
         writer.write(_head(200, call_id, headers))
         for number in range(first, EVENTS + 1):
+            await asyncio.sleep(self.pause_seconds)
             event = EVENT % number
             if self.fault is Fault.CUT_STREAM and number == 2:
                 writer.write(_chunk(event[:5]))
--- /dev/null
+++ b/tools/platform_soak_verdict.py
@@ -0,0 +1,180 @@
+"""What the soak of the platform's programs records, and what is wrong with it."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from time import monotonic
+
+from standins.platform_fleet import BeatingServer, PlatformFleet
+
+# A configuration is in force everywhere within seconds of its acknowledgement.
+IN_FORCE_SECONDS = 3.0
+# A server that drains gets no request later than this after the acknowledgement; a
+# busy machine gets a half second more.
+DRAIN_SECONDS = 2.5
+# What happened so shortly before a request may still harm it.
+AFTERMATH_SECONDS = 3.0
+PROMISES = (408, 421, 429, 503)
+
+
+@dataclass(slots=True)
+class Sent:
+    """One request and what its caller saw; ``end`` names how a connection failed."""
+
+    request_id: str
+    kind: str
+    router: str
+    at_seconds: float
+    took_seconds: float = 0.0
+    status: int = 0
+    is_complete: bool = False
+    is_own: bool = True
+    end: str = ""
+    version_before: int = 0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether it may run more than once."""
+        return self.kind in ("safe", "stream/resumed", "new")
+
+
+@dataclass(slots=True)
+class Span:
+    """A fault or planned stop of one thing, from and to."""
+
+    subject: str
+    from_seconds: float
+    to_seconds: float = float("inf")
+
+    def touches(self, sent: Sent) -> bool:
+        """Return whether a request was under way in it or shortly after."""
+        ends_seconds = sent.at_seconds + sent.took_seconds
+        starts_before = self.from_seconds <= ends_seconds
+        return starts_before and sent.at_seconds <= self.to_seconds + AFTERMATH_SECONDS
+
+
+@dataclass(slots=True)
+class Records:
+    """Everything that one seed showed."""
+
+    sent: list[Sent] = field(default_factory=list)
+    servers: list[BeatingServer] = field(default_factory=list)
+    faults: list[Span] = field(default_factory=list)
+    stops: list[Span] = field(default_factory=list)
+    busy: set[str] = field(default_factory=set)
+    exit_codes: list[tuple[str, int | None]] = field(default_factory=list)
+    never_ready: list[str] = field(default_factory=list)
+    refused_changes: list[str] = field(default_factory=list)
+    newest_version: int = 0
+    _acknowledged: list[tuple[float, int]] = field(default_factory=list)
+
+    @contextmanager
+    def fault(self, subject: str) -> Iterator[None]:
+        """Note a fault for as long as it lasts."""
+        yield from self._span(self.faults, subject)
+
+    @contextmanager
+    def planned_stop(self, subject: str) -> Iterator[None]:
+        """Note a planned stop for as long as it lasts."""
+        yield from self._span(self.stops, subject)
+
+    def _span(self, spans: list[Span], subject: str) -> Iterator[None]:
+        span = Span(subject, monotonic())
+        spans.append(span)
+        self.busy.add(subject)
+        try:
+            yield
+        finally:
+            span.to_seconds = monotonic()
+            self.busy.discard(subject)
+
+    def acknowledged(self, version: int, now_seconds: float) -> None:
+        """Note that a configuration was acknowledged."""
+        self.newest_version = max(self.newest_version, version)
+        self._acknowledged.append((now_seconds, self.newest_version))
+
+    def newest_in_force(self, now_seconds: float) -> int:
+        """Return the newest version that has to be in force everywhere."""
+        due = [
+            version
+            for at_seconds, version in self._acknowledged
+            if now_seconds - at_seconds > IN_FORCE_SECONDS
+        ]
+        return max(due, default=0)
+
+    def counts(self) -> dict[str, int]:
+        """Return how much was played."""
+        ran = Counter(one.status for one in self.sent)
+        return {
+            "requests": len(self.sent),
+            "answered": ran[200],
+            "refused": sum(ran[status] for status in PROMISES),
+            "failed": sum(ran[status] for status in (500, 502, 504)),
+            "no_answer": ran[0],
+            "faults": len(self.faults),
+            "planned_stops": len(self.stops),
+            "changes": len(self._acknowledged),
+        }
+
+
+def findings(records: Records, fleet: PlatformFleet) -> list[str]:
+    """Return a line for each promise that was broken."""
+    runs: Counter[str] = Counter()
+    for one in records.servers:
+        runs.update(one.server.runs)
+    found: list[str] = []
+    for sent in records.sent:
+        found.extend(_of_request(sent, runs[sent.request_id], records))
+    found.extend(f"{one} by itself" for one in fleet.ended_by_itself)
+    found.extend(f"{name} is never ready" for name in records.never_ready)
+    found.extend(f"change {one} refused" for one in records.refused_changes)
+    found.extend(
+        f"{name} ended its planned stop with {code}"
+        for name, code in records.exit_codes
+        if code != 0
+    )
+    found.extend(_late_work(records))
+    return found
+
+
+def _of_request(sent: Sent, runs: int, records: Records) -> Iterator[str]:
+    name = f"{sent.kind} {sent.request_id} at {sent.router}"
+    if runs > 1 and not sent.may_repeat:
+        yield f"{name} ran {runs} times"
+    if sent.status in PROMISES and runs and not sent.may_repeat:
+        yield f"{name} was told {sent.status} and ran"
+    if sent.is_complete and not sent.is_own:
+        yield f"{name} got an answer that is not its own or not whole"
+    if sent.status == 401 or (sent.status == 404 and sent.kind != "new"):
+        yield f"{name} was denied with {sent.status}"
+    if sent.status in (400, 413, 431):
+        yield f"{name} was called malformed with {sent.status}"
+    is_cut = sent.status == 0 and runs > 0 and sent.end != "timeout"
+    harmed = any(
+        span.subject in (sent.router, "servers") and span.touches(sent)
+        for span in records.faults
+    )
+    if is_cut and not harmed:
+        stopping = any(
+            span.subject == sent.router and span.touches(sent) for span in records.stops
+        )
+        yield f"{name} was cut ({sent.end})" + (" by a stop" if stopping else "")
+
+
+def _late_work(records: Records) -> Iterator[str]:
+    """Return servers that got work long after they had said that they drain."""
+    core_faults = [span for span in records.faults if span.subject == "core"]
+    for one in records.servers:
+        if one.drained_at_seconds is None:
+            continue
+        late_seconds = one.server.last_arrival_seconds - one.drained_at_seconds
+        harmed = any(
+            span.from_seconds - AFTERMATH_SECONDS
+            <= one.drained_at_seconds
+            <= span.to_seconds + AFTERMATH_SECONDS
+            for span in core_faults
+        )
+        if late_seconds > DRAIN_SECONDS and not harmed:
+            name = one.server.target_id
+            yield f"{name} got work {late_seconds:.1f} s after it drained"
