--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -18,8 +18,8 @@
 SHARE_RETRY_PART = 0.25
 # An engine that would begin to read within this part of the shortest objective has
 # room: whoever asks is served there, as the rest of the objective is left to others.
-# A quarter more requests were served in time with it on two days of floods; five times
-# the part brought no more, and made those late who ask for little.
+# A quarter more requests were served in time with it on two days of floods. A fifth of
+# the objective, at any engine, brought no more and made those late who ask for little.
 ROOM_PART = 0.04
 # A caller of an instance that stops is served by another one at once.
 STOPPING_RETRY_SECONDS = 0.02
--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -24,8 +24,8 @@
 # A shared part that is read once more holds up all that comes after it at that engine
 # and pushes other parts out of its memory, as a copied one does, so the time to read it
 # counts this often again beside the wait of the request itself. Counted so, copies too,
-# 5% more requests were served in time on two days of floods and half as much was read
-# again than with copies for nothing.
+# 5% more requests were served in time on two days of floods, and two fifths less was
+# read again, than with copies for nothing.
 READ_AGAIN_FACTOR = 3.0
 # Beyond this part of its objective, a wait counts more: the rest is for what the
 # estimate can't see.
