--- a/tests/test_virtual_engines.py
+++ b/tests/test_virtual_engines.py
@@ -47,7 +47,7 @@
 
 @pytest.mark.parametrize("pattern", [steady, hot_subject])
 def test_routers_with_late_news_don_t_all_choose_the_same_engine(pattern):
-    """Seventy-five routers hear each other's loads 0.3 s late.
+    """Seventy-five routers hear each other's loads some tenths of a second late.
 
     All see the same engine idle and send there at once, so that one after the other is
     flooded, most first events are late, and shared parts are read everywhere.
