Check in the soak that settled changes are in force; wait for signals in its test

A request to the route that every other version adds is judged by the version that alone may be in force. The test of a signal in the first moment asked for the planned stop after one second, which on a busy machine came before the process had a handler for it (seen once beside a load of 18): it now waits until the process handles the signal, and ends its process also where it fails (a left one held the address of the next run).

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -19,11 +19,16 @@
 SECONDS = 5.0
 
 
-def ignores_hangup(pid):
-    """Return whether a process ignores SIGHUP, before it has a handler for it."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    ignored = next(line for line in status.split("\n") if line.startswith("SigIgn"))
-    return int(ignored.split()[1], 16) & 1 == 1
+async def until_signal_is(treatment, number, program):
+    """Wait until a process ignores (SigIgn) or handles (SigCgt) a signal."""
+    file = Path(f"/proc/{program.process.pid}/status")
+    async with asyncio.timeout(20.0):
+        while True:
+            lines = file.read_text().split("\n")
+            mask = next(line for line in lines if line.startswith(treatment))
+            if int(mask.split()[1], 16) >> (number - 1) & 1:
+                return
+            await asyncio.sleep(0.005)
 
 
 def test_a_signal_in_the_first_moment_does_not_end_a_process(tmp_path):
@@ -37,15 +42,14 @@
         async with ClientSession() as session:
             fleet = make_platform_fleet(tmp_path, 241, session)
             router = fleet.add("router", 1)
-            await fleet.start(router)
-            async with asyncio.timeout(10.0):
-                while not ignores_hangup(router.process.pid):
-                    await asyncio.sleep(0.005)
-            router.signal(Signals.SIGHUP)
-            await asyncio.sleep(1.0)
-            code = await fleet.stop(router)
-            await fleet.close()
-            return code, fleet.ended_by_itself
+            try:
+                await fleet.start(router)
+                await until_signal_is("SigIgn", Signals.SIGHUP, router)
+                router.signal(Signals.SIGHUP)
+                await until_signal_is("SigCgt", Signals.SIGTERM, router)
+                return await fleet.stop(router), fleet.ended_by_itself
+            finally:
+                await fleet.close()
 
     assert asyncio.run(start_and_signal()) == (0, [])
 
@@ -96,3 +100,22 @@
     assert found(cut, runs=0) == []
     assert "denied" in found(Sent("1", "safe", "r", 0.0, status=404))[0]
     assert found(Sent("1", "new", "r", 0.0, status=404)) == []
+    under = Sent("1", "new", "r", 0.0, status=404, settled_version=8)
+    assert "under version 8" in found(under)[0]
+    removed = Sent("1", "new", "r", 0.0, settled_version=9, **answered)
+    assert "under version 9" in found(removed, runs=1)[0]
+
+
+def test_a_version_is_settled_once_no_change_can_be_in_force_beside_it():
+    records = Records()
+    assert records.settled_version(0.0) is None
+    records.acknowledged(4, 10.0)
+    assert records.settled_version(11.0) is None
+    assert records.settled_version(14.0) == 4
+    records.changes_under_way = 1
+    assert records.settled_version(14.0) is None
+    records.changes_under_way = 0
+    records.is_unsure = True
+    assert records.settled_version(14.0) is None
+    records.acknowledged(6, 15.0)
+    assert records.settled_version(19.0) == 6
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -243,7 +243,13 @@
     async def _declare(self) -> bool:
         """Send a new configuration until it is acknowledged, to any replica."""
         self._version += self._random.randint(1, 3)
-        version = self._version
+        self.records.changes_under_way += 1
+        try:
+            return await self._send_change(self._version)
+        finally:
+            self.records.changes_under_way -= 1
+
+    async def _send_change(self, version: int) -> bool:
         for _ in range(8):
             replica = self._random.choice(self.fleet.replicas)
             status, _ = await self.fleet.declare(replica, version, version % 2 == 0)
@@ -254,6 +260,7 @@
                 self.records.refused_changes.append(f"{version}: {status}")
                 return False
             await asyncio.sleep(0.3)
+        self.records.is_unsure = True
         return False
 
     async def _read_back(self) -> list[str]:
--- a/tools/platform_soak_callers.py
+++ b/tools/platform_soak_callers.py
@@ -95,7 +95,7 @@
         self._number += 1
         request_id = f"{self.seed}-{self._number}"
         sent = Sent(request_id, kind, router.name, monotonic())
-        sent.version_before = self.records.newest_in_force(sent.at_seconds)
+        sent.settled_version = self.records.settled_version(sent.at_seconds)
         url = f"http://{router.front}/{kind}/x"
         try:
             async with session.post(
--- a/tools/platform_soak_verdict.py
+++ b/tools/platform_soak_verdict.py
@@ -31,7 +31,7 @@
     is_complete: bool = False
     is_own: bool = True
     end: str = ""
-    version_before: int = 0
+    settled_version: int | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -67,6 +67,8 @@
     never_ready: list[str] = field(default_factory=list)
     refused_changes: list[str] = field(default_factory=list)
     newest_version: int = 0
+    changes_under_way: int = 0
+    is_unsure: bool = False
     _acknowledged: list[tuple[float, int]] = field(default_factory=list)
 
     @contextmanager
@@ -91,17 +93,20 @@
 
     def acknowledged(self, version: int, now_seconds: float) -> None:
         """Note that a configuration was acknowledged."""
-        self.newest_version = max(self.newest_version, version)
-        self._acknowledged.append((now_seconds, self.newest_version))
-
-    def newest_in_force(self, now_seconds: float) -> int:
-        """Return the newest version that has to be in force everywhere."""
-        due = [
-            version
-            for at_seconds, version in self._acknowledged
-            if now_seconds - at_seconds > IN_FORCE_SECONDS
-        ]
-        return max(due, default=0)
+        if version > self.newest_version:
+            self.newest_version = version
+            self.is_unsure = False
+        self._acknowledged.append((now_seconds, version))
+
+    def settled_version(self, now_seconds: float) -> int | None:
+        """Return the version that alone may be in force now, None where it isn't sure.
+
+        A change that is under way, or was never answered, may or may not be in force.
+        """
+        if self.changes_under_way or self.is_unsure or not self._acknowledged:
+            return None
+        is_due = now_seconds - self._acknowledged[-1][0] > IN_FORCE_SECONDS
+        return self.newest_version if is_due else None
 
     def counts(self) -> dict[str, int]:
         """Return how much was played."""
@@ -150,6 +155,14 @@
         yield f"{name} was denied with {sent.status}"
     if sent.status in (400, 413, 431):
         yield f"{name} was called malformed with {sent.status}"
+    touched = any(
+        span.subject in (sent.router, "core") and span.touches(sent)
+        for span in records.faults + records.stops
+    )
+    if sent.kind == "new" and sent.settled_version is not None and not touched:
+        has_route = sent.settled_version % 2 == 0
+        if sent.status == (404 if has_route else 200):
+            yield f"{name} got {sent.status} under version {sent.settled_version}"
     is_cut = sent.status == 0 and runs > 0 and sent.end != "timeout"
     harmed = any(
         span.subject in (sent.router, "servers") and span.touches(sent)
