Test the reading of waiting messages on a socket that the test holds

The first form, on the library's sockets, found 26 of 50 read beside a load of 13: the library hands the next message over by a thread of its own, so a turn reads one message of each link at least, and more where that thread is quick. The test now scripts what waits; it fails without the change as before. What the change buys on a busy machine is thus one message of each link a turn in place of one in some turns.

--- a/tests/test_peers_stop.py
+++ b/tests/test_peers_stop.py
@@ -1,13 +1,13 @@
 """The links of an instance end when they are told to, and keep up with their peers."""
 
 import asyncio
-from time import sleep
 
-from pynng import Pull0, Push0, TryAgain
+from pynng import TryAgain
 
 from sesameford.peers import PeerLinks
 from sesameford.settings import parse_settings
 
+TURNS_A_MESSAGE = 3
 SETTINGS = """
 instance_id: e1
 data_centre: a
@@ -38,6 +38,24 @@
         pass
 
 
+class _ListenerWithWaitingMessages:
+    """A socket on which messages wait; waiting for one takes some turns of the loop."""
+
+    def __init__(self, waiting: int) -> None:
+        self._waiting = waiting
+
+    async def arecv(self) -> bytes:
+        for _ in range(TURNS_A_MESSAGE):
+            await asyncio.sleep(0)
+        return self.recv(block=False)
+
+    def recv(self, block: bool) -> bytes:
+        if not self._waiting:
+            raise TryAgain("nothing waits", 8)
+        self._waiting -= 1
+        return b"no envelope"
+
+
 async def test_a_message_at_the_moment_of_the_stop_does_not_hold_it_up():
     """An instance is stopped just as a peer's message arrives.
 
@@ -63,18 +81,11 @@
     links = PeerLinks(
         parse_settings(SETTINGS, "e1.yaml"), 1, b"key", lambda *_: None, lambda: 0.0
     )
-    with Pull0() as listener, Push0(send_buffer_size=64) as peer:
-        listener.recv_buffer_size = 64
-        listener.listen("inproc://slow-loop")
-        peer.dial("inproc://slow-loop")
-        links._listener = listener
-        for _ in range(50):
-            peer.send(b"no envelope")
-        receiving = asyncio.create_task(links._receive())
-        for _ in range(25):
-            sleep(0.01)
-            await asyncio.sleep(0)
-        receiving.cancel()
-        links._is_stopping = True
-        await asyncio.gather(receiving, return_exceptions=True)
+    links._listener = _ListenerWithWaitingMessages(50)
+    receiving = asyncio.create_task(links._receive())
+    for _ in range(TURNS_A_MESSAGE + 2):
+        await asyncio.sleep(0)
+    receiving.cancel()
+    links._is_stopping = True
+    await asyncio.gather(receiving, return_exceptions=True)
     assert links.refused_messages == 50
