Pass a call's lease along in place of two closures; settle counts in one place

Read again: an answer's way was given two closures over the lease that its run already had; the sender kept a clock that nothing read; counts were settled in the middle of noting replicas, and their comment said somebody else does it; a prompt's shared tokens were added up twice for its home.

--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -124,16 +124,13 @@
     engine: ServiceSettings,
     now_seconds: float,
 ) -> EngineOption:
-    if known is home:
-        kept_tokens = sum(part.tokens for part in prompt.shared_parts)
-    else:
-        kept_tokens = 0
+    shared_tokens = sum(part.tokens for part in prompt.shared_parts)
+    missing_tokens = 0 if known is home else shared_tokens
+    if missing_tokens:
         for part in prompt.shared_parts:
             if not place.cache.has(part, now_seconds):
                 break
-            kept_tokens += part.tokens
-    shared_tokens = sum(part.tokens for part in prompt.shared_parts)
-    missing_tokens = shared_tokens - kept_tokens
+            missing_tokens -= part.tokens
     own_tokens = max(prompt.prompt_tokens - shared_tokens, 0)
     if missing_tokens and engine.cache_copy_tokens_per_second:
         return EngineOption(
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -1,8 +1,7 @@
 """One sending of a call to one target, and what it shows of whether the call ran."""
 
-import asyncio
 from asyncio import timeout_at
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import StrEnum
@@ -112,7 +111,6 @@
 
     session: ClientSession
     edge: Edge
-    clock: Callable[[], float]
 
     @asynccontextmanager
     async def exchange(
@@ -201,4 +199,4 @@
 
 def make_sender(session: ClientSession, edge: Edge) -> Sender:
     """Return what sends calls over a session."""
-    return Sender(session, edge, asyncio.get_running_loop().time)
+    return Sender(session, edge)
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -400,6 +400,7 @@
         self._links.flush()
         self._note_replicas(now_seconds)
         self.load.log_shares()
+        self.tally.settle()
 
     def _greet(self) -> None:
         self._links.send(Outgoing(None, self._roster.greeting(self._now())))
@@ -413,8 +414,6 @@
             self._had_replicas = has_replicas
             text = "replicas are heard" if has_replicas else "no replica is heard"
             logger.warning(text)
-        self.tally.level("open_calls", self.tally.open_calls)
-        self.tally.settle()
 
     # --- messages -------------------------------------------------------------
 
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -1,7 +1,6 @@
 """A call from its arrival to its final answer."""
 
 import asyncio
-from collections.abc import Callable
 
 from aiohttp import web
 
@@ -136,19 +135,13 @@
         lease.target_id, run.customer, left_seconds, resume_after, lease.copy_from
     )
 
-    def first_event() -> None:
-        deps.placement.first_event(lease, deps.now())
-
-    def heard() -> None:
-        deps.placement.heard(lease, deps.now())
-
     try:
         async with deps.sender.exchange(
             run.call, run.body, lease.address, sending, run.until_seconds
         ) as exchange:
-            heard()
+            deps.placement.heard(lease, deps.now())
             async with body_until(run.until_seconds):
-                answer = await _pass_on(deps, http, run, exchange, first_event, heard)
+                answer = await _pass_on(deps, http, run, lease, exchange)
     finally:
         deps.placement.released(lease, deps.now())
     deps.placement.proved(lease.target_id)
@@ -159,14 +152,13 @@
     deps: GatewayDeps,
     http: web.BaseRequest,
     run: Run,
+    lease: Lease,
     exchange: Exchange,
-    first_event: Callable[[], None],
-    heard: Callable[[], None],
 ) -> web.StreamResponse:
     head = exchange.head
     run.status = run.status or head.status
     if run.route.is_stream and 200 <= head.status < 300:
-        return await _pass_stream(deps, http, run, exchange, first_event, heard)
+        return await _pass_stream(deps, http, run, lease, exchange)
     if run.response is not None:
         raise SendingError(Fate.BROKEN, f"status {head.status} in place of the rest")
     body = await exchange.whole_body()
@@ -186,9 +178,8 @@
     deps: GatewayDeps,
     http: web.BaseRequest,
     run: Run,
+    lease: Lease,
     exchange: Exchange,
-    first_event: Callable[[], None],
-    heard: Callable[[], None],
 ) -> web.StreamResponse:
     """Pass events on as they come; only whole ones where it may be resumed."""
     response = run.response
@@ -202,8 +193,8 @@
             run.first_event_seconds = deps.now() - run.arrived_at_seconds
             if run.call.prompt is not None:
                 deps.gate.begun_tokens += run.call.prompt.cost_tokens
-            first_event()
-        heard()
+            deps.placement.first_event(lease, deps.now())
+        deps.placement.heard(lease, deps.now())
         ready = run.passed.feed(chunk) if run.passed is not None else chunk
         if ready:
             await _write(http, run, response, ready)
--- a/sesameford/gateway/tally.py
+++ b/sesameford/gateway/tally.py
@@ -53,12 +53,13 @@
         """Count an answer of the system's own.
 
         The library takes 40 microseconds for a count, a fifth of what a refusal
-        costs, so counts are handed to it when somebody reads them.
+        costs, so counts are handed to it by ``settle``, which runs seldom.
         """
         self._refused[reason] += 1
 
     def settle(self) -> None:
-        """Hand the counts to the registry."""
+        """Hand what was counted since, and the calls under way, to the registry."""
+        self.level("open_calls", self.open_calls)
         for reason, count in self._refused.items():
             self._refusals.set({"reason": reason}, count)
 
