Keep the platform's path for readiness in its stand-in

The soak's callers named it, and two lists that nothing read. A change's status no longer comes with the version that the caller passed in. One clock for arrivals and drains.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from time import monotonic
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
@@ -51,6 +52,11 @@
         """Return where a router takes callers."""
         return f"{self.ip}:{FRONT_PORT}"
 
+    @property
+    def ready(self) -> str:
+        """Return where a router says whether it takes callers."""
+        return f"{self.ip}:{READY_PORT}"
+
     @property
     def control(self) -> str:
         """Return where a replica takes heartbeats and configurations."""
@@ -150,7 +156,7 @@
         known = seeds or [one.control for one in self.replicas[:REPLICAS]]
         listen = {"control": program.control}
         if program.role == "router":
-            listen = {"front": program.front, "ready": f"{program.ip}:{READY_PORT}"}
+            listen = {"front": program.front, "ready": program.ready}
         lines = [
             f'node_name = "{program.name}"',
             f'role = "{program.role}"',
@@ -215,7 +221,7 @@
         one.state = "draining"
         for _ in range(10):
             if await self._tell(one):
-                one.drained_at_seconds = asyncio.get_running_loop().time()
+                one.drained_at_seconds = monotonic()
                 return True
         return False
 
@@ -237,32 +243,35 @@
         }
         path = f"/v1/instances/{one.server.target_id}"
         for replica in self.replicas[one.sequence % REPLICAS :] + self.replicas:
-            status, _ = await self.call(replica, "PUT", path, body)
+            status, _ = await self.call(replica.control, "PUT", path, body)
             if status == 200:
                 return True
         return False
 
-    async def declare(
-        self, replica: Program, version: int, added: bool
-    ) -> tuple[int, int]:
-        """Send a configuration; return the status, 0 without one, and the version."""
+    async def declare(self, replica: Program, version: int, added: bool) -> int:
+        """Send a configuration; return the status, 0 where no answer came."""
         body = _configuration(version, added)
-        status, _ = await self.call(replica, "PUT", "/v1/config", body)
-        return status, version
+        status, _ = await self.call(replica.control, "PUT", "/v1/config", body)
+        return status
 
     async def declared_version(self, replica: Program) -> int | None:
         """Return the version that a replica reads back, None where it has none."""
-        status, text = await self.call(replica, "GET", "/v1/config")
+        status, text = await self.call(replica.control, "GET", "/v1/config")
         return json.loads(text)["version"] if status == 200 else None
 
+    async def is_ready(self, router: Program) -> bool:
+        """Return whether a router says that it takes callers."""
+        status, _ = await self.call(router.ready, "GET", "/v1/readiness")
+        return status == 200
+
     async def call(
-        self, replica: Program, method: str, path: str, body: Any = None
+        self, address: str, method: str, path: str, body: Any = None
     ) -> tuple[int, bytes]:
-        """Call a replica; status 0 stands for no answer."""
+        """Call an address of a process; status 0 stands for no answer."""
         try:
             async with self.session.request(
                 method,
-                f"http://{replica.control}{path}",
+                f"http://{address}{path}",
                 data=None if body is None else json.dumps(body),
                 timeout=ClientTimeout(total=CONTROL_TIMEOUT_SECONDS),
             ) as answer:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
+from time import monotonic
 
 EVENT = b"id: %d\ndata: word\n\n"
 EVENTS = 3
@@ -105,7 +106,7 @@
             writer.write(_head(503, call_id, extra))
             return True
         self.runs[call_id] += 1
-        self.last_arrival_seconds = asyncio.get_running_loop().time()
+        self.last_arrival_seconds = monotonic()
         if self.fault is Fault.MUTE:
             await reader.read()
             self.left_early += 1
--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -177,7 +177,8 @@
             copied = max(shared - self.engines[source].missing_tokens(prompt)[0], 0)
         read = shared - copied + own
         outcome.read_tokens = read
-        outcome.again_tokens = shared - copied if self._was_read(prompt) else 0
+        if self._note_read(prompt):
+            outcome.again_tokens = shared - copied
         engine.remember(prompt)
         start_seconds = max(engine.busy_until_seconds, self.now_seconds)
         engine.busy_until_seconds = (
@@ -188,8 +189,8 @@
         first_seconds = engine.busy_until_seconds + figures.first_event_seconds
         self._at(first_seconds, lambda: self._first_event(engine, outcome, lease))
 
-    def _was_read(self, prompt: Prompt) -> bool:
-        """Return whether some engine read the last shared part before."""
+    def _note_read(self, prompt: Prompt) -> bool:
+        """Note that the last shared part is read; return whether it was before."""
         if not prompt.shared_parts:
             return False
         part_id = prompt.shared_parts[-1].part_id
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -252,7 +252,7 @@
     async def _send_change(self, version: int) -> bool:
         for _ in range(8):
             replica = self._random.choice(self.fleet.replicas)
-            status, _ = await self.fleet.declare(replica, version, version % 2 == 0)
+            status = await self.fleet.declare(replica, version, version % 2 == 0)
             if status == 200:
                 self.records.acknowledged(version, monotonic())
                 return True
--- a/tools/platform_soak_callers.py
+++ b/tools/platform_soak_callers.py
@@ -14,7 +14,6 @@
 )
 
 from standins.platform_fleet import (
-    READY_PORT,
     PlatformFleet,
     Program,
     request_headers,
@@ -25,9 +24,7 @@
 # A caller waits a little longer than it says, to see an answer that comes at the end.
 SEEN_LATER_SECONDS = 0.5
 KINDS = ("safe", "unsafe", "stream", "stream/resumed", "new")
-LAST_EVENT = b"id: 3"
 READY_LIMIT_SECONDS = 15.0
-PROMISES = (408, 421, 429, 503)
 
 
 @dataclass(slots=True)
@@ -66,21 +63,11 @@
         """Wait until a router says that it takes callers."""
         try:
             async with asyncio.timeout(READY_LIMIT_SECONDS):
-                while not await self._is_ready(router):
+                while not await self.fleet.is_ready(router):
                     await asyncio.sleep(0.1)
         except TimeoutError:
             self.records.never_ready.append(router.name)
 
-    async def _is_ready(self, router: Program) -> bool:
-        url = f"http://{router.ip}:{READY_PORT}/v1/readiness"
-        try:
-            async with self.fleet.session.get(
-                url, timeout=ClientTimeout(total=0.5)
-            ) as answer:
-                return answer.status == 200
-        except (ClientError, OSError, TimeoutError):
-            return False
-
     async def _call(self, number: int) -> None:
         """Send one request after another, each router over a kept connection."""
         random = Random(self.seed * 1000 + number)
