--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -1,6 +1,7 @@
 """A short seeded run of the soak with the real programs, and its own checks."""
 
 import asyncio
+from contextlib import asynccontextmanager
 from pathlib import Path
 from signal import Signals
 
@@ -32,6 +33,19 @@
             await asyncio.sleep(0.005)
 
 
+@asynccontextmanager
+async def started_router(folder, net):
+    """Start a router process that has no peers, and end it afterwards."""
+    async with ClientSession() as session:
+        fleet = make_platform_fleet(folder, net, session)
+        router = fleet.add("router", 1)
+        try:
+            await fleet.start(router)
+            yield fleet, router
+        finally:
+            await fleet.close()
+
+
 def test_a_signal_in_the_first_moment_does_not_end_a_process(tmp_path):
     """The settings change while a process still loads its modules.
 
@@ -40,17 +54,11 @@
     """
 
     async def start_and_signal():
-        async with ClientSession() as session:
-            fleet = make_platform_fleet(tmp_path, 241, session)
-            router = fleet.add("router", 1)
-            try:
-                await fleet.start(router)
-                await until_signal_is("SigIgn", Signals.SIGHUP, router)
-                router.signal(Signals.SIGHUP)
-                await until_signal_is("SigCgt", Signals.SIGTERM, router)
-                return await fleet.stop(router), fleet.ended_by_itself
-            finally:
-                await fleet.close()
+        async with started_router(tmp_path, 241) as (fleet, router):
+            await until_signal_is("SigIgn", Signals.SIGHUP, router)
+            router.signal(Signals.SIGHUP)
+            await until_signal_is("SigCgt", Signals.SIGTERM, router)
+            return await fleet.stop(router), fleet.ended_by_itself
 
     assert asyncio.run(start_and_signal()) == (0, [])
 
@@ -63,19 +71,13 @@
     """
 
     async def stop_under_signals():
-        async with ClientSession() as session:
-            fleet = make_platform_fleet(tmp_path, 242, session)
-            router = fleet.add("router", 1)
-            try:
-                await fleet.start(router)
-                await until_signal_is("SigCgt", Signals.SIGHUP, router)
-                stop = asyncio.create_task(fleet.stop(router))
-                while not stop.done():
-                    router.signal(Signals.SIGHUP)
-                    await asyncio.sleep(0.001)
-                return stop.result()
-            finally:
-                await fleet.close()
+        async with started_router(tmp_path, 242) as (fleet, router):
+            await until_signal_is("SigCgt", Signals.SIGHUP, router)
+            stop = asyncio.create_task(fleet.stop(router))
+            while not stop.done():
+                router.signal(Signals.SIGHUP)
+                await asyncio.sleep(0.001)
+            return stop.result()
 
     assert asyncio.run(stop_under_signals()) == 0
 
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -114,12 +114,12 @@
 
 
 @contextmanager
-def _constants(near_engines: int, lot_engines: int, copies: bool) -> Iterator[bool]:
+def _looking_at(near_engines: int, lot_engines: int) -> Iterator[None]:
     """Let placement look at so many engines meanwhile."""
     before = engine_choice.NEAR_ENGINES, engine_choice.LOT_ENGINES
     engine_choice.NEAR_ENGINES, engine_choice.LOT_ENGINES = near_engines, lot_engines
     try:
-        yield copies
+        yield
     finally:
         engine_choice.NEAR_ENGINES, engine_choice.LOT_ENGINES = before
 
@@ -150,7 +150,7 @@
     near, lot, copies = POLICIES[policy]
     tell_seconds = max(TELL_SECONDS, TELL_SECONDS_A_ROUTER * fleet.routers)
     figures = EngineFigures(copy_tokens_per_second=400_000.0 if copies else None)
-    with _constants(near, lot, copies):
+    with _looking_at(near, lot):
         engines = make_virtual_engines(
             fleet.routers, fleet.engines, figures, tell_seconds
         )
@@ -178,14 +178,14 @@
     from matplotlib import pyplot
 
     figure, axes = pyplot.subplots(figsize=(9, 4))
-    patterns = sorted({row.pattern for row in rows})
+    patterns = [pattern.__name__ for pattern in PATTERNS]
     width = 0.8 / len(POLICIES)
     for place, policy in enumerate(POLICIES):
         heights = [row.in_time for row in rows if row.policy == policy]
         spots = [number + place * width for number in range(len(heights))]
         axes.bar(spots, heights, width, label=policy)
     axes.set_xticks([number + 0.4 for number in range(len(patterns))])
-    axes.set_xticklabels([row.pattern for row in rows[:: len(POLICIES)]])
+    axes.set_xticklabels(patterns)
     axes.set_ylabel("first events in time")
     axes.set_title(f"{fleet.name}: {fleet.routers} routers, {fleet.engines} engines")
     axes.legend()
