Dial anew who has not answered soon after a start; answer a start at once

Cause: an attempt to connect to a machine without power is repeated after a second only, so replicas and routers that were up first heard of the last one 0.9 s late; greetings and states were told each 0.5 s. Now who has not answered is dialled each 0.15 s for the first 3 s, whoever greets is dialled and answered at once, and dials to a dead process are spaced by 0.2 s in place of 1 s.

--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -175,6 +175,7 @@
         self._session: ClientSession | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._had_replicas = False
+        self._greeted_incarnations: dict[str, int] = {}
         self._taken: dict[int, asyncio.Event] = {}
         self._at_finishing: list[Callable[[], None]] = []
         self._at_configured: list[Callable[[EffectiveTree], None]] = []
@@ -375,6 +376,8 @@
             )
             self._log.set_wanted_voters(self._log.succession(now_seconds))
             self._log.tick(now_seconds)
+        for peer_id in self._links.redial_unheard(now_seconds):
+            self._introduce(peer_id)
         self._tree.tick()
         load = StopLoad(self.tally.open_calls, 0, 0)
         delay_seconds = 0.0 if self._own.has_disk else UNREADY_SECONDS
@@ -387,16 +390,14 @@
     def _beat(self) -> None:
         now_seconds = self._now()
         self._greet()
-        beat = self._members.heartbeat(
-            self._instance_state(), self._tree.revision, now_seconds
-        )
-        self._links.send(Outgoing(None, beat))
+        self._links.send(Outgoing(None, self._heartbeat(now_seconds)))
         if self._own.has_disk:
             self._links.send(Outgoing(None, self.table.heard()))
         self.table.forget(now_seconds)
         self.placement.forget()
         for peer_id in self._roster.forgotten(now_seconds):
             self._links.remove(peer_id)
+            self._greeted_incarnations.pop(peer_id, None)
         self._links.flush()
         self._note_replicas(now_seconds)
         self.load.log_shares()
@@ -430,6 +431,7 @@
             case Greeting():
                 for peer in self._roster.greeted(sender_id, message, now_seconds):
                     self._link(peer)
+                self._answer_start(sender_id, incarnation)
             case IncarnationBehind():
                 self._raise_incarnation(message.heard)
             case Heartbeat():
@@ -451,6 +453,31 @@
             case _:
                 raise PeerError(f"{type(message).__name__} has no place here")
 
+    def _answer_start(self, sender_id: str, incarnation: int) -> None:
+        """Tell a process that has just started at once what it will hear regularly.
+
+        After a loss of all power everybody waits for everybody's next greeting, half a
+        second for each step: who there is, which settings are the newest, what they
+        are. Callers are refused until then.
+        """
+        if self._greeted_incarnations.get(sender_id) == incarnation:
+            return
+        self._greeted_incarnations[sender_id] = incarnation
+        self._links.redial_if_silent(sender_id)
+        self._introduce(sender_id)
+
+    def _introduce(self, peer_id: str) -> None:
+        """Greet one peer, and tell it the state here, at once."""
+        now_seconds = self._now()
+        greeting = self._roster.greeting(now_seconds)
+        self._links.send(Outgoing(peer_id, greeting, urgent=True))
+        self._links.send(Outgoing(peer_id, self._heartbeat(now_seconds)))
+
+    def _heartbeat(self, now_seconds: float) -> Heartbeat:
+        return self._members.heartbeat(
+            self._instance_state(), self._tree.revision, now_seconds
+        )
+
     def _link(self, peer: Peer) -> None:
         """Keep a link where either end has a disk."""
         if peer.has_disk or self._own.has_disk:
--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -39,6 +39,17 @@
 FLUSH_SECONDS = 0.25
 URGENT_FLUSH_SECONDS = 0.005
 SEND_BUFFER_MESSAGES = 64
+# A link on which nothing was acknowledged for so long may not be connected. Peers speak
+# some ten times a second while there is anything to say.
+SILENT_LINK_SECONDS = 0.3
+# Who has not answered at all is dialled anew this often for so long after the start:
+# more than a machine takes longer to start than the first one.
+FIRST_REDIAL_SECONDS = 0.15
+HURRY_SECONDS = 3.0
+# A link is tried again after so long, at first and at most. After a loss of all power
+# the last machine to start is found within the latter.
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 200
 # Messages that are read in one turn of the loop: what the replica of 75 routers gets in
 # a tenth of a second.
 RECEIVED_AT_ONCE = 64
@@ -103,6 +114,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._urgent: asyncio.TimerHandle | None = None
         self._is_stopping = False
+        self._hurries_until_seconds = now() + HURRY_SECONDS
         self.sent_bytes = 0
         self.received_bytes = 0
         self.refused_messages = 0
@@ -131,6 +143,38 @@
         if self._listener is not None:
             self._dial(peer)
 
+    def redial_if_silent(self, peer_id: str) -> None:
+        """Dial a peer anew that has just shown that it runs.
+
+        A machine without power answers no attempt to connect, and the attempt is
+        repeated only after a second. One that was begun before the machine came back
+        would keep silent for so long, while a new one succeeds at once.
+        """
+        state = self._states.get(peer_id)
+        if state is None or self._listener is None:
+            return
+        last_sign_seconds = state.acknowledged_at_seconds or float("-inf")
+        if self._now() - last_sign_seconds > SILENT_LINK_SECONDS:
+            self._dial(self._peers[peer_id])
+
+    def redial_unheard(self, now_seconds: float) -> list[str]:
+        """Dial anew, soon after the start, who has not answered yet; return whom.
+
+        After a loss of all power the machines come back one after another, and this
+        one can't know when; see ``redial_if_silent``.
+        """
+        if self._listener is None or now_seconds > self._hurries_until_seconds:
+            return []
+        unheard = [
+            peer_id
+            for peer_id, state in self._states.items()
+            if state.acknowledged_at_seconds is None
+            and now_seconds - state.dialled_at_seconds > FIRST_REDIAL_SECONDS
+        ]
+        for peer_id in unheard:
+            self._dial(self._peers[peer_id])
+        return unheard
+
     def remove(self, peer_id: str) -> None:
         """End the link to an instance that is gone."""
         self._peers.pop(peer_id, None)
@@ -271,8 +315,8 @@
             old.close()
         socket = Push0(
             send_buffer_size=SEND_BUFFER_MESSAGES,
-            reconnect_time_min=100,
-            reconnect_time_max=1000,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
             tls_config=(
                 make_dialler_config(self._tls, peer.instance_id) if self._tls else None
             ),
