--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -87,7 +87,14 @@
 
     if deps.gate.admits(customer, route.route_id, prompt.cost_tokens, has_room):
         return
-    raise Refusal(429, "over-share", SHARE_RETRY_PART * route.objective_seconds)
+    raise Refusal(
+        429,
+        "over-share",
+        SHARE_RETRY_PART * route.objective_seconds,
+        route.route_id,
+        customer,
+        f"fraction {deps.gate.fractions.get(customer, 1.0):.3f}",
+    )
 
 
 def _customer_of(
@@ -100,7 +107,7 @@
             return customer
     if route.public or not tree.customers:
         return None
-    raise Refusal(401, "unknown-key")
+    raise Refusal(401, "unknown-key", route_id=route.route_id)
 
 
 async def _body(http: web.BaseRequest, limit_bytes: int) -> bytes:
--- a/sesameford/gateway/call_log.py
+++ b/sesameford/gateway/call_log.py
@@ -24,8 +24,9 @@
             "request": call.request_id if call else "",
             "status": refusal.status,
             "reason": refusal.reason,
-            "route": run.route.route_id if run else "",
-            "customer": run.customer if run else "",
+            "route": run.route.route_id if run else refusal.route_id,
+            "customer": run.customer if run else refusal.customer,
+            "detail": refusal.detail,
             "sendings": run.sendings if run else 0,
             "revision": state.tree.revision if state else 0,
             "after_seconds": round(deps.now() - arrived_at_seconds, 3),
@@ -52,6 +53,8 @@
     deps.tally.ended(
         outcome, run.route.route_id, run.status, took_seconds, run.first_event_seconds
     )
+    if run.route.is_stream and run.first_event_seconds is not None:
+        deps.tally.paused(run.route.route_id, run.longest_pause_seconds)
     first = run.first_event_seconds
     lease = run.lease
     # The line of a call that failed is among the last to be left out.
@@ -69,6 +72,7 @@
             "detail": detail,
             "took_seconds": round(took_seconds, 3),
             "first_event_seconds": "" if first is None else round(first, 3),
+            "longest_pause_seconds": round(run.longest_pause_seconds, 3),
             "expected_seconds": round(lease.expected_seconds, 3) if lease else 0.0,
             "unread_tokens": lease.tokens if lease else 0,
             "rate_tokens": round(lease.rate_tokens) if lease else 0,
--- a/sesameford/gateway/run.py
+++ b/sesameford/gateway/run.py
@@ -78,12 +78,24 @@
         status: The HTTP status code; 429 and 503 say that the call has not run.
         reason: A short, stable word.
         retry_after_seconds: When a new try makes sense.
+        route_id: The call's route, where it is known.
+        customer: Whose call it is, where it is known.
+        detail: What decided, for the log.
     """
 
     def __init__(
-        self, status: int, reason: str, retry_after_seconds: float | None = None
+        self,
+        status: int,
+        reason: str,
+        retry_after_seconds: float | None = None,
+        route_id: str = "",
+        customer: str = "",
+        detail: str = "",
     ) -> None:
         super().__init__(reason)
+        self.route_id = route_id
+        self.customer = customer
+        self.detail = detail
         self.status = status
         self.reason = reason
         self.retry_after_seconds = retry_after_seconds
@@ -108,6 +120,8 @@
     passed: EventStream | None = None
     status: int = 0
     first_event_seconds: float | None = None
+    last_event_at_seconds: float = 0.0
+    longest_pause_seconds: float = 0.0
     lease: Lease | None = None
 
     @property
@@ -116,6 +130,18 @@
         return self.route.repeatable or self.route.resumable
 
 
+    def event_came(self, now_seconds: float) -> bool:
+        """Note an event of the answer; return whether it is the first."""
+        is_first = self.first_event_seconds is None
+        if is_first:
+            self.first_event_seconds = now_seconds - self.arrived_at_seconds
+        else:
+            pause_seconds = now_seconds - self.last_event_at_seconds
+            self.longest_pause_seconds = max(self.longest_pause_seconds, pause_seconds)
+        self.last_event_at_seconds = now_seconds
+        return is_first
+
+
 class CutError(SesamefordError):
     """A stream broke off that its caller has a part of."""
 
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -189,8 +189,7 @@
     if run.route.resumable and run.passed is None:
         run.passed = EventStream()
     async for chunk in exchange.chunks():
-        if run.first_event_seconds is None:
-            run.first_event_seconds = deps.now() - run.arrived_at_seconds
+        if run.event_came(deps.now()):
             if run.call.prompt is not None:
                 deps.gate.begun_tokens += run.call.prompt.cost_tokens
             deps.placement.first_event(lease, deps.now())
--- a/sesameford/gateway/tally.py
+++ b/sesameford/gateway/tally.py
@@ -37,6 +37,12 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self._pause = Histogram(
+            "sesameford_longest_pause_seconds",
+            "Longest time between two events of a stream",
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
         self._gauges = Gauge(
             "sesameford_level", "Present levels, by name", registry=self.registry
         )
@@ -78,6 +84,10 @@
         if first_event_seconds is not None:
             self._first_event.observe({"route": route_id}, first_event_seconds)
 
+    def paused(self, route_id: str, longest_pause_seconds: float) -> None:
+        """Count the longest pause of a stream."""
+        self._pause.observe({"route": route_id}, longest_pause_seconds)
+
     def level(self, name: str, value: float) -> None:
         """Set a present level."""
         self._gauges.set({"name": name}, value)
