Tell what customers ask as averages; pass over a replica that adds up and falls silent

Cause: routers told totals, and the replica divided what was new by its own tick. Words that were held up (a replica that had stood still, a new one) came in one tick and looked like 930,000 to 1,200,000 tokens a second where 300,000 to 500,000 were asked; a new replica knew nothing for a second. A replica that lost power was told for 1.5 s more. Now each router averages what is asked and begun there, the replica adds up; a replica that answers nothing for 0.5 s is passed over by its routers for 2 s; capacity is not taken as under a quarter of what is declared.

--- /dev/null
+++ b/sesameford/gateway/chosen_adder.py
@@ -0,0 +1,55 @@
+"""Which replica a router tells its loads: the one that adds up for all."""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+# A replica that was told something and has answered nothing for so long is passed over,
+# two answers and a half later: loads and shares would stand still until its heartbeats
+# are missed, which takes 1.5 s.
+SILENT_SECONDS = 0.5
+# And for so long after; it may only have been slow.
+PASSED_OVER_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class ChosenAdder:
+    """The replica chosen last, and those that are passed over."""
+
+    chosen: str | None = None
+    _told_since_seconds: float | None = None
+    _passed_over_until: dict[str, float] = field(default_factory=dict)
+
+    def heard(self, sender_id: str, now_seconds: float) -> None:
+        """Note an answer."""
+        self._passed_over_until.pop(sender_id, None)
+        if sender_id == self.chosen:
+            self._told_since_seconds = now_seconds
+
+    def choose(self, replicas: Collection[str], now_seconds: float) -> str | None:
+        """Return whom to tell, the same for all routers that hear the same replicas.
+
+        Args:
+            replicas: Those that are heard.
+            now_seconds: The present time.
+        """
+        since_seconds = self._told_since_seconds
+        is_silent = (
+            since_seconds is not None and now_seconds - since_seconds > SILENT_SECONDS
+        )
+        if self.chosen is not None and is_silent:
+            self._passed_over_until[self.chosen] = now_seconds + PASSED_OVER_SECONDS
+        heard = [
+            one
+            for one in replicas
+            if self._passed_over_until.get(one, 0.0) <= now_seconds
+        ]
+        chosen = min(heard or replicas, default=None)
+        if chosen != self.chosen or is_silent:
+            self._told_since_seconds = now_seconds
+        self.chosen = chosen
+        return chosen
+
+
+def make_chosen_adder() -> ChosenAdder:
+    """Return the choice of a router that has told nobody anything yet."""
+    return ChosenAdder()
--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -71,7 +71,7 @@
         places: tuple[PlaceLoad, ...],
         asked: tuple[AskedRow, ...],
         wait_seconds: float,
-        begun_tokens: int,
+        begun_tokens: float,
         used: tuple[UsedParts, ...],
         now_seconds: float,
     ) -> RouterLoad:
@@ -81,7 +81,7 @@
             places: What it has under way.
             asked: What customers have asked here.
             wait_seconds: How long a prompt waits at an engine.
-            begun_tokens: What engines have begun to answer, in all.
+            begun_tokens: What engines begin to answer, a second.
             used: What it has sent to engines since it spoke last.
             now_seconds: The present time.
         """
@@ -101,7 +101,10 @@
     def received(self, load: RouterLoad, now_seconds: float) -> None:
         """Take a router's report."""
         self.shares.told(
-            load.router_id, load.asked, load.wait_seconds, load.begun_tokens
+            load.router_id,
+            load.asked,
+            load.wait_seconds,
+            load.begun_tokens,
         )
         self._told[load.router_id] = _Told(load, now_seconds)
         self._used += [(load.router_id, row) for row in load.used]
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Collection
 
+from sesameford.gateway.chosen_adder import make_chosen_adder
 from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
 from sesameford.gateway.loop_lag import make_loop_lag
 from sesameford.gateway.placement import Placement
@@ -12,8 +13,9 @@
 
 logger = logging.getLogger(__name__)
 
-# A router tells its work at least this often, so that it is counted as living.
-AT_LEAST_SECONDS = 0.5
+# A router tells its work at least this often, so that it is counted as living, and is
+# answered as often.
+AT_LEAST_SECONDS = 0.2
 # A replica counts as living that was heard within two heartbeats and a half second.
 HEARD_SECONDS = 1.5
 # How long prompts may wait on average, as a part of the shortest objective: the rest
@@ -36,6 +38,7 @@
         self.book = make_fleet_load(instance_id)
         self.gate = make_share_gate()
         self.lag = make_loop_lag()
+        self._adder = make_chosen_adder()
         self._instance_id = instance_id
         self._has_disk = has_disk
         self._placement = placement
@@ -46,9 +49,10 @@
         self._was_alone = True
         self._limited_customers: tuple[str, ...] = ()
 
-    def heard(self, fleet: FleetLoad, now_seconds: float) -> None:
+    def heard(self, sender_id: str, fleet: FleetLoad, now_seconds: float) -> None:
         """Take what all other routers have under way, and the shares."""
         self.book.heard(fleet, now_seconds)
+        self._adder.heard(sender_id, now_seconds)
         self._placement.take_others(fleet.places)
         state = self._state()
         if state is not None and fleet.used:
@@ -65,26 +69,31 @@
         if is_due:
             self._due_at_seconds = now_seconds + AT_LEAST_SECONDS
         if self._has_disk:
-            self._share_out(now_seconds, 1)
+            self._share_out(1)
             for one in self.book.totals(is_due, now_seconds):
                 self._send(one)
             return
         wait_seconds = self._wait_seconds(now_seconds)
-        self._share_alone(wait_seconds, now_seconds)
+        asked = self.gate.rows(now_seconds)
+        begun_tokens = self.gate.begun.tokens_per_second(now_seconds)
+        self.book.shares.told(self._instance_id, asked, wait_seconds, begun_tokens)
+        self._share_alone(now_seconds)
         places = self._placement.loads()
         if not self.book.is_news(places, is_due, now_seconds):
             return
+        replica = self._adder.choose(
+            self._live_replicas(now_seconds, HEARD_SECONDS), now_seconds
+        )
         load = self.book.own(
             places,
-            self.gate.rows(),
+            asked,
             wait_seconds,
-            self.gate.begun_tokens,
+            begun_tokens,
             self._placement.news(),
             now_seconds,
         )
-        replicas = self._live_replicas(now_seconds, HEARD_SECONDS)
-        if replicas:
-            self._send(Outgoing(min(replicas), load, urgent=True))
+        if replica is not None:
+            self._send(Outgoing(replica, load, urgent=True))
 
     def _wait_seconds(self, now_seconds: float) -> float:
         """Return how long a prompt waits on average at an engine."""
@@ -101,29 +110,22 @@
         ]
         return sum(waits) / len(waits) if waits else 0.0
 
-    def _share_alone(self, wait_seconds: float, now_seconds: float) -> None:
+    def _share_alone(self, now_seconds: float) -> None:
         """Work shares out from what is asked here, for when nobody else does.
 
         A router that is cut off from all replicas is told no shares. Were it to let
         everything in, one customer's flood would fill the engines for everybody.
         """
-        shares = self.book.shares
-        shares.told(
-            self._instance_id,
-            self.gate.rows(),
-            wait_seconds,
-            self.gate.begun_tokens,
-        )
-        self._share_out(now_seconds, self.book.routers)
+        self._share_out(self.book.routers)
         is_alone = self.book.is_alone(now_seconds)
         if is_alone:
-            self.gate.take(shares.rows())
+            self.gate.take(self.book.shares.rows())
         if is_alone != self._was_alone:
             self._was_alone = is_alone
             source = "what is asked here" if is_alone else "a replica"
             logger.warning("shares follow another source", extra={"source": source})
 
-    def _share_out(self, now_seconds: float, routers: int) -> None:
+    def _share_out(self, routers: int) -> None:
         """Bring shares up to date from what some of so many routers were asked."""
         state = self._state()
         if state is None:
@@ -134,7 +136,6 @@
         self.book.shares.tick(
             declared_tokens,
             WAIT_PART * state.shortest_objective_seconds,
-            now_seconds,
         )
 
     def log_shares(self) -> None:
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -445,7 +445,7 @@
             case RouterLoad():
                 self.load.book.received(message, now_seconds)
             case FleetLoad():
-                self.load.heard(message, now_seconds)
+                self.load.heard(sender_id, message, now_seconds)
             case TreeSteps() | TreeWhole() | TreeWanted():
                 self._tree.received(sender_id, message)
             case LogPayload() | ProposalRequest() | ProposalReply():
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -1,100 +1,86 @@
 """Which part of each customer's requests is served when all ask for too much.
 
-One replica adds up what every customer asks of the engines over all routers, and how
-long prompts wait. While they wait too long it lowers what is served in all, and
-shares that out max-min: a customer that asks for less than an even share gets all of
-it, the others the same amount each. Routers are told the part of its requests that
-each of the latter gets, and reject the rest at once.
+Each router tells what every customer asks of the engines there, on average, and how
+long prompts wait. One replica adds that up. While prompts wait too long it lowers what
+is served in all, and shares that out max-min: a customer that asks for less than an
+even share gets all of it, the others the same amount each. Routers are told the part of
+its requests that each of the latter gets, and reject the rest at once.
 """
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from sesameford.gateway.token_rate import TokenRate
 from sesameford.messages import AskedRow, ShareRow
 
-# The time over which what a customer asks is averaged. Shorter follows single large
-# prompts, longer serves the first seconds of a flood too late.
-AVERAGE_SECONDS = 0.8
 # The capacity is what engines have begun to answer of late, a second. It is lowered by
 # this part of itself for each second that prompts wait longer than they may, and
 # raised in the same way, so that a backlog is worked off in about half a second.
 PART_A_SECOND = 2.0
 LOWEST_FACTOR = 0.5
 HIGHEST_FACTOR = 1.4
+# Nor is it taken as lower than this part of what is declared: after a start nothing has
+# been begun yet.
+LOWEST_PART = 0.25
 # Before anybody declares a capacity, and while nothing has been asked.
 FIRST_CAPACITY_TOKENS = 100_000.0
-# A customer whose average has fallen below this has asked nothing for seconds.
+# A customer that asks for less on average has asked nothing for seconds.
 LEAST_ASKED_TOKENS = 1.0
 # A customer with few requests at each router must not be refused its first everywhere.
 FIRST_CREDIT = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What one router told last; tokens are a second."""
+
+    asked: Mapping[str, float]
+    wait_seconds: float
+    begun_tokens: float
+
+
 @dataclass(slots=True)
 class ShareBook:
-    """The averages at the replica that adds up.
+    """What the replica that adds up knows.
 
     ``asked_tokens`` are tokens a second by customer; ``fractions`` are of those that
-    don't get all.
+    don't get all. Routers tell averages and not totals, so a replica that begins to
+    add up knows as much as the one before it as soon as it has heard all routers, and
+    words that were held up and come together count once.
     """
 
     capacity_tokens: float = FIRST_CAPACITY_TOKENS
     asked_tokens: dict[str, float] = field(default_factory=dict)
     fractions: dict[str, float] = field(default_factory=dict)
-    _totals: dict[str, dict[str, int]] = field(default_factory=dict)
-    _new: dict[str, int] = field(default_factory=dict)
-    _waits: dict[str, float] = field(default_factory=dict)
-    _begun: dict[str, int] = field(default_factory=dict)
-    _new_begun: int = 0
-    _begun_tokens: float = 0.0
-    _ticked_at_seconds: float | None = None
+    _routers: dict[str, _Told] = field(default_factory=dict)
 
     def told(
         self,
         router_id: str,
         rows: Iterable[AskedRow],
         wait_seconds: float,
-        begun_tokens: int,
+        begun_tokens: float,
     ) -> None:
-        """Take a router's totals and how long prompts wait as it sees it."""
-        self._waits[router_id] = wait_seconds
-        before = self._totals.get(router_id)
-        begun_before = self._begun.get(router_id, begun_tokens)
-        self._new_begun += max(begun_tokens - begun_before, 0)
-        self._begun[router_id] = begun_tokens
-        totals = {row.customer: row.tokens for row in rows}
-        self._totals[router_id] = totals
-        if before is None:
-            # What it was asked before it was heard here is past.
-            return
-        for customer, total in totals.items():
-            more = total - before.get(customer, 0)
-            if more > 0:
-                self._new[customer] = self._new.get(customer, 0) + more
+        """Take what a router tells."""
+        asked = {row.customer: row.tokens for row in rows}
+        self._routers[router_id] = _Told(asked, wait_seconds, begun_tokens)
 
     def forget(self, router_id: str) -> None:
         """Drop a router that is not heard any more."""
-        self._totals.pop(router_id, None)
-        self._waits.pop(router_id, None)
-        self._begun.pop(router_id, None)
+        self._routers.pop(router_id, None)
 
     def tick(
         self,
         declared_tokens: float | None,
         wanted_wait_seconds: float,
-        now_seconds: float,
     ) -> None:
-        """Bring averages, capacity and fractions up to date.
+        """Bring sums, capacity and fractions up to date.
 
         Args:
             declared_tokens: What all engines produce a second, None if not known.
             wanted_wait_seconds: How long prompts may wait on average.
-            now_seconds: The present time.
         """
-        since_seconds = now_seconds - (self._ticked_at_seconds or now_seconds)
-        self._ticked_at_seconds = now_seconds
-        if since_seconds <= 0.0:
-            return
-        self._average(since_seconds)
+        self.asked_tokens = self._sum_of_asked()
         self.capacity_tokens = self._capacity(
             declared_tokens or FIRST_CAPACITY_TOKENS, wanted_wait_seconds
         )
@@ -112,28 +98,23 @@
             for customer, fraction in self.fractions.items()
         )
 
-    def _average(self, since_seconds: float) -> None:
-        part = min(since_seconds / AVERAGE_SECONDS, 1.0)
-        new, self._new = self._new, {}
-        for customer in {*self.asked_tokens, *new}:
-            average = self.asked_tokens.get(customer, 0.0)
-            average += part * (new.get(customer, 0) / since_seconds - average)
-            if average < LEAST_ASKED_TOKENS:
-                self.asked_tokens.pop(customer, None)
-            else:
-                self.asked_tokens[customer] = average
-        begun, self._new_begun = self._new_begun, 0
-        self._begun_tokens += part * (begun / since_seconds - self._begun_tokens)
+    def _sum_of_asked(self) -> dict[str, float]:
+        sums: dict[str, float] = {}
+        for router in self._routers.values():
+            for customer, tokens in router.asked.items():
+                sums[customer] = sums.get(customer, 0.0) + tokens
+        return sums
 
     def _capacity(self, declared_tokens: float, wanted_wait_seconds: float) -> float:
         """Return what may be asked a second without making prompts wait too long."""
-        waits = self._waits.values()
+        routers = self._routers.values()
+        waits = [router.wait_seconds for router in routers]
         wait_seconds = sum(waits) / len(waits) if waits else 0.0
         factor = 1 + PART_A_SECOND * (wanted_wait_seconds - wait_seconds)
         factor = min(max(factor, LOWEST_FACTOR), HIGHEST_FACTOR)
-        capacity = factor * self._begun_tokens
+        capacity = factor * sum(router.begun_tokens for router in routers)
         if wait_seconds > wanted_wait_seconds:
-            return capacity
+            return max(capacity, LOWEST_PART * declared_tokens)
         # Nobody waits too long: what is declared can be served in any case.
         return max(capacity, declared_tokens)
 
@@ -162,9 +143,9 @@
 class ShareGate:
     """Admission at one router by the fractions that it was told."""
 
-    asked: dict[str, int] = field(default_factory=dict)
-    begun_tokens: int = 0
+    begun: TokenRate = field(default_factory=TokenRate)
     fractions: dict[str, float] = field(default_factory=dict)
+    _asked: dict[str, TokenRate] = field(default_factory=dict)
     _credit: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def admits(
@@ -186,15 +167,19 @@
             has_room: Asked for a customer over its share, whether an engine could
                 begin at once. Nobody else would be served sooner by a rejection.
         """
-        self.asked[customer] = self.asked.get(customer, 0) + tokens
+        self._asked.setdefault(customer, TokenRate()).add(tokens)
         fraction = self.fractions.get(customer)
-        if fraction is None or has_room():
+        if fraction is None or self._earns(customer, route_id, fraction):
             return True
+        return has_room()
+
+    def _earns(self, customer: str, route_id: str, fraction: float) -> bool:
+        """Return whether a request is among the part that its customer gets."""
         key = (customer, route_id)
         credit = self._credit.get(key, FIRST_CREDIT) + fraction
-        admitted = credit >= 1.0
-        self._credit[key] = credit - 1.0 if admitted else credit
-        return admitted
+        earned = credit >= 1.0
+        self._credit[key] = credit - 1.0 if earned else credit
+        return earned
 
     def take(self, rows: Iterable[ShareRow]) -> None:
         """Take the present fractions; credit of former ones is dropped."""
@@ -205,11 +190,16 @@
             if key[0] in self.fractions
         }
 
-    def rows(self) -> tuple[AskedRow, ...]:
-        """Return the totals that this router tells."""
-        return tuple(
-            AskedRow(customer, tokens) for customer, tokens in self.asked.items()
-        )
+    def rows(self, now_seconds: float) -> tuple[AskedRow, ...]:
+        """Return what customers ask here, as it is told."""
+        rows = []
+        for customer, rate in list(self._asked.items()):
+            tokens = rate.tokens_per_second(now_seconds)
+            if tokens >= LEAST_ASKED_TOKENS:
+                rows.append(AskedRow(customer, round(tokens, 1)))
+            elif not rate.has_news:
+                del self._asked[customer]
+        return tuple(rows)
 
 
 def make_share_book() -> ShareBook:
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -109,10 +109,10 @@
 
 
 class AskedRow(Struct, frozen=True, array_like=True):
-    """The total of tokens that a customer asked at one router."""
+    """The tokens a second that a customer asks at one router, on average."""
 
     customer: str
-    tokens: int
+    tokens: float
 
 
 class ShareRow(Struct, frozen=True, array_like=True):
@@ -126,8 +126,8 @@
     """All that a router has under way, by target, and what customers asked there.
 
     ``wait_seconds`` is how long a prompt waits at an engine, as the router sees it;
-    ``begun_tokens`` the total of what engines have begun to answer; ``used`` what it
-    has sent to engines since it spoke last.
+    ``begun_tokens`` what engines begin to answer, a second; ``used`` what it has sent
+    to engines since it spoke last.
     """
 
     router_id: str
@@ -135,7 +135,7 @@
     places: tuple[PlaceLoad, ...]
     asked: tuple[AskedRow, ...] = ()
     wait_seconds: float = 0.0
-    begun_tokens: int = 0
+    begun_tokens: float = 0.0
     used: tuple[UsedParts, ...] = ()
 
 
