--- a/sesameford/connection_guard.py
+++ b/sesameford/connection_guard.py
@@ -28,6 +28,12 @@
     first_head_seconds: float = 10.0
 
 
+# With more connections open than this part of the bound, who is turned away is not kept
+# on one. Callers of a flood that come back on new connections would else hold all that
+# there are by old ones, and everybody else be cut off without an answer.
+CROWDED_PART = 0.5
+
+
 @dataclass(slots=True)
 class GuardCounts:
     """The connections that are open, in all and by IP number."""
@@ -38,6 +44,11 @@
     too_slow: int = 0
 
 
+def is_crowded(counts: GuardCounts, limits: GuardLimits) -> bool:
+    """Return whether so many connections are open that they should not be kept idle."""
+    return counts.open > CROWDED_PART * limits.connections
+
+
 class _GuardedProtocol(asyncio.Protocol):
     """Passes a connection's events on to the library's own protocol."""
 
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -197,8 +197,12 @@
         ]
         logger.info("started", extra={"incarnation": self.incarnation})
 
-    def make_gateway(self) -> GatewayDeps:
-        """Return what serves callers here; to be called on the running loop."""
+    def make_gateway(self, is_crowded: Callable[[], bool]) -> GatewayDeps:
+        """Return what serves callers here; to be called on the running loop.
+
+        Args:
+            is_crowded: Whether few connections of callers are left.
+        """
         loop = asyncio.get_running_loop()
         self._session = make_session(None, IDLE_SECONDS, CONNECT_SECONDS)
         return GatewayDeps(
@@ -213,6 +217,7 @@
             lambda: self._state if self._tree.is_ready() else None,
             lambda: self.load.book.routers,
             lambda: not self._stop.is_ready,
+            is_crowded,
             lambda: self._stop.accepts_requests,
             self._now,
             loop.time,
--- a/sesameford/gateway/run.py
+++ b/sesameford/gateway/run.py
@@ -66,6 +66,7 @@
     state: Callable[[], GatewayState | None]
     routers: Callable[[], int]
     is_leaving: Callable[[], bool]
+    is_crowded: Callable[[], bool]
     accepts: Callable[[], bool]
     now: Callable[[], float]
     loop_time: Callable[[], float]
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -30,6 +30,9 @@
 # An instance that is late stays so for as long as its callers flood it; those who come
 # back sooner cost it the time in which it could serve others.
 OVERLOADED_RETRY_SECONDS = 1.0
+# A target whose address another one has now is passed over from now on, so a caller who
+# may not be sent to a second target is served by another as soon as it is back.
+SOON_RETRY_SECONDS = 0.02
 # With less left than this a sending could bring no answer in time.
 LEAST_LEFT_SECONDS = 0.02
 
@@ -258,7 +261,9 @@
     if run.response is not None:
         return CutError(run, error.detail)
     if not run.may_have_run:
-        return Refusal(503, error.fate.value, RETRY_AFTER_SECONDS)
+        is_gone = error.fate is Fate.WRONG_TARGET
+        retry_seconds = SOON_RETRY_SECONDS if is_gone else RETRY_AFTER_SECONDS
+        return Refusal(503, error.fate.value, retry_seconds)
     if error.fate is Fate.TIMEOUT:
         return Refusal(504, "timeout")
     return Refusal(502, error.fate.value)
@@ -288,6 +293,7 @@
         response.headers[name] = value
     if refusal.retry_after_seconds is not None:
         response.headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
-    if refusal.status in (400, 408, 413) or deps.is_leaving():
+    is_last = deps.is_leaving() or deps.is_crowded()
+    if refusal.status in (400, 408, 413) or is_last:
         response.force_close()
     return response
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -136,6 +136,7 @@
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     address: str,
     limits: GuardLimits | None = None,
+    counts: GuardCounts | None = None,
 ) -> CallsPort:
     """Serve all paths of an address by one handler, without an application's routes.
 
@@ -143,6 +144,7 @@
         handler: Answers a request; cancelled when its caller goes away.
         address: IP number and port.
         limits: What one outsider can hold of the listener.
+        counts: Where connections are counted.
 
     Returns:
         The open port.
@@ -158,7 +160,7 @@
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=KEEP_ALIVE_SECONDS,
     )
-    server = _listen_guarded(calls, address, None, limits, None)
+    server = _listen_guarded(calls, address, None, limits, counts)
     return CallsPort(calls, server)
 
 
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -8,6 +8,7 @@
 
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector
 
+from sesameford.connection_guard import GuardCounts, GuardLimits, is_crowded
 from sesameford.discovery.beat_table import make_beat_table
 from sesameford.effective import EffectiveTree
 from sesameford.gateway.forward import make_sender
@@ -86,8 +87,11 @@
 
 
 @asynccontextmanager
-async def open_desk(*faults, tree: EffectiveTree | None = None):
+async def open_desk(
+    *faults, tree: EffectiveTree | None = None, limits: GuardLimits | None = None
+):
     """Start a router before one server for each fault."""
+    limits, counts = limits or GuardLimits(), GuardCounts()
     table = make_beat_table()
     servers = [make_platform_server(f"s{n}", fault) for n, fault in enumerate(faults)]
     for server in servers:
@@ -111,11 +115,12 @@
         lambda: state,
         lambda: 1,
         lambda: False,
+        partial(is_crowded, counts, limits),
         lambda: True,
         monotonic,
         get_running_loop().time,
     )
-    port = await listen_calls(partial(serve_call, deps), "127.0.0.1:0")
+    port = await listen_calls(partial(serve_call, deps), "127.0.0.1:0", limits, counts)
     host, number = port.server.sockets[0].getsockname()[:2]
     async with ClientSession(
         connector=TCPConnector(limit=0), cookie_jar=DummyCookieJar()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp import ClientPayloadError
 
+from sesameford.connection_guard import GuardLimits
 from standins.platform_server import Fault
 from tests.gateway_fixture import open_desk
 
@@ -261,3 +262,31 @@
             desk.deps.lag.due_at_seconds = monotonic()
             desk.deps.lag.ran(60.0, monotonic())
         assert (await desk.ask("/safe/"))[0] == 200
+
+
+async def ask_on_a_new_connection(desk, path):
+    """Ask as a caller that opens a connection for each try and leaves it open."""
+    host, port = desk.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"GET {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in desk.headers().items()]
+    writer.write("\r\n".join([*lines, "", ""]).encode())
+    return await reader.read(300), writer
+
+
+async def test_callers_who_are_turned_away_don_t_use_up_all_connections():
+    """A flooding caller comes back on a new connection each time, and keeps the others.
+
+    Once all that the router may have are open, everybody is cut off without an answer,
+    though the router has nothing to do.
+    """
+    limits = GuardLimits(connections=20, per_address=20)
+    async with open_desk(Fault.NONE, limits=limits) as desk:
+        writers = []
+        for _ in range(60):
+            answer, writer = await ask_on_a_new_connection(desk, "/nowhere/")
+            assert answer.startswith(b"HTTP/1.1 404")
+            writers.append(writer)
+        assert (await desk.ask("/unsafe/"))[0] == 200
+        for writer in writers:
+            writer.close()
