--- a/sesameford/gateway/engine_backlog.py
+++ b/sesameford/gateway/engine_backlog.py
@@ -70,14 +70,20 @@
 class EngineBacklog:
     """The prompts at one engine that are not read yet.
 
-    ``others_unread_tokens`` are those of all other routers.
+    ``kind_rate`` is what all engines of its kind have shown, ``rate`` what this one
+    has; ``others_unread_tokens`` are those of all other routers.
     """
 
+    kind_rate: ReadingRate = field(default_factory=ReadingRate)
     rate: ReadingRate = field(default_factory=ReadingRate)
-    rate_tokens: float = FIRST_RATE_TOKENS
     others_unread_tokens: int = 0
     _unread: dict[int, _Unread] = field(default_factory=dict)
 
+    @property
+    def rate_tokens(self) -> float:
+        """Return how many tokens the engine reads in a second."""
+        return self.rate.rate_tokens(self.kind_rate.rate_tokens(FIRST_RATE_TOKENS))
+
     def unread_tokens(self, now_seconds: float) -> int:
         """Return what is left to read of this router's prompts."""
         return sum(self._left(one, now_seconds) for one in self._unread.values())
@@ -116,9 +122,15 @@
         if now_seconds > one.due_at_seconds + OVERDUE_SECONDS:
             return one.tokens
         reading_seconds = max(now_seconds - one.begins_at_seconds, 0.0)
+        if not reading_seconds:
+            return one.tokens
         return max(one.tokens - round(reading_seconds * self.rate_tokens), 0)
 
 
-def make_engine_backlog() -> EngineBacklog:
-    """Return the backlog of an engine that nothing is known of."""
-    return EngineBacklog()
+def make_engine_backlog(kind_rate: ReadingRate | None = None) -> EngineBacklog:
+    """Return the backlog of an engine that nothing is known of.
+
+    Args:
+        kind_rate: What all engines of its kind have shown, where it has others.
+    """
+    return EngineBacklog(kind_rate or ReadingRate())
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -7,9 +7,9 @@
 from sesameford.effective import ServiceSettings
 from sesameford.gateway.calls import Prompt
 from sesameford.gateway.engine_backlog import (
-    FIRST_RATE_TOKENS,
     TELLING_TOKENS,
     ReadingRate,
+    make_engine_backlog,
 )
 from sesameford.gateway.engine_choice import (
     EngineOption,
@@ -66,7 +66,7 @@
         self._leases = 0
         self._hold_seconds = FIRST_HOLD_SECONDS
         self._began_at_seconds: dict[int, float] = {}
-        self._typical = ReadingRate()
+        self._kind_rate = ReadingRate()
         self._fixed_seconds = FIRST_FIXED_SECONDS
         self._ids_by_name: dict[int, str] = {}
 
@@ -188,10 +188,8 @@
             tokens = lease.ahead_tokens + lease.tokens
             self._learn_fixed(took_seconds - backlog.read_seconds(tokens), tokens)
             read_seconds = took_seconds - self._fixed_seconds
-            self._typical.observed(tokens, read_seconds, now_seconds)
+            self._kind_rate.observed(tokens, read_seconds, now_seconds)
             backlog.rate.observed(tokens, read_seconds, now_seconds)
-            typical_tokens = self._typical.rate_tokens(FIRST_RATE_TOKENS)
-            backlog.rate_tokens = backlog.rate.rate_tokens(typical_tokens)
 
     def _learn_fixed(self, took_seconds: float, tokens: int) -> None:
         """Learn what a first event takes beside reading, from short prompts."""
@@ -341,8 +339,8 @@
     def _place(self, target_id: str) -> Place:
         place = self._places.get(target_id)
         if place is None:
-            place = self._places[target_id] = Place()
-            place.backlog.rate_tokens = self._typical.rate_tokens(FIRST_RATE_TOKENS)
+            backlog = make_engine_backlog(self._kind_rate)
+            place = self._places[target_id] = Place(backlog=backlog)
         return place
 
     def _plain_lease(self, known: KnownTarget, now_seconds: float) -> Lease:
