Tell no more often in a large fleet than its adder can read; one copy of targets' names

Reading the change as a newcomer: what each router tells to be counted as living would have been 1,800 messages a second at 360 routers, where the interval of what changed keeps to some 500. It follows that interval now, and so does the silence after which a replica is passed over; below a hundred routers nothing changes. The test counts messages and failed before. Targets are found by their short names in the table that has them.

--- a/sesameford/discovery/beat_table.py
+++ b/sesameford/discovery/beat_table.py
@@ -101,6 +101,10 @@
                 return [Outgoing(sender_id, BeatRows(rows), urgent=True)]
         return ()
 
+    def by_name(self, name: int) -> KnownTarget | None:
+        """Return a target by its short name, None if nothing is known of it."""
+        return self.known.get(self._names.get(name, ""))
+
     def heard(self) -> BeatsHeard:
         """Return what to tell the others regularly."""
         names, self._beat_here = tuple(self._beat_here), set()
--- a/sesameford/gateway/chosen_adder.py
+++ b/sesameford/gateway/chosen_adder.py
@@ -3,11 +3,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-# A replica that was told something and has answered nothing for so long is passed over,
-# two answers and a half later: loads and shares would stand still until its heartbeats
-# are missed, which takes 1.5 s.
-SILENT_SECONDS = 0.5
-# And for so long after; it may only have been slow.
+# A replica that has fallen silent is passed over for so long; it may only be slow.
 PASSED_OVER_SECONDS = 2.0
 
 
@@ -25,16 +21,20 @@
         if sender_id == self.chosen:
             self._told_since_seconds = now_seconds
 
-    def choose(self, replicas: Collection[str], now_seconds: float) -> str | None:
+    def choose(
+        self, replicas: Collection[str], silent_seconds: float, now_seconds: float
+    ) -> str | None:
         """Return whom to tell, the same for all routers that hear the same replicas.
 
         Args:
             replicas: Those that are heard.
+            silent_seconds: One that was told something and has answered nothing for so
+                long is passed over.
             now_seconds: The present time.
         """
         since_seconds = self._told_since_seconds
         is_silent = (
-            since_seconds is not None and now_seconds - since_seconds > SILENT_SECONDS
+            since_seconds is not None and now_seconds - since_seconds > silent_seconds
         )
         if self.chosen is not None and is_silent:
             self._passed_over_until[self.chosen] = now_seconds + PASSED_OVER_SECONDS
--- a/sesameford/gateway/engine_backlog.py
+++ b/sesameford/gateway/engine_backlog.py
@@ -24,7 +24,7 @@
 TELLING_TOKENS = 1_500
 # A prompt whose first event is later than expected by this counts as not read at all:
 # the engine is slower than it looked, and what was sent after it is not read either.
-OVERDUE_SECONDS = 0.15
+OVERDUE_EVENT_SECONDS = 0.15
 
 
 @dataclass(slots=True)
@@ -119,7 +119,7 @@
         self._unread.pop(number, None)
 
     def _left(self, one: _Unread, now_seconds: float) -> int:
-        if now_seconds > one.due_at_seconds + OVERDUE_SECONDS:
+        if now_seconds > one.due_at_seconds + OVERDUE_EVENT_SECONDS:
             return one.tokens
         reading_seconds = max(now_seconds - one.begins_at_seconds, 0.0)
         if not reading_seconds:
--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -86,7 +86,7 @@
             now_seconds: The present time.
         """
         self._last_places = places
-        self._next_seconds = now_seconds + self._tell_seconds()
+        self._next_seconds = now_seconds + self.tell_seconds()
         self._sequence += 1
         return RouterLoad(
             self._instance_id,
@@ -115,7 +115,7 @@
         if not is_due and (not self._is_changed or now_seconds < self._next_seconds):
             return []
         self._is_changed = False
-        self._next_seconds = now_seconds + self._tell_seconds()
+        self._next_seconds = now_seconds + self.tell_seconds()
         for router_id, told in list(self._told.items()):
             if now_seconds - told.at_seconds > REPORT_VALID_SECONDS:
                 del self._told[router_id]
@@ -152,7 +152,8 @@
         """Return whether a router has had no sums for so long that it is cut off."""
         return now_seconds - self._heard_at_seconds > REPORT_VALID_SECONDS
 
-    def _tell_seconds(self) -> float:
+    def tell_seconds(self) -> float:
+        """Return how often what changed is told."""
         return max(TELL_SECONDS, TELL_SECONDS_A_ROUTER * self.routers)
 
     def _without(
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -16,6 +16,9 @@
 # A router tells its work at least this often, so that it is counted as living, and is
 # answered as often.
 AT_LEAST_SECONDS = 0.2
+# A replica that was told something and has left out so many answers is passed over. Its
+# heartbeats are missed after 1.5 s only, and loads and shares would stand still.
+MISSED_ANSWERS = 2.5
 # A replica counts as living that was heard within two heartbeats and a half second.
 HEARD_SECONDS = 1.5
 # How long prompts may wait on average, as a part of the shortest objective: the rest
@@ -69,7 +72,7 @@
         self.lag.ran(TELL_SECONDS, now_seconds)
         is_due = now_seconds >= self._due_at_seconds
         if is_due:
-            self._due_at_seconds = now_seconds + AT_LEAST_SECONDS
+            self._due_at_seconds = now_seconds + self._at_least_seconds()
         if self._has_disk:
             self._share_out(1)
             for one in self.book.totals(is_due, now_seconds):
@@ -84,7 +87,9 @@
         if not self.book.is_news(places, is_due, now_seconds):
             return
         replica = self._adder.choose(
-            self._live_replicas(now_seconds, HEARD_SECONDS), now_seconds
+            self._live_replicas(now_seconds, HEARD_SECONDS),
+            MISSED_ANSWERS * self._at_least_seconds(),
+            now_seconds,
         )
         load = self.book.own(
             places,
@@ -97,6 +102,14 @@
         if replica is not None:
             self._send(Outgoing(replica, load, urgent=True))
 
+    def _at_least_seconds(self) -> float:
+        """Return how often something is told in any case.
+
+        In a large fleet no more often than what changed: what each tells to be counted
+        as living would else be most of what the replica that adds up gets.
+        """
+        return max(AT_LEAST_SECONDS, self.book.tell_seconds())
+
     def _wait_seconds(self, now_seconds: float) -> float:
         """Return how long a prompt waits on average at an engine."""
         state = self._state()
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -68,7 +68,6 @@
         self._began_at_seconds: dict[int, float] = {}
         self._kind_rate = ReadingRate()
         self._fixed_seconds = FIRST_FIXED_SECONDS
-        self._ids_by_name: dict[int, str] = {}
 
     def choose(
         self,
@@ -272,15 +271,14 @@
             rows: By engine.
             engines: The settings of services.
         """
-        self._refresh()
         for row in rows:
-            target_id = self._ids_by_name.get(row.name)
-            known = self._table.known.get(target_id) if target_id else None
-            if target_id is None or known is None:
+            known = self._table.by_name(row.name)
+            if known is None:
+                # A target that this instance has not been told of, or has forgotten.
                 continue
             engine = engines.get(known.row.service)
             memory_tokens = engine.cache_tokens if engine else None
-            self._place(target_id).memory.take(row, memory_tokens)
+            self._place(known.row.target_id).memory.take(row, memory_tokens)
 
     def take_others(self, loads: Iterable[PlaceLoad]) -> None:
         """Take what all other routers have under way, by target."""
@@ -305,7 +303,6 @@
             return
         self._seen_changes = self._table.changes
         self._by_service = {}
-        self._ids_by_name = {short_name(one): one for one in self._table.known}
         for known in self._table.known.values():
             if known.row.state is TargetState.READY:
                 self._by_service.setdefault(known.row.service, []).append(known)
--- a/tests/test_load_system.py
+++ b/tests/test_load_system.py
@@ -4,6 +4,7 @@
 
 from sesameford.discovery.beat_table import make_beat_table
 from sesameford.gateway.calls import Prompt, PromptPart
+from sesameford.gateway.fleet_load import TELL_SECONDS
 from sesameford.gateway.load_system import AT_LEAST_SECONDS, make_load_system
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.run import make_gateway_state
@@ -85,3 +86,19 @@
     assert told.receiver_id == "replica-1"
     assert isinstance(told.message, RouterLoad)
     assert told.message.places[0].unread_tokens > 0
+
+
+def test_a_router_of_a_large_fleet_is_not_heard_more_often_than_the_replica_can_read():
+    """Three hundred and sixty routers have nothing new to tell.
+
+    Told five times a second each, the replica that adds up would get 1,800 messages a
+    second, where it can take some five hundred beside its other work.
+    """
+    router = Router()
+    router.replicas = ["replica-1"]
+    now_seconds = 0.0
+    while now_seconds < 4.0:
+        router.load.heard("replica-1", FleetLoad((), 360), now_seconds)
+        router.load.tell(now_seconds)
+        now_seconds += TELL_SECONDS
+    assert 360 * len(router.sent) / 4.0 < 550
