Tell each second what shares did at each router, and what they follow from

A router tells each second, while anybody is limited: its replica, the age of its shares, and for the customers that asked most the fraction told, requests, and tokens asked, admitted without limit, by share, by room, and begun. A replica tells each second what it limits, for how many routers. Lines that are not of one request have a bound of their own. Counters of tokens by admission on the metrics address. No decision is changed.

--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -150,7 +150,11 @@
 
     def is_alone(self, now_seconds: float) -> bool:
         """Return whether a router has had no sums for so long that it is cut off."""
-        return now_seconds - self._heard_at_seconds > REPORT_VALID_SECONDS
+        return self.age_seconds(now_seconds) > REPORT_VALID_SECONDS
+
+    def age_seconds(self, now_seconds: float) -> float:
+        """Return how old the sums of the fleet are at a router."""
+        return now_seconds - self._heard_at_seconds
 
     def tell_seconds(self) -> float:
         """Return how often what changed is told."""
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -21,6 +21,9 @@
 MISSED_ANSWERS = 2.5
 # A replica counts as living that was heard within two heartbeats and a half second.
 HEARD_SECONDS = 1.5
+# How often what shares do is told; the rule that nobody gets far less than others is
+# checked by the second.
+TOLD_AGAIN_SECONDS = 0.9
 # How long prompts may wait on average, as a part of the shortest objective: the rest
 # is for reading the prompt itself and for what waits longer than the average. With half
 # of it 862 in place of 592 requests a day were late, with three tenths 170 fewer were
@@ -52,7 +55,8 @@
         self._send = send
         self._due_at_seconds = 0.0
         self._was_alone = True
-        self._limited_customers: tuple[str, ...] = ()
+        self._told_at_seconds = float("-inf")
+        self._was_limited = False
 
     def heard(self, sender_id: str, fleet: FleetLoad, now_seconds: float) -> None:
         """Take what all other routers have under way, and the shares."""
@@ -153,23 +157,48 @@
             WAIT_PART * state.shortest_objective_seconds,
         )
 
-    def log_shares(self) -> None:
-        """Tell which customers ask too much, when they are others than before."""
-        if not self._has_disk and not self._was_alone:
+    def log_shares(self, now_seconds: float) -> None:
+        """Tell each second which customers are limited here, and what they got."""
+        if now_seconds - self._told_at_seconds < TOLD_AGAIN_SECONDS:
             return
+        self._told_at_seconds = now_seconds
+        if not self._has_disk:
+            self._log_served(now_seconds)
+        if self._has_disk or self._was_alone:
+            self._log_limited()
+
+    def _log_limited(self) -> None:
+        """Tell what shares are worked out from here, and for how many routers."""
         shares = self.book.shares
-        limited = tuple(sorted(shares.fractions))
-        if limited == self._limited_customers:
+        was_limited, self._was_limited = self._was_limited, bool(shares.fractions)
+        if not was_limited and not shares.fractions:
             return
-        self._limited_customers = limited
         logger.info(
             "shares limited",
             extra={
                 "customers": ",".join(
-                    f"{one}:{shares.fractions[one]:.2f}" for one in limited
+                    f"{one}:{fraction:.2f}"
+                    for one, fraction in sorted(shares.fractions.items())
                 ),
+                "routers": shares.routers,
                 "capacity_tokens": round(shares.capacity_tokens),
                 "asked_tokens": round(sum(shares.asked_tokens.values())),
+                "wait_seconds": round(shares.wait_seconds, 4),
+            },
+        )
+
+    def _log_served(self, now_seconds: float) -> None:
+        """Tell whom shares are taken from, how old they are, and what they did."""
+        customers = self.gate.account.told(self.gate.fractions)
+        if not self.gate.fractions:
+            return
+        logger.info(
+            "shares served",
+            extra={
+                "replica": self._adder.chosen or "",
+                "age_seconds": round(self.book.age_seconds(now_seconds), 3),
+                "routers": self.book.routers,
+                "customers": customers,
             },
         )
 
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -405,9 +405,19 @@
             self._greeted_incarnations.pop(peer_id, None)
         self._links.flush()
         self._note_replicas(now_seconds)
-        self.load.log_shares()
+        self.load.log_shares(now_seconds)
+        self._count_shares()
         self.tally.settle()
 
+    def _count_shares(self) -> None:
+        for admission, tokens in self.load.gate.account.totals.items():
+            self.tally.admitted(admission.value, tokens)
+        if self._own.has_disk:
+            shares = self.load.book.shares
+            self.tally.level("share_capacity_tokens", shares.capacity_tokens)
+            self.tally.level("share_routers", shares.routers)
+            self.tally.level("share_limited_customers", len(shares.fractions))
+
     def _greet(self) -> None:
         self._links.send(Outgoing(None, self._roster.greeting(self._now())))
 
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -194,7 +194,7 @@
     async for chunk in exchange.chunks():
         if run.event_came(deps.now()):
             if run.call.prompt is not None:
-                deps.gate.begun.add(run.call.prompt.cost_tokens)
+                deps.gate.began(run.customer or "", run.call.prompt.cost_tokens)
             deps.placement.first_event(lease, deps.now())
         deps.placement.heard(lease, deps.now())
         ready = run.passed.feed(chunk) if run.passed is not None else chunk
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -10,6 +10,11 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from sesameford.gateway.share_account import (
+    Admission,
+    ShareAccount,
+    make_share_account,
+)
 from sesameford.gateway.token_rate import TokenRate
 from sesameford.messages import AskedRow, ShareRow
 
@@ -50,6 +55,7 @@
     """
 
     capacity_tokens: float = FIRST_CAPACITY_TOKENS
+    wait_seconds: float = 0.0
     asked_tokens: dict[str, float] = field(default_factory=dict)
     fractions: dict[str, float] = field(default_factory=dict)
     _routers: dict[str, _Told] = field(default_factory=dict)
@@ -91,6 +97,11 @@
             if asked > level
         }
 
+    @property
+    def routers(self) -> int:
+        """How many routers it adds up."""
+        return len(self._routers)
+
     def rows(self) -> tuple[ShareRow, ...]:
         """Return what routers are told: the customers that don't get all."""
         return tuple(
@@ -109,7 +120,7 @@
         """Return what may be asked a second without making prompts wait too long."""
         routers = self._routers.values()
         waits = [router.wait_seconds for router in routers]
-        wait_seconds = sum(waits) / len(waits) if waits else 0.0
+        self.wait_seconds = wait_seconds = sum(waits) / len(waits) if waits else 0.0
         factor = 1 + PART_A_SECOND * (wanted_wait_seconds - wait_seconds)
         factor = min(max(factor, LOWEST_FACTOR), HIGHEST_FACTOR)
         capacity = factor * sum(router.begun_tokens for router in routers)
@@ -145,6 +156,7 @@
 
     begun: TokenRate = field(default_factory=TokenRate)
     fractions: dict[str, float] = field(default_factory=dict)
+    account: ShareAccount = field(default_factory=make_share_account)
     _asked: dict[str, TokenRate] = field(default_factory=dict)
     _credit: dict[tuple[str, str], float] = field(default_factory=dict)
 
@@ -168,10 +180,24 @@
                 begin at once. Nobody else would be served sooner by a rejection.
         """
         self._asked.setdefault(customer, TokenRate()).add(tokens)
+        admission = self._admission(customer, route_id, has_room)
+        self.account.asked(customer, tokens, admission)
+        return admission is not Admission.REFUSED
+
+    def began(self, customer: str, tokens: int) -> None:
+        """Count a request whose answer an engine has begun."""
+        self.begun.add(tokens)
+        self.account.began(customer, tokens)
+
+    def _admission(
+        self, customer: str, route_id: str, has_room: Callable[[], bool]
+    ) -> Admission:
         fraction = self.fractions.get(customer)
-        if fraction is None or self._earns(customer, route_id, fraction):
-            return True
-        return has_room()
+        if fraction is None:
+            return Admission.NOT_LIMITED
+        if self._earns(customer, route_id, fraction):
+            return Admission.SHARE
+        return Admission.ROOM if has_room() else Admission.REFUSED
 
     def _earns(self, customer: str, route_id: str, fraction: float) -> bool:
         """Return whether a request is among the part that its customer gets."""
--- a/sesameford/gateway/tally.py
+++ b/sesameford/gateway/tally.py
@@ -25,6 +25,11 @@
             "Answers of the system's own, by reason",
             registry=self.registry,
         )
+        self._admitted = CounterMetric(
+            "sesameford_asked_tokens_total",
+            "Tokens that customers asked, by what became of the request at the gate",
+            registry=self.registry,
+        )
         self._took = Histogram(
             "sesameford_call_seconds",
             "Time from arrival to the end of the answer",
@@ -69,6 +74,10 @@
         for reason, count in self._refused.items():
             self._refusals.set({"reason": reason}, count)
 
+    def admitted(self, admission: str, tokens: int) -> None:
+        """Set the tokens that were asked in all, by what became of them."""
+        self._admitted.set({"admission": admission}, tokens)
+
     def ended(
         self,
         outcome: str,
--- a/tests/test_bounded_log.py
+++ b/tests/test_bounded_log.py
@@ -10,6 +10,7 @@
     FAILURE_LINES_A_SECOND,
     INFO_LINES_A_SECOND,
     MOST_PENDING_BYTES,
+    STATE_LINES_A_SECOND,
     BoundedHandler,
 )
 
@@ -33,8 +34,8 @@
         return self.seconds
 
 
-def record(level, text="x" * 100):
-    return logging.LogRecord("t", level, "f", 1, text, (), None)
+def record(level, text="x" * 100, logger="t"):
+    return logging.LogRecord(logger, level, "f", 1, text, (), None)
 
 
 def read_all(reader):
@@ -103,3 +104,19 @@
     for _ in range(3):
         handler.emit(record(logging.WARNING))
     os.close(writer)
+
+
+def test_a_flood_of_requests_leaves_room_for_what_the_process_believes(pipe):
+    """One customer floods a router, and all lines of a second tell of its requests.
+
+    Whose share was how much would not be written just when somebody asks for it.
+    """
+    reader, writer = pipe
+    handler = BoundedHandler(writer, Clock(), "calls")
+    for _ in range(2 * FAILURE_LINES_A_SECOND):
+        handler.emit(record(logging.WARNING, "failed", "calls"))
+    for _ in range(2 * STATE_LINES_A_SECOND):
+        handler.emit(record(logging.INFO, "believes", "shares"))
+    seen = drain(handler, reader)
+    assert seen.count("failed") == FAILURE_LINES_A_SECOND
+    assert seen.count("believes") == STATE_LINES_A_SECOND
--- a/tests/test_load_system.py
+++ b/tests/test_load_system.py
@@ -1,5 +1,6 @@
 """Loads and shares at one instance, without a network."""
 
+import logging
 from random import Random
 
 from sesameford.discovery.beat_table import make_beat_table
@@ -102,3 +103,33 @@
         router.load.tell(now_seconds)
         now_seconds += TELL_SECONDS
     assert 360 * len(router.sent) / 4.0 < 550
+
+
+def test_a_router_tells_by_what_each_customer_was_served(caplog):
+    """A customer complains that it got less than its rival.
+
+    Its refusals alone can't show it: at a flooded router most of them are not written,
+    and what the rival got by room at engines looks like any other answer.
+    """
+    caplog.set_level(logging.INFO)
+    router = Router()
+    router.replicas = ["replica-1"]
+    gate = router.load.gate
+    router.load.tell(1.0)
+    shares = (ShareRow("by-share", 0.5), ShareRow("by-room", 0.0))
+    router.load.heard("replica-1", FleetLoad((), 3, shares), 1.0)
+    for _ in range(10):
+        gate.admits("by-share", "stream", 1_000)
+        gate.admits("by-room", "stream", 300, lambda: True)
+        gate.admits("open", "stream", 2_000)
+    gate.began("by-share", 4_000)
+    router.load.log_shares(1.5)
+    (line,) = [one for one in caplog.records if one.message == "shares served"]
+    assert line.replica == "replica-1"
+    assert line.age_seconds == 0.5
+    assert line.customers == (
+        "open:1.00:10:20.0:20.0:0.0:0.0:0.0 "
+        "by-share:0.50:10:10.0:0.0:5.0:0.0:4.0 "
+        "by-room:0.00:10:3.0:0.0:0.0:3.0:0.0"
+    )
+    assert gate.account.totals["refused"] == 5_000
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -68,7 +68,7 @@
         begun = engines.pass_time()
         waits.append(engines.wait_seconds)
         rows = gate.rows(now_seconds)
-        gate.begun.add(begun)
+        gate.began("all", begun)
         begun_tokens = gate.begun.tokens_per_second(now_seconds)
         book.told("r1", rows, engines.wait_seconds, begun_tokens)
         book.tick(DECLARED_TOKENS, WANTED_WAIT_SECONDS)
