Begin each customer's credit at random, and count its routes together

Cause: a gate began from half a request of credit for each customer and route, dropped whenever the customer was not limited for one message. At 70 routers each sees about one request a second of a customer, so all of them refused the same first requests. In a play of the present code a customer of 65 routers was told 0.26 and 0.011 was let in by share; one of two routers was told 0.33 and 0.41 was. Ruled out for these two: room (0 tokens), two replicas (70 routers followed one), losses after admission (begun 341 of 10 let in, the rest from before).

Now the first credit is drawn at random, at each router another, so the part let in is the fraction told however few requests come and however often it is told anew; and routes of a customer share one credit, with turns.

--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Collection
+from random import Random
 
 from sesameford.gateway.chosen_adder import make_chosen_adder
 from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
@@ -42,9 +43,10 @@
         state: Callable[[], GatewayState | None],
         live_replicas: Callable[[float, float], Collection[str]],
         send: Callable[[Outgoing], None],
+        random: Random,
     ) -> None:
         self.book = make_fleet_load(instance_id)
-        self.gate = make_share_gate()
+        self.gate = make_share_gate(random)
         self.lag = make_loop_lag()
         self._adder = make_chosen_adder()
         self._instance_id = instance_id
@@ -210,6 +212,7 @@
     state: Callable[[], GatewayState | None],
     live_replicas: Callable[[float, float], Collection[str]],
     send: Callable[[Outgoing], None],
+    random: Random,
 ) -> LoadSystem:
     """Return the loads and shares of an instance.
 
@@ -220,5 +223,8 @@
         state: What is in force.
         live_replicas: Replicas heard within so many seconds before a time.
         send: Sends a message.
+        random: Its own, with another seed at each instance.
     """
-    return LoadSystem(instance_id, has_disk, placement, state, live_replicas, send)
+    return LoadSystem(
+        instance_id, has_disk, placement, state, live_replicas, send, random
+    )
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -146,6 +146,7 @@
                 self._now,
             ),
         )
+        seed = crc32(settings.instance_id.encode()) ^ self.incarnation
         machines = self._new_machines()
         self._log = make_log_service(
             settings.instance_id,
@@ -154,7 +155,7 @@
             machines,
             self._send_log,
             self._now,
-            seed=crc32(settings.instance_id.encode()) ^ self.incarnation,
+            seed=seed,
             renew=self._new_machines,
         )
         self.placement = make_placement(
@@ -170,6 +171,7 @@
             lambda: self._state,
             self._roster.live_replicas,
             self._links.send,
+            Random(seed),
         )
         self._state: GatewayState | None = None
         self._session: ClientSession | None = None
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from random import Random
 
 from sesameford.gateway.share_account import (
     Admission,
@@ -31,8 +32,9 @@
 FIRST_CAPACITY_TOKENS = 100_000.0
 # A customer that asks for less on average has asked nothing for seconds.
 LEAST_ASKED_TOKENS = 1.0
-# A customer with few requests at each router must not be refused its first everywhere.
-FIRST_CREDIT = 0.5
+# A route that got more than the others of its customer waits for its turn, but not for
+# others that may never be asked for again: at most until half a request more is owed.
+MOST_DEFERRED = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,15 +152,55 @@
     return float("inf")
 
 
+@dataclass(slots=True)
+class _Credit:
+    """What a limited customer is owed at one router, in requests.
+
+    ``by_route`` adds up to ``all_routes`` but for the part that it began with.
+    """
+
+    all_routes: float
+    by_route: dict[str, float] = field(default_factory=dict)
+
+    def earns(self, route_id: str, fraction: float) -> bool:
+        """Count a request, and return whether it is among the part that is served."""
+        self.all_routes += fraction
+        owed = self.by_route.get(route_id, 0.0) + fraction
+        self.by_route[route_id] = owed
+        mean = sum(self.by_route.values()) / len(self.by_route)
+        is_its_turn = owed >= mean or self.all_routes >= MOST_DEFERRED
+        if self.all_routes < 1.0 or not is_its_turn:
+            return False
+        self.all_routes -= 1.0
+        self.by_route[route_id] = owed - 1.0
+        return True
+
+
 @dataclass(slots=True)
 class ShareGate:
-    """Admission at one router by the fractions that it was told."""
+    """Admission at one router by the fractions that it was told.
+
+    A customer is often limited anew, at seventy routers of which each sees one of its
+    requests a second. The credit from which a router begins is drawn at random, so
+    that over all of them the part that is let in is the fraction told, however few
+    requests come. Were it the same everywhere, all routers would refuse the same first
+    requests: a customer that was told 0.2 got 0.006 to 0.2 of what it asked, and one
+    that was told 0.5 up to 0.9, by how often it was limited anew (six seconds of
+    ninety requests a second, by the test of this module).
+
+    One credit for all routes of a customer follows the fraction more closely than one
+    for each: over seventy routers the requests let in of sixty customers that are told
+    the same differ by 0.09 of their mean in six seconds, and by 0.15 with a credit a
+    route (standard deviations, engines in virtual time). No kind of request gives way
+    to another all the same, since a route that got more waits for its turn.
+    """
 
+    random: Random
     begun: TokenRate = field(default_factory=TokenRate)
     fractions: dict[str, float] = field(default_factory=dict)
     account: ShareAccount = field(default_factory=make_share_account)
     _asked: dict[str, TokenRate] = field(default_factory=dict)
-    _credit: dict[tuple[str, str], float] = field(default_factory=dict)
+    _credits: dict[str, _Credit] = field(default_factory=dict)
 
     def admits(
         self,
@@ -169,8 +211,8 @@
     ) -> bool:
         """Count a request, and return whether it is served.
 
-        Requests are counted by number and by route, so that large ones are served as
-        often as small ones, and no kind of request gives way to another.
+        Requests are counted by number, so that large ones are served as often as
+        small ones.
 
         Args:
             customer: Whose request it is.
@@ -195,25 +237,20 @@
         fraction = self.fractions.get(customer)
         if fraction is None:
             return Admission.NOT_LIMITED
-        if self._earns(customer, route_id, fraction):
+        credit = self._credits.get(customer)
+        if credit is None:
+            credit = self._credits[customer] = _Credit(self.random.random())
+        if credit.earns(route_id, fraction):
             return Admission.SHARE
         return Admission.ROOM if has_room() else Admission.REFUSED
 
-    def _earns(self, customer: str, route_id: str, fraction: float) -> bool:
-        """Return whether a request is among the part that its customer gets."""
-        key = (customer, route_id)
-        credit = self._credit.get(key, FIRST_CREDIT) + fraction
-        earned = credit >= 1.0
-        self._credit[key] = credit - 1.0 if earned else credit
-        return earned
-
     def take(self, rows: Iterable[ShareRow]) -> None:
-        """Take the present fractions; credit of former ones is dropped."""
+        """Take the present fractions; credit of who is not limited is dropped."""
         self.fractions = {row.customer: row.fraction for row in rows}
-        self._credit = {
-            key: credit
-            for key, credit in self._credit.items()
-            if key[0] in self.fractions
+        self._credits = {
+            customer: credit
+            for customer, credit in self._credits.items()
+            if customer in self.fractions
         }
 
     def rows(self, now_seconds: float) -> tuple[AskedRow, ...]:
@@ -233,6 +270,10 @@
     return ShareBook()
 
 
-def make_share_gate() -> ShareGate:
-    """Return a gate that admits everything until it is told otherwise."""
-    return ShareGate()
+def make_share_gate(random: Random) -> ShareGate:
+    """Return a gate that admits everything until it is told otherwise.
+
+    Args:
+        random: Draws first credits, at each router others.
+    """
+    return ShareGate(random)
--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -227,6 +227,7 @@
             lambda: state,
             live,
             lambda outgoing: self._sent.append((name, outgoing)),
+            Random(name),
         )
 
     def play(
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -107,7 +107,7 @@
         edge,
         make_sender(targets, edge),
         make_placement(table, "a", 1000.0, Random(1)),
-        make_share_gate(),
+        make_share_gate(Random(1)),
         make_second_sends(RetryBudgetSettings()),
         make_loop_lag(),
         make_tally(),
--- a/tests/test_load_system.py
+++ b/tests/test_load_system.py
@@ -44,6 +44,7 @@
             lambda: self.state,
             lambda now_seconds, within_seconds: self.replicas,
             self.sent.append,
+            Random(1),
         )
 
     def flood(self, seconds, begin_seconds=0.0):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -55,7 +55,7 @@
         rate_of: Tokens that the engines read a second, at a time.
         size_tokens: Of one request.
     """
-    book, gate = make_share_book(), make_share_gate()
+    book, gate = make_share_book(), make_share_gate(Random(1))
     engines = Engines(rate_of(0.0))
     served, waits, due = {}, [], {}
     for step in range(int(seconds / TICK_SECONDS)):
@@ -173,15 +173,40 @@
 
 
 def test_each_route_of_a_limited_customer_gets_its_part():
-    gate = make_share_gate()
+    gate = make_share_gate(Random(1))
     gate.take((ShareRow("a", 0.5),))
     for route in ("large", "small"):
         admitted = sum(gate.admits("a", route, 10) for _ in range(100))
         assert admitted == 50
 
 
+@pytest.mark.parametrize("fraction", [0.1, 0.25, 0.5, 0.7])
+def test_routes_that_take_turns_get_each_its_part(fraction):
+    """One caller asks for a draft, then for its headline, again and again.
+
+    Counted together and in order, it would get only headlines at a half.
+    """
+    gate = make_share_gate(Random(1))
+    gate.take((ShareRow("a", fraction),))
+    admitted = {"draft": 0, "headline": 0}
+    for _ in range(200):
+        for route in admitted:
+            admitted[route] += gate.admits("a", route, 10)
+    for count in admitted.values():
+        assert abs(count - 200 * fraction) <= 0.1 * 200 * fraction
+
+
+def test_a_route_does_not_wait_for_one_that_is_asked_for_no_more():
+    gate = make_share_gate(Random(1))
+    gate.take((ShareRow("a", 0.05),))
+    for _ in range(7):
+        gate.admits("a", "before", 10)
+    admitted = sum(gate.admits("a", "now", 10) for _ in range(400))
+    assert 19 <= admitted <= 21
+
+
 def test_a_customer_that_is_not_limited_is_always_admitted():
-    gate = make_share_gate()
+    gate = make_share_gate(Random(1))
     gate.take((ShareRow("a", 0.1),))
     assert all(gate.admits("b", "r", 1_000_000) for _ in range(100))
 
@@ -191,14 +216,13 @@
 
     Turning its requests away would serve nobody else sooner.
     """
-    gate = make_share_gate()
+    gate = make_share_gate(Random(1))
     gate.take((ShareRow("a", 0.01),))
     assert all(gate.admits("a", "r", 10, lambda: True) for _ in range(50))
     admitted = sum(gate.admits("a", "r", 10, lambda: False) for _ in range(50))
     assert admitted <= 1
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("dropped_each_seconds", [60.0, 2.0, 0.5])
 @pytest.mark.parametrize("fraction", [0.05, 0.2, 0.4, 0.49, 0.5, 0.6])
 def test_the_part_that_is_told_is_let_in_at_many_routers(
@@ -212,7 +236,7 @@
     all, whatever part it is told: two that were told 0.49 and 0.50 got 0.1 and 0.9.
     """
     random = Random(1)
-    gates = [make_share_gate() for _ in range(70)]
+    gates = [make_share_gate(Random(number)) for number in range(70)]
     admitted = 0
     requests = 90 * 6
     for number in range(requests):
--- a/tests/test_virtual_shares.py
+++ b/tests/test_virtual_shares.py
@@ -27,7 +27,6 @@
     return {**{f"wide-{number}": flood(ALL) for number in range(count)}, **others}
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("seed", range(3))
 def test_a_customer_of_many_routers_gets_as_much_as_one_of_few(seed):
     """Sixty customers ask twelve times what engines can do; two of them by few routers.
