--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -192,7 +192,11 @@
     """
 
     def __init__(
-        self, routers: int, replicas: Sequence[str], tokens_per_second: float
+        self,
+        routers: int,
+        replicas: Sequence[str],
+        tokens_per_second: float,
+        declared_tokens: float,
     ) -> None:
         self.ledger = Ledger()
         self.lost: set[tuple[int, str]] = set()
@@ -200,7 +204,7 @@
         self.now_seconds = 0.0
         self._queue = _Queue(tokens_per_second)
         self._replica_ids = tuple(replicas)
-        text = TREE.format(tokens=tokens_per_second)
+        text = TREE.format(tokens=declared_tokens)
         state = make_gateway_state(effective_tree(parse_tree(text, "t"), 1))
         self._sent: list[tuple[str, Outgoing]] = []
         self.routers = [
@@ -303,13 +307,18 @@
 
 
 def make_virtual_shares(
-    routers: int, replicas: Sequence[str], tokens_per_second: float
+    routers: int,
+    replicas: Sequence[str],
+    tokens_per_second: float,
+    declared_tokens: float | None = None,
 ) -> VirtualShares:
     """Return a fleet that has not been asked for anything.
 
     Args:
         routers: How many.
         replicas: Their names; the first in order adds up while all hear it.
-        tokens_per_second: What engines read, as it is declared too.
+        tokens_per_second: What engines read.
+        declared_tokens: What they are declared to read, None if it is the same.
     """
-    return VirtualShares(routers, replicas, tokens_per_second)
+    declared_tokens = declared_tokens or tokens_per_second
+    return VirtualShares(routers, replicas, tokens_per_second, declared_tokens)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -249,3 +249,35 @@
         admitted += gate.admits("a", route, 1_000)
     # Nobody gets less than half of what another gets who is told the same.
     assert fraction / 1.5 < admitted / requests < 1.5 * fraction
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize("room_part", [0.1, 0.2, 0.4])
+def test_room_beyond_shares_is_given_alike(room_part):
+    """Engines have room at a fifth of the moments; two customers are over their shares.
+
+    One asks 8,000 requests a second of all routers, the other 1,200 of two. Were room
+    given to whoever comes, the first would get seven times as much of it, and four
+    times what the other gets in all: each of the other's callers sees refusals while
+    its rival is served far beyond the share of either.
+    """
+    random = Random(1)
+    level = 400.0
+    asked = {"wide": 8_000.0, "narrow": 1_200.0}
+    fractions = tuple(ShareRow(name, level / rate) for name, rate in asked.items())
+    gates = [make_share_gate(Random(number)) for number in range(70)]
+    reached = {"wide": gates, "narrow": gates[:2]}
+    for gate in gates:
+        gate.take(fractions)
+    got = {}
+    for name, rate in asked.items():
+        got[name] = sum(
+            random.choice(reached[name]).admits(
+                name, "r", 1_000, lambda: random.random() < room_part
+            )
+            for _ in range(int(6 * rate))
+        )
+    assert got["narrow"] >= 0.5 * min(6 * asked["narrow"], got["wide"])
+    assert 0.67 < got["wide"] / got["narrow"] < 1.5
+    # And what there is room for is used.
+    assert min(got.values()) > 6 * level
