Let a replica that has started or woken know the fleet before it speaks for it

A replica that had stood still for 7 s woke at 9.6 s in a flood; routers turned to it as its links came back. It counts a router as living when it has heard it, so it knew of no more routers than those that told it, and took the first few for all: 3,200 thousand tokens of one customer were let in without a limit in the second after, and prompts waited for 3.3 s. Ruled out: old words that waited for it (in virtual time they change nothing; routers take nothing from a replica that they don't tell).

Its sums count as those of all routers only when all had the time to be heard, 1.5 s after the start or the wake; until then routers keep the shares that they have.

--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -39,6 +39,11 @@
     is_direct: bool
 
 
+def _counts(told: _Told, now_seconds: float) -> bool:
+    """Return whether a report is of a router that still tells."""
+    return now_seconds - told.at_seconds <= REPORT_VALID_SECONDS
+
+
 class FleetLoadBook:
     """Both ends: what this instance tells, and what it adds up of others."""
 
@@ -124,16 +129,9 @@
         """Return how many routers tell their loads here."""
         return sum(told.is_direct for told in self._told.values())
 
-    def known_routers(self) -> int:
+    def known_routers(self, now_seconds: float) -> int:
         """Return of how many routers loads are known here, told or passed on."""
-        return len(self._told)
-
-    def forget_silent(self, now_seconds: float) -> None:
-        """Drop the reports of routers that have fallen silent."""
-        for router_id, told in list(self._told.items()):
-            if now_seconds - told.at_seconds > REPORT_VALID_SECONDS:
-                del self._told[router_id]
-                self.shares.forget(router_id)
+        return sum(_counts(told, now_seconds) for told in self._told.values())
 
     def totals(
         self,
@@ -154,7 +152,10 @@
             return []
         self._is_changed = False
         self._next_seconds = now_seconds + self.tell_seconds()
-        self.forget_silent(now_seconds)
+        for router_id, told in list(self._told.items()):
+            if not _counts(told, now_seconds):
+                del self._told[router_id]
+                self.shares.forget(router_id)
         self.routers = max(len(self._told), live_routers, 1)
         requests: Counter[int] = Counter()
         unread_tokens: Counter[int] = Counter()
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -1,13 +1,16 @@
 """What an instance tells of its work, what it is told, and shares that follow."""
 
 import logging
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Callable
 from random import Random
 
 from sesameford.gateway.chosen_adder import make_chosen_adder
 from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
-from sesameford.gateway.load_relay import make_load_relay
+from sesameford.gateway.fleet_sums import (
+    HEARD_SECONDS,
+    LiveInstances,
+    make_fleet_sums,
+)
 from sesameford.gateway.loop_lag import make_loop_lag
 from sesameford.gateway.placement import Placement
 from sesameford.gateway.run import GatewayState
@@ -22,12 +25,6 @@
 # A replica that was told something and has left out so many answers is passed over. Its
 # heartbeats are missed after 1.5 s only, and loads and shares would stand still.
 MISSED_ANSWERS = 2.5
-# A replica that begins to add up waits so many tellings for routers that live and don't
-# tell it anything: a router that lost one message is heard with the next, and what is
-# told to another replica comes with the one after. After that they are cut off.
-SETTLING_TELLS = 3.5
-# A replica counts as living that was heard within two heartbeats and a half second.
-HEARD_SECONDS = 1.5
 # How often what shares do is told; the rule that nobody gets far less than others is
 # checked by the second.
 TOLD_AGAIN_SECONDS = 0.9
@@ -38,14 +35,6 @@
 WAIT_PART = 0.35
 
 
-@dataclass(frozen=True, slots=True)
-class LiveInstances:
-    """Who is heard of the others, each within so many seconds before a time."""
-
-    replicas: Callable[[float, float], Collection[str]]
-    routers: Callable[[float, float], int]
-
-
 class LoadSystem:
     """Loads and shares at one instance, a router or the replica that adds up."""
 
@@ -68,8 +57,7 @@
         self._placement = placement
         self._state = state
         self._live = live
-        self._relay = make_load_relay()
-        self._adds_up_since_seconds: float | None = None
+        self._sums = make_fleet_sums(self.book, live)
         self._send = send
         self._due_at_seconds = 0.0
         self._was_alone = True
@@ -99,16 +87,13 @@
 
     def told(self, load: RouterLoad, now_seconds: float) -> None:
         """Take at a replica what a router tells it."""
-        self.book.received(load, now_seconds)
-        self._relay.told(load)
+        self._sums.told(load, now_seconds)
 
     def passed_on(
         self, sender_id: str, passed: LoadsPassedOn, now_seconds: float
     ) -> None:
         """Take at a replica what routers told another one."""
-        self._relay.heard(sender_id, now_seconds)
-        for load in passed.loads:
-            self.book.passed_on(load, now_seconds)
+        self._sums.passed_on(sender_id, passed, now_seconds)
 
     def tell(self, now_seconds: float) -> None:
         """Tell one replica, the same for all routers, what is under way here.
@@ -147,38 +132,11 @@
             self._send(Outgoing(replica, load, urgent=True))
 
     def _add_up(self, is_due: bool, now_seconds: float) -> None:
-        """Work shares out, tell routers the sums, and other adders the loads."""
-        live_routers = self._live.routers(now_seconds, HEARD_SECONDS)
-        known_routers = self.book.known_routers()
-        # Those that are not known ask too: of what is declared this one gives out only
-        # the part of those that it knows.
-        self._share_out(known_routers / max(known_routers, live_routers, 1))
-        is_whole = known_routers >= live_routers or self._is_settled(now_seconds)
-        totals = self.book.totals(is_due, now_seconds, live_routers, is_whole)
-        if not totals:
-            return
-        for one in totals:
+        """Work shares out, and tell routers and other replicas what is due."""
+        self._share_out(self._sums.known_part(now_seconds))
+        tell_seconds = self._at_least_seconds()
+        for one in self._sums.outgoing(is_due, tell_seconds, now_seconds):
             self._send(one)
-        hears_all = self.book.direct_routers() >= live_routers
-        others = self._live.replicas(now_seconds, HEARD_SECONDS)
-        for one in self._relay.pass_on(others, hears_all, now_seconds):
-            self._send(one)
-
-    def _is_settled(self, now_seconds: float) -> bool:
-        """Return whether this replica has added up for so long that none will come.
-
-        One that begins to add up hears the first router some hundredths of a second
-        before the last one. Sums of the first ones alone say that hardly anything is
-        under way or asked: a flood was let in without a limit for a seventh of a
-        second, which engines read for half a second.
-        """
-        if not self.book.direct_routers():
-            self._adds_up_since_seconds = None
-            return False
-        if self._adds_up_since_seconds is None:
-            self._adds_up_since_seconds = now_seconds
-        adds_up_seconds = now_seconds - self._adds_up_since_seconds
-        return adds_up_seconds > SETTLING_TELLS * self._at_least_seconds()
 
     def _at_least_seconds(self) -> float:
         """Return how often something is told in any case.
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -25,8 +25,9 @@
 from sesameford.fencing import FencingMachine
 from sesameford.gateway.calls import Edge
 from sesameford.gateway.fleet_load import TELL_SECONDS
+from sesameford.gateway.fleet_sums import LiveInstances
 from sesameford.gateway.forward import make_sender
-from sesameford.gateway.load_system import LiveInstances, make_load_system
+from sesameford.gateway.load_system import make_load_system
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.run import GatewayDeps, GatewayState, make_gateway_state
 from sesameford.gateway.second_sends import make_second_sends
--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -12,11 +12,8 @@
 from typing import cast
 
 from sesameford.gateway.fleet_load import TELL_SECONDS
-from sesameford.gateway.load_system import (
-    LiveInstances,
-    LoadSystem,
-    make_load_system,
-)
+from sesameford.gateway.fleet_sums import LiveInstances
+from sesameford.gateway.load_system import LoadSystem, make_load_system
 from sesameford.gateway.placement import Placement
 from sesameford.gateway.run import GatewayState, make_gateway_state
 from sesameford.gateway.share_account import Admission
@@ -40,6 +37,7 @@
   backends: [{{service: pool, weight: 1}}]
   children: {{long: {{path_prefix: /l/, is_stream: true}}}}
 """
+BEAT_SECONDS = 0.5
 # Routers start one after the other, so that they don't tell their loads all at once.
 STARTS_WITHIN_SECONDS = 0.4
 # Of the rule that is checked: see ``Ledger.too_little``.
@@ -202,7 +200,8 @@
     """Routers, replicas and engines; ``lost`` are links on which answers are lost.
 
     ``silent`` are links on which nothing is heard at all, heartbeats included; a link
-    is a router's number and a replica's name.
+    is a router's number and a replica's name. Replicas that are ``frozen`` stand still,
+    and what is sent to them waits; those that are ``deaf`` hear no other replica.
     """
 
     def __init__(
@@ -215,6 +214,8 @@
         self.ledger = Ledger()
         self.lost: set[tuple[int, str]] = set()
         self.silent: set[tuple[int, str]] = set()
+        self.frozen: set[str] = set()
+        self.deaf: set[str] = set()
         self.now_seconds = 0.0
         self.passed_on = 0
         self._queue = _Queue(tokens_per_second)
@@ -223,27 +224,34 @@
         state = make_gateway_state(effective_tree(parse_tree(text, "t"), 1))
         self._sent: list[tuple[str, Outgoing]] = []
         self.routers = [
-            self._make(f"r{number}", False, state, number) for number in range(routers)
+            self._make(f"r{number}", False, state) for number in range(routers)
         ]
         self.replicas = {
-            name: self._make(name, True, state, None) for name in self._replica_ids
+            name: self._make(name, True, state) for name in self._replica_ids
         }
         self._numbers = {f"r{number}": number for number in range(routers)}
+        self._waits: list[tuple[float, float]] = []
+        self._heard_at_seconds: dict[tuple[str, str], float] = {}
+        self._waiting: dict[str, list[tuple[str, RouterLoad | LoadsPassedOn]]] = (
+            defaultdict(list)
+        )
         self._due_tokens: dict[str, float] = defaultdict(float)
 
-    def _make(
-        self, name: str, has_disk: bool, state: GatewayState, number: int | None
-    ) -> LoadSystem:
+    def _make(self, name: str, has_disk: bool, state: GatewayState) -> LoadSystem:
+        def is_live(other: str, now_seconds: float, within_seconds: float) -> bool:
+            heard_at_seconds = self._heard_at_seconds.get((other, name), float("-inf"))
+            return now_seconds - heard_at_seconds < within_seconds
+
         def live_replicas(now_seconds: float, within_seconds: float) -> Collection[str]:
             return [
                 one
                 for one in self._replica_ids
-                if one != name and (number, one) not in self.silent
+                if is_live(one, now_seconds, within_seconds)
             ]
 
         def live_routers(now_seconds: float, within_seconds: float) -> int:
             return sum(
-                (other, name) not in self.silent for other in range(len(self.routers))
+                is_live(one, now_seconds, within_seconds) for one in self._numbers
             )
 
         return make_load_system(
@@ -286,6 +294,7 @@
                     route = random.choice(ROUTES)
                     self._ask(name, router, route, demand.size_tokens, room_seconds)
             self._begin()
+            self._waits.append((self.now_seconds, self._queue.wait_seconds))
             self._tell()
             self.now_seconds += TELL_SECONDS
 
@@ -295,6 +304,10 @@
             router.gate.account.totals[Admission.NOT_LIMITED] for router in self.routers
         )
 
+    def longest_wait(self, from_seconds: float) -> float:
+        """Return how long a prompt waited at most for engines since a time, seconds."""
+        return max(wait for at, wait in self._waits if at >= from_seconds)
+
     def _ask(
         self, name: str, router: int, route: str, tokens: int, room_seconds: float
     ) -> None:
@@ -311,14 +324,40 @@
             self.routers[router].gate.began(name, tokens)
             self.ledger.began(name, tokens, self.now_seconds)
 
+    def _beat(self) -> None:
+        """Let everybody who beats now be heard, where links and processes allow it."""
+        everybody = [*self._numbers, *self._replica_ids]
+        for position, sender in enumerate(everybody):
+            phase_seconds = BEAT_SECONDS * position / len(everybody)
+            before = (self.now_seconds - TELL_SECONDS - phase_seconds) // BEAT_SECONDS
+            if (self.now_seconds - phase_seconds) // BEAT_SECONDS == before:
+                continue
+            for receiver in everybody:
+                if sender != receiver and self._passes(sender, receiver):
+                    self._heard_at_seconds[sender, receiver] = self.now_seconds
+
+    def _passes(self, sender: str, receiver: str) -> bool:
+        """Return whether a heartbeat comes through."""
+        if sender in self.frozen or receiver in self.frozen:
+            return False
+        if receiver in self.deaf and sender in self._replica_ids:
+            return False
+        for one, other in ((sender, receiver), (receiver, sender)):
+            if one in self._numbers and (self._numbers[one], other) in self.silent:
+                return False
+        return True
+
     def _tell(self) -> None:
         """Run all load systems; what they send comes within the same step."""
+        self._beat()
         started = int(self.now_seconds / STARTS_WITHIN_SECONDS * len(self.routers))
         for router in self.routers[:started]:
             router.tell(self.now_seconds)
         self._deliver()
-        for replica in self.replicas.values():
-            replica.tell(self.now_seconds)
+        for name, replica in self.replicas.items():
+            if name not in self.frozen:
+                self._catch_up(name)
+                replica.tell(self.now_seconds)
         self._deliver()
 
     def _deliver(self) -> None:
@@ -327,16 +366,26 @@
             receiver, message = str(outgoing.receiver_id), outgoing.message
             if isinstance(message, RouterLoad):
                 if (self._numbers[sender], receiver) not in self.silent:
-                    self.replicas[receiver].told(message, self.now_seconds)
+                    self._waiting[receiver].append((sender, message))
             elif isinstance(message, LoadsPassedOn):
                 self.passed_on += 1
-                replica = self.replicas[receiver]
-                replica.passed_on(sender, message, self.now_seconds)
+                if receiver in self.deaf:
+                    continue
+                self._waiting[receiver].append((sender, message))
             elif isinstance(message, FleetLoad):
                 number = self._numbers[receiver]
                 if (number, sender) not in self.lost | self.silent:
                     self.routers[number].heard(sender, message, self.now_seconds)
 
+    def _catch_up(self, replica_id: str) -> None:
+        """Let a replica read what has come."""
+        replica = self.replicas[replica_id]
+        for sender, message in self._waiting.pop(replica_id, []):
+            if isinstance(message, RouterLoad):
+                replica.told(message, self.now_seconds)
+            else:
+                replica.passed_on(sender, message, self.now_seconds)
+
 
 def make_virtual_shares(
     routers: int,
--- a/tests/test_load_system.py
+++ b/tests/test_load_system.py
@@ -6,14 +6,11 @@
 from sesameford.discovery.beat_table import make_beat_table
 from sesameford.gateway.calls import Prompt, PromptPart
 from sesameford.gateway.fleet_load import TELL_SECONDS
-from sesameford.gateway.load_system import (
-    AT_LEAST_SECONDS,
-    LiveInstances,
-    make_load_system,
-)
+from sesameford.gateway.fleet_sums import LiveInstances
+from sesameford.gateway.load_system import AT_LEAST_SECONDS, make_load_system
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.run import make_gateway_state
-from sesameford.messages import BeatRow, FleetLoad, RouterLoad, ShareRow
+from sesameford.messages import AskedRow, BeatRow, FleetLoad, RouterLoad, ShareRow
 from sesameford.tables import TargetState
 from sesameford.tree import effective_tree, parse_tree
 
@@ -178,3 +175,68 @@
     router.load.heard("replica-1", FleetLoad((), 3, (ShareRow("a", 0.1),)), 1.01)
     router.load.heard("replica-2", FleetLoad((), 3, ()), 1.02)
     assert router.load.gate.fractions == {"a": 0.1}
+
+
+class Replica:
+    """A replica that adds up; it knows of the routers that it has heard."""
+
+    def __init__(self):
+        self.sent = []
+        self.heard = set()
+        self.sequence = 0
+        state = make_gateway_state(effective_tree(parse_tree(TREE, "t"), 1))
+        self.load = make_load_system(
+            "replica-1",
+            True,
+            make_placement(make_beat_table(), "a", 1e6, Random(1)),
+            lambda: state,
+            LiveInstances(
+                lambda now_seconds, within_seconds: (),
+                lambda now_seconds, within_seconds: len(self.heard),
+            ),
+            self.sent.append,
+            Random(1),
+        )
+
+    def told_by(self, routers, now_seconds):
+        """Let routers tell their loads, and return whether it answers with all."""
+        self.sequence += 1
+        for number in routers:
+            self.heard.add(number)
+            asked = (AskedRow("flood", 40_000.0),)
+            load = RouterLoad(f"r{number}", self.sequence, (), asked)
+            self.load.told(load, now_seconds)
+        self.sent.clear()
+        self.load.tell(now_seconds)
+        return all(one.message.is_whole for one in self.sent)
+
+    def add_up(self, from_seconds, to_seconds):
+        """Add up all of seventy routers for a while; return whether all is told."""
+        whole = False
+        for step in range(round((to_seconds - from_seconds) / 0.2)):
+            whole = self.told_by(range(70), from_seconds + 0.2 * step)
+        return whole
+
+
+def test_a_replica_that_has_woken_does_not_take_the_first_routers_for_all():
+    """The replica with the lowest id stood still for seconds and wakes in a flood.
+
+    Its links come back one after the other, so it has heard of no more routers than
+    those that tell it their loads. By sums of the first few nobody is limited; told as
+    those of all, they let 3,200 thousand tokens in within a second, and prompts waited
+    for three seconds.
+    """
+    replica = Replica()
+    assert replica.add_up(1.0, 4.0)
+    replica.heard.clear()
+    assert not replica.told_by(range(1), 11.0)
+    assert not replica.told_by(range(20), 11.2)
+    assert not replica.told_by(range(50), 11.4)
+    assert replica.add_up(11.6, 13.2)
+
+
+def test_a_replica_that_has_started_does_not_take_the_first_routers_for_all():
+    replica = Replica()
+    assert not replica.told_by(range(3), 1.0)
+    assert not replica.told_by(range(30), 1.2)
+    assert replica.add_up(1.4, 3.0)
--- a/tests/test_virtual_shares.py
+++ b/tests/test_virtual_shares.py
@@ -15,6 +15,8 @@
 # A flood begins here; before it, routers and replicas find each other.
 FLOOD_SECONDS = 2.0
 END_SECONDS = 14.0
+# Between two links that a replica gets back after it has woken.
+DIALLED_SECONDS = 0.02
 
 
 def flood(routers):
@@ -90,10 +92,39 @@
     assert fleet.ledger.too_little(4, 12) == []
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_nothing_is_let_in_without_a_limit_when_a_replica_wakes(seed):
+    """The replica with the lowest id freezes, and wakes in a flood seconds later.
+
+    Its links are dialled anew one after the other, and each router turns to it as soon
+    as it hears it. It knows of no other routers than those that tell it, so its first
+    sums, of a few, look whole. By them routers let the flood in for a moment, and all
+    prompts waited for three seconds.
+    """
+    fleet = make_virtual_shares(ROUTERS, REPLICAS, ENGINES_TOKENS)
+    fleet.play(2.0, {"small": Demand(100_000.0, ALL, SIZE_TOKENS)}, Random(seed))
+    fleet.frozen.add("a")
+    demands = floods(60, one=flood((3,)))
+    fleet.play(8.0, demands, Random(seed + 1))
+    before = fleet.let_in_without_limit()
+    calm_seconds = fleet.longest_wait(6.0)
+    fleet.frozen.clear()
+    fleet.silent.update((number, "a") for number in ALL)
+    fleet.deaf.add("a")
+    for number in Random(seed).sample(ALL, ROUTERS):
+        fleet.silent.discard((number, "a"))
+        fleet.play(DIALLED_SECONDS, demands, Random(seed + 2))
+    fleet.deaf.clear()
+    fleet.play(3.0, demands, Random(seed + 3))
+    assert fleet.let_in_without_limit() == before
+    # Nobody waits much longer than in the flood before.
+    assert fleet.longest_wait(10.0) < calm_seconds + 0.1
+
+
 def test_replicas_tell_each_other_nothing_while_one_hears_all_routers():
     """Loads of seventy routers are most of what a replica gets; twice that costs."""
     fleet = make_virtual_shares(ROUTERS, REPLICAS, ENGINES_TOKENS)
-    fleet.play(1.0, floods(10), Random(1))
+    fleet.play(4.0, floods(10), Random(1))
     while_they_start = fleet.passed_on
     fleet.play(4.0, floods(10), Random(1))
     assert fleet.passed_on == while_they_start < 50
