--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -187,9 +187,9 @@
     requests a second. The credit from which a router begins is drawn at random, so
     that over all of them the part that is let in is the fraction told, however few
     requests come. Were it the same everywhere, all routers would refuse the same first
-    requests: a customer that was told 0.2 got 0.006 to 0.2 of what it asked, and one
-    that was told 0.5 up to 0.9, by how often it was limited anew (six seconds of
-    ninety requests a second, by the test of this module).
+    requests: of six seconds of ninety requests each, a customer that was told 0.2 got
+    0.002 to 0.185 by how often it was limited anew, now 0.18 to 0.20, and one that was
+    told 0.5 got 0.59 to 0.90, now 0.47 to 0.49 (seventy gates, by the test of them).
 
     One credit for all routes of a customer follows the fraction more closely than one
     for each: over seventy routers the requests let in of sixty customers that are told
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -250,3 +250,15 @@
     assert is_founder(folder, True)
     assert is_founder(folder, False)
     assert not is_founder(tmp_path / "another", False)
+
+
+def test_routers_count_as_living_while_they_are_heard():
+    """A replica gives shares out for all routers that live, known or not."""
+    own = Peer("replica-1", "a", "127.0.0.1:1", True)
+    roster = make_roster(own, (), False)
+    greetings = {"r1": False, "r2": False, "replica-2": True}
+    for name, has_disk in greetings.items():
+        roster.greeted(name, Greeting("127.0.0.1:2", "a", has_disk, False, ()), 1.0)
+    assert roster.live_routers(2.0, 1.5) == 2
+    roster.heard("r1", 3.0)
+    assert roster.live_routers(3.5, 1.5) == 1
