Stay with the replica that is told while another has just been heard again

Cause: with the change before, routers turned to a replica with a lower id as soon as they heard it after a start or a wake, and it does not know all routers for 1.5 s.

One that is newly heard is left out for 2 s while another answers; of those that are heard first none is newer. A test with the same clock failed with all new ones left out alike, and holds.

--- a/sesameford/gateway/chosen_adder.py
+++ b/sesameford/gateway/chosen_adder.py
@@ -5,6 +5,9 @@
 
 # A replica that has fallen silent is passed over for so long; it may only be slow.
 PASSED_OVER_SECONDS = 2.0
+# One that has just been heard again has started or woken, and does not know all routers
+# for the first one and a half seconds. Meanwhile another one's sums are better.
+NEWLY_HEARD_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -14,6 +17,7 @@
     chosen: str | None = None
     _told_since_seconds: float | None = None
     _passed_over_until: dict[str, float] = field(default_factory=dict)
+    _heard_since_seconds: dict[str, float] = field(default_factory=dict)
 
     def heard(self, sender_id: str, now_seconds: float) -> None:
         """Note an answer."""
@@ -38,17 +42,38 @@
         )
         if self.chosen is not None and is_silent:
             self._passed_over_until[self.chosen] = now_seconds + PASSED_OVER_SECONDS
-        heard = [
+        answering = [
             one
             for one in replicas
             if self._passed_over_until.get(one, 0.0) <= now_seconds
         ]
-        chosen = min(heard or replicas, default=None)
+        known = self._known(answering, replicas, now_seconds)
+        chosen = min(known or answering or replicas, default=None)
         if chosen != self.chosen or is_silent:
             self._told_since_seconds = now_seconds
         self.chosen = chosen
         return chosen
 
+    def _known(
+        self, answering: Collection[str], replicas: Collection[str], now_seconds: float
+    ) -> list[str]:
+        """Return the one chosen before, and those that have been heard for a while.
+
+        Of those that are heard first none is newer than the others.
+        """
+        is_first = not self._heard_since_seconds
+        new_since_seconds = float("-inf") if is_first else now_seconds
+        self._heard_since_seconds = {
+            one: self._heard_since_seconds.get(one, new_since_seconds)
+            for one in replicas
+        }
+        return [
+            one
+            for one in answering
+            if one == self.chosen
+            or now_seconds - self._heard_since_seconds[one] >= NEWLY_HEARD_SECONDS
+        ]
+
 
 def make_chosen_adder() -> ChosenAdder:
     """Return the choice of a router that has told nobody anything yet."""
--- a/tests/test_chosen_adder.py
+++ b/tests/test_chosen_adder.py
@@ -1,6 +1,10 @@
 """Which replica a router tells its loads, without a network."""
 
-from sesameford.gateway.chosen_adder import PASSED_OVER_SECONDS, make_chosen_adder
+from sesameford.gateway.chosen_adder import (
+    NEWLY_HEARD_SECONDS,
+    PASSED_OVER_SECONDS,
+    make_chosen_adder,
+)
 
 REPLICAS = ("b", "a", "c")
 SILENT_SECONDS = 0.5
@@ -51,3 +55,28 @@
     adder = make_chosen_adder()
     assert adder.choose(("a",), SILENT_SECONDS, 1.0) == "a"
     assert adder.choose(("a",), SILENT_SECONDS, 9.0) == "a"
+
+
+def test_a_replica_that_wakes_is_left_to_hear_all_routers_first():
+    """The replica with the lowest id has stood still for seconds.
+
+    It is heard again, and knows neither who lives nor what is under way. Told at once
+    by all, it would have nothing to tell them for a second, while engines fill up.
+    """
+    adder = make_chosen_adder()
+    adder.choose(("b", "c"), SILENT_SECONDS, 1.0)
+    now = 1.0
+    while now < 5.0 + 0.9 * NEWLY_HEARD_SECONDS:
+        adder.heard("b", now)
+        heard = REPLICAS if now >= 5.0 else ("b", "c")
+        assert adder.choose(heard, SILENT_SECONDS, now) == "b"
+        now += 0.1
+    now = 5.1 + NEWLY_HEARD_SECONDS
+    adder.heard("b", now)
+    assert adder.choose(REPLICAS, SILENT_SECONDS, now) == "a"
+
+
+def test_the_only_one_that_answers_is_told_however_new():
+    adder = make_chosen_adder()
+    adder.choose(("b",), SILENT_SECONDS, 1.0)
+    assert adder.choose(("a",), SILENT_SECONDS, 1.1) == "a"
