Take sums of some routers once those of all are too old

After all replicas have been killed and started again none knows all routers for 1.5 s, and routers kept shares and loads from before for up to three seconds: of a flood that began meanwhile nobody was limited. Sums of all now count for as long as a report does, 1.6 s; then those of a part are better than none. In place of a flag that only a router without any sums cleared. The test fails without the change.

--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -5,7 +5,11 @@
 from random import Random
 
 from sesameford.gateway.chosen_adder import make_chosen_adder
-from sesameford.gateway.fleet_load import TELL_SECONDS, make_fleet_load
+from sesameford.gateway.fleet_load import (
+    REPORT_VALID_SECONDS,
+    TELL_SECONDS,
+    make_fleet_load,
+)
 from sesameford.gateway.fleet_sums import (
     HEARD_SECONDS,
     LiveInstances,
@@ -61,7 +65,7 @@
         self._send = send
         self._due_at_seconds = 0.0
         self._was_alone = True
-        self._has_whole = False
+        self._whole_at_seconds = float("-inf")
         self._told_at_seconds = float("-inf")
         self._was_limited = False
 
@@ -71,7 +75,8 @@
         Nothing is taken of a replica that is not told anything from here any more: its
         sums go on for a while without this router, and taking turns between two would
         let in what either does. Nor of one that has just begun to add up and knows only
-        some routers: the sums of the one before are a little old, but whole.
+        some routers: the sums of the one before are whole, and count for as long as a
+        report does.
         """
         self._adder.heard(sender_id, now_seconds)
         if self._adder.chosen not in (None, sender_id):
@@ -80,8 +85,10 @@
         state = self._state()
         if state is not None and fleet.used:
             self._placement.take_used(fleet.used, state.tree.services)
-        self._has_whole |= fleet.is_whole
-        if fleet.is_whole or not self._has_whole:
+        if fleet.is_whole:
+            self._whole_at_seconds = now_seconds
+        whole_age_seconds = now_seconds - self._whole_at_seconds
+        if fleet.is_whole or whole_age_seconds > REPORT_VALID_SECONDS:
             self._placement.take_others(fleet.places)
             self.gate.take(fleet.shares)
 
@@ -170,7 +177,6 @@
         self._share_out(1 / self.book.routers)
         is_alone = self.book.is_alone(now_seconds)
         if is_alone:
-            self._has_whole = False
             self.gate.take(self.book.shares.rows())
         if is_alone != self._was_alone:
             self._was_alone = is_alone
--- a/tests/test_load_system.py
+++ b/tests/test_load_system.py
@@ -155,6 +155,21 @@
     assert router.load.book.routers == 70
 
 
+def test_old_sums_of_all_routers_give_way_to_new_ones_of_a_few():
+    """All replicas are killed and start again in a flood that has just begun.
+
+    None knows all routers yet. Shares from before the flood would let it in for as
+    long as that lasts.
+    """
+    router = Router()
+    router.load.heard("replica-1", FleetLoad((), 70, ()), 1.0)
+    part = FleetLoad((), 3, (ShareRow("flood", 0.1),), is_whole=False)
+    router.load.heard("replica-1", part, 2.5)
+    assert router.load.gate.fractions == {}
+    router.load.heard("replica-1", part, 2.7)
+    assert router.load.gate.fractions == {"flood": 0.1}
+
+
 def test_a_router_that_knows_nothing_takes_the_sums_of_a_few():
     """All machines have lost power; whoever comes first is better than nothing."""
     router = Router()
