--- a/sesameford/gateway/fleet_load.py
+++ b/sesameford/gateway/fleet_load.py
@@ -133,6 +133,13 @@
         """Return of how many routers loads are known here, told or passed on."""
         return sum(_counts(told, now_seconds) for told in self._told.values())
 
+    def forget_silent(self, now_seconds: float) -> None:
+        """Drop the reports of routers that have fallen silent."""
+        for router_id, told in list(self._told.items()):
+            if not _counts(told, now_seconds):
+                del self._told[router_id]
+                self.shares.forget(router_id)
+
     def totals(
         self,
         is_due: bool,
@@ -152,10 +159,7 @@
             return []
         self._is_changed = False
         self._next_seconds = now_seconds + self.tell_seconds()
-        for router_id, told in list(self._told.items()):
-            if not _counts(told, now_seconds):
-                del self._told[router_id]
-                self.shares.forget(router_id)
+        self.forget_silent(now_seconds)
         self.routers = max(len(self._told), live_routers, 1)
         requests: Counter[int] = Counter()
         unread_tokens: Counter[int] = Counter()
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -69,8 +69,10 @@
         The others ask too: of what is declared only this part is given out from here.
         """
         known_routers = self._book.known_routers(now_seconds)
+        if not known_routers:
+            return 0.0
         live_routers = self._live.routers(now_seconds, HEARD_SECONDS)
-        return known_routers / max(known_routers, live_routers, 1)
+        return known_routers / max(known_routers, live_routers)
 
     def outgoing(
         self, is_due: bool, tell_seconds: float, now_seconds: float
@@ -83,6 +85,10 @@
             now_seconds: The present time.
         """
         self._note_wake(STILL_TELLS * tell_seconds, now_seconds)
+        if not self._book.direct_routers():
+            self._adds_up_since_seconds = None
+            self._book.forget_silent(now_seconds)
+            return []
         live_routers = self._live.routers(now_seconds, HEARD_SECONDS)
         is_whole = self._is_whole(SETTLING_TELLS * tell_seconds, now_seconds)
         totals = self._book.totals(is_due, now_seconds, live_routers, is_whole)
@@ -115,9 +121,6 @@
 
     def _is_settled(self, settling_seconds: float, now_seconds: float) -> bool:
         """Return whether routers have told this replica for so long."""
-        if not self._book.direct_routers():
-            self._adds_up_since_seconds = None
-            return False
         if self._adds_up_since_seconds is None:
             self._adds_up_since_seconds = now_seconds
         return now_seconds - self._adds_up_since_seconds > settling_seconds
