--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -7,13 +7,17 @@
 from sesameford.codec import decode_envelope, encode_envelope
 from sesameford.errors import PeerError
 from sesameford.messages import (
+    AskedRow,
     Envelope,
     Heartbeat,
+    LoadsPassedOn,
     MemberRow,
     MembersNews,
     ModelUse,
+    PlaceLoad,
     PoolReport,
     Routed,
+    RouterLoad,
     ServedRow,
     ShareReport,
     TargetNews,
@@ -57,6 +61,7 @@
     TargetsVouched((Vouch("e1", 2**31, 250),)),
     ShareReport(1, 2, 3, "a", False, False, (PoolReport("m", (ServedRow("c", 1.5),)),)),
     ModelUse("t", "m", 4, 0),
+    LoadsPassedOn((RouterLoad("r1", 7, (PlaceLoad(1, 2, 3),), (AskedRow("c", 1.5),)),)),
 )
 ENVELOPES = st.builds(
     Envelope,
