Keep one copy of the rule that shares are checked against

The report over logs and the fleet in virtual time each had it; standins/share_ledger has it now. The same windows are found: the tests of both hold as they stand, names of fields apart.

--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -26,6 +26,7 @@
     UsedParts,
 )
 from sesameford.tree import effective_tree, parse_tree
+from standins.share_ledger import make_share_ledger
 
 ROUTES = ("long", "short", "tag")
 TREE = """
@@ -40,10 +41,6 @@
 BEAT_SECONDS = 0.5
 # Routers start one after the other, so that they don't tell their loads all at once.
 STARTS_WITHIN_SECONDS = 0.4
-# Of the rule that is checked: see ``Ledger.too_little``.
-WINDOW_SECONDS = 6
-FAIR_PART = 0.5
-LARGEST_REQUESTS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,82 +66,6 @@
         return self.tokens_per_second * (1 + (self.spread if is_up else -self.spread))
 
 
-@dataclass(slots=True)
-class _Served:
-    asked_tokens: float = 0.0
-    begun_tokens: float = 0.0
-    is_refused: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class TooLittle:
-    """A customer that got less than the rule says from a second on."""
-
-    second: int
-    customer: str
-    asked_tokens: float
-    begun_tokens: float
-    best_tokens: float
-
-
-class Ledger:
-    """What each customer asked and got in each second."""
-
-    def __init__(self) -> None:
-        self._seconds: dict[int, dict[str, _Served]] = defaultdict(
-            lambda: defaultdict(_Served)
-        )
-        self._largest_tokens: dict[str, int] = defaultdict(int)
-
-    def asked(
-        self, customer: str, tokens: int, is_refused: bool, now_seconds: float
-    ) -> None:
-        """Count a request."""
-        served = self._seconds[int(now_seconds)][customer]
-        served.asked_tokens += tokens
-        served.is_refused |= is_refused
-        self._largest_tokens[customer] = max(self._largest_tokens[customer], tokens)
-
-    def began(self, customer: str, tokens: int, now_seconds: float) -> None:
-        """Count a request that an engine has begun."""
-        self._seconds[int(now_seconds)][customer].begun_tokens += tokens
-
-    def begun_tokens(self, customer: str, begin: int, end: int) -> float:
-        """Return what a customer got from one second to another."""
-        rows = (self._seconds[second][customer] for second in range(begin, end))
-        return sum(row.begun_tokens for row in rows)
-
-    def too_little(self, begin: int, end: int) -> list[TooLittle]:
-        """Return who was treated unfairly in some window.
-
-        A customer that is refused something in each of six seconds gets at least half
-        of what it asked or of what the best served customer got, whichever is less,
-        less three of its largest requests.
-
-        Args:
-            begin: The first second that is looked at.
-            end: The one after the last.
-        """
-        found = []
-        for second in range(begin, end - WINDOW_SECONDS + 1):
-            window = range(second, second + WINDOW_SECONDS)
-            names = {name for one in window for name in self._seconds[one]}
-            got = {
-                name: self.begun_tokens(name, window[0], window[-1] + 1)
-                for name in names
-            }
-            best = max(got.values(), default=0.0)
-            for name in sorted(names):
-                rows = [self._seconds[one][name] for one in window]
-                if not all(row.is_refused for row in rows):
-                    continue
-                asked = sum(row.asked_tokens for row in rows)
-                spare = LARGEST_REQUESTS * self._largest_tokens[name]
-                if got[name] < FAIR_PART * min(asked, best) - spare:
-                    found.append(TooLittle(second, name, asked, got[name], best))
-        return found
-
-
 @dataclass(slots=True)
 class _Queue:
     """All engines as one queue."""
@@ -211,7 +132,7 @@
         tokens_per_second: float,
         declared_tokens: float,
     ) -> None:
-        self.ledger = Ledger()
+        self.ledger = make_share_ledger()
         self.lost: set[tuple[int, str]] = set()
         self.silent: set[tuple[int, str]] = set()
         self.frozen: set[str] = set()
@@ -315,14 +236,15 @@
             return self._queue.wait_seconds < room_seconds
 
         is_in = self.routers[router].gate.admits(name, route, tokens, has_room)
-        self.ledger.asked(name, tokens, not is_in, self.now_seconds)
+        self.ledger.asked(name, tokens, not is_in, int(self.now_seconds))
+        self.ledger.largest(name, tokens)
         if is_in:
             self._queue.add(name, router, tokens)
 
     def _begin(self) -> None:
         for name, router, tokens in self._queue.pass_time(TELL_SECONDS):
             self.routers[router].gate.began(name, tokens)
-            self.ledger.began(name, tokens, self.now_seconds)
+            self.ledger.began(name, tokens, int(self.now_seconds))
 
     def _beat(self) -> None:
         """Let everybody who beats now be heard, where links and processes allow it."""
--- a/tests/test_fair_shares_machine.py
+++ b/tests/test_fair_shares_machine.py
@@ -11,7 +11,8 @@
     rule,
 )
 
-from standins.virtual_shares import WINDOW_SECONDS, Demand, make_virtual_shares
+from standins.share_ledger import WINDOW_SECONDS
+from standins.virtual_shares import Demand, make_virtual_shares
 
 ROUTERS = 24
 REPLICAS = ("a", "b", "c")
--- a/tests/test_shares_report.py
+++ b/tests/test_shares_report.py
@@ -36,4 +36,8 @@
     assert seconds[0].routers_by_replica == {"replica-1": 1}
     (found,) = too_little(seconds)
     assert (found.second, found.customer) == (0, "low")
-    assert (found.asked, found.begun, found.best) == (600.0, 60.0, 540.0)
+    assert (found.asked_tokens, found.begun_tokens, found.best_tokens) == (
+        600.0,
+        60.0,
+        540.0,
+    )
--- a/tools/shares_report.py
+++ b/tools/shares_report.py
@@ -18,11 +18,7 @@
 from msgspec import DecodeError
 from msgspec.json import decode
 
-# The stated aim: in six seconds nobody who waits gets less than half of what it asked
-# or of what the best served customer got, whichever is less.
-WINDOW_SECONDS = 6
-FAIR_PART = 0.5
-THOUSAND = 1_000
+from standins.share_ledger import TooLittle, make_share_ledger
 
 
 @dataclass(slots=True)
@@ -55,17 +51,6 @@
     limits: list[str] = field(default_factory=list)
 
 
-@dataclass(frozen=True, slots=True)
-class TooLittle:
-    """A customer that was treated unfairly in a window that begins at a second."""
-
-    second: int
-    customer: str
-    asked: float
-    begun: float
-    best: float
-
-
 def read_lines(paths: Iterable[Path]) -> Iterator[dict[str, str]]:
     """Return the JSON objects at the ends of lines; others are passed over."""
     for path in paths:
@@ -129,26 +114,16 @@
 
 
 def too_little(seconds: dict[int, Second]) -> list[TooLittle]:
-    """Return who was refused in each second of a window and got too little in it."""
-    found = []
-    for begin in sorted(seconds):
-        window = [seconds.get(begin + step) for step in range(WINDOW_SECONDS)]
-        rows = [one.customers for one in window if one is not None]
-        if len(rows) < WINDOW_SECONDS:
-            continue
-        names = {name for row in rows for name in row}
-        best = max(
-            (sum(row[name].begun for row in rows if name in row) for name in names),
-            default=0.0,
-        )
-        for name in sorted(names):
-            if any(name not in row or row[name].refused <= 0.0 for row in rows):
-                continue
-            asked = sum(row[name].asked for row in rows)
-            begun = sum(row[name].begun for row in rows)
-            if begun < FAIR_PART * min(asked, best):
-                found.append(TooLittle(begin, name, asked, begun, best))
-    return found
+    """Return who was refused in each second of a window and got too little in it.
+
+    In thousands of tokens; the sizes of single requests are not known from the lines.
+    """
+    ledger = make_share_ledger()
+    for number, second in seconds.items():
+        for name, one in second.customers.items():
+            ledger.asked(name, one.asked, one.refused > 0.0, number)
+            ledger.began(name, one.begun, number)
+    return ledger.too_little(min(seconds, default=0), max(seconds, default=0) + 1)
 
 
 def _print_second(number: int, second: Second, only: str | None) -> None:
@@ -187,8 +162,9 @@
             _print_second(number, seconds[number], args.customer)
     for one in too_little(seconds):
         print(
-            f"too little: {one.customer} from {one.second} s: asked {one.asked:.0f}, "
-            f"begun {one.begun:.0f}, best {one.best:.0f} (thousands of tokens)"
+            f"too little: {one.customer} from {one.second} s: asked "
+            f"{one.asked_tokens:.0f}, begun {one.begun_tokens:.0f}, best "
+            f"{one.best_tokens:.0f} (thousands of tokens)"
         )
 
 
