Keep one copy of how long a report counts and of the answers that may be missed

Two constants of the change stood beside their twins with the same value and reason; each now is one.

--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -20,8 +20,10 @@
 # tell it anything: a router that lost one message is heard with the next, and what is
 # told to another replica comes with the one after. After that they are cut off.
 SETTLING_TELLS = 3.5
-# A replica that was still for so many tellings has been passed over by routers.
-STILL_TELLS = 2.5
+# A replica that was told something and has left out so many answers is passed over, so
+# one that stood still for as long has been. Its heartbeats are missed after 1.5 s only,
+# and loads and shares would stand still.
+MISSED_ANSWERS = 2.5
 # An instance counts as living that was heard within two heartbeats and a half second.
 HEARD_SECONDS = 1.5
 
@@ -84,7 +86,7 @@
             tell_seconds: How often something is told in any case.
             now_seconds: The present time.
         """
-        self._note_wake(STILL_TELLS * tell_seconds, now_seconds)
+        self._note_wake(MISSED_ANSWERS * tell_seconds, now_seconds)
         if not self._book.direct_routers():
             self._adds_up_since_seconds = None
             self._book.forget_silent(now_seconds)
--- a/sesameford/gateway/load_relay.py
+++ b/sesameford/gateway/load_relay.py
@@ -13,10 +13,11 @@
 
 from collections.abc import Collection
 
+from sesameford.gateway.fleet_load import REPORT_VALID_SECONDS
 from sesameford.messages import LoadsPassedOn, Outgoing, RouterLoad
 
 # One that was not heard for so long adds up no more: as long as a report counts.
-ADDS_UP_SECONDS = 1.6
+ADDS_UP_SECONDS = REPORT_VALID_SECONDS
 
 
 class LoadRelay:
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -12,6 +12,7 @@
 )
 from sesameford.gateway.fleet_sums import (
     HEARD_SECONDS,
+    MISSED_ANSWERS,
     LiveInstances,
     make_fleet_sums,
 )
@@ -26,9 +27,6 @@
 # A router tells its work at least this often, so that it is counted as living, and is
 # answered as often.
 AT_LEAST_SECONDS = 0.2
-# A replica that was told something and has left out so many answers is passed over. Its
-# heartbeats are missed after 1.5 s only, and loads and shares would stand still.
-MISSED_ANSWERS = 2.5
 # How often what shares do is told; the rule that nobody gets far less than others is
 # checked by the second.
 TOLD_AGAIN_SECONDS = 0.9
