--- a/sesameford/discovery/roster.py
+++ b/sesameford/discovery/roster.py
@@ -13,16 +13,16 @@
 from sesameford.messages import Greeting, ReplicaRow
 from sesameford.settings import Peer
 
-# A replica that nobody has heard for so long is told to nobody any more. Longer than
+# A replica that nobody has heard for so long is named to nobody any more. Longer than
 # a restart, and short beside the seconds in which a lost machine is replaced.
-TOLD_SECONDS = 6.0
+NAMED_SECONDS = 6.0
 # After so long the link to a silent instance is ended; it greets a seed when it lives.
 FORGOTTEN_SECONDS = 30.0
 
 
 @dataclass(frozen=True, slots=True)
 class KnownInstance:
-    """An instance that greeted, or that a greeting told of."""
+    """An instance that greeted, or that a greeting named."""
 
     peer: Peer
     founds: bool
@@ -72,7 +72,7 @@
         replicas = [
             ReplicaRow(one.peer.instance_id, one.peer.data_centre, one.peer.peers)
             for one in self._known.values()
-            if one.peer.has_disk and now_seconds - one.heard_at_seconds < TOLD_SECONDS
+            if one.peer.has_disk and now_seconds - one.heard_at_seconds < NAMED_SECONDS
         ]
         return Greeting(
             self._own.peers,
@@ -145,6 +145,14 @@
             if _disk(one) and now_seconds - one.heard_at_seconds < within_seconds
         ]
 
+    def near_replicas(self, now_seconds: float, within_seconds: float) -> list[str]:
+        """Return those of ``live_replicas`` in the own data centre."""
+        return [
+            one
+            for one in self.live_replicas(now_seconds, within_seconds)
+            if self._known[one].peer.data_centre == self._own.data_centre
+        ]
+
     def live_routers(self, now_seconds: float, within_seconds: float) -> int:
         """Return how many instances without disks were heard of late."""
         return sum(
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -14,7 +14,7 @@
 )
 from sesameford.operators_http import digest_of_key
 
-# A customer over its share is told to come back while its objective can still be met.
+# A customer over its share is asked to come back while its objective can still be met.
 SHARE_RETRY_PART = 0.25
 # An engine that would begin to read within this part of the shortest objective has
 # room: whoever asks is served there, as the rest of the objective is left to others.
--- a/sesameford/gateway/engine_backlog.py
+++ b/sesameford/gateway/engine_backlog.py
@@ -2,7 +2,7 @@
 
 An engine reads prompts one after another at some tokens a second, and says so late or
 not at all. A router reckons what is left of each prompt that it sent there, from the
-time at which its reading should have begun, and is told the same sum of all other
+time at which its reading should have begun, and is sent the same sum of all other
 routers. Nothing is left of a prompt once its first event has come, so errors don't add
 up, and an engine that was slow for a second is not avoided for ten.
 """
--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -98,7 +98,7 @@
 ) -> list[EngineOption]:
     """Return what some engines would have to do for a prompt.
 
-    Were all engines looked at, routers that are told the same loads some tenths of a
+    Were all engines looked at, routers that are sent the same loads some tenths of a
     second late would all send to the same one.
     """
     kept = [place.memory.kept_tokens(prompt.shared_parts) for _, place in usable]
--- a/sesameford/gateway/engine_memory.py
+++ b/sesameford/gateway/engine_memory.py
@@ -16,14 +16,14 @@
 from sesameford.messages import UsedPart, UsedParts
 
 # The part of an engine's memory that is taken as usable. Requests that run hold blocks
-# that are not full, and what was told of other routers is late and may be lost.
+# that are not full, and what is known of other routers is late and may be lost.
 USABLE_PART = 0.9
 # The memory of an engine that declares none.
 UNKNOWN_MEMORY_TOKENS = 200_000
-# A part that is used again is told again once so much of the memory was filled since:
-# others then know well before it would seem forgotten, and a hot part costs no message
-# for each of its requests.
-TOLD_AGAIN_PART = 0.25
+# A part that is used again is reported again once so much of the memory was filled
+# since: others then know well before it would seem forgotten, and a hot part costs no
+# message for each of its requests.
+REPORTED_AGAIN_PART = 0.25
 
 
 @dataclass(slots=True)
@@ -38,7 +38,7 @@
     _kept_tokens: int = 0
     _filled_tokens: int = 0
     _unshared: int = 0
-    _told_at_tokens: dict[int, int] = field(default_factory=dict)
+    _reported_at_tokens: dict[int, int] = field(default_factory=dict)
     _news: dict[int, int] = field(default_factory=dict)
     _other_news_tokens: int = 0
 
@@ -60,12 +60,12 @@
         """
         limit = _usable_tokens(memory_tokens)
         for part in prompt.shared_parts:
-            told_at = self._told_at_tokens.get(part.part_id)
-            if told_at is None or self._filled_tokens - told_at > (
-                TOLD_AGAIN_PART * limit
+            reported_at = self._reported_at_tokens.get(part.part_id)
+            if reported_at is None or self._filled_tokens - reported_at > (
+                REPORTED_AGAIN_PART * limit
             ):
                 self._news[part.part_id] = part.tokens
-                self._told_at_tokens[part.part_id] = self._filled_tokens
+                self._reported_at_tokens[part.part_id] = self._filled_tokens
             self._use(part.part_id, part.tokens)
         others = prompt.own_tokens + prompt.output_tokens
         self._other_news_tokens += others
@@ -80,7 +80,7 @@
         self._forget(_usable_tokens(memory_tokens))
 
     def news(self, name: int) -> UsedParts | None:
-        """Return what other routers are to be told, once; None if it is nothing.
+        """Return what other routers are to know, once; None if it is nothing.
 
         Args:
             name: The engine's short name.
@@ -111,7 +111,7 @@
         while self._kept_tokens > limit:
             part_id, tokens = self._kept.popitem(last=False)
             self._kept_tokens -= tokens
-            self._told_at_tokens.pop(part_id, None)
+            self._reported_at_tokens.pop(part_id, None)
 
 
 def _usable_tokens(memory_tokens: int | None) -> float:
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -1,104 +1,235 @@
-"""What a replica tells while it adds up: sums to routers, loads to other adders.
+"""The sums of the fleet at one replica, and the shares that follow from them.
 
-Its sums are marked as those of all routers only once it can know that they are. After a
-start, or after the process stood still, it has heard of no more routers than those that
-tell it their loads. By sums of the first few nobody asks for much: routers let 3,200
-thousand tokens in within a second, and prompts waited for three seconds.
+Each router reports to one replica, in a large fleet to one of its own data centre. A
+replica adds up the reports that it gets, exchanges these sums with the other replicas
+that do so too, and sends its routers what the whole fleet has under way. So what one
+replica reads and sends grows with the routers of its data centre, and between data
+centres one message goes for all of them. Were each replica to work out shares from its
+own routers alone, a customer behind a few routers would be let in without a limit, and
+get twice what all others get. One notices that in ``shares limited`` lines of two
+replicas in one second, which then name different numbers of routers.
+
+Sums are marked as whole only once it can be known that they are. After a start, or
+after the process stood still, a replica has heard of no more routers than those that
+report to it. By sums of the first few nobody asks for much: routers would let
+everything in for a moment, and all prompts wait behind that for seconds.
 """
 
 import logging
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
-from sesameford.gateway.fleet_load import FleetLoadBook
-from sesameford.gateway.load_relay import make_load_relay
-from sesameford.messages import LoadsPassedOn, Outgoing, RouterLoad
+from sesameford.gateway.load_report import at_least_seconds, report_seconds
+from sesameford.gateway.router_loads import (
+    make_router_loads,
+    places_added_up,
+    places_without,
+)
+from sesameford.gateway.shares import make_share_table
+from sesameford.messages import (
+    FleetLoad,
+    Outgoing,
+    PartialLoad,
+    PlaceLoad,
+    RouterLoad,
+    UsedParts,
+)
 
 logger = logging.getLogger(__name__)
 
-# A replica that begins to add up waits so many tellings for routers that live and don't
-# tell it anything: a router that lost one message is heard with the next, and what is
-# told to another replica comes with the one after. After that they are cut off.
-SETTLING_TELLS = 3.5
-# A replica that was told something and has left out so many answers is passed over, so
-# one that stood still for as long has been. Its heartbeats are missed after 1.5 s only,
-# and loads and shares would stand still.
-MISSED_ANSWERS = 2.5
+# Sums of this part of the routers that live are whole. One that has just started is
+# heard before it reports, and in a large fleet there often is one.
+COMPLETE_PART = 0.97
+# While more routers that live are in no sum, those of the others are taken for all of
+# the fleet only after so long: routers whose replica lacks a part of the fleet turn to
+# one common replica meanwhile, and only those that can't are left out in the end.
+SETTLING_SECONDS = 2.0
+# A replica that stood still for longer than this many reports was passed over by its
+# routers, and what it knows of the fleet is old.
+MISSED_REPORTS = 2.5
 # An instance counts as living that was heard within two heartbeats and a half second.
 HEARD_SECONDS = 1.5
+# Sums of another replica that no longer come count for so long. Its routers have turned
+# to others by then and would be counted twice.
+PARTIAL_VALID_SECONDS = 1.0
+# Replicas exchange sums so often for each other one there is, so that what they read of
+# each other does not grow with the square of their number.
+EXCHANGE_SECONDS_A_REPLICA = 0.02
+# Rows of what was sent to engines that one message carries, some forty bytes each.
+# Where more come between two messages the oldest are dropped: each router would be sent
+# all requests of the fleet, which grows with the square of it. Whoever does not know
+# that an engine keeps a part sends it elsewhere, which costs time and no promise.
+MOST_USED_ROWS = 64
 
 
 @dataclass(frozen=True, slots=True)
 class LiveInstances:
-    """Who is heard of the others, each within so many seconds before a time."""
+    """Who is heard of the others, each within so many seconds before a time.
+
+    ``near_replicas`` are those of the own data centre.
+    """
 
     replicas: Callable[[float, float], Collection[str]]
+    near_replicas: Callable[[float, float], Collection[str]]
     routers: Callable[[float, float], int]
 
 
+@dataclass(frozen=True, slots=True)
+class _Partial:
+    """The newest sums of another replica."""
+
+    load: PartialLoad
+    at_seconds: float
+
+
 class FleetSums:
-    """The adding up at one replica.
+    """The sums at one replica.
 
     Args:
-        book: The loads that are known here.
         live: Which other instances are heard.
     """
 
-    def __init__(self, book: FleetLoadBook, live: LiveInstances) -> None:
-        self._book = book
+    def __init__(self, live: LiveInstances) -> None:
+        self.shares = make_share_table()
         self._live = live
-        self._relay = make_load_relay()
+        self._loads = make_router_loads()
+        self._partials: dict[str, _Partial] = {}
+        self._used: list[tuple[str, UsedParts]] = []
+        self._used_here: list[UsedParts] = []
+        self._is_changed = False
+        self._next_seconds = 0.0
+        self._at_latest_seconds = 0.0
+        self._next_exchange_seconds = 0.0
         self._last_tick_seconds = float("-inf")
         self._awake_since_seconds = float("-inf")
-        self._adds_up_since_seconds: float | None = None
+        self._incomplete_since_seconds: float | None = None
 
-    def told(self, load: RouterLoad, now_seconds: float) -> None:
-        """Take what a router tells."""
-        self._book.received(load, now_seconds)
-        self._relay.told(load)
+    def received(self, router_id: str, load: RouterLoad, now_seconds: float) -> None:
+        """Take a router's report."""
+        self._loads.received(router_id, load, now_seconds)
+        self._used += [(router_id, row) for row in load.used]
+        self._used_here += load.used
+        self._is_changed = True
 
-    def passed_on(
-        self, sender_id: str, passed: LoadsPassedOn, now_seconds: float
-    ) -> None:
-        """Take what routers told another replica."""
-        self._relay.heard(sender_id, now_seconds)
-        for load in passed.loads:
-            self._book.passed_on(load, now_seconds)
+    def ended(self, router_id: str) -> None:
+        """Drop a router that reports to another replica from now on."""
+        self._loads.ended(router_id)
 
-    def known_part(self, now_seconds: float) -> float:
-        """Return of which part of the routers that live loads are known here.
+    def received_partial(
+        self, sender_id: str, load: PartialLoad, now_seconds: float
+    ) -> None:
+        """Take the sums of another replica."""
+        self._partials[sender_id] = _Partial(load, now_seconds)
+        self._used += [(sender_id, row) for row in load.used]
+        self._is_changed = True
 
-        The others ask too: of what is declared only this part is given out from here.
-        """
-        known_routers = self._book.known_routers(now_seconds)
-        if not known_routers:
-            return 0.0
-        live_routers = self._live.routers(now_seconds, HEARD_SECONDS)
-        return known_routers / max(known_routers, live_routers)
+    @property
+    def has_routers(self) -> bool:
+        """Whether any router reports here."""
+        return bool(self._loads.router_ids)
 
-    def outgoing(
-        self, is_due: bool, tell_seconds: float, now_seconds: float
+    def tick(
+        self,
+        declared_tokens: float | None,
+        wanted_wait_seconds: float,
+        now_seconds: float,
     ) -> list[Outgoing]:
-        """Return what routers and other replicas are told now.
+        """Bring sums and shares up to date where that is due.
 
         Args:
-            is_due: Whether routers are told all the same.
-            tell_seconds: How often something is told in any case.
+            declared_tokens: What all engines produce a second, None if not known.
+            wanted_wait_seconds: How long prompts may wait on average.
             now_seconds: The present time.
+
+        Returns:
+            What routers and other replicas are sent.
         """
-        self._note_wake(MISSED_ANSWERS * tell_seconds, now_seconds)
-        if not self._book.direct_routers():
-            self._adds_up_since_seconds = None
-            self._book.forget_silent(now_seconds)
+        direct_routers = len(self._loads.router_ids)
+        self._note_wake(MISSED_REPORTS * at_least_seconds(direct_routers), now_seconds)
+        self._loads.forget_silent(now_seconds)
+        self._forget_partials(now_seconds)
+        if not direct_routers:
+            self._used.clear()
+            self._used_here.clear()
+            self._incomplete_since_seconds = None
             return []
         live_routers = self._live.routers(now_seconds, HEARD_SECONDS)
-        is_whole = self._is_whole(SETTLING_TELLS * tell_seconds, now_seconds)
-        totals = self._book.totals(is_due, now_seconds, live_routers, is_whole)
-        if not totals:
+        exchanged = self._exchange(live_routers, now_seconds)
+        if not self._is_due(now_seconds):
+            return exchanged
+        self._is_changed = False
+        self._next_seconds = now_seconds + report_seconds(direct_routers)
+        self._at_latest_seconds = now_seconds + at_least_seconds(direct_routers)
+        loads = [self._loads.sums(), *(one.load for one in self._partials.values())]
+        known_routers = sum(load.routers for load in loads)
+        routers = max(known_routers, live_routers)
+        if declared_tokens is not None:
+            # Routers in no sum ask too; their part of the capacity is left to them.
+            declared_tokens *= known_routers / routers
+        self.shares.tick(loads, declared_tokens, wanted_wait_seconds, now_seconds)
+        is_whole = self._is_whole(known_routers, live_routers, now_seconds)
+        places = places_added_up(load.places for load in loads)
+        return exchanged + self._answers(places, routers, known_routers, is_whole)
+
+    def _is_due(self, now_seconds: float) -> bool:
+        if now_seconds >= self._at_latest_seconds:
+            return True
+        return self._is_changed and now_seconds >= self._next_seconds
+
+    def _answers(
+        self,
+        places: tuple[PlaceLoad, ...],
+        routers: int,
+        known_routers: int,
+        is_whole: bool,
+    ) -> list[Outgoing]:
+        shares = self.shares.rows()
+        used, self._used = self._used[-MOST_USED_ROWS:], []
+        return [
+            Outgoing(
+                router_id,
+                FleetLoad(
+                    places_without(places, self._loads.places_of(router_id)),
+                    routers,
+                    shares,
+                    tuple(row for sender_id, row in used if sender_id != router_id),
+                    is_whole,
+                    known_routers,
+                    len(self._loads.router_ids),
+                ),
+                urgent=True,
+            )
+            for router_id in self._loads.router_ids
+        ]
+
+    def _exchange(self, live_routers: int, now_seconds: float) -> list[Outgoing]:
+        """Return the sums of this replica's routers for the others that add up too.
+
+        Those that are not known to do so only hear that this one does, while some
+        routers report elsewhere. So nothing is exchanged where all report here.
+        """
+        if now_seconds < self._next_exchange_seconds:
             return []
-        hears_all = self._book.direct_routers() >= live_routers
         others = self._live.replicas(now_seconds, HEARD_SECONDS)
-        return totals + self._relay.pass_on(others, hears_all, now_seconds)
+        self._next_exchange_seconds = now_seconds + EXCHANGE_SECONDS_A_REPLICA * max(
+            len(others), 1
+        )
+        hears_all = len(self._loads.router_ids) >= live_routers
+        adding = [one for one in others if one in self._partials]
+        outgoing = []
+        if adding:
+            used, self._used_here = self._used_here[-MOST_USED_ROWS:], []
+            load = self._loads.sums(tuple(used))
+            outgoing = [Outgoing(one, load, urgent=True) for one in adding]
+        if not hears_all:
+            silent = [one for one in others if one not in self._partials]
+            outgoing += [Outgoing(one, PartialLoad(), urgent=True) for one in silent]
+        return outgoing
+
+    def _forget_partials(self, now_seconds: float) -> None:
+        for sender_id, one in list(self._partials.items()):
+            if now_seconds - one.at_seconds > PARTIAL_VALID_SECONDS:
+                del self._partials[sender_id]
 
     def _note_wake(self, still_seconds: float, now_seconds: float) -> None:
         """Begin anew after a start, or after this process stood still for so long."""
@@ -107,32 +238,28 @@
         if since_seconds <= still_seconds:
             return
         self._awake_since_seconds = now_seconds
-        self._adds_up_since_seconds = None
+        self._incomplete_since_seconds = None
         logger.info("adds up anew", extra={"stood_still_seconds": since_seconds})
 
-    def _is_whole(self, settling_seconds: float, now_seconds: float) -> bool:
-        """Return whether sums are of all routers, as far as can be known.
-
-        Of all that live, once all of them had the time to be heard; or of as many as
-        there will be, once routers that live but don't tell had the time to do so.
-        """
-        is_settled = self._is_settled(settling_seconds, now_seconds)
+    def _is_whole(
+        self, known_routers: int, live_routers: int, now_seconds: float
+    ) -> bool:
+        """Return whether sums are of all routers, as far as can be known."""
+        is_incomplete = known_routers < COMPLETE_PART * live_routers
+        if not is_incomplete:
+            self._incomplete_since_seconds = None
+        elif self._incomplete_since_seconds is None:
+            self._incomplete_since_seconds = now_seconds
         if now_seconds - self._awake_since_seconds <= HEARD_SECONDS:
             return False
-        return is_settled or self.known_part(now_seconds) >= 1.0
-
-    def _is_settled(self, settling_seconds: float, now_seconds: float) -> bool:
-        """Return whether routers have told this replica for so long."""
-        if self._adds_up_since_seconds is None:
-            self._adds_up_since_seconds = now_seconds
-        return now_seconds - self._adds_up_since_seconds > settling_seconds
+        since_seconds = self._incomplete_since_seconds
+        return since_seconds is None or now_seconds - since_seconds > SETTLING_SECONDS
 
 
-def make_fleet_sums(book: FleetLoadBook, live: LiveInstances) -> FleetSums:
-    """Return the adding up of a replica that has just started.
+def make_fleet_sums(live: LiveInstances) -> FleetSums:
+    """Return the sums of a replica that has just started.
 
     Args:
-        book: The loads that are known here.
         live: Which other instances are heard.
     """
-    return FleetSums(book, live)
+    return FleetSums(live)
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -24,9 +24,9 @@
 from sesameford.errors import NoQuorumError, PeerError, SesamefordError
 from sesameford.fencing import FencingMachine
 from sesameford.gateway.calls import Edge
-from sesameford.gateway.fleet_load import TELL_SECONDS
 from sesameford.gateway.fleet_sums import LiveInstances
 from sesameford.gateway.forward import make_sender
+from sesameford.gateway.load_report import REPORT_SECONDS
 from sesameford.gateway.load_system import make_load_system
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.run import GatewayDeps, GatewayState, make_gateway_state
@@ -46,13 +46,14 @@
     Greeting,
     Heartbeat,
     IncarnationBehind,
-    LoadsPassedOn,
     LogPayload,
     Message,
     Outgoing,
+    PartialLoad,
     ProposalReply,
     ProposalRequest,
     RouterLoad,
+    RouterLoadEnds,
     TreeSteps,
     TreeWanted,
     TreeWhole,
@@ -86,7 +87,7 @@
 # comes later than this might not end before the process is ended.
 UNREADY_SECONDS = 2.6
 CLOSE_LINKS_SECONDS = 0.05
-# How long a replica that was told the newest version may need to have it itself.
+# How long a replica that heard of the newest version may need to have it itself.
 CATCH_UP_SECONDS = 0.8
 IDLE_SECONDS = 3.0
 # A target in another data centre answers within some hundredths; one that is dark would
@@ -167,11 +168,14 @@
             Random(self.incarnation),
         )
         self.load = make_load_system(
-            settings.instance_id,
             self._own.has_disk,
             self.placement,
             lambda: self._state,
-            LiveInstances(self._roster.live_replicas, self._roster.live_routers),
+            LiveInstances(
+                self._roster.live_replicas,
+                self._roster.near_replicas,
+                self._roster.live_routers,
+            ),
             self._links.send,
             Random(seed),
         )
@@ -197,7 +201,7 @@
         self._tasks = [
             asyncio.create_task(run_regularly(TICK_SECONDS, self._tick)),
             asyncio.create_task(run_regularly(BEAT_SECONDS, self._beat)),
-            asyncio.create_task(run_regularly(TELL_SECONDS, self._tell_load)),
+            asyncio.create_task(run_regularly(REPORT_SECONDS, self._tick_load)),
         ]
         logger.info("started", extra={"incarnation": self.incarnation})
 
@@ -219,7 +223,7 @@
             self.tally,
             Random(self.incarnation),
             lambda: self._state if self._tree.is_ready() else None,
-            lambda: self.load.book.routers,
+            lambda: self.load.report.routers,
             lambda: not self._stop.is_ready,
             is_crowded,
             lambda: self._stop.accepts_requests,
@@ -417,7 +421,7 @@
         for admission, tokens in self.load.gate.account.totals.items():
             self.tally.admitted(admission.value, tokens)
         if self._own.has_disk:
-            shares = self.load.book.shares
+            shares = self.load.shares
             self.tally.level("share_capacity_tokens", shares.capacity_tokens)
             self.tally.level("share_routers", shares.routers)
             self.tally.level("share_limited_customers", len(shares.fractions))
@@ -425,8 +429,8 @@
     def _greet(self) -> None:
         self._links.send(Outgoing(None, self._roster.greeting(self._now())))
 
-    def _tell_load(self) -> None:
-        self.load.tell(self._now())
+    def _tick_load(self) -> None:
+        self.load.tick(self._now())
 
     def _note_replicas(self, now_seconds: float) -> None:
         has_replicas = bool(self._roster.live_replicas(now_seconds, 2.0))
@@ -462,9 +466,11 @@
                 if message.token in self._taken:
                     self._taken[message.token].set()
             case RouterLoad():
-                self.load.told(message, now_seconds)
-            case LoadsPassedOn():
-                self.load.passed_on(sender_id, message, now_seconds)
+                self.load.received(sender_id, message, now_seconds)
+            case RouterLoadEnds():
+                self.load.ended(sender_id)
+            case PartialLoad():
+                self.load.received_partial(sender_id, message, now_seconds)
             case FleetLoad():
                 self.load.heard(sender_id, message, now_seconds)
             case TreeSteps() | TreeWhole() | TreeWanted():
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -274,7 +274,7 @@
         for row in rows:
             known = self._table.by_name(row.name)
             if known is None:
-                # A target that this instance has not been told of, or has forgotten.
+                # A target that this instance does not know yet, or has forgotten.
                 continue
             engine = engines.get(known.row.service)
             memory_tokens = engine.cache_tokens if engine else None
--- /dev/null
+++ b/sesameford/gateway/router_loads.py
@@ -0,0 +1,125 @@
+"""The loads of the routers that report to one replica."""
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from sesameford.gateway.load_report import REPORT_VALID_SECONDS
+from sesameford.messages import (
+    CustomerRates,
+    PartialLoad,
+    PlaceLoad,
+    RouterLoad,
+    UsedParts,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    """The last report of one router."""
+
+    load: RouterLoad
+    at_seconds: float
+
+
+class RouterLoads:
+    """The last report of each router that reports here."""
+
+    def __init__(self) -> None:
+        self._reported: dict[str, _Reported] = {}
+
+    def received(self, router_id: str, load: RouterLoad, now_seconds: float) -> None:
+        """Take a router's report."""
+        self._reported[router_id] = _Reported(load, now_seconds)
+
+    def ended(self, router_id: str) -> None:
+        """Drop a router that reports elsewhere from now on."""
+        self._reported.pop(router_id, None)
+
+    def forget_silent(self, now_seconds: float) -> None:
+        """Drop routers that have reported nothing for a while.
+
+        Their targets have dropped what a dead router had under way. Were it still
+        counted, all others would leave these targets idle.
+        """
+        for router_id, one in list(self._reported.items()):
+            if now_seconds - one.at_seconds > REPORT_VALID_SECONDS:
+                del self._reported[router_id]
+
+    @property
+    def router_ids(self) -> Collection[str]:
+        """Return the routers that report here."""
+        return self._reported.keys()
+
+    def places_of(self, router_id: str) -> tuple[PlaceLoad, ...]:
+        """Return what one router has under way."""
+        return self._reported[router_id].load.places
+
+    def sums(self, used: tuple[UsedParts, ...] = ()) -> PartialLoad:
+        """Return all of them added up.
+
+        Args:
+            used: What they have sent to engines, to be sent along.
+        """
+        loads = [one.load for one in self._reported.values()]
+        waits_seconds = [load.wait_seconds for load in loads]
+        return PartialLoad(
+            len(loads),
+            places_added_up(load.places for load in loads),
+            _customers_added_up(load.customers for load in loads),
+            round(sum(waits_seconds) / max(len(loads), 1), 4),
+            sum(load.begun_tokens for load in loads),
+            used,
+        )
+
+
+def places_added_up(tables: Iterable[tuple[PlaceLoad, ...]]) -> tuple[PlaceLoad, ...]:
+    """Return what is under way at each target in all tables together."""
+    requests: Counter[int] = Counter()
+    unread_tokens: Counter[int] = Counter()
+    for places in tables:
+        for place in places:
+            requests[place.name] += place.requests
+            unread_tokens[place.name] += place.unread_tokens
+    return tuple(
+        PlaceLoad(name, count, unread_tokens[name]) for name, count in requests.items()
+    )
+
+
+def places_without(
+    all_places: tuple[PlaceLoad, ...], own_places: tuple[PlaceLoad, ...]
+) -> tuple[PlaceLoad, ...]:
+    """Return what is under way at each target beside one router's part of it."""
+    own = {place.name: place for place in own_places}
+    places = []
+    for place in all_places:
+        mine = own.get(place.name)
+        if mine is not None:
+            place = PlaceLoad(
+                place.name,
+                place.requests - mine.requests,
+                place.unread_tokens - mine.unread_tokens,
+            )
+        if place.requests or place.unread_tokens:
+            places.append(place)
+    return tuple(places)
+
+
+def _customers_added_up(
+    tables: Iterable[tuple[CustomerRates, ...]],
+) -> tuple[CustomerRates, ...]:
+    asked: Counter[str] = Counter()
+    begun: Counter[str] = Counter()
+    for customers in tables:
+        for row in customers:
+            asked[row.customer] += row.asked_tokens
+            begun[row.customer] += row.begun_tokens
+    return tuple(
+        CustomerRates(customer, tokens, begun[customer])
+        for customer, tokens in asked.items()
+    )
+
+
+def make_router_loads() -> RouterLoads:
+    """Return loads of no routers."""
+    return RouterLoads()
--- a/sesameford/gateway/run.py
+++ b/sesameford/gateway/run.py
@@ -16,10 +16,10 @@
 from sesameford.gateway.placement import Placement
 from sesameford.gateway.route_table import RouteTable, make_route_table
 from sesameford.gateway.second_sends import SecondSends
-from sesameford.gateway.shares import ShareGate
+from sesameford.gateway.share_gate import ShareGate
 from sesameford.gateway.tally import Tally
 
-# A caller is told to come back after so long where nothing better is known: about
+# A caller is asked to come back after so long where nothing better is known: about
 # the time in which a resting target is tried again.
 RETRY_AFTER_SECONDS = 0.5
 
--- a/sesameford/gateway/share_account.py
+++ b/sesameford/gateway/share_account.py
@@ -2,7 +2,7 @@
 
 Refusals and answers have lines of their own, but at a flooded router only some of them
 are written. Whether a customer got its share, and whether another got more by room at
-engines, is told from these sums alone.
+engines, is known from these sums alone.
 """
 
 from collections import Counter, defaultdict
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-# So many customers, those that asked most, are told in a line of some 600 bytes.
+# So many customers, those that asked most, are named in a line of some 600 bytes.
 MOST_CUSTOMERS = 12
 THOUSAND = 1_000
 
@@ -38,7 +38,7 @@
         self.asked += tokens
         self.by_admission[admission] += tokens
 
-    def figures(self) -> str:
+    def thousands(self) -> str:
         """Return thousands of tokens: asked, by each admission, and begun."""
         admitted = [
             self.by_admission[one] for one in Admission if one is not Admission.REFUSED
@@ -48,7 +48,7 @@
 
 
 class ShareAccount:
-    """The sums of one router since they were told last."""
+    """The sums of one router since they were logged last."""
 
     def __init__(self) -> None:
         self.totals: Counter[Admission] = Counter()
@@ -63,7 +63,7 @@
         """Count a request whose answer an engine has begun."""
         self._by_customer[customer].begun += tokens
 
-    def told(self, fractions: Mapping[str, float]) -> str:
+    def figures(self, fractions: Mapping[str, float]) -> str:
         """Return the sums of those that asked most, and begin anew.
 
         Args:
@@ -78,7 +78,7 @@
         )
         self._by_customer.clear()
         return " ".join(
-            f"{name}:{fractions.get(name, 1.0):.2f}:{sums.requests}:{sums.figures()}"
+            f"{name}:{fractions.get(name, 1.0):.2f}:{sums.requests}:{sums.thousands()}"
             for name, sums in customers[:MOST_CUSTOMERS]
         )
 
--- a/sesameford/gateway/token_rate.py
+++ b/sesameford/gateway/token_rate.py
@@ -9,8 +9,9 @@
 
 @dataclass(slots=True)
 class TokenRate:
-    """A moving average that forgets two thirds within ``AVERAGE_SECONDS``."""
+    """A moving average that forgets two thirds within ``average_seconds``."""
 
+    average_seconds: float = AVERAGE_SECONDS
     _average: float = 0.0
     _new_tokens: int = 0
     _settled_at_seconds: float | None = None
@@ -32,6 +33,6 @@
         if since_seconds > 0.0:
             self._settled_at_seconds = now_seconds
             new, self._new_tokens = self._new_tokens, 0
-            part = min(since_seconds / AVERAGE_SECONDS, 1.0)
+            part = min(since_seconds / self.average_seconds, 1.0)
             self._average += part * (new / since_seconds - self._average)
         return self._average
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -108,11 +108,15 @@
     other_tokens: int
 
 
-class AskedRow(Struct, frozen=True, array_like=True):
-    """The tokens a second that a customer asks at one router, on average."""
+class CustomerRates(Struct, frozen=True, array_like=True):
+    """What a customer asks and is served at some routers, in tokens a second.
+
+    ``begun_tokens`` are of requests whose answers engines have begun.
+    """
 
     customer: str
-    tokens: float
+    asked_tokens: int
+    begun_tokens: int = 0
 
 
 class ShareRow(Struct, frozen=True, array_like=True):
@@ -127,23 +131,27 @@
 
     ``wait_seconds`` is how long a prompt waits at an engine, as the router sees it;
     ``begun_tokens`` what engines begin to answer, a second; ``used`` what it has sent
-    to engines since it spoke last.
+    to engines since its last report.
     """
 
-    router_id: str
-    sequence: int
     places: tuple[PlaceLoad, ...]
-    asked: tuple[AskedRow, ...] = ()
+    customers: tuple[CustomerRates, ...] = ()
     wait_seconds: float = 0.0
     begun_tokens: float = 0.0
     used: tuple[UsedParts, ...] = ()
 
 
+class RouterLoadEnds(Struct, frozen=True, array_like=True, tag=True):
+    """I report my loads to another replica from now on; count them there."""
+
+
 class FleetLoad(Struct, frozen=True, array_like=True, tag=True):
     """What all routers but the receiver have under way, by target.
 
-    ``used`` is what they have sent to engines since this was told last. Of one that is
-    not ``is_whole`` the sums and shares are of a part of the routers.
+    ``routers`` live, of which ``known_routers`` are in these sums, and
+    ``direct_routers`` report to the sender. ``used`` is what they have sent to engines
+    since the last of these messages. Of one that is not ``is_whole`` the sums and
+    shares are of a part of the routers.
     """
 
     places: tuple[PlaceLoad, ...]
@@ -151,15 +159,23 @@
     shares: tuple[ShareRow, ...] = ()
     used: tuple[UsedParts, ...] = ()
     is_whole: bool = True
+    known_routers: int = 0
+    direct_routers: int = 0
 
 
-class LoadsPassedOn(Struct, frozen=True, array_like=True, tag=True):
-    """What routers told a replica, for another one that adds up too.
+class PartialLoad(Struct, frozen=True, array_like=True, tag=True):
+    """The loads of the routers that report to one replica, added up for another.
 
-    Empty it only says that its sender adds up.
+    The fields are as in ``RouterLoad``, with ``wait_seconds`` on average. One of no
+    routers only says that its sender adds up too.
     """
 
-    loads: tuple[RouterLoad, ...]
+    routers: int = 0
+    places: tuple[PlaceLoad, ...] = ()
+    customers: tuple[CustomerRates, ...] = ()
+    wait_seconds: float = 0.0
+    begun_tokens: float = 0.0
+    used: tuple[UsedParts, ...] = ()
 
 
 # --- membership ----------------------------------------------------------------
@@ -564,7 +580,8 @@
     | BeatRowsWanted
     | RouterLoad
     | FleetLoad
-    | LoadsPassedOn
+    | RouterLoadEnds
+    | PartialLoad
     | MembersNews
     | MembersWanted
     | Routed
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -17,7 +17,7 @@
 from sesameford.gateway.run import GatewayDeps, make_gateway_state
 from sesameford.gateway.second_sends import make_second_sends
 from sesameford.gateway.serve import serve_call
-from sesameford.gateway.shares import make_share_gate
+from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.tally import make_tally
 from sesameford.http_ports import listen_calls, make_session
 from sesameford.messages import BeatRow
--- a/tools/count.py
+++ b/tools/count.py
@@ -14,7 +14,9 @@
     "routing": "router relay pools queues pool_allocation virtual_time prompts prefix"
     " scheduling leased leases allocation allocator independent scheduler_switch"
     " estimates windows affinity accounts place_reports demand lending place engine_"
-    " engine_memory fleet_load load_system route_table serve run forward admit calls",
+    " engine_memory load_report load_system fleet_sums router_loads"
+    " aggregator_choice service_balance share_gate shares"
+    " route_table serve run forward admit calls",
     "limits": "limits gates costs grant_answers shares loop_lag",
     "retries": "retries suspects deaths silence outcomes claims keyed answers"
     " completion_run service_run caller_side quarantine probes second_sends",
