--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -27,6 +27,12 @@
 # 1,063 requests a day were late, and 5,257 in place of 5,744 in time, the fewer ones of
 # those who asked too much: mean worth 0.683 to 0.703 over four days of floods.
 ROOM_WAIT_PART = 0.05
+# An instance that is late stays so for as long as its callers flood it; those who come
+# back sooner cost it the time in which it could serve others.
+OVERLOADED_RETRY_SECONDS = 1.0
+# A caller who was turned away for another customer's flood is served by the instance to
+# which its next try goes; the pause only keeps tries apart.
+ELSEWHERE_RETRY_SECONDS = 0.02
 # A caller of an instance that stops is served by another one at once.
 STOPPING_RETRY_SECONDS = 0.02
 
@@ -48,6 +54,8 @@
     if route is None:
         raise Refusal(404, "no-route")
     customer = _customer_of(state.tree, route, call)
+    if deps.lag.is_too_late(arrived_at_seconds):
+        raise _overloaded(deps, route, customer, call.prompt, arrived_at_seconds)
     service = choose_service(route, deps.random.random())
     if service in state.engine_services and call.prompt is not None:
         _check_share(deps, state, route, customer or "", call.prompt, service)
@@ -67,6 +75,33 @@
     )
 
 
+def _overloaded(
+    deps: GatewayDeps,
+    route: HttpRouteSettings,
+    customer: str | None,
+    prompt: Prompt | None,
+    now_seconds: float,
+) -> Refusal:
+    """Return the rejection of a call that has waited unread for too long.
+
+    Mostly one customer whose callers all come to this instance keeps it busy. Then the
+    others are asked back at once: each try goes to another instance, and those have
+    room. Only the customer itself, which is limited, is asked to stay away.
+    """
+    is_limited = customer in deps.gate.fractions
+    if is_limited and customer is not None and prompt is not None:
+        deps.gate.rejected(customer, prompt.cost_tokens)
+    is_flood_of_others = deps.gate.fractions and not is_limited
+    return Refusal(
+        503,
+        "overloaded",
+        ELSEWHERE_RETRY_SECONDS if is_flood_of_others else OVERLOADED_RETRY_SECONDS,
+        route.route_id,
+        customer or "",
+        f"loop late by {deps.lag.lateness_seconds(now_seconds):.3f} s",
+    )
+
+
 def _check_share(
     deps: GatewayDeps,
     state: GatewayState,
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -162,19 +162,17 @@
         return chosen
 
     def _wait_seconds(self, now_seconds: float) -> float:
-        """Return how long a prompt waits on average at an engine."""
+        """Return how long a prompt waits on average over all services of engines."""
         state = self._state()
-        if state is None:
+        if state is None or not state.engine_services:
             return 0.0
-        services = state.tree.services
-        waits = [
-            wait_seconds
-            for service in state.engine_services
-            for wait_seconds in self._placement.waits_seconds(
-                service, services[service].batch_slots or 1, now_seconds
+        waits_seconds = [
+            self._placement.mean_wait_seconds(
+                service, state.tree.services[service].batch_slots or 1, now_seconds
             )
+            for service in state.engine_services
         ]
-        return sum(waits) / len(waits) if waits else 0.0
+        return sum(waits_seconds) / len(waits_seconds)
 
     def _share_alone(self, load: RouterLoad, now_seconds: float) -> None:
         """Work shares out from what is asked here, for when nobody else does.
--- a/sesameford/gateway/loop_lag.py
+++ b/sesameford/gateway/loop_lag.py
@@ -31,8 +31,11 @@
         their callers give up, and a request that is passed on afterwards makes a
         target work for nobody, while the loop falls behind further.
         """
-        late_seconds = max(now_seconds - self.due_at_seconds, self.late_seconds)
-        return late_seconds > MOST_LAG_SECONDS
+        return self.lateness_seconds(now_seconds) > MOST_LAG_SECONDS
+
+    def lateness_seconds(self, now_seconds: float) -> float:
+        """Return by how much the loop is late, or was of late."""
+        return max(now_seconds - self.due_at_seconds, self.late_seconds)
 
 
 def make_loop_lag() -> LoopLag:
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -1,6 +1,7 @@
 """Where a request goes: the target at which its answer begins soonest."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from random import Random
 
 from sesameford.discovery.beat_table import BeatTable, KnownTarget, short_name
@@ -41,11 +42,23 @@
 # With more of its places taken than this part an engine has no room for those who ask
 # too much: its memory is then better left to the prompts of all others.
 ROOM_SLOTS_PART = 0.5
+# The mean wait at all engines is worked out once in so long. A router that one customer
+# floods needs it for each of its requests, hundreds a second, and would spend more on
+# it than on all else of a rejection.
+MEAN_WAIT_VALID_SECONDS = 0.02
 # What another data centre costs, in requests at a plain service: less than one, so
 # that it only decides between equals.
 FAR_REQUESTS = 0.4
 
 
+@dataclass(frozen=True, slots=True)
+class _MeanWait:
+    """How long prompts wait on average at the engines of a service."""
+
+    seconds: float
+    valid_until_seconds: float
+
+
 class Placement:
     """The targets as one router sees them."""
 
@@ -66,6 +79,7 @@
         self._leases = 0
         self._hold_seconds = FIRST_HOLD_SECONDS
         self._began_at_seconds: dict[int, float] = {}
+        self._mean_waits: dict[str, _MeanWait] = {}
         self._kind_rate = ReadingRate()
         self._fixed_seconds = FIRST_FIXED_SECONDS
 
@@ -128,12 +142,13 @@
             mean_wait_seconds: And so long on average over all engines.
             now_seconds: The present time.
         """
-        usable = self._usable(self._of_service(service), now_seconds)
         slots = engine.batch_slots
-        if not usable or not slots:
+        if not slots:
             return False
-        waits = self.waits_seconds(service, slots, now_seconds)
-        if sum(waits) > mean_wait_seconds * len(waits):
+        if self.mean_wait_seconds(service, slots, now_seconds) > mean_wait_seconds:
+            return False
+        usable = self._usable(self._of_service(service), now_seconds)
+        if not usable:
             return False
         option = self._best_option(
             prompt, usable, engine, objective_seconds, now_seconds
@@ -242,6 +257,23 @@
             for known in usable
         ]
 
+    def mean_wait_seconds(self, service: str, slots: int, now_seconds: float) -> float:
+        """Return how long a prompt waits on average at the engines of a service.
+
+        Args:
+            service: The service.
+            slots: Requests that one engine works on at once.
+            now_seconds: The present time.
+        """
+        known = self._mean_waits.get(service)
+        if known is not None and now_seconds < known.valid_until_seconds:
+            return known.seconds
+        waits = self.waits_seconds(service, slots, now_seconds)
+        seconds = sum(waits) / len(waits) if waits else 0.0
+        valid_until_seconds = now_seconds + MEAN_WAIT_VALID_SECONDS
+        self._mean_waits[service] = _MeanWait(seconds, valid_until_seconds)
+        return seconds
+
     def loads(self, now_seconds: float) -> tuple[PlaceLoad, ...]:
         """Return what this router has under way."""
         return tuple(
@@ -282,6 +314,7 @@
 
     def take_others(self, loads: Iterable[PlaceLoad]) -> None:
         """Take what all other routers have under way, by target."""
+        self._mean_waits.clear()
         by_name = {load.name: load for load in loads}
         for target_id in self._table.known:
             load = by_name.get(short_name(target_id))
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -27,9 +27,6 @@
 # Targets to which no connection comes about, before a call is given up: each costs up
 # to the time to connect.
 MOST_NEVER_SENT = 3
-# An instance that is late stays so for as long as its callers flood it; those who come
-# back sooner cost it the time in which it could serve others.
-OVERLOADED_RETRY_SECONDS = 1.0
 # A target whose address another one has now is passed over from now on, so a caller who
 # may not be sent to a second target is served by another as soon as it is back.
 SOON_RETRY_SECONDS = 0.02
@@ -43,8 +40,6 @@
     arrived_at_seconds = deps.now()
     run = None
     try:
-        if deps.lag.is_too_late(arrived_at_seconds):
-            raise Refusal(503, "overloaded", OVERLOADED_RETRY_SECONDS)
         call = _read_call(deps, http)
         run = await admit(deps, http, call, arrived_at_seconds)
         deps.tally.opened()
--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -107,6 +107,15 @@
         self.account.asked(customer, tokens, admission)
         return admission is not Admission.REFUSED
 
+    def rejected(self, customer: str, tokens: int) -> None:
+        """Count a request that is turned away for another reason than its share.
+
+        It is asked for all the same: counted as nothing, a flood would look small, and
+        be let in elsewhere.
+        """
+        self._rates.setdefault(customer, _Rates()).asked.add(tokens)
+        self.account.asked(customer, tokens, Admission.REFUSED)
+
     def began(self, customer: str, tokens: int) -> None:
         """Count a request whose answer an engine has begun."""
         self.begun.add(tokens)
--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -103,10 +103,8 @@
     def __init__(self, queue: _Queue) -> None:
         self._queue = queue
 
-    def waits_seconds(
-        self, service: str, slots: int, now_seconds: float
-    ) -> list[float]:
-        return [self._queue.wait_seconds]
+    def mean_wait_seconds(self, service: str, slots: int, now_seconds: float) -> float:
+        return self._queue.wait_seconds
 
     def loads(self, now_seconds: float) -> tuple[PlaceLoad, ...]:
         # It changes each time, so routers tell as often as they may.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,14 +1,19 @@
 """Callers, a router and servers that misbehave, over real sockets."""
 
 import asyncio
+import logging
 from time import monotonic
 
 import pytest
 from aiohttp import ClientPayloadError
 
 from sesameford.connection_guard import GuardLimits
+from sesameford.gateway.admit import ELSEWHERE_RETRY_SECONDS, OVERLOADED_RETRY_SECONDS
+from sesameford.messages import ShareRow
+from sesameford.operators_http import digest_of_key
+from sesameford.tree import effective_tree, parse_tree
 from standins.platform_server import Fault
-from tests.gateway_fixture import open_desk
+from tests.gateway_fixture import KEY, TREE, open_desk
 
 
 async def test_a_call_reaches_a_server_as_it_was_sent():
@@ -264,6 +269,39 @@
         assert (await desk.ask("/safe/"))[0] == 200
 
 
+FLOOD_KEY = "the-floods-key"
+FLOODED_TREE = TREE.replace(
+    "{children: {club:",
+    f"{{children: {{flood: {{key_digests: [{digest_of_key(FLOOD_KEY)}]}}, club:",
+)
+
+
+async def test_a_flood_of_one_customer_sends_the_others_to_other_instances(caplog):
+    """All callers of one customer come to one instance and keep it busy.
+
+    The others whose callers come there too were turned away with it for a second,
+    which is longer than most can wait, while two hundred instances had room.
+    """
+    caplog.set_level(logging.WARNING)
+    tree = effective_tree(parse_tree(FLOODED_TREE, "t"), 1)
+    async with open_desk(Fault.NONE, tree=tree) as desk:
+        flood = tree.customer_ids_by_digest[digest_of_key(FLOOD_KEY)]
+        desk.deps.gate.take((ShareRow(flood, 0.1),))
+        desk.deps.lag.ran(0.0, monotonic() - 1.0)
+        desk.deps.lag.ran(60.0, monotonic())
+        status, _, headers = await desk.ask("/safe/")
+        assert (status, float(headers["Retry-After"])) == (503, ELSEWHERE_RETRY_SECONDS)
+        key = {"Authorization": f"Bearer {FLOOD_KEY}"}
+        status, _, headers = await desk.ask("/safe/", **key)
+        assert (status, float(headers["Retry-After"])) == (
+            503,
+            OVERLOADED_RETRY_SECONDS,
+        )
+        assert desk.runs == 0
+    customers = [one.customer for one in caplog.records if one.message == "refused"]
+    assert customers == [tree.customer_ids_by_digest[digest_of_key(KEY)], flood]
+
+
 async def ask_on_a_new_connection(desk, path):
     """Ask as a caller that opens a connection for each try and leaves it open."""
     host, port = desk.address.split(":")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -320,3 +320,25 @@
     assert placement.loads(0.0) == (others("e0", 1, 0),)
     placement.released(lease, 0.2)
     assert placement.loads(0.0) == ()
+
+
+def test_a_flood_at_one_router_looks_at_all_engines_once_in_a_while(monkeypatch):
+    """One customer's callers all come to one router, hundreds a second.
+
+    Each request over its share asks whether engines have room. Looked up at all of
+    eighty engines each time, a rejection cost the router more than twice as much, its
+    loop fell behind, and the other customers' callers there were turned away.
+    """
+    placement, _ = make(80)
+    placement.take_others([others(f"e{n}", 4, 90_000) for n in range(80)])
+    looked_at = []
+    waits_seconds = placement.waits_seconds
+    monkeypatch.setattr(
+        placement, "waits_seconds", lambda *a: looked_at.append(a) or waits_seconds(*a)
+    )
+    for number in range(500):
+        now_seconds = number / 5_000
+        assert not placement.has_room(
+            "pool", prompt(number), ENGINE, 0.25, 0.01, 0.0125, now_seconds
+        )
+    assert 1 <= len(looked_at) <= 6
