--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -32,6 +32,10 @@
 # estimate can't see.
 SAFE_PART = 0.5
 LATE_FACTOR = 3.0
+# An engine that fails all it is sent costs this part of the objective beside the wait.
+# A failure is worse for its caller than that, but routers that hear of each other late
+# would all turn to the few engines that don't fail, and make everybody late there.
+FAILED_OBJECTIVES = 0.3
 # Asking another engine for its copy takes so long, however short the part.
 COPY_SETUP_SECONDS = 0.002
 # Where nobody is known to keep a part, another router may be sending it to its home
@@ -138,7 +142,8 @@
     again_seconds = READ_AGAIN_FACTOR * backlog.read_seconds(
         option.again_tokens + option.copied_tokens
     )
-    return _wait_cost(wait_seconds, objective_seconds) + again_seconds
+    failed_seconds = FAILED_OBJECTIVES * objective_seconds * option.place.failed_part
+    return _wait_cost(wait_seconds, objective_seconds) + again_seconds + failed_seconds
 
 
 def _option(
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -19,19 +19,23 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from sesameford.gateway.load_report import at_least_seconds, report_seconds
 from sesameford.gateway.router_loads import (
     make_router_loads,
+    outcomes_added_up,
     places_added_up,
     places_without,
 )
 from sesameford.gateway.shares import make_share_table
+from sesameford.gateway.target_outcomes import make_target_outcome_table
 from sesameford.messages import (
     FleetLoad,
     Outgoing,
     PartialLoad,
-    PlaceLoad,
     RouterLoad,
+    TargetOutcomes,
     UsedParts,
 )
 
@@ -96,6 +100,8 @@
         self._partials: dict[str, _Partial] = {}
         self._used: list[tuple[str, UsedParts]] = []
         self._used_here: list[UsedParts] = []
+        self._outcomes = make_target_outcome_table()
+        self._outcomes_here: list[TargetOutcomes] = []
         self._is_changed = False
         self._next_seconds = 0.0
         self._at_latest_seconds = 0.0
@@ -109,6 +115,8 @@
         self._loads.received(router_id, load, now_seconds)
         self._used += [(router_id, row) for row in load.used]
         self._used_here += load.used
+        self._outcomes.add(load.outcomes)
+        self._outcomes_here += load.outcomes
         self._is_changed = True
 
     def ended(self, router_id: str) -> None:
@@ -121,6 +129,7 @@
         """Take the sums of another replica."""
         self._partials[sender_id] = _Partial(load, now_seconds)
         self._used += [(sender_id, row) for row in load.used]
+        self._outcomes.add(load.outcomes)
         self._is_changed = True
 
     @property
@@ -151,6 +160,7 @@
         if not direct_routers:
             self._used.clear()
             self._used_here.clear()
+            self._outcomes_here.clear()
             self._incomplete_since_seconds = None
             return []
         live_routers = self._live.routers(now_seconds, HEARD_SECONDS)
@@ -169,33 +179,38 @@
         self.shares.tick(loads, declared_tokens, wanted_wait_seconds, now_seconds)
         is_whole = self._is_whole(known_routers, live_routers, now_seconds)
         places = places_added_up(load.places for load in loads)
-        return exchanged + self._answers(places, routers, known_routers, is_whole)
+        failing = self._outcomes.failing(now_seconds)
+        sums = FleetLoad(
+            places,
+            routers,
+            self.shares.rows(),
+            (),
+            is_whole,
+            known_routers,
+            direct_routers,
+            failing,
+        )
+        return exchanged + self._answers(sums)
 
     def _is_due(self, now_seconds: float) -> bool:
         if now_seconds >= self._at_latest_seconds:
             return True
         return self._is_changed and now_seconds >= self._next_seconds
 
-    def _answers(
-        self,
-        places: tuple[PlaceLoad, ...],
-        routers: int,
-        known_routers: int,
-        is_whole: bool,
-    ) -> list[Outgoing]:
-        shares = self.shares.rows()
+    def _answers(self, sums: FleetLoad) -> list[Outgoing]:
+        """Return the sums for each router, without what it reported itself."""
         used, self._used = self._used[-MOST_USED_ROWS:], []
         return [
             Outgoing(
                 router_id,
-                FleetLoad(
-                    places_without(places, self._loads.places_of(router_id)),
-                    routers,
-                    shares,
-                    tuple(row for sender_id, row in used if sender_id != router_id),
-                    is_whole,
-                    known_routers,
-                    len(self._loads.router_ids),
+                replace(
+                    sums,
+                    places=places_without(
+                        sums.places, self._loads.places_of(router_id)
+                    ),
+                    used=tuple(
+                        row for sender_id, row in used if sender_id != router_id
+                    ),
                 ),
                 urgent=True,
             )
@@ -219,7 +234,9 @@
         outgoing = []
         if adding:
             used, self._used_here = self._used_here[-MOST_USED_ROWS:], []
-            load = self._loads.sums(tuple(used))
+            outcomes = outcomes_added_up(self._outcomes_here)
+            self._outcomes_here = []
+            load = self._loads.sums(tuple(used), outcomes)
             outgoing = [Outgoing(one, load, urgent=True) for one in adding]
         if not hears_all:
             silent = [one for one in others if one not in self._partials]
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -87,6 +87,7 @@
         state = self._state()
         if state is not None and fleet.used:
             self._placement.take_used(fleet.used, state.tree.services)
+        self._placement.take_failing(fleet.failing)
         if fleet.is_whole:
             self._whole_at_seconds = now_seconds
         whole_age_seconds = now_seconds - self._whole_at_seconds
@@ -140,6 +141,7 @@
             round(self._wait_seconds(now_seconds), 4),
             round(self.gate.begun.tokens_per_second(now_seconds)),
             self._placement.news(),
+            self._placement.outcomes(),
         )
         self.report.reported(places, now_seconds)
         if self.report.is_alone(now_seconds):
--- a/sesameford/gateway/place.py
+++ b/sesameford/gateway/place.py
@@ -15,7 +15,9 @@
     """A target's work, answers and failures.
 
     ``requests`` are this router's under way, ``others_requests`` those of all others.
-    ``unanswered`` holds when each request was sent and when its answer was due.
+    ``unanswered`` holds when each request was sent and when its answer was due;
+    ``answered`` and ``failed`` count outcomes that are not reported yet. The target
+    fails ``failed_part`` of all requests, as the whole fleet sees it.
     """
 
     requests: int = 0
@@ -26,6 +28,9 @@
     rests_until_seconds: float = 0.0
     heard_at_seconds: float = float("-inf")
     unanswered: dict[int, tuple[float, float]] = field(default_factory=dict)
+    answered: int = 0
+    failed: int = 0
+    failed_part: float = 0.0
 
     @property
     def all_requests(self) -> int:
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -19,7 +19,7 @@
     queue_seconds,
 )
 from sesameford.gateway.place import Lease, Place
-from sesameford.messages import PlaceLoad, UsedParts
+from sesameford.messages import FailingTarget, PlaceLoad, TargetOutcomes, UsedParts
 from sesameford.tables import TargetState
 
 # How long a request holds its place in a batch after its first event, until some have
@@ -46,6 +46,9 @@
 # floods needs it for each of its requests, hundreds a second, and would spend more on
 # it than on all else of a rejection.
 MEAN_WAIT_VALID_SECONDS = 0.02
+# A plain target that fails all it is sent counts as if so many times its places were
+# taken beside those that are, so that a sound one is taken until callers wait there.
+FAILED_FULLNESS = 1.0
 # What another data centre costs, in requests at a plain service: less than one, so
 # that it only decides between equals.
 FAR_REQUESTS = 0.4
@@ -237,7 +240,13 @@
 
     def proved(self, target_id: str) -> None:
         """Note that a target gave a whole answer."""
-        self._place(target_id).failures = 0
+        place = self._place(target_id)
+        place.failures = 0
+        place.answered += 1
+
+    def answered_badly(self, target_id: str) -> None:
+        """Note that a target failed a request that it took."""
+        self._place(target_id).failed += 1
 
     def waits_seconds(
         self, service: str, slots: int, now_seconds: float
@@ -294,6 +303,22 @@
         ]
         return tuple(row for row in rows if row is not None)
 
+    def outcomes(self) -> tuple[TargetOutcomes, ...]:
+        """Return how targets have answered since this was asked last."""
+        rows = []
+        for target_id, place in self._places.items():
+            if place.answered or place.failed:
+                name = short_name(target_id)
+                rows.append(TargetOutcomes(name, place.answered, place.failed))
+                place.answered = place.failed = 0
+        return tuple(rows)
+
+    def take_failing(self, rows: Iterable[FailingTarget]) -> None:
+        """Take which targets fail part of what the fleet sends them."""
+        parts = {row.name: row.failed_part for row in rows}
+        for target_id, place in self._places.items():
+            place.failed_part = parts.get(short_name(target_id), 0.0)
+
     def take_used(
         self, rows: Iterable[UsedParts], engines: Mapping[str, ServiceSettings]
     ) -> None:
@@ -427,7 +452,8 @@
         place = self._place(known.row.target_id)
         requests = place.all_requests
         far = 0.0 if known.row.data_centre == self._data_centre else FAR_REQUESTS
-        return (requests + far) / max(known.row.slots, 1), place.requests
+        fullness = (requests + far) / max(known.row.slots, 1)
+        return fullness + FAILED_FULLNESS * place.failed_part, place.requests
 
 
 def make_placement(
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -10,6 +10,7 @@
     PartialLoad,
     PlaceLoad,
     RouterLoad,
+    TargetOutcomes,
     UsedParts,
 )
 
@@ -55,11 +56,16 @@
         """Return what one router has under way."""
         return self._reported[router_id].load.places
 
-    def sums(self, used: tuple[UsedParts, ...] = ()) -> PartialLoad:
+    def sums(
+        self,
+        used: tuple[UsedParts, ...] = (),
+        outcomes: tuple[TargetOutcomes, ...] = (),
+    ) -> PartialLoad:
         """Return all of them added up.
 
         Args:
             used: What they have sent to engines, to be sent along.
+            outcomes: How targets have answered, to be sent along.
         """
         loads = [one.load for one in self._reported.values()]
         waits_seconds = [load.wait_seconds for load in loads]
@@ -70,6 +76,7 @@
             round(sum(waits_seconds) / max(len(loads), 1), 4),
             sum(load.begun_tokens for load in loads),
             used,
+            outcomes,
         )
 
 
@@ -105,6 +112,18 @@
     return tuple(places)
 
 
+def outcomes_added_up(rows: Iterable[TargetOutcomes]) -> tuple[TargetOutcomes, ...]:
+    """Return the outcomes of each target in one row."""
+    answered: Counter[int] = Counter()
+    failed: Counter[int] = Counter()
+    for row in rows:
+        answered[row.name] += row.answered
+        failed[row.name] += row.failed
+    return tuple(
+        TargetOutcomes(name, count, failed[name]) for name, count in answered.items()
+    )
+
+
 def _customers_added_up(
     tables: Iterable[tuple[CustomerRates, ...]],
 ) -> tuple[CustomerRates, ...]:
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -142,7 +142,10 @@
                 answer = await _pass_on(deps, http, run, lease, exchange)
     finally:
         deps.placement.released(lease, deps.now())
-    deps.placement.proved(lease.target_id)
+    if run.status < 500:
+        deps.placement.proved(lease.target_id)
+    else:
+        deps.placement.answered_badly(lease.target_id)
     return answer
 
 
@@ -224,6 +227,8 @@
     """Note what a failed sending shows of its target and of the call."""
     if error.fate in (Fate.NEVER_SENT, Fate.LOST, Fate.WRONG_TARGET):
         deps.placement.failed(lease.target_id, deps.now())
+    if error.fate in (Fate.LOST, Fate.BROKEN):
+        deps.placement.answered_badly(lease.target_id)
     if error.fate not in NOT_RUN_FATES:
         run.may_have_run = True
     if error.fate is Fate.NEVER_SENT:
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -108,6 +108,21 @@
     other_tokens: int
 
 
+class TargetOutcomes(Struct, frozen=True, array_like=True):
+    """How many requests one target has answered of late, and failed."""
+
+    name: int
+    answered: int
+    failed: int
+
+
+class FailingTarget(Struct, frozen=True, array_like=True):
+    """A target that fails this part of what it is sent."""
+
+    name: int
+    failed_part: float
+
+
 class CustomerRates(Struct, frozen=True, array_like=True):
     """What a customer asks and is served at some routers, in tokens a second.
 
@@ -131,7 +146,7 @@
 
     ``wait_seconds`` is how long a prompt waits at an engine, as the router sees it;
     ``begun_tokens`` what engines begin to answer, a second; ``used`` what it has sent
-    to engines since its last report.
+    to engines since its last report, ``outcomes`` how targets answered since then.
     """
 
     places: tuple[PlaceLoad, ...]
@@ -139,6 +154,7 @@
     wait_seconds: float = 0.0
     begun_tokens: float = 0.0
     used: tuple[UsedParts, ...] = ()
+    outcomes: tuple[TargetOutcomes, ...] = ()
 
 
 class RouterLoadEnds(Struct, frozen=True, array_like=True, tag=True):
@@ -161,6 +177,7 @@
     is_whole: bool = True
     known_routers: int = 0
     direct_routers: int = 0
+    failing: tuple[FailingTarget, ...] = ()
 
 
 class PartialLoad(Struct, frozen=True, array_like=True, tag=True):
@@ -176,6 +193,7 @@
     wait_seconds: float = 0.0
     begun_tokens: float = 0.0
     used: tuple[UsedParts, ...] = ()
+    outcomes: tuple[TargetOutcomes, ...] = ()
 
 
 # --- membership ----------------------------------------------------------------
--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -63,11 +63,13 @@
     first_event_seconds: float = 0.0
     read_tokens: int = 0
     again_tokens: int = 0
+    is_failed: bool = False
 
     @property
     def is_in_time(self) -> bool:
         """Return whether the first event came within the objective."""
-        return self.first_event_seconds <= self.arrival.objective_seconds
+        is_late = self.first_event_seconds > self.arrival.objective_seconds
+        return not is_late and not self.is_failed
 
 
 @dataclass(slots=True)
@@ -102,7 +104,10 @@
 
 @dataclass(slots=True)
 class VirtualEngines:
-    """Engines, routers and the replica that adds their loads up."""
+    """Engines, routers and the replica that adds their loads up.
+
+    ``failing`` engines fail at once this part of what they are sent.
+    """
 
     routers: list[Placement]
     engines: dict[str, _Engine]
@@ -110,6 +115,8 @@
     tell_seconds: float
     delay_seconds: float
     now_seconds: float = 0.0
+    failing: dict[str, float] = field(default_factory=dict)
+    random: Random = field(default_factory=lambda: Random(1))
     outcomes: list[Outcome] = field(default_factory=list)
     _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     _order: Iterator[int] = field(default_factory=count)
@@ -135,7 +142,11 @@
 
     def _tell(self) -> None:
         for number, router in enumerate(self.routers):
-            load = RouterLoad(router.loads(self.now_seconds), used=router.news())
+            load = RouterLoad(
+                router.loads(self.now_seconds),
+                used=router.news(),
+                outcomes=router.outcomes(),
+            )
             self._sums.received(f"r{number}", load, self.now_seconds)
         for answer in self._sums.tick(None, 0.0, self.now_seconds):
             assert isinstance(answer.message, FleetLoad)
@@ -146,6 +157,7 @@
     def _hear(self, router: Placement, fleet: FleetLoad) -> None:
         router.take_others(fleet.places)
         router.take_used(fleet.used, {SERVICE: self.settings})
+        router.take_failing(fleet.failing)
 
     def _arrive(self, arrival: Arrival) -> None:
         lease = self.routers[arrival.router].choose(
@@ -159,6 +171,11 @@
         assert lease is not None
         outcome = Outcome(arrival, lease.target_id)
         self.outcomes.append(outcome)
+        if self.random.random() < self.failing.get(lease.target_id, 0.0):
+            outcome.is_failed = True
+            self.routers[arrival.router].answered_badly(lease.target_id)
+            self.routers[arrival.router].released(lease, self.now_seconds)
+            return
         engine = self.engines[lease.target_id]
         engine.waiting.append((outcome, lease))
         self._begin(engine)
@@ -215,6 +232,7 @@
         )
 
     def _end(self, engine: _Engine, router: Placement, lease: Lease) -> None:
+        router.proved(lease.target_id)
         router.released(lease, self.now_seconds)
         engine.running -= 1
         self._begin(engine)
--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -18,6 +18,7 @@
 from sesameford.gateway.run import GatewayState, make_gateway_state
 from sesameford.gateway.share_account import Admission
 from sesameford.messages import (
+    FailingTarget,
     FleetLoad,
     Message,
     Outgoing,
@@ -25,6 +26,7 @@
     PlaceLoad,
     RouterLoad,
     RouterLoadEnds,
+    TargetOutcomes,
     UsedParts,
 )
 from sesameford.tree import effective_tree, parse_tree
@@ -113,6 +115,12 @@
     def news(self) -> tuple[UsedParts, ...]:
         return ()
 
+    def outcomes(self) -> tuple[TargetOutcomes, ...]:
+        return ()
+
+    def take_failing(self, rows: Iterable[FailingTarget]) -> None:
+        pass
+
     def take_others(self, loads: Iterable[PlaceLoad]) -> None:
         pass
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,7 @@
 from sesameford.effective import ServiceSettings
 from sesameford.gateway.calls import Prompt, PromptPart
 from sesameford.gateway.placement import LONGEST_REST_SECONDS, make_placement
-from sesameford.messages import BeatRow, PlaceLoad
+from sesameford.messages import BeatRow, FailingTarget, PlaceLoad
 from sesameford.tables import TargetState
 
 OBJECTIVE_SECONDS = 0.25
@@ -342,3 +342,19 @@
             "pool", prompt(number), ENGINE, 0.25, 0.01, 0.0125, now_seconds
         )
     assert 1 <= len(looked_at) <= 6
+
+
+def test_a_plain_target_that_fails_is_taken_once_sound_ones_are_full():
+    """One of three servers fails most of its requests at once, and so looks idle."""
+    placement, _ = make(3, service="desk", slots=6)
+    # A target is known here once something was sent there.
+    lease = placement.choose("desk", None, None, 0.2, frozenset({"e1", "e2"}), 0.0)
+    placement.released(lease, 0.0)
+    placement.take_failing((FailingTarget(short_name("e0"), 0.6),))
+    chosen = [
+        placement.choose("desk", None, None, 0.2, frozenset(), 0.0).target_id
+        for _ in range(40)
+    ]
+    assert "e0" not in chosen[:6]
+    assert chosen.count("e0") < 40 / 3
+    assert "e0" in chosen
--- a/tests/test_virtual_engines.py
+++ b/tests/test_virtual_engines.py
@@ -80,3 +80,33 @@
     assert [one.first_event_seconds for one in plays[0]] == [
         one.first_event_seconds for one in plays[1]
     ]
+
+
+@pytest.mark.parametrize(
+    ("failing_engines", "requests_per_second"),
+    [(8, 8.0), (24, 8.0), (8, 14.0), (24, 14.0)],
+)
+def test_work_goes_to_engines_that_don_t_fail(failing_engines, requests_per_second):
+    """Some of thirty engines fail nearly half of what they are sent, for seconds.
+
+    What fails is over at once, so they look idle, and their heartbeats are sound: they
+    got more work than the others. Each of seventy-five routers sees too few of the
+    failures to pass them over by itself.
+    """
+    fleet = Fleet("grey", 75, 30, requests_per_second)
+    engines = make_virtual_engines(75, 30, EngineFigures(slots=16), 0.08)
+    failing = [f"e{number}" for number in range(failing_engines)]
+    engines.failing = dict.fromkeys(failing, 0.45)
+    outcomes = engines.play(list(steady(fleet, Random(1))))
+    settled = [one for one in outcomes if one.arrival.at_seconds > 2.0]
+    failed_part = sum(one.is_failed for one in settled) / len(settled)
+    assert failed_part < 0.45 * failing_engines / 30
+
+
+def test_few_failing_engines_cost_their_callers_little():
+    """Eight of thirty engines fail nearly half; the others have places left."""
+    engines = make_virtual_engines(75, 30, EngineFigures(slots=16), 0.08)
+    engines.failing = dict.fromkeys([f"e{number}" for number in range(8)], 0.45)
+    outcomes = engines.play(list(steady(Fleet("grey", 75, 30, 8.0), Random(1))))
+    settled = [one for one in outcomes if one.arrival.at_seconds > 2.0]
+    assert sum(one.is_in_time for one in settled) / len(settled) > 0.9
