--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -31,6 +31,7 @@
 from sesameford.gateway.shares import make_share_table
 from sesameford.gateway.target_outcomes import make_target_outcome_table
 from sesameford.messages import (
+    FailingTarget,
     FleetLoad,
     Outgoing,
     PartialLoad,
@@ -95,6 +96,7 @@
 
     def __init__(self, live: LiveInstances) -> None:
         self.shares = make_share_table()
+        self.failing: tuple[FailingTarget, ...] = ()
         self._live = live
         self._loads = make_router_loads()
         self._partials: dict[str, _Partial] = {}
@@ -179,7 +181,7 @@
         self.shares.tick(loads, declared_tokens, wanted_wait_seconds, now_seconds)
         is_whole = self._is_whole(known_routers, live_routers, now_seconds)
         places = places_added_up(load.places for load in loads)
-        failing = self._outcomes.failing(now_seconds)
+        self.failing = self._outcomes.failing(now_seconds)
         sums = FleetLoad(
             places,
             routers,
@@ -188,7 +190,7 @@
             is_whole,
             known_routers,
             direct_routers,
-            failing,
+            self.failing,
         )
         return exchanged + self._answers(sums)
 
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -212,6 +212,8 @@
             self._log_served(now_seconds)
         if self._has_disk or self._was_alone:
             self._log_limited()
+        if self._has_disk and self._sums.has_routers and self._sums.failing:
+            self._log_failing()
 
     def _log_limited(self) -> None:
         """Log what shares are worked out from here, and for how many routers."""
@@ -233,6 +235,12 @@
             },
         )
 
+    def _log_failing(self) -> None:
+        """Log which targets fail part of what the whole fleet sends them."""
+        parts = self._placement.target_ids(self._sums.failing)
+        text = ",".join(f"{one}:{part:.2f}" for one, part in sorted(parts.items()))
+        logger.warning("targets fail in part", extra={"targets": text})
+
     def _log_served(self, now_seconds: float) -> None:
         """Log whom shares are taken from, how old they are, and what they did."""
         customers = self.gate.account.figures(self.gate.fractions)
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -319,6 +319,11 @@
         for target_id, place in self._places.items():
             place.failed_part = parts.get(short_name(target_id), 0.0)
 
+    def target_ids(self, rows: Iterable[FailingTarget]) -> dict[str, float]:
+        """Return which part the known ones of failing targets fail, by their ids."""
+        known = ((self._table.by_name(row.name), row.failed_part) for row in rows)
+        return {one.row.target_id: part for one, part in known if one is not None}
+
     def take_used(
         self, rows: Iterable[UsedParts], engines: Mapping[str, ServiceSettings]
     ) -> None:
--- a/tools/shares_report.py
+++ b/tools/shares_report.py
@@ -31,7 +31,7 @@
     share: float = 0.0
     room: float = 0.0
     begun: float = 0.0
-    told: list[float] = field(default_factory=list)
+    fractions: list[float] = field(default_factory=list)
 
     @property
     def refused(self) -> float:
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True)
 class Second:
-    """What all instances told in one second."""
+    """What all instances logged in one second."""
 
     customers: dict[str, CustomerSecond] = field(
         default_factory=lambda: defaultdict(CustomerSecond)
@@ -62,28 +62,28 @@
                 try:
                     yield decode(line[begin:], type=dict[str, str])
                 except DecodeError:
-                    # A line that was cut, or of another writer, tells of no shares.
+                    # A line that was cut, or of another writer, says nothing of shares.
                     continue
 
 
 def by_second(
     entries: Iterable[dict[str, str]], after_seconds: float
 ) -> dict[int, Second]:
-    """Return what was told, by second.
+    """Return what was logged, by second.
 
     Args:
         entries: Of all instances.
         after_seconds: When the first second begins, after the first start.
     """
-    told = [
+    logged = [
         (datetime.fromisoformat(entry["at"]).timestamp(), entry)
         for entry in entries
         if "at" in entry
     ]
-    begins = [at for at, entry in told if entry["message"] == "started"]
-    begin = min(begins or [at for at, _ in told], default=0.0)
+    begins = [at for at, entry in logged if entry["message"] == "started"]
+    begin = min(begins or [at for at, _ in logged], default=0.0)
     seconds: dict[int, Second] = defaultdict(Second)
-    for at, entry in told:
+    for at, entry in logged:
         second = seconds[floor(at - begin - after_seconds)]
         if entry["message"] == "shares served":
             _add_served(second, entry)
@@ -101,9 +101,9 @@
     age_seconds = float(entry["age_seconds"])
     second.oldest_seconds = max(second.oldest_seconds, age_seconds)
     for text in entry["customers"].split():
-        name, told, requests, *figures = text.split(":")
+        name, fraction, requests, *figures = text.split(":")
         customer = second.customers[name]
-        customer.told.append(float(told))
+        customer.fractions.append(float(fraction))
         customer.requests += int(requests)
         asked, is_open, share, room, begun = map(float, figures)
         customer.asked += asked
@@ -138,17 +138,17 @@
     for name, one in customers:
         if only is not None and name != only:
             continue
-        told = sorted(one.told)
+        fractions = sorted(one.fractions)
         print(
             f"        {name:12} {one.requests:5} requests, asked {one.asked:8.1f}, "
             f"open {one.open:7.1f}, share {one.share:7.1f}, room {one.room:7.1f}, "
-            f"begun {one.begun:7.1f}; told {told[0]:.2f} to {told[-1]:.2f} "
-            f"at {len(told)}"
+            f"begun {one.begun:7.1f}; fraction {fractions[0]:.2f} to "
+            f"{fractions[-1]:.2f} at {len(fractions)}"
         )
 
 
 def main() -> None:
-    """Print what the logs tell."""
+    """Print what the logs say."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("logs", nargs="+", type=Path)
     parser.add_argument("--customer", help="only this one")
