--- a/sesameford/gateway/engine_backlog.py
+++ b/sesameford/gateway/engine_backlog.py
@@ -25,6 +25,11 @@
 # A prompt whose first event is later than expected by this counts as not read at all:
 # the engine is slower than it looked, and what was sent after it is not read either.
 OVERDUE_EVENT_SECONDS = 0.15
+# One that is later than this is taken as lost with its answer. The engine is through
+# with it, or does nothing at all, and then it is passed over as silent. Counted until
+# their callers give up, lost answers of some seconds make engines look full that have
+# places left, and everybody's callers are turned away for it.
+LOST_SECONDS = 1.0
 
 
 @dataclass(slots=True)
@@ -119,7 +124,10 @@
         self._unread.pop(number, None)
 
     def _left(self, one: _Unread, now_seconds: float) -> int:
-        if now_seconds > one.due_at_seconds + OVERDUE_EVENT_SECONDS:
+        overdue_seconds = now_seconds - one.due_at_seconds
+        if overdue_seconds > LOST_SECONDS:
+            return 0
+        if overdue_seconds > OVERDUE_EVENT_SECONDS:
             return one.tokens
         reading_seconds = max(now_seconds - one.begins_at_seconds, 0.0)
         if not reading_seconds:
--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -86,7 +86,7 @@
         hold_seconds: How long a request stays in a batch.
         now_seconds: The present time.
     """
-    requests = place.all_requests
+    requests = place.all_requests(now_seconds)
     wait_seconds = place.backlog.wait_seconds(now_seconds)
     wait_seconds += RUNNING_SECONDS * requests
     if requests >= slots:
--- a/sesameford/gateway/place.py
+++ b/sesameford/gateway/place.py
@@ -2,7 +2,11 @@
 
 from dataclasses import dataclass, field
 
-from sesameford.gateway.engine_backlog import EngineBacklog, make_engine_backlog
+from sesameford.gateway.engine_backlog import (
+    LOST_SECONDS,
+    EngineBacklog,
+    make_engine_backlog,
+)
 from sesameford.gateway.engine_memory import EngineMemory, make_engine_memory
 
 # A request without an answer so long after it was expected shows a silent target, if
@@ -32,10 +36,17 @@
     failed: int = 0
     failed_part: float = 0.0
 
-    @property
-    def all_requests(self) -> int:
+    def running_requests(self, now_seconds: float) -> int:
+        """Return this router's requests without those whose answers are lost."""
+        lost = sum(
+            now_seconds > due_at_seconds + LOST_SECONDS
+            for _, due_at_seconds in self.unanswered.values()
+        )
+        return max(self.requests - lost, 0)
+
+    def all_requests(self, now_seconds: float) -> int:
         """Return the requests of all routers that are under way there."""
-        return self.requests + self.others_requests
+        return self.running_requests(now_seconds) + self.others_requests
 
     def is_silent(self, now_seconds: float) -> bool:
         """Return whether the oldest request without an answer is overdue.
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 from sesameford.discovery.beat_table import BeatTable, KnownTarget, short_name
@@ -114,7 +115,7 @@
         if not usable:
             return None
         if prompt is None or engine is None or not engine.batch_slots:
-            best = min(usable, key=self._plain_cost)
+            best = min(usable, key=partial(self._plain_cost, now_seconds))
             return self._plain_lease(best, now_seconds)
         option = self._best_option(
             prompt, usable, engine, objective_seconds, now_seconds
@@ -158,7 +159,7 @@
         )
         if option.again_tokens or option.copied_tokens:
             return False
-        if option.place.all_requests >= ROOM_SLOTS_PART * slots:
+        if option.place.all_requests(now_seconds) >= ROOM_SLOTS_PART * slots:
             return False
         wait_seconds = queue_seconds(
             option.place, slots, self._hold_seconds, now_seconds
@@ -288,7 +289,7 @@
         return tuple(
             PlaceLoad(
                 short_name(target_id),
-                place.requests,
+                place.running_requests(now_seconds),
                 place.backlog.unread_tokens(now_seconds),
             )
             for target_id, place in self._places.items()
@@ -443,7 +444,7 @@
             now_seconds,
             expected_seconds,
             backlog.rate_tokens,
-            place.all_requests >= slots,
+            place.all_requests(now_seconds) >= slots,
             option.copy_from,
         )
         place.requests += 1
@@ -453,9 +454,9 @@
         place.memory.sent(prompt, engine.cache_tokens)
         return lease
 
-    def _plain_cost(self, known: KnownTarget) -> tuple[float, int]:
+    def _plain_cost(self, now_seconds: float, known: KnownTarget) -> tuple[float, int]:
         place = self._place(known.row.target_id)
-        requests = place.all_requests
+        requests = place.all_requests(now_seconds)
         far = 0.0 if known.row.data_centre == self._data_centre else FAR_REQUESTS
         fullness = (requests + far) / max(known.row.slots, 1)
         return fullness + FAILED_FULLNESS * place.failed_part, place.requests
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,6 +7,7 @@
 from sesameford.discovery.beat_table import make_beat_table, short_name
 from sesameford.effective import ServiceSettings
 from sesameford.gateway.calls import Prompt, PromptPart
+from sesameford.gateway.engine_backlog import LOST_SECONDS
 from sesameford.gateway.placement import LONGEST_REST_SECONDS, make_placement
 from sesameford.messages import BeatRow, FailingTarget, PlaceLoad
 from sesameford.tables import TargetState
@@ -358,3 +359,23 @@
     assert "e0" not in chosen[:6]
     assert chosen.count("e0") < 40 / 3
     assert "e0" in chosen
+
+
+def test_answers_that_are_lost_don_t_make_engines_look_full():
+    """Engines run requests and their answers are lost on the way, for some seconds.
+
+    Their callers wait until they give up. Counted until then, these requests seem to
+    fill the engines: prompts seem to wait for seconds, and less and less is let in,
+    for everybody, while the engines have nothing to do.
+    """
+    placement, _ = make(4)
+    waits_seconds = []
+    for number in range(100):
+        now_seconds = number / 10
+        choose(placement, prompt(number, own=100), now=now_seconds)
+        waits_seconds.append(placement.mean_wait_seconds("pool", 32, now_seconds))
+    assert max(waits_seconds) < LOST_SECONDS
+    after_seconds = 10.0 + 3 * LOST_SECONDS
+    assert placement.mean_wait_seconds("pool", 32, after_seconds) == 0.0
+    for load in placement.loads(after_seconds):
+        assert (load.requests, load.unread_tokens) == (0, 0)
