--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -155,10 +155,10 @@
         Returns:
             What routers and other replicas are sent.
         """
-        direct_routers = len(self._loads.router_ids)
-        self._note_wake(MISSED_REPORTS * at_least_seconds(direct_routers), now_seconds)
+        self._note_wake(now_seconds)
         self._loads.forget_silent(now_seconds)
         self._forget_partials(now_seconds)
+        direct_routers = len(self._loads.router_ids)
         if not direct_routers:
             self._used.clear()
             self._used_here.clear()
@@ -250,11 +250,12 @@
             if now_seconds - one.at_seconds > PARTIAL_VALID_SECONDS:
                 del self._partials[sender_id]
 
-    def _note_wake(self, still_seconds: float, now_seconds: float) -> None:
-        """Begin anew after a start, or after this process stood still for so long."""
+    def _note_wake(self, now_seconds: float) -> None:
+        """Begin anew after a start, or after this process stood still for long."""
         since_seconds = now_seconds - self._last_tick_seconds
         self._last_tick_seconds = now_seconds
-        if since_seconds <= still_seconds:
+        usual_seconds = at_least_seconds(len(self._loads.router_ids))
+        if since_seconds <= MISSED_REPORTS * usual_seconds:
             return
         self._awake_since_seconds = now_seconds
         self._incomplete_since_seconds = None
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -9,6 +9,7 @@
 from sesameford.effective import ServiceSettings
 from sesameford.gateway.calls import Prompt
 from sesameford.gateway.engine_backlog import (
+    LOST_SECONDS,
     TELLING_TOKENS,
     ReadingRate,
     make_engine_backlog,
@@ -215,6 +216,11 @@
             took_seconds = min(max(took_seconds, 0.0), MOST_FIXED_SECONDS)
             self._fixed_seconds += FIXED_GAIN * (took_seconds - self._fixed_seconds)
 
+    def is_lost(self, lease: Lease, now_seconds: float) -> bool:
+        """Return whether a request's answer was due long ago and nothing came."""
+        waiting = self._place(lease.target_id).unanswered.get(lease.number)
+        return waiting is not None and now_seconds > waiting[1] + LOST_SECONDS
+
     def released(self, lease: Lease, now_seconds: float) -> None:
         """Give back a request's share of its target.
 
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -1,8 +1,9 @@
 """The loads of the routers that report to one replica."""
 
-from collections import Counter
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from itertools import chain
+from typing import TypeVar
 
 from sesameford.gateway.load_report import REPORT_VALID_SECONDS
 from sesameford.messages import (
@@ -14,6 +15,9 @@
     UsedParts,
 )
 
+# What sums are of: targets by their short names, customers by theirs.
+Name = TypeVar("Name", int, str)
+
 
 @dataclass(frozen=True, slots=True)
 class _Reported:
@@ -82,15 +86,8 @@
 
 def places_added_up(tables: Iterable[tuple[PlaceLoad, ...]]) -> tuple[PlaceLoad, ...]:
     """Return what is under way at each target in all tables together."""
-    requests: Counter[int] = Counter()
-    unread_tokens: Counter[int] = Counter()
-    for places in tables:
-        for place in places:
-            requests[place.name] += place.requests
-            unread_tokens[place.name] += place.unread_tokens
-    return tuple(
-        PlaceLoad(name, count, unread_tokens[name]) for name, count in requests.items()
-    )
+    rows = ((one.name, one.requests, one.unread_tokens) for one in chain(*tables))
+    return tuple(PlaceLoad(name, *sums) for name, sums in _added_up(rows))
 
 
 def places_without(
@@ -114,29 +111,28 @@
 
 def outcomes_added_up(rows: Iterable[TargetOutcomes]) -> tuple[TargetOutcomes, ...]:
     """Return the outcomes of each target in one row."""
-    answered: Counter[int] = Counter()
-    failed: Counter[int] = Counter()
-    for row in rows:
-        answered[row.name] += row.answered
-        failed[row.name] += row.failed
-    return tuple(
-        TargetOutcomes(name, count, failed[name]) for name, count in answered.items()
-    )
+    counts = ((one.name, one.answered, one.failed) for one in rows)
+    return tuple(TargetOutcomes(name, *sums) for name, sums in _added_up(counts))
 
 
 def _customers_added_up(
     tables: Iterable[tuple[CustomerRates, ...]],
 ) -> tuple[CustomerRates, ...]:
-    asked: Counter[str] = Counter()
-    begun: Counter[str] = Counter()
-    for customers in tables:
-        for row in customers:
-            asked[row.customer] += row.asked_tokens
-            begun[row.customer] += row.begun_tokens
-    return tuple(
-        CustomerRates(customer, tokens, begun[customer])
-        for customer, tokens in asked.items()
+    rows = (
+        (one.customer, one.asked_tokens, one.begun_tokens) for one in chain(*tables)
     )
+    return tuple(CustomerRates(customer, *sums) for customer, sums in _added_up(rows))
+
+
+def _added_up(
+    rows: Iterable[tuple[Name, int, int]],
+) -> Iterable[tuple[Name, tuple[int, int]]]:
+    """Return the two sums of each name, in the order of the first rows."""
+    sums: dict[Name, tuple[int, int]] = {}
+    for name, first, second in rows:
+        before = sums.get(name, (0, 0))
+        sums[name] = (before[0] + first, before[1] + second)
+    return sums.items()
 
 
 def make_router_loads() -> RouterLoads:
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -133,6 +133,7 @@
         lease.target_id, run.customer, left_seconds, resume_after, lease.copy_from
     )
 
+    is_failed = False
     try:
         async with deps.sender.exchange(
             run.call, run.body, lease.address, sending, run.until_seconds
@@ -140,12 +141,17 @@
             deps.placement.heard(lease, deps.now())
             async with body_until(run.until_seconds):
                 answer = await _pass_on(deps, http, run, lease, exchange)
+        is_failed = run.status >= 500
+    except SendingError as error:
+        is_failed = error.fate in (Fate.LOST, Fate.BROKEN)
+        raise
     finally:
+        # The caller may have given up on an answer that was lost.
+        if is_failed or deps.placement.is_lost(lease, deps.now()):
+            _note_failed(deps, run, lease)
         deps.placement.released(lease, deps.now())
-    if run.status < 500:
+    if not is_failed:
         deps.placement.proved(lease.target_id)
-    else:
-        _answered_badly(deps, run, lease)
     return answer
 
 
@@ -227,8 +233,6 @@
     """Note what a failed sending shows of its target and of the call."""
     if error.fate in (Fate.NEVER_SENT, Fate.LOST, Fate.WRONG_TARGET):
         deps.placement.failed(lease.target_id, deps.now())
-    if error.fate in (Fate.LOST, Fate.BROKEN):
-        _answered_badly(deps, run, lease)
     if error.fate not in NOT_RUN_FATES:
         run.may_have_run = True
     if error.fate is Fate.NEVER_SENT:
@@ -239,7 +243,7 @@
         run.passed.drop_partial()
 
 
-def _answered_badly(deps: GatewayDeps, run: Run, lease: Lease) -> None:
+def _note_failed(deps: GatewayDeps, run: Run, lease: Lease) -> None:
     """Note a request that its target took and failed."""
     deps.placement.answered_badly(lease.target_id)
     if run.call.prompt is not None and run.first_event_seconds is None:
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -16,8 +16,8 @@
 from sesameford.messages import PartialLoad, ShareRow
 
 # The capacity is what engines have handled of late, a second: what they have begun to
-# answer, and what they have failed, which takes no time from them. Were that left out,
-# engines that fail half would be sent less and less while they stand idle. It is
+# answer, and what they have failed or whose answers were lost. Were the latter left
+# out, engines that fail half would be sent less and less while they stand idle. It is
 # lowered by this part of itself for each second that prompts wait longer than they may,
 # and raised in the same way, so that a backlog is worked off in about half a second.
 PART_A_SECOND = 2.0
--- a/sesameford/log_proposer.py
+++ b/sesameford/log_proposer.py
@@ -1,5 +1,6 @@
 """An instance's own proposals that have no answer yet, and where to send them."""
 
+import logging
 from asyncio import Future
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -7,6 +8,8 @@
 from sesameford.errors import NoQuorumError
 from sesameford.log_messages import Command
 
+logger = logging.getLogger(__name__)
+
 RESEND_SECONDS = 0.5
 # An election and a resend fit in; a caller should not wait longer for a refusal.
 ANSWER_SECONDS = 5.0
@@ -77,6 +80,13 @@
         pending = self._pending.pop(proposal_id, None)
         if pending is not None and not pending.future.done():
             pending.future.set_exception(error)
+            # Whoever proposed it may have left, and the loop would complain then. Those
+            # that still wait get the error all the same.
+            pending.future.exception()
+            logger.info(
+                "a proposal has failed",
+                extra={"proposal": proposal_id, "reason": str(error)},
+            )
 
     def fail_all(self, error: Exception) -> None:
         """End all proposals with an error."""
--- a/tests/test_fleet_sums.py
+++ b/tests/test_fleet_sums.py
@@ -105,6 +105,19 @@
     assert report.is_alone(1.0 + 1.1 * REPORT_VALID_SECONDS)
 
 
+def test_a_replica_that_wakes_alone_sends_nobody_anything():
+    """A replica stands still until all that it knew of its routers is too old.
+
+    It wakes before anybody is heard again. There is nothing to add up, and a system
+    that fails there leaves a line that looks like a fault of the instance.
+    """
+    sums = sums_of()
+    sums.received("r1", RouterLoad(()), 1.0)
+    assert set(sent(sums, 1.0)) == {"r1"}
+    outgoing = sums.tick(100_000.0, WANTED_WAIT_SECONDS, 2.0 + REPORT_VALID_SECONDS)
+    assert outgoing == []
+
+
 def test_one_that_all_routers_report_to_sends_other_replicas_nothing():
     sums = sums_of(OTHERS, routers=1)
     sums.received("r1", RouterLoad(()), 1.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -302,6 +302,29 @@
     assert customers == [tree.customer_ids_by_digest[digest_of_key(KEY)], flood]
 
 
+@pytest.mark.parametrize(
+    ("fault", "path", "failed"),
+    [
+        (Fault.NONE, "/unsafe/", 0),
+        (Fault.ERROR, "/unsafe/", 1),
+        (Fault.CLOSE, "/unsafe/", 1),
+        (Fault.MUTE, "/unsafe/", 1),
+        (Fault.SHED, "/unsafe/", 0),
+    ],
+)
+async def test_what_a_server_fails_is_counted_once(fault, path, failed):
+    """A server runs calls and fails them, or its answers are lost on the way.
+
+    Counted by no router it looks idle, and gets more calls than the others. One that
+    says that it did not run a call is only full.
+    """
+    async with open_desk(fault) as desk:
+        await desk.ask(path)
+        outcomes = desk.deps.placement.outcomes()
+    assert sum(one.failed for one in outcomes) == failed
+    assert sum(one.answered for one in outcomes) == (fault is Fault.NONE)
+
+
 async def ask_on_a_new_connection(desk, path):
     """Ask as a caller that opens a connection for each try and leaves it open."""
     host, port = desk.address.split(":")
