--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -158,20 +158,32 @@
         self._note_wake(now_seconds)
         self._loads.forget_silent(now_seconds)
         self._forget_partials(now_seconds)
-        direct_routers = len(self._loads.router_ids)
-        if not direct_routers:
+        if not self.has_routers:
             self._used.clear()
-            self._used_here.clear()
-            self._outcomes_here.clear()
+            self._forget_news_here()
             self._incomplete_since_seconds = None
             return []
         live_routers = self._live.routers(now_seconds, HEARD_SECONDS)
         exchanged = self._exchange(live_routers, now_seconds)
         if not self._is_due(now_seconds):
             return exchanged
+        direct_routers = len(self._loads.router_ids)
         self._is_changed = False
         self._next_seconds = now_seconds + report_seconds(direct_routers)
         self._at_latest_seconds = now_seconds + at_least_seconds(direct_routers)
+        sums = self._sums(
+            declared_tokens, wanted_wait_seconds, live_routers, now_seconds
+        )
+        return exchanged + self._answers(sums)
+
+    def _sums(
+        self,
+        declared_tokens: float | None,
+        wanted_wait_seconds: float,
+        live_routers: int,
+        now_seconds: float,
+    ) -> FleetLoad:
+        """Return the sums of all routers that are known, and what follows from them."""
         loads = [self._loads.sums(), *(one.load for one in self._partials.values())]
         known_routers = sum(load.routers for load in loads)
         routers = max(known_routers, live_routers)
@@ -179,20 +191,16 @@
             # Routers in no sum ask too; their part of the capacity is left to them.
             declared_tokens *= known_routers / routers
         self.shares.tick(loads, declared_tokens, wanted_wait_seconds, now_seconds)
-        is_whole = self._is_whole(known_routers, live_routers, now_seconds)
-        places = places_added_up(load.places for load in loads)
         self.failing = self._outcomes.failing(now_seconds)
-        sums = FleetLoad(
-            places,
+        return FleetLoad(
+            places_added_up(load.places for load in loads),
             routers,
             self.shares.rows(),
-            (),
-            is_whole,
-            known_routers,
-            direct_routers,
-            self.failing,
+            is_whole=self._is_whole(known_routers, live_routers, now_seconds),
+            known_routers=known_routers,
+            direct_routers=len(self._loads.router_ids),
+            failing=self.failing,
         )
-        return exchanged + self._answers(sums)
 
     def _is_due(self, now_seconds: float) -> bool:
         if now_seconds >= self._at_latest_seconds:
@@ -235,16 +243,20 @@
         adding = [one for one in others if one in self._partials]
         outgoing = []
         if adding:
-            used, self._used_here = self._used_here[-MOST_USED_ROWS:], []
-            outcomes = outcomes_added_up(self._outcomes_here)
-            self._outcomes_here = []
-            load = self._loads.sums(tuple(used), outcomes)
+            used = tuple(self._used_here[-MOST_USED_ROWS:])
+            load = self._loads.sums(used, outcomes_added_up(self._outcomes_here))
             outgoing = [Outgoing(one, load, urgent=True) for one in adding]
         if not hears_all:
             silent = [one for one in others if one not in self._partials]
             outgoing += [Outgoing(one, PartialLoad(), urgent=True) for one in silent]
+        self._forget_news_here()
         return outgoing
 
+    def _forget_news_here(self) -> None:
+        """Drop what routers have reported here since the last exchange."""
+        self._used_here.clear()
+        self._outcomes_here.clear()
+
     def _forget_partials(self, now_seconds: float) -> None:
         for sender_id, one in list(self._partials.items()):
             if now_seconds - one.at_seconds > PARTIAL_VALID_SECONDS:
