--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -294,3 +294,28 @@
     assert 0.67 < got["wide"] / got["narrow"] < 1.5
     # And what there is room for is used.
     assert min(got.values()) > 6 * level
+
+
+def test_a_customer_that_is_turned_away_at_a_flooded_router_gets_its_share():
+    """All callers of one customer come to one router, whose loop is late half the time.
+
+    What it turns away then earns no credit. Counted as asked, it made the fraction
+    smaller as well, and the customer got a third of what its rivals got.
+    """
+    gates = {"flood": make_share_gate(Random(1)), "rival": make_share_gate(Random(2))}
+    table = make_share_table()
+    got = dict.fromkeys(gates, 0)
+    for step in range(200):
+        now_seconds = step * TICK_SECONDS
+        for name, gate in gates.items():
+            for number in range(20):
+                if name == "flood" and number % 3:
+                    gate.rejected(name, 1_000)
+                elif gate.admits(name, "r", 1_000):
+                    got[name] += 1
+        rows = sum((gate.rows(now_seconds) for gate in gates.values()), ())
+        load = PartialLoad(2, (), rows, 0.0, DECLARED_TOKENS)
+        table.tick((load,), DECLARED_TOKENS, WANTED_WAIT_SECONDS, now_seconds)
+        for gate in gates.values():
+            gate.take(table.rows())
+    assert got["flood"] > 0.8 * got["rival"]
