--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -18,14 +18,11 @@
 SHARE_RETRY_PART = 0.25
 # An engine that would begin to read within this part of the shortest objective has
 # room: whoever asks is served there, as the rest of the objective is left to others.
-# A quarter more requests were served in time with it on two days of floods. A fifth of
-# the objective, at any engine, brought no more and made those late who ask for little.
+# More than that would make those late who ask for little.
 ROOM_PART = 0.04
 # Nor is there room while prompts wait longer than this part of it on average over all
 # engines. One engine without work says little: routers see it late, and what is read
-# there sends other prompts to engines that have work. With such a bound 636 in place of
-# 1,063 requests a day were late, and 5,257 in place of 5,744 in time, the fewer ones of
-# those who asked too much: mean worth 0.683 to 0.703 over four days of floods.
+# there sends other prompts to engines that have work.
 ROOM_WAIT_PART = 0.05
 # An instance that is late stays so for as long as its callers flood it; those who come
 # back sooner cost it the time in which it could serve others.
--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -24,9 +24,7 @@
 RUNNING_SECONDS = 0.0002
 # A shared part that is read once more holds up all that comes after it at that engine
 # and pushes other parts out of its memory, as a copied one does, so the time to read it
-# counts this often again beside the wait of the request itself. Counted so, copies too,
-# 5% more requests were served in time on two days of floods, and two fifths less was
-# read again, than with copies for nothing.
+# counts this often again beside the wait of the request itself.
 READ_AGAIN_FACTOR = 3.0
 # Beyond this part of its objective, a wait counts more: the rest is for what the
 # estimate can't see.
@@ -42,9 +40,8 @@
 # just now. Reading it elsewhere counts as if so much of it were read there too.
 MAYBE_READ_PART = 0.25
 # Engines that are looked at for a prompt: the first of its parts' order, those that
-# keep most of it, and some by lot. With 75 routers that hear of each other 0.15 s late,
-# 0.93 of first events come in time and 0.87 where all engines are looked at (engines in
-# virtual time, steady load of 18 requests a second for each).
+# keep most of it, and some by lot. Routers that hear of each other late and look at all
+# engines would all choose the same one.
 NEAR_ENGINES = 1
 KEEPING_ENGINES = 2
 LOT_ENGINES = 2
--- a/sesameford/gateway/engine_memory.py
+++ b/sesameford/gateway/engine_memory.py
@@ -2,10 +2,9 @@
 
 An engine keeps parts in limited memory, least recently used first to go, and says so
 late or not at all. Routers tell each other which parts they send where and how many
-other tokens, and each plays the engine's memory after. Next to taking each part as kept
-for a minute at its home, this halves what is read again (1,557 to 778 thousand tokens
-on a day of floods) and brings the median error of an expected first event from 0.06 to
--0.012 s; 6 in 100 more requests are served in time.
+other tokens, and each plays the engine's memory after. Were each part taken as kept at
+its home for some fixed time, much would be read again where it is believed to be kept,
+and first events would come later than expected.
 """
 
 from collections import OrderedDict
