--- a/tests/test_fleet_sums.py
+++ b/tests/test_fleet_sums.py
@@ -178,6 +178,34 @@
     assert sent(sums, later)["r1"].places == ()
 
 
+def test_sums_go_no_more_to_a_replica_that_fell_silent():
+    """It is only told that sums are exchanged, and gets them when it says so too."""
+    sums = sums_of(OTHERS, routers=2)
+    sums.received_partial("b", PartialLoad(), 1.0)
+    later = 1.1 + PARTIAL_VALID_SECONDS
+    sums.received("r1", RouterLoad((PlaceLoad(1, 2, 30),)), later)
+    assert sent(sums, later)["b"] == PartialLoad()
+    sums.received_partial("b", PartialLoad(), later + 0.1)
+    assert sent(sums, later + 0.3)["b"] == PartialLoad(1, (PlaceLoad(1, 2, 30),))
+
+
+def test_what_is_not_exchanged_is_not_kept():
+    """All routers report to one replica for days.
+
+    Kept for others who never ask for it, what they sent to engines would fill its
+    memory until the process is ended.
+    """
+    sums = sums_of(OTHERS, routers=1)
+    used = (UsedParts(7, (), 50),)
+    for step in range(100):
+        now_seconds = 1.0 + step / 10
+        sums.received("r1", RouterLoad((), used=used), now_seconds)
+        sent(sums, now_seconds)
+    sums.received_partial("b", PartialLoad(), 11.0)
+    sums.received("r1", RouterLoad((), used=used), 11.0)
+    assert sent(sums, 11.0)["b"].used == used
+
+
 def test_sums_that_lack_routers_are_whole_only_when_no_more_can_come():
     """Some routers hear this replica and report to one that is cut from it.
 
