--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -122,6 +122,7 @@
     """
     left_seconds = run.until_seconds - deps.loop_time()
     if left_seconds < LEAST_LEFT_SECONDS:
+        deps.placement.released(lease, deps.now())
         raise SendingError(Fate.TIMEOUT, "no time is left")
     run.sendings += 1
     run.lease = lease
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -325,6 +325,19 @@
     assert sum(one.answered for one in outcomes) == (fault is Fault.NONE)
 
 
+async def test_a_call_without_time_left_takes_no_place_at_its_server():
+    """A caller's patience ends while its call waits to be sent.
+
+    Its server was chosen, and the place counted there for ever: after some days of
+    such calls the server would look full, and its silence would not be noticed.
+    """
+    async with open_desk(Fault.NONE) as desk:
+        status, _, _ = await desk.ask("/unsafe/", **{"X-Sesameford-Deadline-Ms": "5"})
+        assert status == 504
+        assert desk.runs == 0
+        assert desk.deps.placement.loads(monotonic()) == ()
+
+
 async def ask_on_a_new_connection(desk, path):
     """Ask as a caller that opens a connection for each try and leaves it open."""
     host, port = desk.address.split(":")
