--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -51,11 +51,12 @@
     if route is None:
         raise Refusal(404, "no-route")
     customer = _customer_of(state.tree, route, call)
-    if deps.lag.is_too_late(arrived_at_seconds):
-        raise _overloaded(deps, route, customer, call.prompt, arrived_at_seconds)
     service = choose_service(route, deps.random.random())
-    if service in state.engine_services and call.prompt is not None:
-        _check_share(deps, state, route, customer or "", call.prompt, service)
+    prompt = call.prompt if service in state.engine_services else None
+    if deps.lag.is_too_late(arrived_at_seconds):
+        _check_late(deps, route, customer or "", prompt, arrived_at_seconds)
+    elif prompt is not None:
+        _check_share(deps, state, route, customer or "", prompt, service)
     body = await _body(http, state.tree.fleet.body_limit_bytes)
     patience_seconds = route.timeout_seconds
     if call.patience_seconds is not None:
@@ -72,29 +73,39 @@
     )
 
 
-def _overloaded(
+def _check_late(
     deps: GatewayDeps,
     route: HttpRouteSettings,
-    customer: str | None,
+    customer: str,
     prompt: Prompt | None,
     now_seconds: float,
-) -> Refusal:
-    """Return the rejection of a call that has waited unread for too long.
+) -> None:
+    """Reject most calls while the loop is late, after what they have waited unread.
 
     Mostly one customer whose callers all come to this instance keeps it busy. Then the
     others are asked back at once: each try goes to another instance, and those have
-    room. Only the customer itself, which is limited, is asked to stay away.
+    room. The customer itself, which is limited, is served its share here all the same.
+    Turned away with the rest it would get nothing for as long as its flood lasts, and
+    rivals that come by several instances all of theirs.
+
+    Raises:
+        Refusal: It is not to run.
     """
     is_limited = customer in deps.gate.fractions
-    if is_limited and customer is not None and prompt is not None:
+    is_far_behind = deps.lag.is_far_behind(now_seconds)
+    if prompt is not None and not is_limited:
         deps.gate.rejected(customer, prompt.cost_tokens)
+    elif prompt is not None and not is_far_behind:
+        is_served = deps.gate.admits(customer, route.route_id, prompt.cost_tokens)
+        if is_served:
+            return
     is_flood_of_others = deps.gate.fractions and not is_limited
-    return Refusal(
+    raise Refusal(
         503,
         "overloaded",
         ELSEWHERE_RETRY_SECONDS if is_flood_of_others else OVERLOADED_RETRY_SECONDS,
         route.route_id,
-        customer or "",
+        customer,
         f"loop late by {deps.lag.lateness_seconds(now_seconds):.3f} s",
     )
 
--- a/sesameford/gateway/loop_lag.py
+++ b/sesameford/gateway/loop_lag.py
@@ -6,6 +6,8 @@
 # another turn of the loop; so a turn that is late by this makes it wait four times as
 # long, which is more than half of the shortest usual objectives.
 MOST_LAG_SECONDS = 0.05
+# By then a new caller has waited for a second, and many have left.
+FAR_BEHIND_SECONDS = 0.25
 # What is left of a turn's lateness at the next one: a loop that was late and has caught
 # up is trusted again after two or three turns.
 KEPT_PART = 0.5
@@ -33,6 +35,10 @@
         """
         return self.lateness_seconds(now_seconds) > MOST_LAG_SECONDS
 
+    def is_far_behind(self, now_seconds: float) -> bool:
+        """Return whether even the few calls that must be served here are hopeless."""
+        return self.lateness_seconds(now_seconds) > FAR_BEHIND_SECONDS
+
     def lateness_seconds(self, now_seconds: float) -> float:
         """Return by how much the loop is late, or was of late."""
         return max(now_seconds - self.due_at_seconds, self.late_seconds)
--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -108,11 +108,12 @@
         return admission is not Admission.REFUSED
 
     def rejected(self, customer: str, tokens: int) -> None:
-        """Log a request that is turned away for another reason than its share.
+        """Count a request of a customer without a limit that is turned away.
 
-        It counts in no rate. The fraction that a customer gets is of the requests which
-        earn it; counted beside them, these would leave it with less than its share.
+        It is asked for all the same: counted as nothing, a flood that is turned away
+        would never be limited, and never get a share.
         """
+        self._rates.setdefault(customer, _Rates()).asked.add(tokens)
         self.account.asked(customer, tokens, Admission.REFUSED)
 
     def began(self, customer: str, tokens: int) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -302,6 +302,32 @@
     assert customers == [tree.customer_ids_by_digest[digest_of_key(KEY)], flood]
 
 
+@pytest.mark.parametrize(("late_seconds", "served"), [(0.1, 10), (0.5, 0)])
+async def test_a_flooded_router_serves_the_flood_s_own_share(late_seconds, served):
+    """All callers of one customer come to one instance, whose loop they keep late.
+
+    Its rivals' callers come by seventy instances. Turned away whole for as long as the
+    flood lasted, the customer got less than half of what each of its rivals got.
+    """
+    tree = effective_tree(
+        parse_tree(FLOODED_TREE.replace("pool: {}", "pool: {batch_slots: 8}"), "t"), 1
+    )
+    async with open_desk(Fault.NONE, tree=tree) as desk:
+        flood = tree.customer_ids_by_digest[digest_of_key(FLOOD_KEY)]
+        desk.deps.gate.take((ShareRow(flood, 0.25),))
+        desk.deps.lag.ran(0.0, monotonic() - late_seconds)
+        desk.deps.lag.ran(60.0, monotonic())
+        prompt = {
+            "X-Sesameford-Model": "m",
+            "X-Sesameford-Token-Usage": "1460,80",
+            "Authorization": f"Bearer {FLOOD_KEY}",
+        }
+        answers = [await desk.ask("/stream/", **prompt) for _ in range(40)]
+    statuses = [status for status, _, _ in answers]
+    assert abs(statuses.count(200) - served) <= 1
+    assert statuses.count(503) == 40 - statuses.count(200)
+
+
 @pytest.mark.parametrize(
     ("fault", "path", "failed"),
     [
