--- a/sesameford/gateway/loop_lag.py
+++ b/sesameford/gateway/loop_lag.py
@@ -8,7 +8,7 @@
 MOST_LAG_SECONDS = 0.05
 # With more than this a loop falls behind further if it serves anybody: callers leave
 # unread, and what is sent on for them afterwards is work for nobody.
-FAR_BEHIND_SECONDS = 0.1
+FAR_BEHIND_SECONDS = 0.08
 # What is left of a turn's lateness at the next one: a loop that was late and has caught
 # up is trusted again after two or three turns.
 KEPT_PART = 0.5
