--- a/sesameford/discovery/beat_table.py
+++ b/sesameford/discovery/beat_table.py
@@ -140,7 +140,7 @@
             return False
         known.heard_at_seconds = now_seconds
         if replace(row, sequence=known.row.sequence) == known.row:
-            # The number is not told on, and does not count for the digest.
+            # The number is not passed on, and does not count for the digest.
             known.row = row
             return False
         self._put(row, now_seconds)
--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -3,7 +3,7 @@
 An engine admits requests in order of arrival while it has places, reads their prompts
 one after another, remembers the parts that it read in limited memory, least recently
 used first to go, and gives a place back when the answer has ended. Routers run the
-product's own placement and are told each other's loads late, as on the real links.
+product's own placement and hear of each other's loads late, as on the real links.
 """
 
 from collections import OrderedDict, deque
@@ -128,10 +128,10 @@
         last_seconds = max(arrival.at_seconds for arrival in arrivals)
         for arrival in arrivals:
             self._at(arrival.at_seconds, partial(self._arrive, arrival))
-        told_at_seconds = self.tell_seconds
-        while told_at_seconds < last_seconds + 1.0:
-            self._at(told_at_seconds, self._tell)
-            told_at_seconds += self.tell_seconds
+        report_at_seconds = self.tell_seconds
+        while report_at_seconds < last_seconds + 1.0:
+            self._at(report_at_seconds, self._tell)
+            report_at_seconds += self.tell_seconds
         while self._events:
             self.now_seconds, _, act = heappop(self._events)
             act()
@@ -252,8 +252,8 @@
         routers: How many routers.
         engines: How many engines.
         figures: What each engine can do.
-        tell_seconds: How often loads are told.
-        delay_seconds: How long a told load is on its way.
+        tell_seconds: How often loads are reported.
+        delay_seconds: How long a report is on its way.
         seed: For what placement draws by lot.
     """
     table = make_beat_table()
--- a/tests/test_fleet_sums.py
+++ b/tests/test_fleet_sums.py
@@ -179,7 +179,7 @@
 
 
 def test_sums_go_no_more_to_a_replica_that_fell_silent():
-    """It is only told that sums are exchanged, and gets them when it says so too."""
+    """It only hears that sums are exchanged, and gets them when it says so too."""
     sums = sums_of(OTHERS, routers=2)
     sums.received_partial("b", PartialLoad(), 1.0)
     later = 1.1 + PARTIAL_VALID_SECONDS
