--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -96,8 +96,8 @@
     if prompt is not None and not is_limited:
         deps.gate.rejected(customer, prompt.cost_tokens)
     elif prompt is not None and not is_far_behind:
-        is_served = deps.gate.admits(customer, route.route_id, prompt.cost_tokens)
-        if is_served:
+        has_earned = deps.gate.admits(customer, route.route_id, prompt.cost_tokens)
+        if has_earned:
             return
     is_flood_of_others = deps.gate.fractions and not is_limited
     raise Refusal(
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -76,7 +76,7 @@
         return PartialLoad(
             len(loads),
             places_added_up(load.places for load in loads),
-            _customers_added_up(load.customers for load in loads),
+            customers_added_up(load.customers for load in loads),
             round(sum(waits_seconds) / max(len(loads), 1), 4),
             sum(load.handled_tokens for load in loads),
             used,
@@ -115,9 +115,10 @@
     return tuple(TargetOutcomes(name, *sums) for name, sums in _added_up(counts))
 
 
-def _customers_added_up(
+def customers_added_up(
     tables: Iterable[tuple[CustomerRates, ...]],
 ) -> tuple[CustomerRates, ...]:
+    """Return what each customer asks and is served in all tables together."""
     rows = (
         (one.customer, one.asked_tokens, one.begun_tokens) for one in chain(*tables)
     )
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -8,10 +8,10 @@
 gets, and reject the rest at once.
 """
 
-from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from sesameford.gateway.router_loads import customers_added_up
 from sesameford.gateway.service_balance import ServiceBalance, make_service_balance
 from sesameford.messages import PartialLoad, ShareRow
 
@@ -66,7 +66,9 @@
             now_seconds: The present time.
         """
         self.routers = sum(load.routers for load in loads)
-        self.asked_tokens, begun_tokens = _sums(loads)
+        rows = customers_added_up(load.customers for load in loads)
+        self.asked_tokens = {row.customer: row.asked_tokens for row in rows}
+        begun_tokens = {row.customer: row.begun_tokens for row in rows}
         self.capacity_tokens = self._capacity(
             loads, declared_tokens or FIRST_CAPACITY_TOKENS, wanted_wait_seconds
         )
@@ -110,17 +112,6 @@
         return max(capacity, declared_tokens)
 
 
-def _sums(loads: Iterable[PartialLoad]) -> tuple[Counter[str], Counter[str]]:
-    """Return by customer what is asked and what is begun."""
-    asked: Counter[str] = Counter()
-    begun: Counter[str] = Counter()
-    for load in loads:
-        for row in load.customers:
-            asked[row.customer] += row.asked_tokens
-            begun[row.customer] += row.begun_tokens
-    return asked, begun
-
-
 def fair_amounts(
     asked: Mapping[str, float],
     capacity: float,
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -239,9 +239,7 @@
 
 @pytest.mark.parametrize("dropped_each_seconds", [60.0, 2.0, 0.5])
 @pytest.mark.parametrize("fraction", [0.05, 0.2, 0.4, 0.49, 0.5, 0.6])
-def test_the_part_that_is_told_is_let_in_at_many_routers(
-    fraction, dropped_each_seconds
-):
+def test_the_fraction_sent_is_let_in_at_many_routers(fraction, dropped_each_seconds):
     """A customer's ninety requests a second are spread over seventy routers.
 
     Each sees about one a second, of three routes, and the customer is limited, then
