Log how late a router's loop was and what it refused for that

A flooded router refuses thousands of requests in a second, of which 400 lines are written, and the lateness of its loop stood in these alone. So the record of the incident could not tell whether the loop was late in each second or in some, nor how many requests that cost. The line of a second now has both, also while nobody is limited. Nothing else changes.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -99,6 +99,7 @@
         has_earned = deps.gate.admits(customer, route.route_id, prompt.cost_tokens)
         if has_earned:
             return
+    deps.gate.account.refused_late()
     is_flood_of_others = deps.gate.fractions and not is_limited
     raise Refusal(
         503,
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -242,9 +242,15 @@
         logger.warning("targets fail in part", extra={"targets": text})
 
     def _log_served(self, now_seconds: float) -> None:
-        """Log whom shares are taken from, how old they are, and what they did."""
+        """Log whom shares are taken from, how old they are, and what they did.
+
+        The refusals of a flooded router are too many for a line each; their number and
+        the longest lateness of the loop stand here.
+        """
         customers = self.gate.account.figures(self.gate.fractions)
-        if not self.gate.fractions:
+        late_requests = self.gate.account.take_late_requests()
+        late_seconds = self.lag.take_longest_seconds()
+        if not self.gate.fractions and not late_requests:
             return
         logger.info(
             "shares served",
@@ -253,6 +259,8 @@
                 "age_seconds": round(self.report.age_seconds(now_seconds), 3),
                 "routers": self.report.routers,
                 "customers": customers,
+                "late_seconds": round(late_seconds, 3),
+                "late_requests": late_requests,
             },
         )
 
--- a/sesameford/gateway/loop_lag.py
+++ b/sesameford/gateway/loop_lag.py
@@ -20,11 +20,13 @@
 
     due_at_seconds: float = float("inf")
     late_seconds: float = 0.0
+    _longest_seconds: float = 0.0
 
     def ran(self, every_seconds: float, now_seconds: float) -> None:
         """Note that the system runs now, and again after so long."""
         late_seconds = max(now_seconds - self.due_at_seconds, 0.0)
         self.late_seconds = max(late_seconds, KEPT_PART * self.late_seconds)
+        self._longest_seconds = max(late_seconds, self._longest_seconds)
         self.due_at_seconds = now_seconds + every_seconds
 
     def is_too_late(self, now_seconds: float) -> bool:
@@ -40,6 +42,11 @@
         """Return whether even the few calls that must be served here are hopeless."""
         return self.lateness_seconds(now_seconds) > FAR_BEHIND_SECONDS
 
+    def take_longest_seconds(self) -> float:
+        """Return the longest lateness of a turn since this was asked last."""
+        longest_seconds, self._longest_seconds = self._longest_seconds, 0.0
+        return longest_seconds
+
     def lateness_seconds(self, now_seconds: float) -> float:
         """Return by how much the loop is late, or was of late."""
         return max(now_seconds - self.due_at_seconds, self.late_seconds)
--- a/sesameford/gateway/share_account.py
+++ b/sesameford/gateway/share_account.py
@@ -52,6 +52,7 @@
 
     def __init__(self) -> None:
         self.totals: Counter[Admission] = Counter()
+        self._late_requests = 0
         self._by_customer: dict[str, _Sums] = defaultdict(_Sums)
 
     def asked(self, customer: str, tokens: int, admission: Admission) -> None:
@@ -59,6 +60,15 @@
         self.totals[admission] += tokens
         self._by_customer[customer].add(admission, tokens)
 
+    def refused_late(self) -> None:
+        """Count a request that is refused because the loop is late."""
+        self._late_requests += 1
+
+    def take_late_requests(self) -> int:
+        """Return the requests refused by a late loop since this was asked last."""
+        late_requests, self._late_requests = self._late_requests, 0
+        return late_requests
+
     def began(self, customer: str, tokens: int) -> None:
         """Count a request whose answer an engine has begun."""
         self._by_customer[customer].begun += tokens
