Add a failing test of a flood that keeps its router late

The virtual routers' calls cost no time, so no test without network could have a late loop. Now one router's loop is charged for each call, refused or served, in front of a backlog and of callers that leave; what it decides is the product's own admission.

--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -7,6 +7,7 @@
 from collections import defaultdict, deque
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import cycle
 from random import Random
 from typing import cast
@@ -29,12 +30,22 @@
     TargetOutcomes,
     UsedParts,
 )
+from sesameford.operators_http import digest_of_key
 from sesameford.tree import effective_tree, parse_tree
 from standins.share_ledger import make_share_ledger
+from standins.virtual_loop import (
+    CallCosts,
+    VirtualLoop,
+    WaitingCall,
+    make_virtual_loop,
+)
 
 ROUTES = ("long", "short", "tag")
+HOST = "h.example"
+PATH = "/l/"
 TREE = """
 fleet: {{tokens_per_second: {tokens}}}
+customers: {{children: {customers}}}
 services: {{children: {{pool: {{batch_slots: 16}}}}}}
 routes:
   host: h.example
@@ -43,6 +54,8 @@
   children: {{long: {{path_prefix: /l/, is_stream: true}}}}
 """
 BEAT_SECONDS = 0.5
+# The part of calls that come on a connection which is open already.
+KEPT_PART = 0.5
 # Routers start one after the other, so that they don't tell their loads all at once.
 STARTS_WITHIN_SECONDS = 0.4
 
@@ -124,6 +137,9 @@
     def take_others(self, loads: Iterable[PlaceLoad]) -> None:
         pass
 
+    def has_room(self, *args: object) -> bool:
+        return False
+
 
 class VirtualShares:
     """Routers, replicas and engines; ``lost`` are links on which answers are lost.
@@ -142,6 +158,7 @@
         tokens_per_second: float,
         declared_tokens: float,
         data_centres: int,
+        customers: Sequence[str],
     ) -> None:
         self.ledger = make_share_ledger()
         self.lost: set[tuple[int, str]] = set()
@@ -157,8 +174,13 @@
         self._queue = _Queue(tokens_per_second)
         self._replica_ids = tuple(replicas)
         self._numbers = {f"r{number}": number for number in range(routers)}
-        text = TREE.format(tokens=declared_tokens)
+        keys = ", ".join(
+            f"{one}: {{key_digests: [{digest_of_key(one)}]}}" for one in customers
+        )
+        text = TREE.format(tokens=declared_tokens, customers=f"{{{keys}}}")
         state = make_gateway_state(effective_tree(parse_tree(text, "t"), 1))
+        self._state = state
+        self.loops: dict[int, VirtualLoop] = {}
         self._sent: list[tuple[str, Outgoing]] = []
         self.routers = [
             self._make(f"r{number}", False, state) for number in range(routers)
@@ -166,6 +188,7 @@
         self.replicas = {
             name: self._make(name, True, state) for name in self._replica_ids
         }
+        self._arriving: list[tuple[float, int, WaitingCall]] = []
         self._waits: list[tuple[float, float]] = []
         self._heard_at_seconds: dict[tuple[str, str], float] = {}
         self._waiting: dict[str, list[tuple[str, Message]]] = defaultdict(list)
@@ -233,11 +256,38 @@
                     router = next(routers[name])
                     route = random.choice(ROUTES)
                     self._ask(name, router, route, demand.size_tokens, room_seconds)
+            self._run_loops()
             self._begin()
             self._waits.append((self.now_seconds, self._queue.wait_seconds))
             self._tick()
             self.now_seconds += REPORT_SECONDS
 
+    def charge(self, router: int, costs: CallCosts) -> None:
+        """Let calls cost a router processor time, from now on.
+
+        Args:
+            router: Its number. Its customers are those that the fleet was made with.
+            costs: What calls cost it.
+        """
+
+        def begin(call: WaitingCall) -> None:
+            self._queue.add(call.customer, router, call.tokens)
+            self.ledger.asked(call.customer, call.tokens, False, int(self.now_seconds))
+
+        def refuse(call: WaitingCall) -> None:
+            self.ledger.asked(call.customer, call.tokens, True, int(self.now_seconds))
+
+        loop = make_virtual_loop(
+            self.routers[router],
+            costs,
+            self._state,
+            cast(Placement, _Wait(self._queue)),
+            begin,
+            refuse,
+        )
+        loop.clock_seconds = self.now_seconds
+        self.loops[router] = loop
+
     def let_in_without_limit(self) -> int:
         """Return the tokens that routers let in because nobody limited them."""
         return sum(
@@ -251,12 +301,19 @@
     def _ask(
         self, name: str, router: int, route: str, tokens: int, room_seconds: float
     ) -> None:
+        self.ledger.largest(name, tokens)
+        if router in self.loops:
+            at_seconds = self.now_seconds + self._draws.random() * REPORT_SECONDS
+            is_kept = self._draws.random() < KEPT_PART
+            call = WaitingCall(at_seconds, name, HOST, PATH, tokens, is_kept)
+            self._arriving.append((at_seconds, router, call))
+            return
+
         def has_room() -> bool:
             return self._queue.wait_seconds < room_seconds
 
         is_in = self.routers[router].gate.admits(name, route, tokens, has_room)
         self.ledger.asked(name, tokens, not is_in, int(self.now_seconds))
-        self.ledger.largest(name, tokens)
         if not is_in:
             return
         if self._draws.random() < self.failed_part:
@@ -264,6 +321,14 @@
         else:
             self._queue.add(name, router, tokens)
 
+    def _run_loops(self) -> None:
+        """Let the charged routers work until the next step."""
+        arriving, self._arriving = sorted(self._arriving, key=lambda one: one[0]), []
+        for _, router, call in arriving:
+            self.loops[router].arrive(call)
+        for loop in self.loops.values():
+            loop.run(self.now_seconds + REPORT_SECONDS)
+
     def _begin(self) -> None:
         for name, router, tokens in self._queue.pass_time(REPORT_SECONDS):
             self.routers[router].gate.began(name, tokens)
@@ -298,8 +363,9 @@
         """Run all load systems; what they send comes within the same step."""
         self._beat()
         started = int(self.now_seconds / STARTS_WITHIN_SECONDS * len(self.routers))
-        for router in self.routers[:started]:
-            router.tick(self.now_seconds)
+        for number, router in enumerate(self.routers[:started]):
+            if number not in self.loops:
+                router.tick(self.now_seconds)
         self._deliver()
         for name, replica in self.replicas.items():
             if name not in self.frozen:
@@ -328,7 +394,15 @@
             elif isinstance(message, FleetLoad):
                 number = self._numbers[receiver]
                 if (number, sender) not in self.lost | self.silent:
-                    self.routers[number].heard(sender, message, self.now_seconds)
+                    self._hear(number, sender, message)
+
+    def _hear(self, number: int, sender: str, fleet: FleetLoad) -> None:
+        """Let a router hear the sums of a replica, a charged one when it turns."""
+        router = self.routers[number]
+        if number in self.loops:
+            self.loops[number].receive(partial(router.heard, sender, fleet))
+        else:
+            router.heard(sender, fleet, self.now_seconds)
 
     def _catch_up(self, replica_id: str) -> None:
         """Let a replica read what has come."""
@@ -348,6 +422,7 @@
     tokens_per_second: float,
     declared_tokens: float | None = None,
     data_centres: int = 1,
+    customers: Sequence[str] = (),
 ) -> VirtualShares:
     """Return a fleet that has not been asked for anything.
 
@@ -357,8 +432,9 @@
         tokens_per_second: What engines read.
         declared_tokens: What they are declared to read, None if it is the same.
         data_centres: Over how many routers and replicas are spread.
+        customers: Those that ask by routers whose calls cost processor time.
     """
     declared_tokens = declared_tokens or tokens_per_second
     return VirtualShares(
-        routers, replicas, tokens_per_second, declared_tokens, data_centres
+        routers, replicas, tokens_per_second, declared_tokens, data_centres, customers
     )
--- /dev/null
+++ b/tests/test_flooded_router.py
@@ -0,0 +1,69 @@
+"""What a customer gets whose callers all come by one router, more than it can refuse.
+
+Sixty-four routers, eleven floods, and one router whose calls cost processor time.
+"""
+
+from random import Random
+
+import pytest
+
+from standins.virtual_loop import CallCosts
+from standins.virtual_shares import Demand, make_virtual_shares
+
+ROUTERS = 64
+ALL = tuple(range(ROUTERS))
+REPLICAS = ("a", "b", "c", "d", "e", "f")
+ENGINES_TOKENS = 2_500_000.0
+SIZE_TOKENS = 4_500
+SERVED_SECONDS = 0.004
+FLOOD_SECONDS = 2.0
+END_SECONDS = 14.0
+
+
+def flood(tokens_per_second, routers):
+    """Return a customer that asks for far too much."""
+    return Demand(tokens_per_second, routers, SIZE_TOKENS, from_seconds=FLOOD_SECONDS)
+
+
+def play_flood(calls_per_second, costs, seed):
+    """Return a fleet after a flood by one router beside ten by all others."""
+    demands = {f"wide-{number}": flood(500_000.0, ALL[1:]) for number in range(10)}
+    demands["one"] = flood(calls_per_second * SIZE_TOKENS, ALL[:1])
+    fleet = make_virtual_shares(
+        ROUTERS, REPLICAS, ENGINES_TOKENS, data_centres=3, customers=("one",)
+    )
+    fleet.charge(0, costs)
+    fleet.play(END_SECONDS, demands, Random(seed))
+    return fleet
+
+
+def got_too_little(calls_per_second, refused_seconds, seed):
+    """Return who got less than the rule says while the flood lasted."""
+    costs = CallCosts(refused_seconds, SERVED_SECONDS)
+    fleet = play_flood(calls_per_second, costs, seed)
+    return fleet.ledger.too_little(int(FLOOD_SECONDS) + 1, int(END_SECONDS))
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize(
+    ("calls_per_second", "refused_seconds"),
+    [(400, 0.0002), (400, 0.002), (1_200, 0.0005), (6_000, 0.0002)],
+)
+def test_a_flood_that_its_router_can_refuse_gets_its_share(
+    calls_per_second, refused_seconds, seed
+):
+    """A flood by one router gets less than floods by all routers."""
+    assert got_too_little(calls_per_second, refused_seconds, seed) == []
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize(
+    ("calls_per_second", "refused_seconds"),
+    [(1_200, 0.002), (2_500, 0.0005), (2_500, 0.002), (6_000, 0.0005), (6_000, 0.002)],
+)
+def test_a_flood_that_keeps_its_router_late_gets_its_share(
+    calls_per_second, refused_seconds, seed
+):
+    """A flood that its router can't refuse in time is served next to nothing."""
+    assert got_too_little(calls_per_second, refused_seconds, seed) == []
