Serve a flood its share at its router however late the loop is

Callers of a customer by one router of 64 saw nearly nothing of its share: 1,247,108 of 27,701,621 tokens in six seconds, while another customer by all routers got 2,881,442.

Cause: a router served the flood's share only while its loop was late by less than 0.08 s. Refusing the rest of the flood is what makes the loop late, so this bound, like any other, ends in serving nothing for as long as the flood lasts. The lateness decided who is served, where it can only say how many are read.

Now the share of a limited customer is let in at any lateness; what it earns is bounded by the fleet's shares, whatever its flood is. Who is not limited is still turned away by a late loop. The test of this at the router said that at 0.5 s nothing is served; it says now that the share is, to the request, at 0.06 s and at 0.5 s. The ten failing cases of the flood that keeps its router late pass, and leave the list of known failures.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -110,18 +110,18 @@
 
     Mostly one customer whose callers all come to this instance keeps it busy. Then the
     others are asked back at once: each try goes to another instance, and those have
-    room. The customer itself, which is limited, is served its share here all the same.
-    Turned away with the rest it would get nothing for as long as its flood lasts, and
-    rivals that come by several instances all of theirs.
+    room. The customer itself, which is limited, is served its share here however late
+    the loop is: refusing the rest of its flood is what keeps it late, so it would get
+    nothing for as long as that lasts, and rivals that come by several instances all of
+    theirs.
 
     Raises:
         Refusal: It is not to run.
     """
     is_limited = customer in deps.gate.fractions
-    is_far_behind = deps.lag.is_far_behind(now_seconds)
     if prompt is not None and not is_limited:
         deps.gate.rejected(customer, prompt.cost_tokens)
-    elif prompt is not None and not is_far_behind:
+    elif prompt is not None:
         has_earned = deps.gate.admits(customer, route.route_id, prompt.cost_tokens)
         if has_earned:
             return
--- a/sesameford/gateway/loop_lag.py
+++ b/sesameford/gateway/loop_lag.py
@@ -6,9 +6,6 @@
 # another turn of the loop; so a turn that is late by this makes it wait four times as
 # long, which is more than half of the shortest usual objectives.
 MOST_LAG_SECONDS = 0.05
-# With more than this a loop falls behind further if it serves anybody: callers leave
-# unread, and what is sent on for them afterwards is work for nobody.
-FAR_BEHIND_SECONDS = 0.08
 # What is left of a turn's lateness at the next one: a loop that was late and has caught
 # up is trusted again after two or three turns.
 KEPT_PART = 0.5
@@ -38,10 +35,6 @@
         """
         return self.lateness_seconds(now_seconds) > MOST_LAG_SECONDS
 
-    def is_far_behind(self, now_seconds: float) -> bool:
-        """Return whether even the few calls that must be served here are hopeless."""
-        return self.lateness_seconds(now_seconds) > FAR_BEHIND_SECONDS
-
     def take_longest_seconds(self) -> float:
         """Return the longest lateness of a turn since this was asked last."""
         longest_seconds, self._longest_seconds = self._longest_seconds, 0.0
--- a/tests/test_flooded_router.py
+++ b/tests/test_flooded_router.py
@@ -56,7 +56,6 @@
     assert got_too_little(calls_per_second, refused_seconds, seed) == []
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("seed", range(2))
 @pytest.mark.parametrize(
     ("calls_per_second", "refused_seconds"),
