Turn the flood away too when its callers have given up

Cause: with the share let in at any lateness, a loop that stood still for seconds, as after a freeze, passes calls on whose callers have left; targets work for nobody.

Callers give up a call that nobody has read for a second or a third of the time that they have. Beyond that lateness the share is not let in either. This is no bound on how busy the loop is: a loop that a flood keeps later than that reads only calls of callers who have left. The test at the router has a third case: at 0.8 s of lateness, of a patience of 2 s, nothing is served.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -32,6 +32,10 @@
 # A caller who was turned away for another customer's flood is served by the instance to
 # which its next try goes; the pause only keeps tries apart.
 ELSEWHERE_RETRY_SECONDS = 0.02
+# A caller gives up a call that nobody has read for so long, or for this part of the
+# time that it has.
+UNREAD_SECONDS = 1.0
+UNREAD_PART = 1 / 3
 # A caller of an instance that stops is served by another one at once.
 STOPPING_RETRY_SECONDS = 0.02
 
@@ -64,7 +68,7 @@
     service = choose_service(route, deps.random.random())
     prompt = call.prompt if service in state.engine_services else None
     if deps.lag.is_too_late(arrived_at_seconds):
-        _check_late(deps, route, customer or "", prompt, arrived_at_seconds)
+        _check_late(deps, call, route, customer or "", prompt, arrived_at_seconds)
     elif prompt is not None:
         _check_share(deps, state, route, customer or "", prompt, service)
     return Admitted(state, route, customer, service)
@@ -101,6 +105,7 @@
 
 def _check_late(
     deps: GatewayDeps,
+    call: Call,
     route: HttpRouteSettings,
     customer: str,
     prompt: Prompt | None,
@@ -113,13 +118,17 @@
     room. The customer itself, which is limited, is served its share here however late
     the loop is: refusing the rest of its flood is what keeps it late, so it would get
     nothing for as long as that lasts, and rivals that come by several instances all of
-    theirs.
+    theirs. It is turned away too after a stop of the loop in which its callers have
+    given up.
 
     Raises:
         Refusal: It is not to run.
     """
+    lateness_seconds = deps.lag.lateness_seconds(now_seconds)
+    patience_seconds = call.patience_seconds or route.timeout_seconds
+    has_left = lateness_seconds > min(UNREAD_SECONDS, UNREAD_PART * patience_seconds)
     is_limited = customer in deps.gate.fractions
-    if prompt is not None and not is_limited:
+    if prompt is not None and (has_left or not is_limited):
         deps.gate.rejected(customer, prompt.cost_tokens)
     elif prompt is not None:
         has_earned = deps.gate.admits(customer, route.route_id, prompt.cost_tokens)
@@ -133,7 +142,7 @@
         ELSEWHERE_RETRY_SECONDS if is_flood_of_others else OVERLOADED_RETRY_SECONDS,
         route.route_id,
         customer,
-        f"loop late by {deps.lag.lateness_seconds(now_seconds):.3f} s",
+        f"loop late by {lateness_seconds:.3f} s",
     )
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -302,7 +302,7 @@
     assert customers == [tree.customer_ids_by_digest[digest_of_key(KEY)], flood]
 
 
-@pytest.mark.parametrize(("late_seconds", "served"), [(0.06, 10), (0.5, 10)])
+@pytest.mark.parametrize(("late_seconds", "served"), [(0.06, 10), (0.5, 10), (0.8, 0)])
 async def test_a_flooded_router_serves_the_flood_s_own_share(late_seconds, served):
     """All callers of one customer come to one instance, whose loop they keep late.
 
