Leave requests without a body of the answer to the library, and end asked connections

Read through: a refusal that is written early had a body also for HEAD, whose caller would read it as the answer to its next request, and left a kept connection open whose caller had asked for its end. Both tests failed before. A request that went on to the library in a packet with a second one made the connection's next request go the longer way; no longer.

--- a/sesameford/early_answers.py
+++ b/sesameford/early_answers.py
@@ -20,6 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
+# The library knows which answers to these have no body.
+ANSWERED_WITHOUT_BODY = ("HEAD", "CONNECT")
 # For so long the rest of a request is read that has its answer already.
 LINGER_SECONDS = 1.0
 MAX_HEADER_BYTES = 16_384
@@ -74,12 +76,13 @@
         head = _parse(data, self._loop)
         decision = None if head is None else self._decide(head.message)
         if head is None or not isinstance(decision, EarlyAnswer):
-            self._is_mid_head = head is None
             self.receive_decided(data, decision)
+            self._is_mid_head = not self._messages
             return
         self._next_keepalive_close_time = self._loop.time() + self._keepalive_timeout
         assert self.transport is not None
-        is_last = decision.is_last or not head.has_whole_body
+        is_last = decision.is_last or head.message.should_close
+        is_last |= not head.has_whole_body
         self.transport.write(decision.last if is_last else decision.lasting)
         if is_last:
             self._is_answered = True
@@ -187,6 +190,8 @@
     if len(messages) != 1 or is_upgraded or tail:
         return None
     message, payload = messages[0]
+    if message.method in ANSWERED_WITHOUT_BODY:
+        return None
     return _Head(message, payload.is_eof())
 
 
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -13,9 +13,9 @@
     return await asyncio.open_connection(host, int(port))
 
 
-def request_bytes(desk, path, length=5):
-    lines = [f"POST {path} HTTP/1.1"]
-    headers = {**desk.headers(), "Content-Length": str(length)}
+def request_bytes(desk, path, length=5, method="POST", **more):
+    lines = [f"{method} {path} HTTP/1.1"]
+    headers = {**desk.headers(), "Content-Length": str(length), **more}
     lines += [f"{name}: {value}" for name, value in headers.items()]
     return "\r\n".join([*lines, "", ""]).encode()
 
@@ -50,6 +50,35 @@
         writer.close()
 
 
+async def test_an_answer_to_head_has_no_body():
+    """The body of a refusal would be read as the answer to the next request."""
+    async with open_desk(Fault.NONE) as desk:
+        reader, writer = await open_connection(desk)
+        for method, path in (("POST", "/safe/"), ("HEAD", "/nowhere/")):
+            writer.write(request_bytes(desk, path, method=method) + b"notes")
+            if method == "POST":
+                assert (await answer_of(reader))[0] == 200
+        async with asyncio.timeout(2):
+            assert b" 404 " in await reader.readuntil(b"\r\n\r\n")
+        writer.write(request_bytes(desk, "/safe/") + b"notes")
+        assert (await answer_of(reader))[0] == 200
+        writer.close()
+
+
+async def test_a_refusal_ends_a_connection_that_its_caller_wants_ended():
+    """A caller asks for the end of its connection, and waits for it."""
+    async with open_desk(Fault.NONE) as desk:
+        reader, writer = await open_connection(desk)
+        writer.write(request_bytes(desk, "/safe/") + b"notes")
+        assert (await answer_of(reader))[0] == 200
+        last = request_bytes(desk, "/nowhere/", Connection="close")
+        writer.write(last + b"notes")
+        assert (await answer_of(reader))[0] == 404
+        async with asyncio.timeout(1):
+            assert await reader.read() == b""
+        writer.close()
+
+
 async def test_a_refusal_reaches_a_caller_who_still_sends():
     """The body comes after the answer; reset for it, the caller would lose both."""
     async with open_desk(Fault.NONE) as desk:
