Answer a request that has come just before a planned stop takes no more

Cause: a connection counted as idle while the library had no current request. A request that has come and whose handler has not begun, two turns of the loop, is none. Connections that are idle are those whose handler waits for a request; the others end after their answer.

Test: a stop between the head of a request and its handler, on a new and on a kept connection; both were cut before.

--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -119,7 +119,8 @@
             for unhandled in tuple(self.calls.unhandled):
                 unhandled.close()
         for connection in self.calls.connections:
-            is_idle = connection._current_request is None
+            # A request that has come and is not begun yet is no current one either.
+            is_idle = _waits_for_request(connection)
             connection.close()
             # The library ends the handler of an idle connection and leaves it open;
             # a request that comes there would be read by nobody.
@@ -136,6 +137,13 @@
         await self.calls.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
 
 
+def _waits_for_request(connection: web.RequestHandler) -> bool:
+    """Return whether the library has nothing to do for a connection."""
+    waiter = connection._waiter
+    is_new = connection._request_count == 0
+    return is_new or (waiter is not None and not waiter.done())
+
+
 async def listen_calls(
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     address: str,
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 from time import monotonic
 
+import pytest
 from gateway_fixture import open_desk
 
 from standins.platform_server import Fault
@@ -147,3 +148,21 @@
         async with asyncio.timeout(1):
             assert await reader.read() == b""
         writer.close()
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+async def test_a_planned_stop_answers_a_request_that_has_just_come(is_kept):
+    """A stop comes between the head of a request and its handler, and cuts it."""
+    async with open_desk(Fault.NONE) as desk:
+        reader, writer = await open_connection(desk)
+        if is_kept:
+            writer.write(request_bytes(desk, "/safe/") + b"notes")
+            assert (await answer_of(reader))[0] == 200
+        writer.write(request_bytes(desk, "/unsafe/") + b"notes")
+        while not any(one._messages for one in desk.port.calls.connections):
+            await asyncio.sleep(0)
+        desk.port.take_no_more()
+        assert (await answer_of(reader))[0] == 200
+        async with asyncio.timeout(1):
+            assert await reader.read() == b""
+        writer.close()
