--- a/benchmarks/fairness_slopes.py
+++ b/benchmarks/fairness_slopes.py
@@ -21,7 +21,8 @@
     LimitSettings,
 )
 from sesameford.leased import make_leased_scheduler
-from sesameford.messages import DemandRow, Envelope, PoolReport, ServedRow, ShareReport
+from sesameford.messages import Envelope
+from sesameford.slot_messages import DemandRow, PoolReport, ServedRow, ShareReport
 from standins.virtual_fleet import (
     STEP_SECONDS,
     WIRE_OVERHEAD_BYTES,
--- a/sesameford/allocator_state.py
+++ b/sesameford/allocator_state.py
@@ -6,7 +6,7 @@
 from sesameford.accounts import OriginTotals, OwnTotals
 from sesameford.effective import EffectiveTree
 from sesameford.links import GrantLink, ReportLink
-from sesameford.messages import PaceRow, PoolNews
+from sesameford.slot_messages import PaceRow, PoolNews
 from sesameford.tables import Target
 from sesameford.virtual_time import VirtualTimes
 from sesameford.windows import Pace, Window, adapt_window, make_window, regrow_window
--- a/sesameford/gateway/aggregator_choice.py
+++ b/sesameford/gateway/aggregator_choice.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from sesameford.messages import FleetLoad
+from sesameford.load_messages import FleetLoad
 
 # From so many routers on each reports to a replica of its own data centre. Fewer report
 # to one for all: its sums are as old as one message, with no exchange in between.
--- a/sesameford/gateway/engine_memory.py
+++ b/sesameford/gateway/engine_memory.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from sesameford.gateway.calls import Prompt, PromptPart
-from sesameford.messages import UsedPart, UsedParts
+from sesameford.load_messages import UsedPart, UsedParts
 
 # The part of an engine's memory that is taken as usable. Requests that run hold blocks
 # that are not full, and what is known of other routers is late and may be lost.
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -30,15 +30,15 @@
 )
 from sesameford.gateway.shares import make_share_table
 from sesameford.gateway.target_outcomes import make_target_outcome_table
-from sesameford.messages import (
+from sesameford.load_messages import (
     FailingTarget,
     FleetLoad,
-    Outgoing,
     PartialLoad,
     RouterLoad,
     TargetOutcomes,
     UsedParts,
 )
+from sesameford.messages import Outgoing
 
 logger = logging.getLogger(__name__)
 
--- a/sesameford/gateway/load_report.py
+++ b/sesameford/gateway/load_report.py
@@ -1,6 +1,6 @@
 """What a router reports of its work, and what it knows of the fleet's."""
 
-from sesameford.messages import FleetLoad, PlaceLoad
+from sesameford.load_messages import FleetLoad, PlaceLoad
 
 # What a router reports, and what it is sent of the fleet, counts for so long.
 REPORT_VALID_SECONDS = 1.6
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -21,13 +21,8 @@
 from sesameford.gateway.run import GatewayState
 from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.shares import ShareTable, make_share_table
-from sesameford.messages import (
-    FleetLoad,
-    Outgoing,
-    PartialLoad,
-    RouterLoad,
-    RouterLoadEnds,
-)
+from sesameford.load_messages import FleetLoad, PartialLoad, RouterLoad, RouterLoadEnds
+from sesameford.messages import Outgoing
 
 logger = logging.getLogger(__name__)
 
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -34,6 +34,7 @@
 from sesameford.gateway.tally import make_tally
 from sesameford.http_ports import make_session
 from sesameford.link_key import load_link_key
+from sesameford.load_messages import FleetLoad, PartialLoad, RouterLoad, RouterLoadEnds
 from sesameford.log_service import make_log_service
 from sesameford.members import make_members
 from sesameford.messages import (
@@ -42,18 +43,14 @@
     BeatRowsTaken,
     BeatRowsWanted,
     BeatsHeard,
-    FleetLoad,
     Greeting,
     Heartbeat,
     IncarnationBehind,
     LogPayload,
     Message,
     Outgoing,
-    PartialLoad,
     ProposalReply,
     ProposalRequest,
-    RouterLoad,
-    RouterLoadEnds,
     TreeSteps,
     TreeWanted,
     TreeWhole,
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -21,7 +21,7 @@
     queue_seconds,
 )
 from sesameford.gateway.place import Lease, Place
-from sesameford.messages import FailingTarget, PlaceLoad, TargetOutcomes, UsedParts
+from sesameford.load_messages import FailingTarget, PlaceLoad, TargetOutcomes, UsedParts
 from sesameford.tables import TargetState
 
 # How long a request holds its place in a batch after its first event, until some have
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from sesameford.gateway.load_report import REPORT_VALID_SECONDS
-from sesameford.messages import (
+from sesameford.load_messages import (
     CustomerRates,
     PartialLoad,
     PlaceLoad,
--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -10,7 +10,7 @@
     make_share_account,
 )
 from sesameford.gateway.token_rate import TokenRate
-from sesameford.messages import CustomerRates, ShareRow
+from sesameford.load_messages import CustomerRates, ShareRow
 
 # A customer that asks for less on average has asked nothing for seconds.
 LEAST_TOKENS = 1.0
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -13,7 +13,7 @@
 
 from sesameford.gateway.router_loads import customers_added_up
 from sesameford.gateway.service_balance import ServiceBalance, make_service_balance
-from sesameford.messages import PartialLoad, ShareRow
+from sesameford.load_messages import PartialLoad, ShareRow
 
 # The capacity is what engines have handled of late, a second: what they have begun to
 # answer, and what they have failed or whose answers were lost. Were the latter left
--- a/sesameford/gateway/target_outcomes.py
+++ b/sesameford/gateway/target_outcomes.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from sesameford.messages import FailingTarget, TargetOutcomes
+from sesameford.load_messages import FailingTarget, TargetOutcomes
 
 # Outcomes lose two thirds of their weight in this time: long enough for some tens of
 # requests at a target, and short beside the seconds for which targets fail in part.
--- a/sesameford/grant_answers.py
+++ b/sesameford/grant_answers.py
@@ -10,13 +10,8 @@
     JOINED_FRACTION,
     GrantLink,
 )
-from sesameford.messages import (
-    LimitShareRow,
-    Outgoing,
-    PoolNews,
-    SlotGrants,
-    StandingRow,
-)
+from sesameford.messages import Outgoing
+from sesameford.slot_messages import LimitShareRow, PoolNews, SlotGrants, StandingRow
 
 _STANDING_THRESHOLD_QUANTA = 0.25
 _STANDINGS_TOLD = 64
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -21,17 +21,13 @@
     SUSPECT_SECONDS,
     ReportLink,
 )
-from sesameford.messages import (
-    Message,
-    Outgoing,
-    ShareReport,
-    SlotGrants,
-)
+from sesameford.messages import Message, Outgoing
 from sesameford.pools import find_pools
 from sesameford.queues import QueueKey, Waiting
 from sesameford.router_reports import router_report
 from sesameford.router_state import RouterState
 from sesameford.scheduling import Scheduler
+from sesameford.slot_messages import ShareReport, SlotGrants
 from sesameford.tables import Attempt, Instance, Outcome, Request, Target, Usage
 from sesameford.windows import Pace
 
--- a/sesameford/links.py
+++ b/sesameford/links.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from sesameford.accounts import Account
-from sesameford.messages import (
+from sesameford.slot_messages import (
     DemandRow,
     GrantRow,
     HoldingRow,
--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -18,13 +18,7 @@
 from sesameford.codec import MAX_ENVELOPE_BYTES, decode_envelope, encode_envelope
 from sesameford.discovery.greeted_peer import greeted_peer
 from sesameford.errors import PeerError
-from sesameford.messages import (
-    Envelope,
-    Greeting,
-    IncarnationBehind,
-    Message,
-    Outgoing,
-)
+from sesameford.messages import Envelope, Greeting, IncarnationBehind, Message, Outgoing
 from sesameford.peer_state import (
     REDIAL_AFTER_SECONDS,
     PeerState,
--- a/sesameford/place_reports.py
+++ b/sesameford/place_reports.py
@@ -11,13 +11,8 @@
     DemandKey,
     pool_reports,
 )
-from sesameford.messages import (
-    Outgoing,
-    PoolReport,
-    ShareReport,
-    StandingRow,
-    WantedRow,
-)
+from sesameford.messages import Outgoing
+from sesameford.slot_messages import PoolReport, ShareReport, StandingRow, WantedRow
 
 SERVED_THRESHOLD_QUANTA = 1.0
 _DEMANDS_TOLD = 32
--- a/sesameford/router_reports.py
+++ b/sesameford/router_reports.py
@@ -8,9 +8,9 @@
     ReportLink,
     pool_reports,
 )
-from sesameford.messages import ShareReport
 from sesameford.place_reports import SERVED_THRESHOLD_QUANTA, wanted_rows
 from sesameford.router_state import RouterState
+from sesameford.slot_messages import ShareReport
 
 _EXACT_REQUESTS = 8
 
--- a/sesameford/standings.py
+++ b/sesameford/standings.py
@@ -4,7 +4,7 @@
 
 from sesameford.accounts import Account
 from sesameford.allocator_state import PATIENCE_SECONDS
-from sesameford.messages import PoolNews
+from sesameford.slot_messages import PoolNews
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/standins/engine_queue.py
@@ -0,0 +1,70 @@
+"""All engines as one queue in order of admission, and what placement says of it."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from sesameford.load_messages import (
+    FailingTarget,
+    PlaceLoad,
+    TargetOutcomes,
+    UsedParts,
+)
+
+
+@dataclass(slots=True)
+class EngineQueue:
+    """All engines as one queue."""
+
+    tokens_per_second: float
+    waiting: deque[tuple[str, int, int]] = field(default_factory=deque)
+    waiting_tokens: float = 0.0
+    credit_tokens: float = 0.0
+
+    @property
+    def wait_seconds(self) -> float:
+        return self.waiting_tokens / self.tokens_per_second
+
+    def add(self, customer: str, router: int, tokens: int) -> None:
+        self.waiting.append((customer, router, tokens))
+        self.waiting_tokens += tokens
+
+    def pass_time(self, seconds: float) -> Iterable[tuple[str, int, int]]:
+        """Return the requests that are begun now."""
+        self.credit_tokens += seconds * self.tokens_per_second
+        while self.waiting and self.credit_tokens >= self.waiting[0][2]:
+            one = self.waiting.popleft()
+            self.credit_tokens -= one[2]
+            self.waiting_tokens -= one[2]
+            yield one
+        if not self.waiting:
+            self.credit_tokens = 0.0
+
+
+class QueuePlacement:
+    """In place of a placement: only how long prompts wait."""
+
+    def __init__(self, queue: EngineQueue) -> None:
+        self._queue = queue
+
+    def mean_wait_seconds(self, service: str, slots: int, now_seconds: float) -> float:
+        return self._queue.wait_seconds
+
+    def loads(self, now_seconds: float) -> tuple[PlaceLoad, ...]:
+        # It changes each time, so routers tell as often as they may.
+        return (PlaceLoad(1, 1, int(now_seconds * 1_000)),)
+
+    def news(self) -> tuple[UsedParts, ...]:
+        return ()
+
+    def outcomes(self) -> tuple[TargetOutcomes, ...]:
+        return ()
+
+    def take_failing(self, rows: Iterable[FailingTarget]) -> None:
+        pass
+
+    def take_others(self, loads: Iterable[PlaceLoad]) -> None:
+        pass
+
+    def has_room(self, *args: object) -> bool:
+        return False
--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -20,7 +20,8 @@
 from sesameford.gateway.fleet_sums import FleetSums, LiveInstances, make_fleet_sums
 from sesameford.gateway.place import Lease
 from sesameford.gateway.placement import Placement, make_placement
-from sesameford.messages import BeatRow, FleetLoad, RouterLoad
+from sesameford.load_messages import FleetLoad, RouterLoad
+from sesameford.messages import BeatRow
 from sesameford.tables import TargetState
 
 SERVICE = "pool"
--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -4,9 +4,9 @@
 of admission, so that who is served is decided by shares alone and not by placement.
 """
 
-from collections import defaultdict, deque
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections import defaultdict
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
 from functools import partial
 from itertools import cycle
 from random import Random
@@ -18,20 +18,16 @@
 from sesameford.gateway.placement import Placement
 from sesameford.gateway.run import GatewayState, make_gateway_state
 from sesameford.gateway.share_account import Admission
-from sesameford.messages import (
-    FailingTarget,
+from sesameford.load_messages import (
     FleetLoad,
-    Message,
-    Outgoing,
     PartialLoad,
-    PlaceLoad,
     RouterLoad,
     RouterLoadEnds,
-    TargetOutcomes,
-    UsedParts,
 )
+from sesameford.messages import Message, Outgoing
 from sesameford.operators_http import digest_of_key
 from sesameford.tree import effective_tree, parse_tree
+from standins.engine_queue import EngineQueue, QueuePlacement
 from standins.share_ledger import make_share_ledger
 from standins.virtual_loop import (
     CallCosts,
@@ -83,64 +79,6 @@
         return self.tokens_per_second * (1 + (self.spread if is_up else -self.spread))
 
 
-@dataclass(slots=True)
-class _Queue:
-    """All engines as one queue."""
-
-    tokens_per_second: float
-    waiting: deque[tuple[str, int, int]] = field(default_factory=deque)
-    waiting_tokens: float = 0.0
-    credit_tokens: float = 0.0
-
-    @property
-    def wait_seconds(self) -> float:
-        return self.waiting_tokens / self.tokens_per_second
-
-    def add(self, customer: str, router: int, tokens: int) -> None:
-        self.waiting.append((customer, router, tokens))
-        self.waiting_tokens += tokens
-
-    def pass_time(self, seconds: float) -> Iterable[tuple[str, int, int]]:
-        """Return the requests that are begun now."""
-        self.credit_tokens += seconds * self.tokens_per_second
-        while self.waiting and self.credit_tokens >= self.waiting[0][2]:
-            one = self.waiting.popleft()
-            self.credit_tokens -= one[2]
-            self.waiting_tokens -= one[2]
-            yield one
-        if not self.waiting:
-            self.credit_tokens = 0.0
-
-
-class _Wait:
-    """In place of a placement: only how long prompts wait."""
-
-    def __init__(self, queue: _Queue) -> None:
-        self._queue = queue
-
-    def mean_wait_seconds(self, service: str, slots: int, now_seconds: float) -> float:
-        return self._queue.wait_seconds
-
-    def loads(self, now_seconds: float) -> tuple[PlaceLoad, ...]:
-        # It changes each time, so routers tell as often as they may.
-        return (PlaceLoad(1, 1, int(now_seconds * 1_000)),)
-
-    def news(self) -> tuple[UsedParts, ...]:
-        return ()
-
-    def outcomes(self) -> tuple[TargetOutcomes, ...]:
-        return ()
-
-    def take_failing(self, rows: Iterable[FailingTarget]) -> None:
-        pass
-
-    def take_others(self, loads: Iterable[PlaceLoad]) -> None:
-        pass
-
-    def has_room(self, *args: object) -> bool:
-        return False
-
-
 class VirtualShares:
     """Routers, replicas and engines; ``lost`` are links on which answers are lost.
 
@@ -171,7 +109,7 @@
         self._draws = Random("failures")
         self.cut: set[tuple[str, str]] = set()
         self._data_centres = data_centres
-        self._queue = _Queue(tokens_per_second)
+        self._queue = EngineQueue(tokens_per_second)
         self._replica_ids = tuple(replicas)
         self._numbers = {f"r{number}": number for number in range(routers)}
         keys = ", ".join(
@@ -220,7 +158,7 @@
 
         return make_load_system(
             has_disk,
-            cast(Placement, _Wait(self._queue)),
+            cast(Placement, QueuePlacement(self._queue)),
             lambda: state,
             LiveInstances(live_replicas, near_replicas, live_routers),
             lambda outgoing: self._sent.append((name, outgoing)),
@@ -281,7 +219,7 @@
             self.routers[router],
             costs,
             self._state,
-            cast(Placement, _Wait(self._queue)),
+            cast(Placement, QueuePlacement(self._queue)),
             begin,
             refuse,
         )
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -5,7 +5,7 @@
 
 from sesameford.accounts import OriginTerm, OriginTotals
 from sesameford.links import GrantLink
-from sesameford.messages import PoolReport, ServedRow, ShareReport
+from sesameford.slot_messages import PoolReport, ServedRow, ShareReport
 
 ACCOUNT = ("m", "c")
 
--- a/tests/test_aggregator_choice.py
+++ b/tests/test_aggregator_choice.py
@@ -8,7 +8,7 @@
     PASSED_OVER_SECONDS,
     make_aggregator_choice,
 )
-from sesameford.messages import FleetLoad
+from sesameford.load_messages import FleetLoad
 
 REPLICAS = ("b", "a", "c")
 SILENT_SECONDS = 0.5
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -5,7 +5,7 @@
 from sesameford.allocator import Allocator
 from sesameford.effective import EffectiveTree
 from sesameford.links import LEASE_SECONDS
-from sesameford.messages import PoolReport, ServedRow, ShareReport, StandingRow
+from sesameford.slot_messages import PoolReport, ServedRow, ShareReport, StandingRow
 
 
 @pytest.fixture
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -6,25 +6,20 @@
 
 from sesameford.codec import decode_envelope, encode_envelope
 from sesameford.errors import PeerError
+from sesameford.load_messages import CustomerRates, PartialLoad, PlaceLoad, RouterLoad
 from sesameford.messages import (
-    CustomerRates,
     Envelope,
     Heartbeat,
     MemberRow,
     MembersNews,
     ModelUse,
-    PartialLoad,
-    PlaceLoad,
-    PoolReport,
     Routed,
-    RouterLoad,
-    ServedRow,
-    ShareReport,
     TargetNews,
     TargetRow,
     TargetsVouched,
     Vouch,
 )
+from sesameford.slot_messages import PoolReport, ServedRow, ShareReport
 from sesameford.tables import InstanceState, TargetKind
 
 
--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -7,7 +7,7 @@
     LiveInstances,
     make_fleet_sums,
 )
-from sesameford.messages import FleetLoad, RouterLoad, UsedPart, UsedParts
+from sesameford.load_messages import FleetLoad, RouterLoad, UsedPart, UsedParts
 
 MEMORY_TOKENS = round(10_000 / USABLE_PART)
 NAME = 7
--- a/tests/test_fleet_sums.py
+++ b/tests/test_fleet_sums.py
@@ -7,7 +7,7 @@
     make_fleet_sums,
 )
 from sesameford.gateway.load_report import REPORT_VALID_SECONDS, make_load_report
-from sesameford.messages import (
+from sesameford.load_messages import (
     CustomerRates,
     FleetLoad,
     PartialLoad,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,7 @@
 
 from sesameford.connection_guard import GuardLimits
 from sesameford.gateway.admit import ELSEWHERE_RETRY_SECONDS, OVERLOADED_RETRY_SECONDS
-from sesameford.messages import ShareRow
+from sesameford.load_messages import ShareRow
 from sesameford.operators_http import digest_of_key
 from sesameford.tree import effective_tree, parse_tree
 from standins.platform_server import Fault
--- a/tests/test_load_system.py
+++ b/tests/test_load_system.py
@@ -10,7 +10,8 @@
 from sesameford.gateway.load_system import make_load_system
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.run import make_gateway_state
-from sesameford.messages import BeatRow, CustomerRates, FleetLoad, RouterLoad, ShareRow
+from sesameford.load_messages import CustomerRates, FleetLoad, RouterLoad, ShareRow
+from sesameford.messages import BeatRow
 from sesameford.tables import TargetState
 from sesameford.tree import effective_tree, parse_tree
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,7 +9,8 @@
 from sesameford.gateway.calls import Prompt, PromptPart
 from sesameford.gateway.engine_backlog import LOST_SECONDS
 from sesameford.gateway.placement import LONGEST_REST_SECONDS, make_placement
-from sesameford.messages import BeatRow, FailingTarget, PlaceLoad
+from sesameford.load_messages import FailingTarget, PlaceLoad
+from sesameford.messages import BeatRow
 from sesameford.tables import TargetState
 
 OBJECTIVE_SECONDS = 0.25
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -8,7 +8,7 @@
 
 from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.shares import fair_amounts, make_share_table
-from sesameford.messages import CustomerRates, PartialLoad, ShareRow
+from sesameford.load_messages import CustomerRates, PartialLoad, ShareRow
 
 DECLARED_TOKENS = 100_000.0
 WANTED_WAIT_SECONDS = 0.1
--- a/tests/test_target_outcomes.py
+++ b/tests/test_target_outcomes.py
@@ -5,7 +5,7 @@
     REMEMBERED_SECONDS,
     make_target_outcome_table,
 )
-from sesameford.messages import TargetOutcomes
+from sesameford.load_messages import TargetOutcomes
 
 
 def failing(table, now_seconds):
