Give a slot back that was lent to its own target's owner

Cause, traced: a router that hears nobody takes the others for lost and lends out their targets. After the mend the allocator that owns such a target again still says that it holds a slot of it, lent by the other; the other counts that slot as lent. It is capacity of the first that the second holds and the second has lent back: nobody runs anything on it, for as long as both live. Ruled out: windows (all at three of three here), the leases (all run), reports that are lost.

Change: holdings of targets that the lender does not own are given back with the next report. Rows of holdings leave in order, so that a play does not depend on the order of sets.

--- a/sesameford/links.py
+++ b/sesameford/links.py
@@ -225,12 +225,17 @@
             )
         return tuple(rows)
 
+    def give_back(self, target_ids: Iterable[str]) -> None:
+        """Hold no slots of some targets any more; the next report says so."""
+        for target_id in target_ids:
+            self.holdings[target_id] = 0
+
     def holding_rows(self, running: Mapping[str, int]) -> list[HoldingRow]:
         """Return the holdings that the receiver does not know yet."""
         if self.full_due:
             self.told_holdings = {}
         rows = []
-        for target_id in {*self.holdings, *running, *self.told_holdings}:
+        for target_id in sorted({*self.holdings, *running, *self.told_holdings}):
             runs = running.get(target_id, 0)
             slots = max(self.holdings.get(target_id, 0), runs)
             if slots != self.told_holdings.get(target_id, 0):
--- a/sesameford/place_reports.py
+++ b/sesameford/place_reports.py
@@ -70,6 +70,13 @@
         for target_id, slots in state.held().items()
         if state.owner_of.get(target_id) == name
     }
+    # Whoever took the other side of a cut for lost lent out its targets. Those are the
+    # other side's own again, and a slot that each counts as the other's serves nobody.
+    link.give_back(
+        target_id
+        for target_id, slots in link.holdings.items()
+        if slots and state.owner_of.get(target_id) != name
+    )
     due = (
         since >= heartbeat_seconds
         or link.full_due
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -4,9 +4,9 @@
 from time import monotonic
 
 import pytest
-from gateway_fixture import open_desk
 
 from standins.platform_server import Fault
+from tests.gateway_fixture import open_desk
 
 
 async def open_connection(desk):
