Take no answer that was meant for the process before

A grant that was sent to the process before, number 746 of a term with the same number, comes 0.09 s later. The new process takes it for the newest and all answers to itself, 1, 2, 3, for old ones; it holds its allocator for silent, begins to serve beside it two seconds later, and both deal out the slots of one target: 6 requests at 3 slots for over 6 s. Ruled out: the election (it passes a silent allocator over as it should), the origin's term (reports of the new process were taken).

Change: an answer that acknowledges a report which was never sent here is ignored. It needs no byte more on the wire.

--- a/sesameford/links.py
+++ b/sesameford/links.py
@@ -108,6 +108,10 @@
         """
         if grants.term != self.term or grants.sequence <= self.grants_seen:
             return False
+        if grants.report_seen > self.sequence:
+            # It answers the process that ran here before, whose terms had the same
+            # numbers. Taken for the newest, it would hide all that is meant for this.
+            return False
         if self.receiver_incarnation is None:
             self.receiver_incarnation = incarnation
         if not self.holds(now_seconds):
