Take the rest of a head for no request of its own on a new connection

Read through: where the first head of a connection comes in two packets, the second was looked at as a new request. One that reads like a request would be decided on, and refused, by itself, and the handler be left in the middle of a head. The test sends a header whose value is a request line: 404 in place of 200 before.

--- a/sesameford/early_answers.py
+++ b/sesameford/early_answers.py
@@ -59,10 +59,16 @@
         decision, self._decision = self._decision, None
         return decision
 
-    def receive_decided(self, data: bytes, decision: Any) -> None:
-        """Take the data of a request that is to be handled."""
+    def receive(self, data: bytes, decision: Any) -> None:
+        """Take data with which a request begins that is left to the library.
+
+        Args:
+            data: What has come; maybe not the whole head.
+            decision: What was decided on it, None where that is left to its handler.
+        """
         self._decision = decision
         super().data_received(data)
+        self._is_mid_head = not self._messages
 
     def data_received(self, data: bytes) -> None:
         """Answer a request at once, or pass it on to the library."""
@@ -76,8 +82,7 @@
         head = _parse(data, self._loop)
         decision = None if head is None else self._decide(head.message)
         if head is None or not isinstance(decision, EarlyAnswer):
-            self.receive_decided(data, decision)
-            self._is_mid_head = not self._messages
+            self.receive(data, decision)
             return
         self._next_keepalive_close_time = self._loop.time() + self._keepalive_timeout
         assert self.transport is not None
@@ -133,10 +138,7 @@
         self._server.unhandled.discard(self)
         self._handler = self._server.make_handler()
         self._handler.connection_made(self._transport)
-        if head is None:
-            self._handler.data_received(data)
-        else:
-            self._handler.receive_decided(data, decision)
+        self._handler.receive(data, decision)
 
     def close(self) -> None:
         """Close a connection that has no handler."""
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -109,6 +109,18 @@
         writer.close()
 
 
+async def test_the_rest_of_a_head_is_no_request_of_its_own():
+    """The second half of a head reads like a request, which would be refused alone."""
+    async with open_desk(Fault.NONE) as desk:
+        reader, writer = await open_connection(desk)
+        writer.write(b"POST /safe/ HTTP/1.1\r\nX-Part: ")
+        await asyncio.sleep(0.05)
+        writer.write(request_bytes(desk, "/nowhere/") + b"notes")
+        assert (await answer_of(reader))[0] == 200
+        assert desk.runs == 1
+        writer.close()
+
+
 async def test_two_requests_at_once_get_two_answers():
     """The second of two requests in one packet is dropped with the first's refusal."""
     async with open_desk(Fault.NONE) as desk:
