Stop right after a request in the test, in place of looking for the moment

The test waited for a queued request to be seen, and would have waited for ever on a loop that takes it sooner. It fails for both kinds of connections without the mend.

--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesameford.early_answers import EarlyHandler
 from standins.platform_server import Fault
 from tests.gateway_fixture import open_desk
 
@@ -163,17 +164,23 @@
 
 
 @pytest.mark.parametrize("is_kept", [False, True])
-async def test_a_planned_stop_answers_a_request_that_has_just_come(is_kept):
+async def test_a_planned_stop_answers_a_request_that_has_just_come(
+    is_kept, monkeypatch
+):
     """A stop comes between the head of a request and its handler, and cuts it."""
     async with open_desk(Fault.NONE) as desk:
         reader, writer = await open_connection(desk)
         if is_kept:
             writer.write(request_bytes(desk, "/safe/") + b"notes")
             assert (await answer_of(reader))[0] == 200
+        receive = EarlyHandler.receive
+
+        def receive_and_stop(handler, data, decision):
+            receive(handler, data, decision)
+            asyncio.get_running_loop().call_soon(desk.port.take_no_more)
+
+        monkeypatch.setattr(EarlyHandler, "receive", receive_and_stop)
         writer.write(request_bytes(desk, "/unsafe/") + b"notes")
-        while not any(one._messages for one in desk.port.calls.connections):
-            await asyncio.sleep(0)
-        desk.port.take_no_more()
         assert (await answer_of(reader))[0] == 200
         async with asyncio.timeout(1):
             assert await reader.read() == b""
