Let operators evacuate and restore data centres by the tool

sesamefordctl evacuate and restore send an order under an id of its own, status names the evacuated data centres and history each order. Leased scheduling gives their targets no new work either. Replicas log when targets grow cold and warm; permits given out and used are counted.

--- a/sesameford/control.py
+++ b/sesameford/control.py
@@ -14,8 +14,10 @@
 from sesameford.control_commands import (
     apply_command,
     diff_command,
+    evacuate_command,
     get_command,
     history_command,
+    restore_command,
     status_command,
     validate_command,
 )
@@ -36,6 +38,11 @@
   SESAMEFORD_OPERATOR_KEY  the operator's key
 """
 
+EVACUATION_HELP = {
+    "evacuate": "give the targets of a data centre no new work",
+    "restore": "give the targets of an evacuated data centre work again",
+}
+
 Command = Callable[[Client, Namespace], Awaitable[int]]
 
 
@@ -66,12 +73,7 @@
         help="the revision that the file is based on; by default the one it was last"
         " applied as, or the present one for a file never applied from here",
     )
-    apply.add_argument(
-        "--wait",
-        action="store_true",
-        help="end only when every live instance has the change in force",
-    )
-    apply.add_argument("--wait-seconds", type=float, default=30.0)
+    _add_wait(apply)
 
     diff = commands.add_parser(
         "diff", help="compare a tree file with the tree in force"
@@ -91,6 +93,12 @@
     status = commands.add_parser("status", help="what one instance knows of all")
     _add_common(status)
 
+    for name, text in EVACUATION_HELP.items():
+        order = commands.add_parser(name, help=text)
+        order.add_argument("data_centre")
+        _add_common(order)
+        _add_wait(order)
+
     history = commands.add_parser("history", help="accepted changes, newest first")
     history.add_argument("--before", type=int, help="only revisions below this one")
     _add_common(history)
@@ -103,6 +111,16 @@
     file.complete = shtab.FILE  # type: ignore[attr-defined]
 
 
+def _add_wait(parser: ArgumentParser) -> None:
+    """Add whether to wait until a change is in force."""
+    parser.add_argument(
+        "--wait",
+        action="store_true",
+        help="end only when every live instance has the change in force",
+    )
+    parser.add_argument("--wait-seconds", type=float, default=30.0)
+
+
 def _add_output(parser: ArgumentParser) -> None:
     """Add the form of output."""
     parser.add_argument(
@@ -136,8 +154,10 @@
 COMMANDS: dict[str, Command] = {
     "apply": apply_command,
     "diff": diff_command,
+    "evacuate": evacuate_command,
     "get": get_command,
     "history": history_command,
+    "restore": restore_command,
     "status": status_command,
 }
 
--- a/sesameford/control_commands.py
+++ b/sesameford/control_commands.py
@@ -4,6 +4,7 @@
 from argparse import Namespace
 from asyncio import sleep
 from pathlib import Path
+from secrets import token_hex
 from time import monotonic
 from typing import Any
 from urllib.parse import quote
@@ -125,6 +126,33 @@
     return 0
 
 
+async def evacuate_command(client: Client, arguments: Namespace) -> int:
+    """Give the targets of a data centre no new work."""
+    return await _order_evacuation(client, arguments, evacuated=True)
+
+
+async def restore_command(client: Client, arguments: Namespace) -> int:
+    """Give the targets of an evacuated data centre work again."""
+    return await _order_evacuation(client, arguments, evacuated=False)
+
+
+async def _order_evacuation(
+    client: Client, arguments: Namespace, evacuated: bool
+) -> int:
+    """Send an order for a data centre under an id of its own.
+
+    The client tries several instances under the one id, so that a copy which was held
+    up on its way can't come into force after a later order.
+    """
+    body = {
+        "change_id": f"evacuation-{token_hex(8)}",
+        "data_centre": arguments.data_centre,
+        "evacuated": evacuated,
+    }
+    answer = await client.ask("POST", "/tree/evacuations", json.encode(body))
+    return await _finish_apply(client, arguments, require_success(answer))
+
+
 async def _wait(
     client: Client, revision: int, wait_seconds: float
 ) -> tuple[list[str], list[str]]:
--- a/sesameford/control_output.py
+++ b/sesameford/control_output.py
@@ -66,6 +66,8 @@
         f" revision {report.revision}, leader {log.leader_id or 'unknown'},"
         f" quorum {quorum}"
     )
+    if report.evacuated:
+        print(f"evacuated data centres: {', '.join(report.evacuated)}")
     print_table(
         "Instances",
         ["instance", "data centre", "state", "revision", "role", "heard", "live"],
--- a/sesameford/gateway/cold_permits.py
+++ b/sesameford/gateway/cold_permits.py
@@ -30,7 +30,7 @@
     """The permits of one replica.
 
     A replica that has just started does not know what it gave out before, and gives out
-    nothing until that has run out.
+    nothing until that has run out. ``given`` counts all since its start.
 
     Args:
         bound: What a cold target may be sent.
@@ -44,6 +44,7 @@
     _began_at_seconds: float | None = None
     _given_at_seconds: dict[int, deque[float]] = field(default_factory=dict)
     _turn: int = 0
+    given: int = 0
 
     def part_requests(self, rate_requests: float) -> int:
         """Return this replica's part of what a target may be sent in one window."""
@@ -80,6 +81,7 @@
                 router_id = router_ids[self._turn % len(router_ids)]
                 permits.setdefault(router_id, []).append(name)
                 given.append(now_seconds)
+                self.given += 1
         return permits
 
     def _forget(self, now_seconds: float) -> None:
--- a/sesameford/gateway/cold_targets.py
+++ b/sesameford/gateway/cold_targets.py
@@ -20,7 +20,10 @@
 
 @dataclass(slots=True)
 class ColdTargets:
-    """The cold ones among a table's targets; made by ``make_cold_targets``."""
+    """The cold ones among a table's targets; made by ``make_cold_targets``.
+
+    ``requests_sent`` counts the requests for which a permit was used.
+    """
 
     table: BeatTable
     _services: Mapping[str, ServiceSettings] = field(default_factory=dict)
@@ -28,6 +31,7 @@
     _taken_in_at_seconds: dict[str, float] = field(default_factory=dict)
     _until_seconds: float = float("-inf")
     _permits: dict[int, float] = field(default_factory=dict)
+    requests_sent: int = 0
 
     def configure(
         self,
@@ -112,6 +116,7 @@
 
     def sent(self, known: KnownTarget) -> None:
         """Use up the permit for a target."""
+        self.requests_sent += 1
         self._permits.pop(short_name(known.row.target_id), None)
 
     def _has_permit(self, name: int, now_seconds: float) -> bool:
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from sesameford.gateway.aggregator_choice import make_aggregator_choice
-from sesameford.gateway.cold_permits import ColdPermits
+from sesameford.gateway.cold_permits import ColdPermits, make_cold_permits
 from sesameford.gateway.fleet_sums import (
     HEARD_SECONDS,
     MISSED_REPORTS,
@@ -25,6 +25,7 @@
 from sesameford.gateway.shares import ShareTable, make_share_table
 from sesameford.load_messages import FleetLoad, PartialLoad, RouterLoad, RouterLoadEnds
 from sesameford.messages import Outgoing
+from sesameford.settings import ColdBoundSettings
 
 logger = logging.getLogger(__name__)
 
@@ -54,10 +55,11 @@
         self.lag = make_loop_lag()
         self._choice = make_aggregator_choice()
         self._has_disk = has_disk
+        self.permits = permits or make_cold_permits(ColdBoundSettings(), 1)
         self._placement = placement
         self._state = state
         self._live = live
-        self._sums = make_fleet_sums(live, permits)
+        self._sums = make_fleet_sums(live, self.permits)
         self._own_shares = make_share_table()
         self._send = send
         self._was_alone = True
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -17,7 +17,7 @@
 from aiohttp import ClientSession
 
 from sesameford.claims import ClaimsMachine
-from sesameford.discovery.beat_table import make_beat_table
+from sesameford.discovery.beat_table import KnownTarget, make_beat_table
 from sesameford.discovery.founding_mark import is_founder
 from sesameford.discovery.roster import make_roster
 from sesameford.effective import EffectiveTree
@@ -292,9 +292,10 @@
         others would else go on sending requests to where nobody listens.
         """
         token = randbits(TOKEN_BITS) if row.state is not TargetState.READY else 0
+        before = self.table.known.get(row.target_id)
         outgoing = self.table.beat(row, self._now(), token)
         if outgoing:
-            self._log_target(row)
+            self._log_target(row, before)
         await self._tell_targets(outgoing, token)
 
     async def target_left(self, target_id: str) -> None:
@@ -460,8 +461,10 @@
     def _count_shares(self) -> None:
         for admission, tokens in self.load.gate.account.totals.items():
             self.tally.admitted(admission.value, tokens)
+        self.tally.level("cold_sent", self.placement.cold.requests_sent)
         if self._own.has_disk:
             shares = self.load.shares
+            self.tally.level("cold_permits", self.load.permits.given)
             self.tally.level("share_capacity_tokens", shares.capacity_tokens)
             self.tally.level("share_routers", shares.routers)
             self.tally.level("share_limited_customers", len(shares.fractions))
@@ -556,15 +559,22 @@
                 "an earlier process had a higher number", extra={"of": heard}
             )
 
-    def _log_target(self, row: BeatRow) -> None:
+    def _log_target(self, row: BeatRow, before: KnownTarget | None) -> None:
+        was_cold = before is not None and before.row.cold_milliseconds > 0
+        text = "target changed"
+        if row.cold_milliseconds:
+            text = "target cold"
+        elif was_cold:
+            text = "target warm"
         logger.info(
-            "target changed",
+            text,
             extra={
                 "target": row.target_id,
                 "service": row.service,
                 "address": row.address,
                 "state": row.state.value,
                 "sequence": row.sequence,
+                "cold_seconds": row.cold_milliseconds / 1000,
             },
         )
 
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -388,6 +388,7 @@
             status=self._status,
             announce=self._announce,
             leave=self._leave,
+            now=self._now,
             wall_seconds=time,
         )
 
@@ -424,4 +425,5 @@
             self._log.status(),
             self._now(),
             quarantine_of(self.outcomes.suspects, self._now()),
+            self.router.tree.evacuated_data_centres,
         )
--- a/sesameford/instance_status.py
+++ b/sesameford/instance_status.py
@@ -38,6 +38,7 @@
     replica: ReplicaStatus,
     now_seconds: float,
     quarantine: tuple[QuarantineStatus, ...] = (),
+    evacuated: frozenset[str] = frozenset(),
 ) -> StatusReport:
     """Return the answer to ``GET /status``.
 
@@ -50,6 +51,7 @@
         replica: The replicated log as seen here.
         now_seconds: The present time.
         quarantine: The bodies that are refused.
+        evacuated: The data centres whose targets get no new work.
     """
     by_id = {one.instance_id: one for one in heard}
     roles = _roles(own, replica)
@@ -77,6 +79,7 @@
         targets=tuple(_target_status(one, running, now_seconds) for one in targets),
         quarantine=quarantine,
         log=_log_status(replica),
+        evacuated=tuple(sorted(evacuated)),
     )
 
 
--- a/sesameford/operators.py
+++ b/sesameford/operators.py
@@ -17,6 +17,7 @@
     target_news,
 )
 from sesameford.errors import LogError, NoQuorumError, TreeError
+from sesameford.evacuations import EvacuationDeps, order_evacuation
 from sesameford.log_service import COMMAND_LIMIT_BYTES
 from sesameford.messages import TargetNews
 from sesameford.operators_http import (
@@ -78,6 +79,7 @@
         announce: Takes a target's announcement; False for one from the past.
         leave: Takes a target's leave by id, incarnation and sequence; False for
             one from the past.
+        now: The present time, on a clock that never goes back.
         wall_seconds: The time of day, for the history.
     """
 
@@ -90,6 +92,7 @@
     status: Callable[[], StatusReport]
     announce: Callable[[TargetNews], bool]
     leave: Callable[[str, int, int], bool]
+    now: Callable[[], float]
     wall_seconds: Callable[[], float]
 
 
@@ -101,7 +104,17 @@
     declared: str
 
 
+class EvacuationBody(Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of an order to evacuate a data centre, or to restore it."""
+
+    change_id: str
+    data_centre: str
+    evacuated: bool
+
+
 _change_bodies = json.Decoder(ChangeBody)
+_evacuation_bodies = json.Decoder(EvacuationBody)
+MAX_ORDER_BYTES = 2_000
 
 
 def make_operators_routes(deps: OperatorsDeps) -> list[web.RouteDef]:
@@ -119,6 +132,11 @@
         body = await read_body(request, _change_bodies, MAX_CHANGE_BYTES)
         return json_response(await change_tree(deps, operator, body))
 
+    async def post_evacuation(request: web.Request) -> web.Response:
+        operator = _operator(deps, request)
+        body = await read_body(request, _evacuation_bodies, MAX_ORDER_BYTES)
+        return json_response(await _evacuate(deps, operator, body))
+
     async def get_tree(request: web.Request) -> web.Response:
         _operator(deps, request)
         store = deps.store()
@@ -157,6 +175,7 @@
 
     return [
         web.post("/tree/changes", answering(post_change)),
+        web.post("/tree/evacuations", answering(post_evacuation)),
         web.get("/tree", answering(get_tree)),
         web.get("/tree/effective", answering(get_effective)),
         web.get("/tree/history", answering(get_history)),
@@ -212,6 +231,47 @@
     return _change_result(body, answer)
 
 
+async def _evacuate(
+    deps: OperatorsDeps, operator: str, body: EvacuationBody
+) -> dict[str, Any]:
+    """Bring an order to evacuate or restore a data centre to agreement.
+
+    Raises:
+        Problem: It was not accepted, or nobody knows.
+    """
+    _check_change_id(body.change_id)
+    report = deps.status()
+    known = {report.data_centre}
+    known |= {instance.data_centre for instance in report.instances}
+    known |= {target.data_centre for target in report.targets}
+    if body.data_centre not in known:
+        names = ", ".join(sorted(known))
+        raise Problem(404, "no-such-data-centre", f"the data centres are {names}")
+    try:
+        answer = await order_evacuation(
+            EvacuationDeps(
+                deps.propose,
+                lambda: deps.store().revision,
+                deps.now,
+                deps.wall_seconds,
+            ),
+            body.data_centre,
+            body.evacuated,
+            operator,
+            body.change_id,
+        )
+    except LogError as error:
+        raise Problem(503, "no-quorum", f"{error}; send it again") from error
+    if answer.status == REFUSED:
+        raise Problem(400, "refused", answer.detail)
+    await deps.caught_up(answer.revision, CATCH_UP_SECONDS)
+    return {
+        "change_id": body.change_id,
+        "revision": answer.revision,
+        "changed": answer.status == ACCEPTED,
+    }
+
+
 async def _propose(deps: OperatorsDeps, name: str, command: Any) -> bytes:
     """Bring a command to agreement, or say plainly that there is no quorum."""
     # The machine knows resends by their change id. The proposal id is new each
@@ -321,12 +381,17 @@
 
 def _check_change(body: ChangeBody) -> None:
     """Refuse a change whose numbers and names are out of range."""
-    if not 0 < len(body.change_id) <= 100 or not body.change_id.isprintable():
-        raise Problem(400, "bad-body", "change_id: 1 to 100 printable characters")
+    _check_change_id(body.change_id)
     if not 0 <= body.base_revision <= MAX_REVISION:
         raise Problem(400, "bad-body", "base_revision: a whole number from 0")
 
 
+def _check_change_id(change_id: str) -> None:
+    """Refuse an id that can't be kept or shown."""
+    if not 0 < len(change_id) <= 100 or not change_id.isprintable():
+        raise Problem(400, "bad-body", "change_id: 1 to 100 printable characters")
+
+
 def _before(text: str) -> int:
     """Return the revision below which history is wanted."""
     if not text:
--- a/sesameford/router.py
+++ b/sesameford/router.py
@@ -123,7 +123,9 @@
     def refresh_targets(self) -> None:
         """Take at once who may get new work, not only with the next tick."""
         now_seconds = self._now()
-        self._targets = self.registry.usable(self.tree.targets, now_seconds)
+        self._targets = self.registry.usable(
+            self.tree.targets, now_seconds, self.tree.evacuated_data_centres
+        )
         self.scheduler.observe_targets(self._targets, now_seconds)
 
     def tick(self) -> None:
--- a/sesameford/status.py
+++ b/sesameford/status.py
@@ -60,7 +60,10 @@
 
 
 class StatusReport(Struct, frozen=True):
-    """The answer to ``GET /status``."""
+    """The answer to ``GET /status``.
+
+    The targets of the ``evacuated`` data centres get no new work.
+    """
 
     instance_id: str
     data_centre: str
@@ -70,6 +73,7 @@
     targets: tuple[TargetStatus, ...] = ()
     quarantine: tuple[QuarantineStatus, ...] = ()
     log: LogStatus = field(default_factory=LogStatus)
+    evacuated: tuple[str, ...] = ()
     more: dict[str, Any] = field(default_factory=dict)
 
 
--- a/sesameford/targets.py
+++ b/sesameford/targets.py
@@ -114,14 +114,24 @@
         return self._digests[keeper_id]
 
     def usable(
-        self, declared: Mapping[str, TargetSettings], now_seconds: float
+        self,
+        declared: Mapping[str, TargetSettings],
+        now_seconds: float,
+        evacuated: frozenset[str] = frozenset(),
     ) -> dict[str, Target]:
-        """Return the targets that may get new work now."""
+        """Return the targets that may get new work now.
+
+        Args:
+            declared: What the tree says of targets.
+            now_seconds: The present time.
+            evacuated: The data centres whose targets get none.
+        """
         return {
             known.target.target_id: _as_declared(declared, known.target)
             for known in self._known
             if self.is_live(known, now_seconds)
             and not _is_drained(declared, known.target.target_id)
+            and known.target.data_centre not in evacuated
             and not is_held(self._health[known.target.target_id], now_seconds)
         }
 
--- a/tests/operators_fixture.py
+++ b/tests/operators_fixture.py
@@ -79,6 +79,7 @@
             status=self.status,
             announce=self.announce,
             leave=self.leave,
+            now=lambda: 1000.0,
             wall_seconds=lambda: 1000.0,
         )
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -63,6 +63,21 @@
     assert [one["operator"] for one in json.loads(capsys.readouterr().out)] == ["meera"]
 
 
+async def test_a_data_centre_is_evacuated_and_restored(instance, capsys):
+    """The order is in history, and again is no change."""
+    for command, changed in (
+        ("evacuate", True),
+        ("evacuate", False),
+        ("restore", True),
+    ):
+        assert await run(instance, command, "b", "--output", "json") == 0
+        assert json.loads(capsys.readouterr().out)["changed"] is changed
+    assert await run(instance, "evacuate", "nowhere") == 2
+    assert await run(instance, "history", "--output", "json") == 0
+    entries = json.loads(capsys.readouterr().out)
+    assert [one["paths"] for one in entries] == [["data_centres/b"]] * 2
+
+
 async def test_a_tree_in_force_is_applied_again_with_success(instance, tree, capsys):
     await run(instance, "apply", str(tree))
     memory_file(tree).unlink()
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -64,6 +64,15 @@
     assert registry.usable({}, 0.9)["t"].incarnation == 2
 
 
+def test_targets_of_an_evacuated_data_centre_get_no_new_work():
+    registry = TargetRegistry()
+    spread = make_target_spread(registry, "e1", 1, False)
+    spread.announced(news(1, 1), 0.0)
+    place = registry.get("t").target.data_centre
+    assert registry.usable({}, 0.5)
+    assert not registry.usable({}, 0.5, frozenset({place}))
+
+
 def test_no_new_work_after_the_lease_or_while_connections_fail():
     """A target dies silently. Until its lease runs out each router learns by its own
     failed connections, and then goes back to it more and more rarely."""
