Keep calls in the home regions of their route and their customer

A call whose route or customer has home regions goes to targets there alone, also when it is sent once more or resumed, and parts of its prompt are copied within them. Where both have some, both bind; with none in common it is refused with 403.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -17,7 +17,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CustomerSettings:
-    """A customer: a leaf under ``customers``, named by its path."""
+    """A customer: a leaf under ``customers``, named by its path.
+
+    Its calls to routes go to targets in its ``home_regions`` alone; none of them
+    stands for all regions.
+    """
 
     customer_id: str
     share: float = 1.0
@@ -26,6 +30,7 @@
     suspended: bool = False
     deadline_seconds: float = 120.0
     rank: int | None = None
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +97,8 @@
     ``objective_seconds`` is the time to the answer, or to a stream's first event, and
     ``pause_objective_seconds`` the longest pause between events, that callers expect.
     ``rank`` 0 is the most urgent. ``prefix_affinity`` says that requests name the
-    parts of their prompts. A ``public`` route asks for no customer's key.
+    parts of their prompts. A ``public`` route asks for no customer's key. Its calls go
+    to targets in its ``home_regions`` alone; none of them stands for all regions.
     """
 
     route_id: str
@@ -109,6 +115,7 @@
     rank: int = 1
     public: bool = False
     prefix_affinity: bool = False
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -48,6 +48,7 @@
     route: HttpRouteSettings
     customer: str | None
     service: str
+    homes: frozenset[str] | None = None
 
 
 def decide(deps: GatewayDeps, call: Call, arrived_at_seconds: float) -> Admitted:
@@ -65,13 +66,14 @@
     if route is None:
         raise Refusal(404, "no-route")
     customer = _customer_of(state.tree, route, call)
+    homes = _homes(state.tree, route, customer)
     service = choose_service(route, deps.random.random())
     prompt = call.prompt if service in state.engine_services else None
     if deps.lag.is_too_late(arrived_at_seconds):
         _check_late(deps, call, route, customer or "", prompt, arrived_at_seconds)
     elif prompt is not None:
-        _check_share(deps, state, route, customer or "", prompt, service)
-    return Admitted(state, route, customer, service)
+        _check_share(deps, state, route, customer or "", prompt, service, homes)
+    return Admitted(state, route, customer, service, homes)
 
 
 async def begin(
@@ -98,6 +100,7 @@
         route,
         admitted.customer,
         admitted.service,
+        admitted.homes,
         arrived_at_seconds,
         deps.loop_time() + patience_seconds - spent_seconds,
     )
@@ -153,6 +156,7 @@
     customer: str,
     prompt: Prompt,
     service: str,
+    homes: frozenset[str] | None,
 ) -> None:
     """Reject a request beyond its customer's share.
 
@@ -169,6 +173,7 @@
             ROOM_PART * state.shortest_objective_seconds,
             ROOM_WAIT_PART * state.shortest_objective_seconds,
             deps.now(),
+            homes,
         )
 
     if deps.gate.admits(customer, route.route_id, prompt.cost_tokens, has_room):
@@ -196,6 +201,28 @@
     raise Refusal(401, "unknown-key", route_id=route.route_id)
 
 
+def _homes(
+    tree: EffectiveTree, route: HttpRouteSettings, customer: str | None
+) -> frozenset[str] | None:
+    """Return the regions in which a call may run, None for all.
+
+    Raises:
+        Refusal: Its route and its customer have none in common.
+    """
+    homes = [frozenset(route.home_regions)] if route.home_regions else []
+    settings = tree.customers.get(customer) if customer is not None else None
+    if settings is not None and settings.home_regions:
+        homes.append(frozenset(settings.home_regions))
+    if not homes:
+        return None
+    common = frozenset.intersection(*homes)
+    if not common:
+        raise Refusal(
+            403, "no-common-home", route_id=route.route_id, customer=customer or ""
+        )
+    return common
+
+
 async def _body(http: web.BaseRequest, limit_bytes: int) -> bytes:
     if not http.body_exists:
         return b""
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -169,6 +169,7 @@
             settings.data_centre,
             settings.target_beat_seconds,
             Random(self.incarnation),
+            settings.regions,
         )
         self.load = make_load_system(
             self._own.has_disk,
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -65,6 +65,7 @@
     """Why a request has no target to go to."""
 
     NO_TARGET = "no-target"
+    NOT_AT_HOME = "no-target-at-home"
     EVACUATED = "targets-evacuated"
     COLD = "targets-cold"
 
@@ -86,11 +87,13 @@
         data_centre: str,
         beat_seconds: float,
         random: Random,
+        regions: Mapping[str, str],
     ) -> None:
         self.cold = make_cold_targets(table)
         self._table = table
         self._random = random
         self._data_centre = data_centre
+        self._regions = regions
         self._beat_seconds = beat_seconds
         self._places: dict[str, Place] = {}
         self._by_service: dict[str, list[KnownTarget]] = {}
@@ -127,6 +130,7 @@
         objective_seconds: float,
         tried: frozenset[str],
         now_seconds: float,
+        homes: frozenset[str] | None = None,
     ) -> Lease | None:
         """Return where to send a request, counted there at once, or None.
 
@@ -137,10 +141,11 @@
             objective_seconds: When its answer should begin.
             tried: Targets that had it already.
             now_seconds: The present time.
+            homes: The regions in which it may run, None for all.
         """
         found = [
             known
-            for known in self._of_service(service)
+            for known in self._at_home(self._of_service(service), homes)
             if known.row.target_id not in tried
         ]
         usable = self._usable(self._permitted(found, now_seconds), now_seconds)
@@ -158,7 +163,11 @@
         return replace(lease, is_cold=True) if is_cold else lease
 
     def why_nowhere(
-        self, service: str, tried: frozenset[str], now_seconds: float
+        self,
+        service: str,
+        tried: frozenset[str],
+        now_seconds: float,
+        homes: frozenset[str] | None = None,
     ) -> Nowhere:
         """Return why ``choose`` found no target."""
         ready = [
@@ -166,7 +175,10 @@
             for known in self._table.known.values()
             if known.row.service == service and known.row.state is TargetState.READY
         ]
-        left = [known for known in ready if known.row.target_id not in tried]
+        at_home = self._at_home(ready, homes)
+        if ready and not at_home:
+            return Nowhere.NOT_AT_HOME
+        left = [known for known in at_home if known.row.target_id not in tried]
         if left and all(one.row.data_centre in self._evacuated for one in left):
             return Nowhere.EVACUATED
         if any(self.cold.is_cold(known, now_seconds) for known in left):
@@ -190,6 +202,18 @@
         )
         return available / ready if ready else 1.0
 
+    def _at_home(
+        self, found: list[KnownTarget], homes: frozenset[str] | None
+    ) -> list[KnownTarget]:
+        """Return the targets in some regions; one of an unknown region is in none."""
+        if homes is None:
+            return found
+        return [
+            known
+            for known in found
+            if self._regions.get(known.row.data_centre) in homes
+        ]
+
     def _permitted(
         self, found: list[KnownTarget], now_seconds: float
     ) -> list[KnownTarget]:
@@ -227,6 +251,7 @@
         room_seconds: float,
         mean_wait_seconds: float,
         now_seconds: float,
+        homes: frozenset[str] | None = None,
     ) -> bool:
         """Return whether a request could begin at once and would delay nobody.
 
@@ -241,14 +266,15 @@
             room_seconds: Prompts may wait so long where there is room.
             mean_wait_seconds: And so long on average over all engines.
             now_seconds: The present time.
+            homes: The regions in which it may run, None for all.
         """
         slots = engine.batch_slots
         if not slots:
             return False
         if self.mean_wait_seconds(service, slots, now_seconds) > mean_wait_seconds:
             return False
-        found = self._warm(self._of_service(service), now_seconds)
-        usable = self._usable(found, now_seconds)
+        found = self._at_home(self._of_service(service), homes)
+        usable = self._usable(self._warm(found, now_seconds), now_seconds)
         if not usable:
             return False
         option = self._best_option(
@@ -570,7 +596,11 @@
 
 
 def make_placement(
-    table: BeatTable, data_centre: str, beat_seconds: float, random: Random
+    table: BeatTable,
+    data_centre: str,
+    beat_seconds: float,
+    random: Random,
+    regions: Mapping[str, str] | None = None,
 ) -> Placement:
     """Return the placement of one router.
 
@@ -579,5 +609,6 @@
         data_centre: Where the router stands.
         beat_seconds: How often targets beat.
         random: Draws the engines that are looked at.
+        regions: The region of each data centre.
     """
-    return Placement(table, data_centre, beat_seconds, random)
+    return Placement(table, data_centre, beat_seconds, random, regions or {})
--- a/sesameford/gateway/run.py
+++ b/sesameford/gateway/run.py
@@ -104,13 +104,17 @@
 
 @dataclass(slots=True)
 class Run:
-    """One call on its way; ``until_seconds`` is on the loop's clock."""
+    """One call on its way; ``until_seconds`` is on the loop's clock.
+
+    Its targets are in the regions ``homes``, where it has any.
+    """
 
     call: Call
     body: bytes
     route: HttpRouteSettings
     customer: str | None
     service: str
+    homes: frozenset[str] | None
     arrived_at_seconds: float
     until_seconds: float
     tried: frozenset[str] = frozenset()
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -38,6 +38,7 @@
 # an operator ends it, so nothing is gained by coming back often.
 NOWHERE_RETRY_SECONDS = {
     Nowhere.NO_TARGET: RETRY_AFTER_SECONDS,
+    Nowhere.NOT_AT_HOME: RETRY_AFTER_SECONDS,
     Nowhere.COLD: RETRY_AFTER_SECONDS,
     Nowhere.EVACUATED: 2.0,
 }
@@ -108,11 +109,14 @@
         run.route.objective_seconds,
         run.tried,
         deps.now(),
+        run.homes,
     )
     if lease is None:
         if run.may_have_run:
             raise Refusal(502, "no-target-left")
-        reason = deps.placement.why_nowhere(run.service, run.tried, deps.now())
+        reason = deps.placement.why_nowhere(
+            run.service, run.tried, deps.now(), run.homes
+        )
         raise Refusal(503, reason.value, NOWHERE_RETRY_SECONDS[reason])
     return lease
 
--- a/sesameford/tree_fields.py
+++ b/sesameford/tree_fields.py
@@ -192,7 +192,7 @@
 
 
 def _names(value: Any, path: str) -> list[str]:
-    """Check a list of names of models or adapters."""
+    """Check a list of names, of models for one."""
     allowed = f"a list of at most {MAX_NAMES} different names"
     if not isinstance(value, list) or len(value) > MAX_NAMES:
         raise Refused(path, shown(value), allowed)
@@ -269,6 +269,8 @@
         (ServiceSettings, "deadline_seconds"): _number(0, 86_400, above=True),
         (TargetSettings, "models"): _names,
         (TargetSettings, "adapters"): _names,
+        (CustomerSettings, "home_regions"): _names,
+        (HttpRouteSettings, "home_regions"): _names,
         (RouteSettings, "method"): _method,
         (RouteSettings, "path_prefix"): _path_prefix,
         (FleetSettings, "scheduler"): _one_of("leased", "independent"),
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,87 @@
+"""Calls that may run in some regions only, in a fleet of two regions."""
+
+from random import Random
+
+import pytest
+
+from sesameford.discovery.beat_table import make_beat_table
+from sesameford.effective import ServiceSettings
+from sesameford.gateway.calls import Prompt, PromptPart
+from sesameford.gateway.placement import Nowhere, make_placement
+from sesameford.messages import BeatRow
+from sesameford.operators_http import digest_of_key
+from sesameford.tables import TargetState
+from sesameford.tree import effective_tree, parse_tree
+from tests.gateway_fixture import KEY, open_desk
+
+ENGINE = ServiceSettings("pool", batch_slots=4, cache_copy_tokens_per_second=4e5)
+REGIONS = {"a": "west", "b": "west", "c": "east"}
+WEST = frozenset({"west"})
+EAST = frozenset({"east"})
+TREE = f"""
+customers:
+  children:
+    club: {{key_digests: [{digest_of_key(KEY)}], home_regions: [west]}}
+services: {{children: {{pool: {{}}}}}}
+routes:
+  host: desk.example
+  backends: [{{service: pool, weight: 1}}]
+  children:
+    both: {{path_prefix: /both/, home_regions: [west, east]}}
+    other: {{path_prefix: /other/, home_regions: [east]}}
+"""
+
+
+def make():
+    """Return a placement over two engines in each of three data centres."""
+    table = make_beat_table()
+    for place in REGIONS:
+        for number in range(2):
+            name = f"{place}{number}"
+            ready = TargetState.READY
+            table.beat(BeatRow(name, 1, "pool", f"{name}:1", place, 4, ready), 0.0)
+    return make_placement(table, "a", 1000.0, Random(1), REGIONS)
+
+
+def choose(placement, homes, now=1.0, tried=frozenset()):
+    prompt = Prompt("m", 6_000, 50, (PromptPart(7, 5_000), PromptPart(99, 1_000)))
+    return placement.choose("pool", prompt, ENGINE, 0.3, tried, now, homes)
+
+
+def test_a_call_stays_at_home_however_full_its_engines_are():
+    placement = make()
+    for _ in range(40):
+        assert choose(placement, EAST).target_id[0] == "c"
+        assert choose(placement, WEST).target_id[0] in "ab"
+
+
+def test_a_call_that_is_sent_once_more_stays_at_home():
+    placement = make()
+    assert choose(placement, EAST, tried=frozenset({"c0"})).target_id == "c1"
+    assert choose(placement, EAST, tried=frozenset({"c0", "c1"})) is None
+
+
+def test_nothing_is_copied_from_an_engine_of_another_region():
+    """The prompt's parts are kept in the other region alone."""
+    placement = make()
+    choose(placement, EAST)
+    assert choose(placement, WEST, now=2.0).copy_from is None
+
+
+def test_a_data_centre_of_an_unknown_region_is_nobody_s_home():
+    placement = make()
+    nowhere = frozenset({"north"})
+    assert choose(placement, nowhere) is None
+    reason = placement.why_nowhere("pool", frozenset(), 1.0, nowhere)
+    assert reason is Nowhere.NOT_AT_HOME
+
+
+@pytest.mark.parametrize(
+    ("path", "status"), [("/both/x", 503), ("/other/x", 403), ("/none/x", 404)]
+)
+async def test_calls_without_a_common_home_or_a_target_there_are_refused(path, status):
+    """The desk's server stands in a data centre of no known region."""
+    tree = effective_tree(parse_tree(TREE, "t"), 1)
+    async with open_desk("", tree=tree) as desk:
+        assert (await desk.ask(path))[0] == status
+        assert desk.runs == 0
