Reject part of a plain service's requests while its queues are long

Each router now rejects a part that a proportional integral controller finds from the time that an answer takes where it is soonest done, before anything is sent.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -6,6 +6,7 @@
 
 from sesameford.effective import EffectiveTree, HttpRouteSettings
 from sesameford.gateway.calls import Call, Prompt
+from sesameford.gateway.queue_limit import make_queue_limit
 from sesameford.gateway.route_table import choose_service
 from sesameford.gateway.run import (
     RETRY_AFTER_SECONDS,
@@ -73,6 +74,8 @@
         _check_late(deps, call, route, customer or "", prompt, arrived_at_seconds)
     elif prompt is not None:
         _check_share(deps, state, route, customer or "", prompt, service, homes)
+    elif service not in state.engine_services:
+        _check_queue(deps, route, customer or "", service)
     return Admitted(state, route, customer, service, homes)
 
 
@@ -188,6 +191,34 @@
     )
 
 
+def _check_queue(
+    deps: GatewayDeps, route: HttpRouteSettings, customer: str, service: str
+) -> None:
+    """Reject a part by lot while the queues of a plain service are long.
+
+    Were all let in, a service that is asked for more than it can do would answer
+    everybody late from when its queues are full.
+
+    Raises:
+        Refusal: The answer would come late, or make others come late.
+    """
+    queue = deps.placement.plain_queue(service, deps.now())
+    takes_seconds = queue.takes_seconds
+    limit = deps.queue_limits.setdefault(service, make_queue_limit())
+    rejected_part = limit.update(
+        takes_seconds, route.objective_seconds, queue.is_idle, deps.now()
+    )
+    if deps.random.random() < rejected_part:
+        raise Refusal(
+            503,
+            "queue-full",
+            takes_seconds,
+            route.route_id,
+            customer,
+            f"takes {takes_seconds:.3f} s, rejected part {rejected_part:.2f}",
+        )
+
+
 def _customer_of(
     tree: EffectiveTree, route: HttpRouteSettings, call: Call
 ) -> str | None:
--- a/sesameford/gateway/place.py
+++ b/sesameford/gateway/place.py
@@ -67,7 +67,8 @@
     ``tokens`` are to be read for it and ``ahead_tokens`` before it;
     ``expected_seconds`` is the time until it is read, as it looked when it was sent.
     ``copy_from`` is the engine that it copies shared parts of the prompt from;
-    ``is_cold`` says that the target has started a moment ago.
+    ``is_cold`` says that the target has started a moment ago. A plain target had
+    ``fullness`` requests under way for each of its places, this one among them.
     """
 
     target_id: str
@@ -81,3 +82,4 @@
     waits_for_place: bool = False
     copy_from: str | None = None
     is_cold: bool = False
+    fullness: float = 0.0
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -34,6 +34,8 @@
 FIRST_HOLD_SECONDS = 1.0
 # The part of a new one in the average of those times.
 HOLD_GAIN = 0.05
+# The part of a new one in the average of how long a plain service works on a request.
+WORK_GAIN = 0.05
 # What a first event takes beside the reading of prompts: the ways there and back, and
 # the steps until an event is full. It is learnt from prompts so short that they say
 # little of the engine's rate, with this weight of each; what took longer had other
@@ -70,6 +72,14 @@
     COLD = "targets-cold"
 
 
+@dataclass(frozen=True, slots=True)
+class PlainQueue:
+    """How long a request of a plain service takes, and whether it need not wait."""
+
+    takes_seconds: float
+    is_idle: bool
+
+
 @dataclass(frozen=True, slots=True)
 class _MeanWait:
     """How long prompts wait on average at the engines of a service."""
@@ -105,6 +115,7 @@
         self._mean_waits: dict[str, _MeanWait] = {}
         self._kind_rate = ReadingRate()
         self._fixed_seconds = FIRST_FIXED_SECONDS
+        self._work_seconds: dict[str, float] = {}
 
     def configure(self, tree: EffectiveTree, now_seconds: float) -> None:
         """Take a tree that comes into force."""
@@ -376,6 +387,31 @@
         place.failures = 0
         place.answered += 1
 
+    def ran(self, service: str, lease: Lease, now_seconds: float) -> None:
+        """Learn how long a plain service works on a request."""
+        took_seconds = (now_seconds - lease.sent_at_seconds) / max(lease.fullness, 1.0)
+        before_seconds = self._work_seconds.get(service, took_seconds)
+        change_seconds = took_seconds - before_seconds
+        self._work_seconds[service] = before_seconds + WORK_GAIN * change_seconds
+
+    def plain_queue(self, service: str, now_seconds: float) -> PlainQueue:
+        """Return the queue of a plain service where a request is soonest done.
+
+        Args:
+            service: The service.
+            now_seconds: The present time.
+        """
+        work_seconds = self._work_seconds.get(service, 0.0)
+        found = self._of_service(service)
+        if not work_seconds or not found:
+            return PlainQueue(0.0, True)
+        fullness = min(
+            self._place(known.row.target_id).all_requests(now_seconds)
+            / max(known.row.slots, 1)
+            for known in self._usable(found, now_seconds)
+        )
+        return PlainQueue(work_seconds * max(fullness, 1.0), fullness < 1.0)
+
     def answered_badly(self, target_id: str) -> None:
         """Note that a target failed a request that it took."""
         self._place(target_id).failed += 1
@@ -539,10 +575,18 @@
 
     def _plain_lease(self, known: KnownTarget, now_seconds: float) -> Lease:
         """Count a request at a plain service."""
-        place = self._place(known.row.target_id)
+        row = known.row
+        place = self._place(row.target_id)
         place.requests += 1
+        fullness = place.all_requests(now_seconds) / max(row.slots, 1)
         number = self._open(place, now_seconds, now_seconds)
-        return Lease(known.row.target_id, known.row.address, number)
+        return Lease(
+            row.target_id,
+            row.address,
+            number,
+            sent_at_seconds=now_seconds,
+            fullness=fullness,
+        )
 
     def _open(
         self, place: Place, now_seconds: float, expected_at_seconds: float
--- a/sesameford/gateway/run.py
+++ b/sesameford/gateway/run.py
@@ -1,7 +1,7 @@
 """One call on its way through a router, and the parts of the router that it meets."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from aiohttp import web
@@ -14,6 +14,7 @@
 from sesameford.gateway.loop_lag import LoopLag
 from sesameford.gateway.place import Lease
 from sesameford.gateway.placement import Placement
+from sesameford.gateway.queue_limit import QueueLimit
 from sesameford.gateway.route_table import RouteTable, make_route_table
 from sesameford.gateway.second_sends import SecondSends
 from sesameford.gateway.share_gate import ShareGate
@@ -70,6 +71,7 @@
     accepts: Callable[[], bool]
     now: Callable[[], float]
     loop_time: Callable[[], float]
+    queue_limits: dict[str, QueueLimit] = field(default_factory=dict)
 
 
 class Refusal(SesamefordError):
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -162,6 +162,8 @@
         deps.placement.released(lease, deps.now())
     if not is_failed:
         deps.placement.proved(lease.target_id)
+        if not run.route.is_stream:
+            deps.placement.ran(run.service, lease, deps.now())
     return answer
 
 
