--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -96,11 +96,20 @@
     usable: Sequence[tuple[KnownTarget, Place]],
     engine: ServiceSettings,
     random: Random,
+    permitted: frozenset[str] = frozenset(),
 ) -> list[EngineOption]:
     """Return what some engines would have to do for a prompt.
 
     Were all engines looked at, routers that are sent the same loads some tenths of a
     second late would all send to the same one.
+
+    Args:
+        prompt: What is known of it.
+        usable: The engines that may have it.
+        engine: The settings of their service.
+        random: Draws some of them.
+        permitted: Cold engines that it may be sent to, which are looked at in any case:
+            a permit is for this router alone and soon worth nothing.
     """
     kept = [place.memory.kept_tokens(prompt.shared_parts) for _, place in usable]
     order = _home_order(prompt)
@@ -113,6 +122,12 @@
     looked_at += keeping
     others = others[len(keeping) :]
     looked_at += random.sample(others, min(LOT_ENGINES, len(others)))
+    if permitted:
+        looked_at += [
+            one
+            for one in others
+            if one[0][0].row.target_id in permitted and one not in looked_at
+        ]
     source, most_kept = max(ranked, key=lambda one: one[1])
     found = _Kept(ranked[0][0][0], source[0], most_kept)
     return [
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -244,6 +244,16 @@
             return found
         return [known for known in found if not self.cold.is_cold(known, now_seconds)]
 
+    def _cold_ids(self, found: list[KnownTarget], now_seconds: float) -> frozenset[str]:
+        """Return the cold ones among some targets."""
+        if not self.cold.are_any(now_seconds):
+            return frozenset()
+        return frozenset(
+            known.row.target_id
+            for known in found
+            if self.cold.is_cold(known, now_seconds)
+        )
+
     def _use_permit(self, known: KnownTarget, now_seconds: float) -> bool:
         """Use up the permit that a request needs, and return whether it needs one."""
         is_cold = self.cold.are_any(now_seconds) and self.cold.is_cold(
@@ -321,7 +331,8 @@
             )
 
         places = [(known, self._place(known.row.target_id)) for known in usable]
-        options = options_for(prompt, places, engine, self._random)
+        permitted = self._cold_ids(usable, now_seconds)
+        options = options_for(prompt, places, engine, self._random, permitted)
         return min(options, key=cost)
 
     def heard(self, lease: Lease, now_seconds: float) -> None:
