--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -28,6 +28,8 @@
 FRONT_PORT = 8783
 READY_PORT = 8780
 REPLICAS = 3
+# Servers stand in them by turns; all processes are in the first.
+DATA_CENTRES = ("a", "b")
 BEAT_SECONDS = 0.4
 HOST = "desk.example"
 KEY = "the-clubs-key"
@@ -85,6 +87,7 @@
     server: PlatformServer
     proxy: FaultProxy
     address: str
+    data_centre: str = "a"
     state: str = "ready"
     sequence: int = 0
     drained_at_seconds: float | None = None
@@ -161,7 +164,7 @@
             f'node_name = "{program.name}"',
             f'role = "{program.role}"',
             f'ip = "{program.ip}"',
-            'zone = "a"',
+            f'zone = "{DATA_CENTRES[0]}"',
             f"internal_port_range = [{LINKS_PORT}, {METRICS_PORT}]",
             f"seeds = {json.dumps(known)}",
             f"bootstrap = {str(self.is_new).lower()}",
@@ -169,6 +172,8 @@
         ]
         if program.role == "replica":
             lines.append(f'data_dir = "{program.folder / "data"}"')
+        lines.append("[zones]")
+        lines.extend(f'{name} = "region"' for name in DATA_CENTRES)
         lines.append("[listen]")
         lines.extend(f'{name} = "{address}"' for name, address in listen.items())
         (program.folder / "boot.toml").write_text("\n".join(lines) + "\n")
@@ -204,7 +209,8 @@
         host, _, port = server.address.rpartition(":")
         proxy = FaultProxy(host, int(port))
         proxy_port = await proxy.start()
-        one = BeatingServer(server, proxy, f"127.0.0.1:{proxy_port}")
+        place = DATA_CENTRES[self._server_number % len(DATA_CENTRES)]
+        one = BeatingServer(server, proxy, f"127.0.0.1:{proxy_port}", place)
         self.servers.append(one)
         self._beats[server.target_id] = asyncio.create_task(self._beat(one))
         return one
@@ -235,7 +241,7 @@
         body = {
             "service": "pool",
             "address": one.address,
-            "zone": "a",
+            "zone": one.data_centre,
             "version": "v1",
             "slots": 16,
             "state": one.state,
@@ -254,6 +260,14 @@
         status, _ = await self.call(replica.control, "PUT", "/v1/config", body)
         return status
 
+    async def evacuate(
+        self, replica: Program, data_centre: str, evacuated: bool
+    ) -> int:
+        """Order a data centre to be emptied, or taken in; return the status."""
+        method = "POST" if evacuated else "DELETE"
+        path = f"/v1/evacuations/{data_centre}"
+        return (await self.call(replica.control, method, path))[0]
+
     async def declared_version(self, replica: Program) -> int | None:
         """Return the version that a replica reads back, None where it has none."""
         status, text = await self.call(replica.control, "GET", "/v1/config")
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -51,6 +51,7 @@
     fault: Fault = Fault.NONE
     pause_seconds: float = 0.0
     last_arrival_seconds: float = 0.0
+    arrivals_seconds: list[float] = field(default_factory=list)
     seen: list[Seen] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     connections: int = 0
@@ -107,6 +108,7 @@
             return True
         self.runs[call_id] += 1
         self.last_arrival_seconds = monotonic()
+        self.arrivals_seconds.append(self.last_arrival_seconds)
         if self.fault is Fault.MUTE:
             await reader.read()
             self.left_early += 1
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -10,7 +10,7 @@
 
 from standins.platform_fleet import make_platform_fleet
 from tools.platform_soak import play
-from tools.platform_soak_verdict import Records, Sent, findings
+from tools.platform_soak_verdict import Records, Sent, Span, findings
 
 SEEDS = (3,)
 # Each seed that ever failed, its seconds and its cause; played by `make platform-soak`
@@ -134,6 +134,20 @@
     assert "under version 9" in found(removed, runs=1)[0]
 
 
+@pytest.mark.parametrize(
+    ("at_seconds", "is_found"), [(11.0, False), (13.0, True), (21.0, False)]
+)
+def test_the_check_sees_work_in_an_evacuated_data_centre(at_seconds, is_found):
+    """The order was acknowledged at 10 s and its opposite sent at 20 s."""
+    server = Beating({})
+    server.data_centre = "b"
+    server.server.arrivals_seconds = [at_seconds]
+    records = Records(servers=[server], evacuations=[Span("b", 10.0, 20.0)])
+    assert bool(findings(records, Fleet())) is is_found
+    records.faults.append(Span("core", 9.0, 12.0))
+    assert findings(records, Fleet()) == []
+
+
 def test_a_version_is_settled_once_no_change_can_be_in_force_beside_it():
     records = Records()
     assert records.settled_version(0.0) is None
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -4,6 +4,7 @@
 
 Each seed runs real processes on loopback under drawn faults that overlap and repeat:
 processes killed, paused, stopped as planned and told of changed settings, disks lost,
+data centres of servers evacuated and restored,
 servers that crash, drain and answer wrongly, connections that are delayed, reset and
 silenced. Callers keep their connections until the process is gone. What callers,
 servers and the operator see is checked against the promises; each line of findings
@@ -24,6 +25,7 @@
 from aiohttp import ClientSession, TCPConnector
 
 from standins.platform_fleet import (
+    DATA_CENTRES,
     REPLICAS,
     ROOT,
     BeatingServer,
@@ -33,7 +35,7 @@
 )
 from standins.platform_server import Fault
 from tools.platform_soak_callers import Callers, make_callers
-from tools.platform_soak_verdict import Records, findings
+from tools.platform_soak_verdict import Records, Span, findings
 
 RUN_FOLDER = ROOT / "run" / "platform-soak"
 ROUTERS = 3
@@ -67,6 +69,7 @@
         self._seconds = seconds
         self._version = 10
         self._core_is_touched = asyncio.Lock()
+        self._is_evacuating = asyncio.Lock()
 
     async def run(self) -> list[str]:
         """Play the seed; return what was found."""
@@ -122,6 +125,7 @@
             self._drain_server,
             self._wrong_answers,
             self._harm_connections,
+            self._evacuate,
             self._change,
             self._change,
             self._race,
@@ -153,7 +157,8 @@
         program = self._router()
         if program is None:
             return
-        with self.records.fault(program.name):
+        name = program.name
+        with self.records.fault(name), self.records.pause(name):
             program.signal(Signals.SIGSTOP)
             await asyncio.sleep(self._random.uniform(0.3, 2.5))
             program.signal(Signals.SIGCONT)
@@ -237,6 +242,40 @@
     async def _change(self) -> None:
         await self._declare()
 
+    async def _evacuate(self) -> None:
+        """Empty a data centre and take it in, with orders that come again.
+
+        Both orders are sent until they are acknowledged, to any replica; what is
+        recorded as evacuated ends when the opposite is sent for the first time.
+        """
+        if self._is_evacuating.locked():
+            return
+        async with self._is_evacuating:
+            place = DATA_CENTRES[-1]
+            if not await self._order(place, evacuated=True):
+                return
+            span = Span(place, monotonic())
+            self.records.evacuations.append(span)
+            await asyncio.sleep(self._random.uniform(0.5, 5.0))
+            if self._random.random() < 0.5:
+                await self._order(place, evacuated=True)
+            span.to_seconds = monotonic()
+            while not await self._order(place, evacuated=False):
+                await asyncio.sleep(0.3)
+
+    async def _order(self, place: str, evacuated: bool) -> bool:
+        """Send an order until it is acknowledged."""
+        for _ in range(12):
+            replica = self._random.choice(self.fleet.replicas)
+            status = await self.fleet.evacuate(replica, place, evacuated)
+            if status == 200:
+                return True
+            if 400 <= status < 500:
+                self.records.refused_changes.append(f"evacuation: {status}")
+                return False
+            await asyncio.sleep(0.3)
+        return False
+
     async def _race(self) -> None:
         await asyncio.gather(*(self._declare() for _ in range(2)))
 
--- a/tools/platform_soak_verdict.py
+++ b/tools/platform_soak_verdict.py
@@ -13,6 +13,8 @@
 # A server that drains gets no request later than this after the acknowledgement; a
 # busy machine gets a half second more.
 DRAIN_SECONDS = 2.5
+# So long after an evacuation was acknowledged its servers get nothing.
+EVACUATED_SECONDS = 2.5
 # What happened so shortly before a request may still harm it.
 AFTERMATH_SECONDS = 3.0
 PROMISES = (408, 421, 429, 503)
@@ -66,6 +68,8 @@
     exit_codes: list[tuple[str, int | None]] = field(default_factory=list)
     never_ready: list[str] = field(default_factory=list)
     refused_changes: list[str] = field(default_factory=list)
+    evacuations: list[Span] = field(default_factory=list)
+    pauses: list[Span] = field(default_factory=list)
     newest_version: int = 0
     changes_under_way: int = 0
     is_unsure: bool = False
@@ -76,6 +80,11 @@
         """Note a fault for as long as it lasts."""
         yield from self._span(self.faults, subject)
 
+    @contextmanager
+    def pause(self, subject: str) -> Iterator[None]:
+        """Note a process that stands still, and what it does just after that."""
+        yield from self._span(self.pauses, subject)
+
     @contextmanager
     def planned_stop(self, subject: str) -> Iterator[None]:
         """Note a planned stop for as long as it lasts."""
@@ -140,6 +149,7 @@
         if code != 0
     )
     found.extend(_late_work(records))
+    found.extend(_work_while_evacuated(records))
     return found
 
 
@@ -191,3 +201,24 @@
         if late_seconds > DRAIN_SECONDS and not harmed:
             name = one.server.target_id
             yield f"{name} got work {late_seconds:.1f} s after it drained"
+
+
+def _work_while_evacuated(records: Records) -> Iterator[str]:
+    """Return servers that got work long after their data centre was evacuated."""
+    core_faults = [span for span in records.faults if span.subject == "core"]
+    for span in records.evacuations:
+        for one in records.servers:
+            if one.data_centre != span.subject:
+                continue
+            for at_seconds in one.server.arrivals_seconds:
+                if not span.from_seconds + EVACUATED_SECONDS < at_seconds:
+                    continue
+                harmed = any(
+                    fault.from_seconds - AFTERMATH_SECONDS <= at_seconds
+                    and span.from_seconds <= fault.to_seconds + AFTERMATH_SECONDS
+                    for fault in core_faults + records.pauses
+                )
+                if at_seconds < span.to_seconds and not harmed:
+                    late_seconds = at_seconds - span.from_seconds
+                    name = one.server.target_id
+                    yield f"{name} got work {late_seconds:.1f} s after its evacuation"
