Let in more while answers begin in time, as callers see it

Routers now report how many answers begin in time and late, each by its own objective; the wait that replicas aim at is 1 to 2.2 times as long, the longer the fewer are late, and as before from 15 in 100 late on. It is a function of present sums alone, so replicas don't drift apart.

--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -32,8 +32,9 @@
 # How often what shares do is logged; the rule that nobody gets far less than others is
 # checked by the second.
 LOGGED_AGAIN_SECONDS = 0.9
-# How long prompts may wait on average, as a part of the shortest objective: the rest
-# is for reading the prompt itself and for what waits longer than the average.
+# How long prompts may wait on average at the least, as a part of the shortest
+# objective: the rest is for reading the prompt itself and for what waits longer than
+# the average.
 WAIT_PART = 0.35
 
 
@@ -155,6 +156,8 @@
             self._placement.news(),
             self._placement.outcomes(),
             round(now_seconds * 1000) if lacks_permits else 0,
+            round(self.gate.timeliness.in_time_answers(now_seconds), 2),
+            round(self.gate.timeliness.late_answers(now_seconds), 2),
         )
         self.report.reported(places, now_seconds)
         if self.report.is_alone(now_seconds):
@@ -202,7 +205,13 @@
         if declared_tokens is not None:
             declared_tokens /= self.report.routers
         own = PartialLoad(
-            1, load.places, load.customers, load.wait_seconds, load.handled_tokens
+            1,
+            load.places,
+            load.customers,
+            load.wait_seconds,
+            load.handled_tokens,
+            in_time_answers=load.in_time_answers,
+            late_answers=load.late_answers,
         )
         wanted_wait_seconds = WAIT_PART * state.shortest_objective_seconds
         self._own_shares.tick((own,), declared_tokens, wanted_wait_seconds, now_seconds)
@@ -245,6 +254,7 @@
                 "capacity_tokens": round(shares.capacity_tokens),
                 "asked_tokens": round(sum(shares.asked_tokens.values())),
                 "wait_seconds": round(shares.wait_seconds, 4),
+                "wanted_seconds": round(shares.wanted_wait_seconds, 4),
             },
         )
 
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -97,6 +97,8 @@
             sum(load.handled_tokens for load in loads),
             used,
             outcomes,
+            round(sum(load.in_time_answers for load in loads), 2),
+            round(sum(load.late_answers for load in loads), 2),
         )
 
 
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -211,6 +211,7 @@
         if run.event_came(deps.now()):
             if run.call.prompt is not None:
                 deps.gate.began(run.customer or "", run.call.prompt.cost_tokens)
+                _note_begin(deps, run)
             deps.placement.first_event(lease, deps.now())
         deps.placement.heard(lease, deps.now())
         ready = run.passed.feed(chunk) if run.passed is not None else chunk
@@ -255,6 +256,15 @@
         run.passed.drop_partial()
 
 
+def _note_begin(deps: GatewayDeps, run: Run) -> None:
+    """Note how long a caller waited for its answer to begin.
+
+    Where a target failed before, that says nothing of how long prompts wait.
+    """
+    if run.sendings == 1 and run.first_event_seconds is not None:
+        deps.gate.timeliness.began(run.first_event_seconds, run.route.objective_seconds)
+
+
 def _note_failed(deps: GatewayDeps, run: Run, lease: Lease) -> None:
     """Note a request that its target took and failed."""
     deps.placement.answered_badly(lease.target_id)
--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -9,6 +9,7 @@
     ShareAccount,
     make_share_account,
 )
+from sesameford.gateway.timeliness import Timeliness, make_timeliness
 from sesameford.gateway.token_rate import TokenRate
 from sesameford.load_messages import CustomerRates, ShareRow
 
@@ -78,6 +79,7 @@
     handled: TokenRate = field(default_factory=TokenRate)
     fractions: dict[str, float] = field(default_factory=dict)
     account: ShareAccount = field(default_factory=make_share_account)
+    timeliness: Timeliness = field(default_factory=make_timeliness)
     _rates: dict[str, _Rates] = field(default_factory=dict)
     _credits: dict[str, _Credit] = field(default_factory=dict)
     _most_odds: float = 1.0
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -13,6 +13,7 @@
 
 from sesameford.gateway.router_loads import customers_added_up
 from sesameford.gateway.service_balance import ServiceBalance, make_service_balance
+from sesameford.gateway.timeliness import wait_factor
 from sesameford.gateway.token_rate import AVERAGE_SECONDS
 from sesameford.load_messages import PartialLoad, ShareRow
 
@@ -48,6 +49,7 @@
 
     capacity_tokens: float = FIRST_CAPACITY_TOKENS
     wait_seconds: float = 0.0
+    wanted_wait_seconds: float = 0.0
     asked_tokens: Mapping[str, int] = field(default_factory=dict)
     fractions: dict[str, float] = field(default_factory=dict)
     routers: int = 0
@@ -69,7 +71,7 @@
         Args:
             loads: Of all routers that are known, each in one of them.
             declared_tokens: What all engines produce a second, None if not known.
-            wanted_wait_seconds: How long prompts may wait on average.
+            wanted_wait_seconds: How long prompts may wait on average at the least.
             now_seconds: The present time.
             available_part: The part of the engines that take work as usual.
         """
@@ -79,8 +81,12 @@
         rows = customers_added_up(load.customers for load in loads)
         self.asked_tokens = {row.customer: row.asked_tokens for row in rows}
         begun_tokens = {row.customer: row.begun_tokens for row in rows}
+        self.wanted_wait_seconds = wanted_wait_seconds * wait_factor(
+            sum(load.in_time_answers for load in loads),
+            sum(load.late_answers for load in loads),
+        )
         self.capacity_tokens = self._capacity(
-            loads, declared_tokens, wanted_wait_seconds
+            loads, declared_tokens, self.wanted_wait_seconds
         )
         even = fair_amounts(self.asked_tokens, self.capacity_tokens)
         self._balance.settle(even, begun_tokens, now_seconds)
--- a/sesameford/load_messages.py
+++ b/sesameford/load_messages.py
@@ -66,7 +66,7 @@
     ``handled_tokens`` what engines begin to answer or fail, a second; ``used`` what it
     sent to engines since its last report, ``outcomes`` how targets answered since. With
     ``permits_asked_milliseconds``, a time of its own clock, it asks for permits to send
-    to cold targets.
+    to cold targets. ``in_time_answers`` and ``late_answers`` begin there a second.
     """
 
     places: tuple[PlaceLoad, ...]
@@ -76,6 +76,8 @@
     used: tuple[UsedParts, ...] = ()
     outcomes: tuple[TargetOutcomes, ...] = ()
     permits_asked_milliseconds: int = 0
+    in_time_answers: float = 0.0
+    late_answers: float = 0.0
 
 
 class RouterLoadEnds(Struct, frozen=True, array_like=True, tag=True):
@@ -118,3 +120,5 @@
     handled_tokens: float = 0.0
     used: tuple[UsedParts, ...] = ()
     outcomes: tuple[TargetOutcomes, ...] = ()
+    in_time_answers: float = 0.0
+    late_answers: float = 0.0
