--- a/sesameford/evacuations.py
+++ b/sesameford/evacuations.py
@@ -1,7 +1,7 @@
 """Orders to evacuate a data centre, brought to agreement.
 
 The targets of an evacuated data centre get no new work, on any instance, until an
-operator takes them in again. The order is a change of the settings tree that needs no
+operator restores it. The order is a change of the settings tree that needs no
 file: it is agreed on, spread and kept as all changes are.
 """
 
@@ -57,7 +57,7 @@
 
     Args:
         deps: What it needs of this instance.
-        data_centre: Whose targets are taken out, or in again.
+        data_centre: Which one is evacuated, or restored.
         evacuated: Which of the two.
         operator: Who wants it.
         order_id: The same over resends, empty where the operator gives none.
--- a/sesameford/gateway/cold_targets.py
+++ b/sesameford/gateway/cold_targets.py
@@ -28,7 +28,7 @@
     table: BeatTable
     _services: Mapping[str, ServiceSettings] = field(default_factory=dict)
     _evacuated: frozenset[str] = frozenset()
-    _taken_in_at_seconds: dict[str, float] = field(default_factory=dict)
+    _restored_at_seconds: dict[str, float] = field(default_factory=dict)
     _until_seconds: float = float("-inf")
     _permits: dict[int, float] = field(default_factory=dict)
     requests_sent: int = 0
@@ -41,7 +41,7 @@
     ) -> None:
         """Take services and evacuated data centres that come into force.
 
-        Targets of a data centre that is taken in again may have grown cold shortly
+        Targets of a data centre that is restored may have grown cold shortly
         before, and their heartbeats say so only later.
         """
         self._services = services
@@ -49,7 +49,7 @@
             (one.cold_start_seconds for one in services.values()), default=0.0
         )
         for data_centre in self._evacuated - evacuated:
-            self._taken_in_at_seconds[data_centre] = now_seconds
+            self._restored_at_seconds[data_centre] = now_seconds
             self._until_seconds = now_seconds + longest_seconds
         self._evacuated = evacuated
 
@@ -62,11 +62,11 @@
         service = self._services.get(known.row.service)
         if service is None or service.cold_requests_per_second is None:
             return None
-        taken_in_at_seconds = self._taken_in_at_seconds.get(
+        restored_at_seconds = self._restored_at_seconds.get(
             known.row.data_centre, float("-inf")
         )
         until_seconds = max(
-            known.cold_until_seconds, taken_in_at_seconds + service.cold_start_seconds
+            known.cold_until_seconds, restored_at_seconds + service.cold_start_seconds
         )
         return service.cold_requests_per_second if now_seconds < until_seconds else None
 
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -85,7 +85,7 @@
         if self._choice.chosen not in (None, sender_id):
             return
         self.report.heard(fleet, now_seconds)
-        self._placement.cold.take(
+        self._placement.candidates.cold.take(
             fleet.permits, fleet.permits_asked_milliseconds / 1000, now_seconds
         )
         state = self._state()
@@ -132,8 +132,10 @@
         targets = TargetsNow()
         if state is not None:
             targets = TargetsNow(
-                self._placement.cold.rates_requests(now_seconds),
-                self._placement.available_part(state.engine_services, now_seconds),
+                self._placement.candidates.cold.rates_requests(now_seconds),
+                self._placement.candidates.available_part(
+                    state.engine_services, now_seconds
+                ),
             )
         outgoing = self._sums.tick(
             declared_tokens, wanted_wait_seconds, now_seconds, targets
@@ -145,7 +147,7 @@
         """Report to one replica what is under way here, where that is news."""
         self._note_source(now_seconds)
         places = self._placement.loads(now_seconds)
-        lacks_permits = self._placement.cold.lacks_permits(now_seconds)
+        lacks_permits = self._placement.candidates.cold.lacks_permits(now_seconds)
         if not lacks_permits and not self.report.is_due(places, now_seconds):
             return
         load = RouterLoad(
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -462,7 +462,7 @@
     def _count_shares(self) -> None:
         for admission, tokens in self.load.gate.account.totals.items():
             self.tally.admitted(admission.value, tokens)
-        self.tally.level("cold_sent", self.placement.cold.requests_sent)
+        self.tally.level("cold_sent", self.placement.candidates.cold.requests_sent)
         if self._own.has_disk:
             shares = self.load.shares
             self.tally.level("cold_permits", self.load.permits.given)
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -1,16 +1,14 @@
 """Where a request goes: the target at which its answer begins soonest."""
 
-import logging
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
-from enum import StrEnum
 from functools import partial
 from random import Random
 
 from sesameford.discovery.beat_table import BeatTable, KnownTarget, short_name
 from sesameford.effective import EffectiveTree, ServiceSettings
 from sesameford.gateway.calls import Prompt
-from sesameford.gateway.cold_targets import make_cold_targets
+from sesameford.gateway.candidates import make_candidates
 from sesameford.gateway.engine_backlog import (
     LOST_SECONDS,
     TELLING_TOKENS,
@@ -25,9 +23,6 @@
 )
 from sesameford.gateway.place import Lease, Place
 from sesameford.load_messages import FailingTarget, PlaceLoad, TargetOutcomes, UsedParts
-from sesameford.tables import TargetState
-
-logger = logging.getLogger(__name__)
 
 # How long a request holds its place in a batch after its first event, until some have
 # ended; a request more than an engine has places waits until one of them ends.
@@ -63,15 +58,6 @@
 FAR_REQUESTS = 0.4
 
 
-class Nowhere(StrEnum):
-    """Why a request has no target to go to."""
-
-    NO_TARGET = "no-target"
-    NOT_AT_HOME = "no-target-at-home"
-    EVACUATED = "targets-evacuated"
-    COLD = "targets-cold"
-
-
 @dataclass(frozen=True, slots=True)
 class PlainQueue:
     """How long a request of a plain service takes, and whether it need not wait."""
@@ -99,16 +85,12 @@
         random: Random,
         regions: Mapping[str, str],
     ) -> None:
-        self.cold = make_cold_targets(table)
+        self.candidates = make_candidates(table, regions)
         self._table = table
         self._random = random
         self._data_centre = data_centre
-        self._regions = regions
         self._beat_seconds = beat_seconds
         self._places: dict[str, Place] = {}
-        self._by_service: dict[str, list[KnownTarget]] = {}
-        self._evacuated: frozenset[str] = frozenset()
-        self._seen_changes = -1
         self._leases = 0
         self._hold_seconds = FIRST_HOLD_SECONDS
         self._began_at_seconds: dict[int, float] = {}
@@ -119,20 +101,9 @@
 
     def configure(self, tree: EffectiveTree, now_seconds: float) -> None:
         """Take a tree that comes into force."""
-        evacuated = tree.evacuated_data_centres
-        self.cold.configure(tree.services, evacuated, now_seconds)
-        if evacuated != self._evacuated:
-            self._log_evacuations(evacuated)
-            self._evacuated = evacuated
-            self._seen_changes = -1
+        if self.candidates.configure(tree, now_seconds):
             self._mean_waits.clear()
 
-    def _log_evacuations(self, evacuated: frozenset[str]) -> None:
-        for data_centre in evacuated - self._evacuated:
-            logger.info("evacuation in force", extra={"data_centre": data_centre})
-        for data_centre in self._evacuated - evacuated:
-            logger.info("evacuation taken back", extra={"data_centre": data_centre})
-
     def choose(
         self,
         service: str,
@@ -156,113 +127,24 @@
         """
         found = [
             known
-            for known in self._at_home(self._of_service(service), homes)
+            for known in self.candidates.of_service(service, homes)
             if known.row.target_id not in tried
         ]
-        usable = self._usable(self._permitted(found, now_seconds), now_seconds)
+        permitted = self.candidates.permitted(found, now_seconds)
+        usable = self._usable(permitted, now_seconds)
         if not usable:
             return None
         if prompt is None or engine is None or not engine.batch_slots:
             best = min(usable, key=partial(self._plain_cost, now_seconds))
-            self._use_permit(best, now_seconds)
+            self.candidates.use_permit(best, now_seconds)
             return self._plain_lease(best, now_seconds)
         option = self._best_option(
             prompt, usable, engine, objective_seconds, now_seconds
         )
-        is_cold = self._use_permit(option.known, now_seconds)
+        is_cold = self.candidates.use_permit(option.known, now_seconds)
         lease = self._engine_lease(option, prompt, engine, now_seconds)
         return replace(lease, is_cold=True) if is_cold else lease
 
-    def why_nowhere(
-        self,
-        service: str,
-        tried: frozenset[str],
-        now_seconds: float,
-        homes: frozenset[str] | None = None,
-    ) -> Nowhere:
-        """Return why ``choose`` found no target."""
-        ready = [
-            known
-            for known in self._table.known.values()
-            if known.row.service == service and known.row.state is TargetState.READY
-        ]
-        at_home = self._at_home(ready, homes)
-        if ready and not at_home:
-            return Nowhere.NOT_AT_HOME
-        left = [known for known in at_home if known.row.target_id not in tried]
-        if left and all(one.row.data_centre in self._evacuated for one in left):
-            return Nowhere.EVACUATED
-        if any(self.cold.is_cold(known, now_seconds) for known in left):
-            return Nowhere.COLD
-        return Nowhere.NO_TARGET
-
-    def available_part(self, services: Collection[str], now_seconds: float) -> float:
-        """Return the part of the targets of some services that take work as usual.
-
-        Those of evacuated data centres get none, and cold ones next to none.
-        """
-        if not self._evacuated and not self.cold.are_any(now_seconds):
-            return 1.0
-        ready = sum(
-            known.row.service in services and known.row.state is TargetState.READY
-            for known in self._table.known.values()
-        )
-        available = sum(
-            len(self._warm(self._of_service(service), now_seconds))
-            for service in services
-        )
-        return available / ready if ready else 1.0
-
-    def _at_home(
-        self, found: list[KnownTarget], homes: frozenset[str] | None
-    ) -> list[KnownTarget]:
-        """Return the targets in some regions; one of an unknown region is in none."""
-        if homes is None:
-            return found
-        return [
-            known
-            for known in found
-            if self._regions.get(known.row.data_centre) in homes
-        ]
-
-    def _permitted(
-        self, found: list[KnownTarget], now_seconds: float
-    ) -> list[KnownTarget]:
-        """Return the targets that one more request may be sent to."""
-        if not self.cold.are_any(now_seconds):
-            return found
-        return [
-            known
-            for known in found
-            if not self.cold.is_cold(known, now_seconds)
-            or self.cold.may_send(known, now_seconds)
-        ]
-
-    def _warm(self, found: list[KnownTarget], now_seconds: float) -> list[KnownTarget]:
-        """Return the targets that are not cold."""
-        if not self.cold.are_any(now_seconds):
-            return found
-        return [known for known in found if not self.cold.is_cold(known, now_seconds)]
-
-    def _cold_ids(self, found: list[KnownTarget], now_seconds: float) -> frozenset[str]:
-        """Return the cold ones among some targets."""
-        if not self.cold.are_any(now_seconds):
-            return frozenset()
-        return frozenset(
-            known.row.target_id
-            for known in found
-            if self.cold.is_cold(known, now_seconds)
-        )
-
-    def _use_permit(self, known: KnownTarget, now_seconds: float) -> bool:
-        """Use up the permit that a request needs, and return whether it needs one."""
-        is_cold = self.cold.are_any(now_seconds) and self.cold.is_cold(
-            known, now_seconds
-        )
-        if is_cold:
-            self.cold.sent(known)
-        return is_cold
-
     def has_room(
         self,
         service: str,
@@ -294,8 +176,8 @@
             return False
         if self.mean_wait_seconds(service, slots, now_seconds) > mean_wait_seconds:
             return False
-        found = self._at_home(self._of_service(service), homes)
-        usable = self._usable(self._warm(found, now_seconds), now_seconds)
+        found = self.candidates.of_service(service, homes)
+        usable = self._usable(self.candidates.warm(found, now_seconds), now_seconds)
         if not usable:
             return False
         option = self._best_option(
@@ -331,7 +213,7 @@
             )
 
         places = [(known, self._place(known.row.target_id)) for known in usable]
-        permitted = self._cold_ids(usable, now_seconds)
+        permitted = self.candidates.cold_ids(usable, now_seconds)
         options = options_for(prompt, places, engine, self._random, permitted)
         return min(options, key=cost)
 
@@ -413,7 +295,7 @@
             now_seconds: The present time.
         """
         work_seconds = self._work_seconds.get(service, 0.0)
-        found = self._of_service(service)
+        found = self.candidates.of_service(service)
         if not work_seconds or not found:
             return PlainQueue(0.0, True)
         fullness = min(
@@ -437,8 +319,9 @@
             slots: Requests that one engine works on at once.
             now_seconds: The present time.
         """
-        found = self._of_service(service)
-        usable = self._usable(self._warm(found, now_seconds) or found, now_seconds)
+        found = self.candidates.of_service(service)
+        warm = self.candidates.warm(found, now_seconds)
+        usable = self._usable(warm or found, now_seconds)
         return [
             queue_seconds(
                 self._place(known.row.target_id), slots, self._hold_seconds, now_seconds
@@ -537,20 +420,6 @@
         for target_id in [one for one in self._places if one not in self._table.known]:
             del self._places[target_id]
 
-    def _of_service(self, service: str) -> list[KnownTarget]:
-        self._refresh()
-        return self._by_service.get(service, [])
-
-    def _refresh(self) -> None:
-        if self._seen_changes == self._table.changes:
-            return
-        self._seen_changes = self._table.changes
-        self._by_service = {}
-        for known in self._table.known.values():
-            is_evacuated = known.row.data_centre in self._evacuated
-            if known.row.state is TargetState.READY and not is_evacuated:
-                self._by_service.setdefault(known.row.service, []).append(known)
-
     def _usable(
         self, found: list[KnownTarget], now_seconds: float
     ) -> list[KnownTarget]:
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -9,6 +9,7 @@
 from sesameford.gateway.admit import begin, decide
 from sesameford.gateway.call_log import log_end, log_failure
 from sesameford.gateway.calls import Headers, Sending
+from sesameford.gateway.candidates import Nowhere
 from sesameford.gateway.early_decision import EarlyCall, read_call
 from sesameford.gateway.forward import (
     NOT_RUN_FATES,
@@ -19,7 +20,6 @@
 )
 from sesameford.gateway.own_answer import refuse
 from sesameford.gateway.place import Lease
-from sesameford.gateway.placement import Nowhere
 from sesameford.gateway.run import (
     RETRY_AFTER_SECONDS,
     CutError,
@@ -114,7 +114,7 @@
     if lease is None:
         if run.may_have_run:
             raise Refusal(502, "no-target-left")
-        reason = deps.placement.why_nowhere(
+        reason = deps.placement.candidates.why_nowhere(
             run.service, run.tried, deps.now(), run.homes
         )
         raise Refusal(503, reason.value, NOWHERE_RETRY_SECONDS[reason])
--- a/sesameford/tree_changes.py
+++ b/sesameford/tree_changes.py
@@ -80,10 +80,10 @@
 
 
 class EvacuationOrder(Struct, frozen=True, tag=True):
-    """Take all targets of a data centre out, or take them in again.
+    """Evacuate a data centre, or restore it.
 
     ``base_revision`` is the newest one that the instance knew which took the order. If
-    the data centre was evacuated or taken in since, the order has been overtaken.
+    the data centre was evacuated or restored since, the order has been overtaken.
     ``order_id`` is empty where the operator gives orders no id.
     """
 
@@ -192,7 +192,7 @@
         self.store = TreeStore()
         self.declared_version = 0
         self.declared_text = b""
-        # The revision at which each data centre was evacuated or taken in last.
+        # The revision at which each data centre was evacuated or restored last.
         self._evacuation_revisions: dict[str, int] = {}
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -285,7 +285,7 @@
         return self._answer(ACCEPTED)
 
     def _evacuate(self, order: EvacuationOrder) -> ChangeAnswer:
-        """Take a data centre's targets out, or in again.
+        """Evacuate a data centre, or restore it.
 
         An order that comes again finds what it wants in force. One that waited on its
         way while its opposite was accepted would undo a newer wish, and is told so.
--- a/standins/engine_queue.py
+++ b/standins/engine_queue.py
@@ -1,11 +1,11 @@
 """All engines as one queue in order of admission, and what placement says of it."""
 
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from sesameford.discovery.beat_table import make_beat_table
-from sesameford.gateway.cold_targets import make_cold_targets
+from sesameford.gateway.candidates import make_candidates
 from sesameford.load_messages import (
     FailingTarget,
     PlaceLoad,
@@ -48,10 +48,7 @@
 
     def __init__(self, queue: EngineQueue) -> None:
         self._queue = queue
-        self.cold = make_cold_targets(make_beat_table())
-
-    def available_part(self, services: Collection[str], now_seconds: float) -> float:
-        return 1.0
+        self.candidates = make_candidates(make_beat_table(), {})
 
     def mean_wait_seconds(self, service: str, slots: int, now_seconds: float) -> float:
         return self._queue.wait_seconds
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -12,13 +12,14 @@
 from sesameford.discovery.beat_table import make_beat_table, short_name
 from sesameford.effective import DataCentreSettings, EffectiveTree, ServiceSettings
 from sesameford.gateway.calls import Prompt
+from sesameford.gateway.candidates import Nowhere
 from sesameford.gateway.cold_permits import (
     SPARE_PARTS,
     WINDOW_SECONDS,
     make_cold_permits,
 )
 from sesameford.gateway.cold_targets import PERMIT_SECONDS
-from sesameford.gateway.placement import Nowhere, make_placement
+from sesameford.gateway.placement import make_placement
 from sesameford.messages import BeatRow
 from sesameford.settings import ColdBoundSettings
 from sesameford.tables import TargetState
@@ -107,7 +108,7 @@
         for one in [one for one in coming if one[0] <= now]:
             coming.remove(one)
             _, router, names, asked_at_seconds = one
-            fleet[router].cold.take(names, asked_at_seconds, now)
+            fleet[router].candidates.cold.take(names, asked_at_seconds, now)
         for placement in fleet:
             if random.random() < 0.6 and choose(placement, now).target_id == "e1":
                 sends.add(now)
@@ -146,12 +147,12 @@
 
 def test_a_permit_is_for_one_request_and_for_a_short_while():
     placement, _ = make_router(row("e1", 1, 9_000))
-    placement.cold.take([COLD], 1.0, 1.1)
+    placement.candidates.cold.take([COLD], 1.0, 1.1)
     lease = choose(placement, 1.2)
     assert (lease.target_id, lease.is_cold) == ("e1", True)
     assert choose(placement, 1.2) is None
-    assert placement.why_nowhere("pool", frozenset(), 1.2) is Nowhere.COLD
-    placement.cold.take([COLD], 1.0, 1.0 + PERMIT_SECONDS)
+    assert placement.candidates.why_nowhere("pool", frozenset(), 1.2) is Nowhere.COLD
+    placement.candidates.cold.take([COLD], 1.0, 1.0 + PERMIT_SECONDS)
     assert choose(placement, 1.0 + PERMIT_SECONDS) is None
 
 
@@ -165,7 +166,7 @@
 
 def test_what_a_cold_engine_shows_says_nothing_of_its_kind():
     placement, _ = make_router(row("e0"), row("e1", 1, 9_000))
-    placement.cold.take([COLD], 0.9, 1.0)
+    placement.candidates.cold.take([COLD], 0.9, 1.0)
     for _ in range(9):
         lease = choose(placement, 1.0)
         if lease.is_cold:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -10,7 +10,8 @@
 from sesameford.effective import DataCentreSettings, EffectiveTree, ServiceSettings
 from sesameford.evacuations import EvacuationDeps, order_evacuation
 from sesameford.gateway.calls import Prompt, PromptPart
-from sesameford.gateway.placement import Nowhere, make_placement
+from sesameford.gateway.candidates import Nowhere
+from sesameford.gateway.placement import make_placement
 from sesameford.gateway.shares import make_share_table
 from sesameford.load_messages import CustomerRates, PartialLoad
 from sesameford.messages import BeatRow
@@ -231,7 +232,9 @@
     placement = make_three()
     placement.configure(tree_with("a", "b", "c"), 0.5)
     assert choose(placement) is None
-    assert placement.why_nowhere("pool", frozenset(), 1.0) is Nowhere.EVACUATED
+    assert (
+        placement.candidates.why_nowhere("pool", frozenset(), 1.0) is Nowhere.EVACUATED
+    )
 
 
 def test_what_is_let_in_falls_with_the_engines_that_are_evacuated():
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -7,7 +7,8 @@
 from sesameford.discovery.beat_table import make_beat_table
 from sesameford.effective import ServiceSettings
 from sesameford.gateway.calls import Prompt, PromptPart
-from sesameford.gateway.placement import Nowhere, make_placement
+from sesameford.gateway.candidates import Nowhere
+from sesameford.gateway.placement import make_placement
 from sesameford.messages import BeatRow
 from sesameford.operators_http import digest_of_key
 from sesameford.tables import TargetState
@@ -72,7 +73,7 @@
     placement = make()
     nowhere = frozenset({"north"})
     assert choose(placement, nowhere) is None
-    reason = placement.why_nowhere("pool", frozenset(), 1.0, nowhere)
+    reason = placement.candidates.why_nowhere("pool", frozenset(), 1.0, nowhere)
     assert reason is Nowhere.NOT_AT_HOME
 
 
