--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from random import Random
-from secrets import randbits, token_hex
-from time import monotonic, time, time_ns
+from secrets import randbits
+from time import monotonic, time_ns
 from zlib import crc32
 
 from aiohttp import ClientSession
@@ -21,8 +21,7 @@
 from sesameford.discovery.founding_mark import is_founder
 from sesameford.discovery.roster import make_roster
 from sesameford.effective import EffectiveTree
-from sesameford.errors import NoQuorumError, PeerError, SesamefordError
-from sesameford.evacuations import EvacuationDeps, order_evacuation
+from sesameford.errors import PeerError
 from sesameford.fencing import FencingMachine
 from sesameford.gateway.calls import Edge
 from sesameford.gateway.cold_permits import make_cold_permits
@@ -30,6 +29,7 @@
 from sesameford.gateway.forward import make_sender
 from sesameford.gateway.load_report import REPORT_SECONDS
 from sesameford.gateway.load_system import make_load_system
+from sesameford.gateway.operator_calls import make_operator_calls
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.run import GatewayDeps, GatewayState, make_gateway_state
 from sesameford.gateway.second_sends import make_second_sends
@@ -65,13 +65,7 @@
 from sesameford.stops import StopLoad
 from sesameford.tables import InstanceState, TargetState
 from sesameford.tree_changes import (
-    MACHINE_NAME,
-    REFUSED,
-    DeclaredWanted,
-    TreeDeclaration,
     TreeMachine,
-    decode_answer,
-    encode_command,
 )
 from sesameford.tree_holder import TreeHolderDeps, make_tree_holder
 
@@ -86,8 +80,6 @@
 # comes later than this might not end before the process is ended.
 UNREADY_SECONDS = 2.6
 CLOSE_LINKS_SECONDS = 0.05
-# How long a replica that heard of the newest version may need to have it itself.
-CATCH_UP_SECONDS = 0.8
 IDLE_SECONDS = 3.0
 # A target in another data centre answers within some hundredths; one that is dark would
 # hold each call up. A lost first packet is sent again only after a second, which is
@@ -99,14 +91,6 @@
 TOKEN_BITS = 48
 
 
-class DeclarationRefusedError(SesamefordError):
-    """A declaration can never be accepted."""
-
-
-class UnknownDataCentreError(SesamefordError):
-    """An order names a data centre that the deployment doesn't have."""
-
-
 class Node:
     """Composes the parts of one instance and runs its systems each tick."""
 
@@ -164,6 +148,9 @@
             seed=seed,
             renew=self._new_machines,
         )
+        self.operator_calls = make_operator_calls(
+            self._log.propose, lambda: self._machine, self._data_centres, self._now
+        )
         self.placement = make_placement(
             self.table,
             settings.data_centre,
@@ -321,88 +308,11 @@
         finally:
             del self._taken[token]
 
-    async def declare(self, declaration: TreeDeclaration) -> int:
-        """Bring a declaration to agreement.
-
-        Args:
-            declaration: What is declared.
-
-        Returns:
-            The newest accepted version, which may be a higher one.
-
-        Raises:
-            NoQuorumError: It may be accepted later.
-            DeclarationRefusedError: It can't be accepted.
-        """
-        name = f"{declaration.declarer}/{declaration.version}/{token_hex(8)}"
-        answer = decode_answer(
-            await self._log.propose(name, MACHINE_NAME, encode_command(declaration))
-        )
-        if answer.status == REFUSED:
-            raise DeclarationRefusedError(answer.detail)
-        logger.info(
-            "declared",
-            extra={
-                "version": declaration.version,
-                "newest": answer.version,
-                "revision": answer.revision,
-                "status": answer.status,
-            },
-        )
-        return answer.version
-
-    async def evacuate(self, data_centre: str, evacuated: bool, operator: str) -> None:
-        """Bring an order to agreement: take a data centre's targets out, or in again.
-
-        Args:
-            data_centre: Its name.
-            evacuated: Whether its targets get no more new work.
-            operator: Who orders it.
-
-        Raises:
-            UnknownDataCentreError: There is none of this name.
-            NoQuorumError: It may be accepted later.
-        """
-        if data_centre not in self._data_centres():
-            raise UnknownDataCentreError(f"no data centre is named {data_centre!r}")
-        await order_evacuation(
-            EvacuationDeps(
-                self._log.propose,
-                lambda: self._machine.store.revision,
-                self._now,
-                time,
-            ),
-            data_centre,
-            evacuated,
-            operator,
-        )
-
     def _data_centres(self) -> frozenset[str]:
         """Return the data centres of the settings, of instances and of targets."""
         of_targets = {known.row.data_centre for known in self.table.known.values()}
         return self._roster.data_centres() | of_targets | set(self._settings.regions)
 
-    async def declared_text(self) -> bytes:
-        """Return the newest accepted declaration's document.
-
-        The version is agreed anew, since a replica that was cut off does not know
-        that others have accepted a newer one.
-
-        Raises:
-            NoQuorumError: This instance can't be sure which one is the newest.
-        """
-        name = f"read/{token_hex(8)}"
-        wanted = encode_command(DeclaredWanted())
-        answer = decode_answer(await self._log.propose(name, MACHINE_NAME, wanted))
-        give_up_at_seconds = self._now() + CATCH_UP_SECONDS
-        while self._machine.declared_version < answer.version:
-            if self._now() > give_up_at_seconds:
-                raise NoQuorumError("this replica has not caught up yet")
-            await asyncio.sleep(TICK_SECONDS / 10)
-        if not self._machine.declared_version:
-            raise NoQuorumError("nothing has been declared yet")
-        return self._machine.declared_text
-
     def _new_machines(self) -> tuple[StateMachine, ...]:
         """Return the log's state machines in their first state."""
         self._machine = TreeMachine(self._tree.committed)
