Take a target that starts again under its id for a new one

Its heartbeats were passed over for as long as their numbers were below those of before, and for good once it had said that it ends.

--- a/sesameford/discovery/beat_table.py
+++ b/sesameford/discovery/beat_table.py
@@ -134,9 +134,11 @@
         grows, and a target that is gone has ended for good.
         """
         known = self.known.get(row.target_id)
-        if known is None:
+        if known is None or row.incarnation > known.row.incarnation:
             self._put(row, now_seconds)
             return True
+        if row.incarnation < known.row.incarnation:
+            return False
         if known.row.state is TargetState.GONE:
             return False
         is_end = row.state is TargetState.GONE
@@ -197,6 +199,8 @@
     if row.state is TargetState.GONE:
         return 0
     text = f"{row.target_id}/{row.service}/{row.address}/{row.state.value}"
+    if row.incarnation:
+        text += f"/{row.incarnation}"
     if row.cold_milliseconds:
         text += f"/{row.cold_milliseconds}"
     return xxh64_intdigest(text.encode())
--- a/sesameford/gateway/candidates.py
+++ b/sesameford/gateway/candidates.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from enum import StrEnum
 
 from sesameford.discovery.beat_table import BeatTable, KnownTarget
@@ -31,12 +31,20 @@
     Args:
         table: The targets.
         regions: The region of each data centre.
+        restarted: Called with the id of a target that has started again under it.
     """
 
-    def __init__(self, table: BeatTable, regions: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        table: BeatTable,
+        regions: Mapping[str, str],
+        restarted: Callable[[str], None],
+    ) -> None:
         self.cold = make_cold_targets(table)
         self._table = table
         self._regions = regions
+        self._restarted = restarted
+        self._incarnations: dict[str, int] = {}
         self._by_service: dict[str, list[KnownTarget]] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._seen_changes = -1
@@ -170,11 +178,20 @@
         self._seen_changes = self._table.changes
         self._by_service = {}
         for known in self._table.known.values():
+            self._note_incarnation(known)
             is_evacuated = known.row.data_centre in self._evacuated
             if known.row.state is TargetState.READY and not is_evacuated:
                 self._by_service.setdefault(known.row.service, []).append(known)
 
+    def _note_incarnation(self, known: KnownTarget) -> None:
+        target_id, incarnation = known.row.target_id, known.row.incarnation
+        if incarnation > self._incarnations.setdefault(target_id, incarnation):
+            self._incarnations[target_id] = incarnation
+            self._restarted(target_id)
+
 
-def make_candidates(table: BeatTable, regions: Mapping[str, str]) -> Candidates:
+def make_candidates(
+    table: BeatTable, regions: Mapping[str, str], restarted: Callable[[str], None]
+) -> Candidates:
     """Return the candidates before any tree is in force; see ``Candidates``."""
-    return Candidates(table, regions)
+    return Candidates(table, regions, restarted)
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -85,7 +85,7 @@
         random: Random,
         regions: Mapping[str, str],
     ) -> None:
-        self.candidates = make_candidates(table, regions)
+        self.candidates = make_candidates(table, regions, self._restarted)
         self._table = table
         self._random = random
         self._data_centre = data_centre
@@ -104,6 +104,10 @@
         if self.candidates.configure(tree, now_seconds):
             self._mean_waits.clear()
 
+    def _restarted(self, target_id: str) -> None:
+        """Forget what is known of a target that holds nothing of it any more."""
+        self._places.pop(target_id, None)
+
     def choose(
         self,
         service: str,
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -47,8 +47,9 @@
 class BeatRow(Struct, frozen=True, array_like=True):
     """What a target last said of itself.
 
-    A target has a new id at each start. ``sequence`` grows with its heartbeats;
-    ``state`` is ready, draining or gone, and gone is for good. It stays cold for
+    ``sequence`` grows with a target's heartbeats; ``state`` is ready, draining or gone,
+    and gone is for good. A target that starts again has a new id, or the one it had and
+    a higher ``incarnation``, with which all of this begins anew. It stays cold for
     ``cold_milliseconds`` from when it said so.
     """
 
@@ -60,6 +61,7 @@
     slots: int
     state: TargetState
     cold_milliseconds: int = 0
+    incarnation: int = 0
 
 
 class BeatRows(Struct, frozen=True, array_like=True, tag=True):
--- a/standins/engine_queue.py
+++ b/standins/engine_queue.py
@@ -48,7 +48,7 @@
 
     def __init__(self, queue: EngineQueue) -> None:
         self._queue = queue
-        self.candidates = make_candidates(make_beat_table(), {})
+        self.candidates = make_candidates(make_beat_table(), {}, lambda _: None)
 
     def mean_wait_seconds(self, service: str, slots: int, now_seconds: float) -> float:
         return self._queue.wait_seconds
--- a/tests/test_beat_table.py
+++ b/tests/test_beat_table.py
@@ -5,6 +5,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
+from msgspec.structs import replace
 
 from sesameford.discovery.beat_table import make_beat_table
 from sesameford.messages import BeatRow
@@ -36,6 +37,21 @@
     assert table.known["t"].row.state is TargetState.GONE
 
 
+def test_a_target_that_starts_again_under_its_id_counts_anew():
+    """It said that it ends, or crashed, and is back with its numbers from the start.
+
+    Judged by the numbers of before it would get nothing for good.
+    """
+    table = make_beat_table()
+    table.beat(replace(row("t", 40), incarnation=1_000), 0.0)
+    table.left("t", 1.0)
+    assert table.beat(replace(row("t", 1), incarnation=2_000), 2.0)
+    assert table.known["t"].row.state is TargetState.READY
+    late = replace(row("t", 41, TargetState.DRAINING), incarnation=1_000)
+    assert not table.beat(late, 3.0)
+    assert table.known["t"].row.state is TargetState.READY
+
+
 def test_the_same_again_is_told_to_nobody():
     table = make_beat_table()
     assert table.beat(row("t", 1), 0.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from sesameford.discovery.beat_table import make_beat_table, short_name
 from sesameford.effective import ServiceSettings
@@ -279,6 +280,16 @@
     assert not placement._place("e0").is_silent(4.1)
 
 
+def test_a_target_that_has_started_again_is_known_to_hold_nothing():
+    """It comes back under the id that it had, with its memory empty."""
+    placement, table = make(1)
+    first = choose(placement, prompt(7), now=0.0)
+    placement.first_event(first, 0.2)
+    assert choose(placement, prompt(7), now=5.0).tokens == 1_000
+    table.beat(replace(engine("e0", 1), incarnation=9), 6.0)
+    assert choose(placement, prompt(7), now=7.0).tokens == 6_000
+
+
 def test_a_target_that_drains_gets_nothing():
     placement, table = make(2)
     table.beat(engine("e0", 2, state=TargetState.DRAINING), 1.0)
