--- a/sesameford/allocator_state.py
+++ b/sesameford/allocator_state.py
@@ -41,9 +41,9 @@
 
     link: ReportLink
     news: dict[str, PoolNews] = field(default_factory=dict)
-    told_wanted: dict[str, float] = field(default_factory=dict)
-    told_slots: dict[str, int] = field(default_factory=dict)
-    told_times_at_seconds: float = float("-inf")
+    reported_wanted: dict[str, float] = field(default_factory=dict)
+    reported_slots: dict[str, int] = field(default_factory=dict)
+    reported_times_at_seconds: float = float("-inf")
 
 
 @dataclass(slots=True)
--- a/sesameford/grant_answers.py
+++ b/sesameford/grant_answers.py
@@ -14,8 +14,8 @@
 from sesameford.slot_messages import LimitShareRow, PoolNews, SlotGrants, StandingRow
 
 _STANDING_THRESHOLD_QUANTA = 0.25
-_STANDINGS_TOLD = 64
-_FRACTION_CHANGE_TOLD = 0.1
+_STANDINGS_REPORTED = 64
+_FRACTION_CHANGE_REPORTED = 0.1
 
 
 def grant_answers(
@@ -74,9 +74,9 @@
     for pool, pool_state in sorted(state.pools.items()):
         contended = now_seconds < pool_state.contended_until_seconds
         standings = () if link.is_place else _standings(state, link, pool, pool_state)
-        if not contended and not standings and not link.told_contended.get(pool):
+        if not contended and not standings and not link.reported_contended.get(pool):
             continue
-        link.told_contended[pool] = contended
+        link.reported_contended[pool] = contended
         floor = pool_state.floor_virtual_time
         floor = None if floor is None else round(floor, 1)
         news.append(PoolNews(pool, contended, floor, standings))
@@ -100,7 +100,7 @@
         share = state.share(customer)
         if link.standing_is_news(account, row, share, threshold):
             rows.append(row)
-        if len(rows) >= _STANDINGS_TOLD:
+        if len(rows) >= _STANDINGS_REPORTED:
             break
     return tuple(rows)
 
@@ -139,11 +139,11 @@
         fraction = by_holder.get(link.holder_id)
         if fraction is None:
             continue
-        told = link.told_fractions.get(customer)
-        change = _FRACTION_CHANGE_TOLD * max(fraction, told or 0.0)
-        known = told is not None and abs(fraction - told) <= change
+        reported = link.reported_fractions.get(customer)
+        change = _FRACTION_CHANGE_REPORTED * max(fraction, reported or 0.0)
+        known = reported is not None and abs(fraction - reported) <= change
         if known and not link.full_due:
             continue
-        link.told_fractions[customer] = fraction
+        link.reported_fractions[customer] = fraction
         rows.append(LimitShareRow(customer, round(fraction, 4)))
     return tuple(rows)
--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -151,11 +151,11 @@
             link.holdings = dict(old.holdings) if old.holds(now_seconds) else {}
             link.lease_expires_at_seconds = old.lease_expires_at_seconds
             for account in self._state.totals.accounts():
-                told = old.told_served.get(account, 0.0)
+                told = old.reported_served.get(account, 0.0)
                 link.base[account] = old.base.get(account, 0.0) + told
                 share = self._allocator.state.share(account[1])
                 self._state.standings.rebase(account, told, share)
-        self._state.told_wanted = {}
+        self._state.reported_wanted = {}
         self._link = link
 
     # --- requests ------------------------------------------------------------------
--- a/sesameford/links.py
+++ b/sesameford/links.py
@@ -31,8 +31,8 @@
 JOINED_FRACTION = 0.5
 PRESSED_SECONDS = 1.2
 RESEND_SECONDS = 0.15
-_AGE_TOLD_SECONDS = 0.2
-_COMPLETIONS_TOLD = 16
+_AGE_REPORTED_SECONDS = 0.2
+_COMPLETIONS_REPORTED = 16
 _SENT_REPORTS_KEPT = 256
 
 DemandKey = tuple[str, str, str]
@@ -53,7 +53,7 @@
     """The holder's end.
 
     ``holdings`` are the slots granted, by target. ``base`` is what was already
-    told of the totals when the term began; told totals count from there.
+    reported of the totals when the term began; the others count from there.
     """
 
     receiver_id: str
@@ -71,10 +71,10 @@
     answered: bool = False
     sent_at_seconds: float = float("-inf")
     sent: dict[int, float] = field(default_factory=dict)
-    told_served: dict[Account, float] = field(default_factory=dict)
-    told_demands: dict[DemandKey, Demand] = field(default_factory=dict)
-    told_holdings: dict[str, int] = field(default_factory=dict)
-    told_paces: dict[str, Pace] = field(default_factory=dict)
+    reported_served: dict[Account, float] = field(default_factory=dict)
+    reported_demands: dict[DemandKey, Demand] = field(default_factory=dict)
+    reported_holdings: dict[str, int] = field(default_factory=dict)
+    reported_paces: dict[str, Pace] = field(default_factory=dict)
     pace_base: dict[str, Pace] = field(default_factory=dict)
 
     def holds(self, now_seconds: float) -> bool:
@@ -118,7 +118,7 @@
             self.regained_at_seconds = now_seconds
         if grants.full:
             self.holdings = {row.target_id: row.slots for row in grants.grants}
-            self.told_holdings = dict(self.holdings)
+            self.reported_holdings = dict(self.holdings)
             self.wants_full = False
         else:
             # A lost message may have held a grant that would now idle.
@@ -126,7 +126,7 @@
                 self.wants_full = True
             for row in grants.grants:
                 self.holdings[row.target_id] = row.slots
-                self.told_holdings[row.target_id] = row.slots
+                self.reported_holdings[row.target_id] = row.slots
         for row in grants.recalls:
             held = self.holdings.get(row.target_id, 0)
             self.holdings[row.target_id] = min(held, row.slots)
@@ -140,8 +140,8 @@
     def returns_slots(self, running: Mapping[str, int]) -> bool:
         """Return whether the receiver counts slots that are free here."""
         return any(
-            max(self.holdings.get(target_id, 0), running.get(target_id, 0)) < told
-            for target_id, told in self.told_holdings.items()
+            max(self.holdings.get(target_id, 0), running.get(target_id, 0)) < reported
+            for target_id, reported in self.reported_holdings.items()
         )
 
     def _renew(self, report_seen: int) -> None:
@@ -169,11 +169,11 @@
         rows: dict[str, list[ServedRow]] = {}
         for account, total in totals.items():
             since = self.total_since_base(account, total)
-            told = self.told_served.get(account, 0.0)
-            if self.full_due or abs(since - told) > threshold_cost_units:
-                if since == 0.0 and told == 0.0:
+            reported = self.reported_served.get(account, 0.0)
+            if self.full_due or abs(since - reported) > threshold_cost_units:
+                if since == 0.0 and reported == 0.0:
                     continue
-                self.told_served[account] = since
+                self.reported_served[account] = since
                 rows.setdefault(account[0], []).append(ServedRow(account[1], since))
         return rows
 
@@ -188,17 +188,17 @@
         Up to ``exact_requests`` every change is, above that one by a quarter.
         """
         if self.full_due:
-            self.told_demands = {}
+            self.reported_demands = {}
         rows: dict[str, list[DemandRow]] = {}
-        ended = [key for key in self.told_demands if key not in demands]
+        ended = [key for key in self.reported_demands if key not in demands]
         for key in ended:
-            del self.told_demands[key]
+            del self.reported_demands[key]
             rows.setdefault(key[0], []).append(DemandRow(key[1], key[2]))
         for key, demand in demands.items():
-            told = self.told_demands.get(key)
-            if not _worth_a_row(demand, told, exact_requests):
+            reported = self.reported_demands.get(key)
+            if not _worth_a_row(demand, reported, exact_requests):
                 continue
-            self.told_demands[key] = demand
+            self.reported_demands[key] = demand
             row = DemandRow(
                 key[1],
                 key[2],
@@ -215,10 +215,10 @@
         for target_id, pace in paces.items():
             base = self.pace_base.setdefault(target_id, pace)
             since = pace.minus(base)
-            told = self.told_paces.get(target_id, Pace())
-            if since.completions - told.completions < _COMPLETIONS_TOLD:
+            reported = self.reported_paces.get(target_id, Pace())
+            if since.completions - reported.completions < _COMPLETIONS_REPORTED:
                 continue
-            self.told_paces[target_id] = since
+            self.reported_paces[target_id] = since
             rows.append(
                 PaceRow(
                     target_id,
@@ -237,25 +237,25 @@
     def holding_rows(self, running: Mapping[str, int]) -> list[HoldingRow]:
         """Return the holdings that the receiver does not know yet."""
         if self.full_due:
-            self.told_holdings = {}
+            self.reported_holdings = {}
         rows = []
-        for target_id in sorted({*self.holdings, *running, *self.told_holdings}):
+        for target_id in sorted({*self.holdings, *running, *self.reported_holdings}):
             runs = running.get(target_id, 0)
             slots = max(self.holdings.get(target_id, 0), runs)
-            if slots != self.told_holdings.get(target_id, 0):
+            if slots != self.reported_holdings.get(target_id, 0):
                 rows.append(HoldingRow(target_id, slots, runs))
-                self.told_holdings[target_id] = slots
+                self.reported_holdings[target_id] = slots
         return rows
 
 
-def _worth_a_row(demand: Demand, told: Demand | None, exact_requests: int) -> bool:
+def _worth_a_row(demand: Demand, reported: Demand | None, exact_requests: int) -> bool:
     """Return whether a changed demand is worth sending with the next report."""
-    if told is None:
+    if reported is None:
         return True
-    if min(demand.requests, told.requests) <= exact_requests:
-        younger = demand.since_seconds - told.since_seconds
-        return demand.requests != told.requests or younger > _AGE_TOLD_SECONDS
-    return not told.requests / 1.25 <= demand.requests <= told.requests * 1.25
+    if min(demand.requests, reported.requests) <= exact_requests:
+        younger = demand.since_seconds - reported.since_seconds
+        return demand.requests != reported.requests or younger > _AGE_REPORTED_SECONDS
+    return not reported.requests / 1.25 <= demand.requests <= reported.requests * 1.25
 
 
 def pool_reports(
@@ -281,7 +281,7 @@
 
 @dataclass(slots=True)
 class GrantLink:
-    """The allocator's end: what one holder holds, wants and was told."""
+    """The allocator's end: what one holder holds, wants and was sent."""
 
     holder_id: str
     data_centre: str
@@ -303,10 +303,10 @@
     asked: dict[str, int] = field(default_factory=dict)
     demands: dict[DemandKey, Demand] = field(default_factory=dict)
     pending: list[PendingGrant] = field(default_factory=list)
-    told_standings: dict[Account, float] = field(default_factory=dict)
-    told_contended: dict[str, bool] = field(default_factory=dict)
+    reported_standings: dict[Account, float] = field(default_factory=dict)
+    reported_contended: dict[str, bool] = field(default_factory=dict)
     place_slots: dict[str, int] = field(default_factory=dict)
-    told_fractions: dict[str, float] = field(default_factory=dict)
+    reported_fractions: dict[str, float] = field(default_factory=dict)
     wanted: dict[str, float] = field(default_factory=dict)
     paces: dict[str, Pace] = field(default_factory=dict)
 
@@ -419,7 +419,7 @@
         granted = set(self.holdings) if self.full_due else self.raised
         for target_id in granted:
             self.granted_in[target_id] = self.sequence
-        # A grant tells what is counted as held, so that a return can be told
+        # A grant tells what is counted as held, so that a return can be held
         # against it; an open recall of the same target goes beside it.
         lowered = self.lowered | (granted & self.asked.keys())
         grants = [GrantRow(one, self.holdings.get(one, 0)) for one in sorted(granted)]
@@ -432,10 +432,14 @@
     def standing_is_news(
         self, account: Account, standing: StandingRow, share: float, threshold: float
     ) -> bool:
-        """Return whether a virtual time moved by others' service; note it as told."""
+        """Return whether a virtual time moved by others' service; note that."""
         foreign = standing.virtual_time - standing.counted_cost_units / share
-        told = self.told_standings.get(account)
-        if not self.full_due and told is not None and abs(foreign - told) <= threshold:
+        reported = self.reported_standings.get(account)
+        if (
+            not self.full_due
+            and reported is not None
+            and abs(foreign - reported) <= threshold
+        ):
             return False
-        self.told_standings[account] = foreign
+        self.reported_standings[account] = foreign
         return True
--- a/sesameford/place_reports.py
+++ b/sesameford/place_reports.py
@@ -15,8 +15,8 @@
 from sesameford.slot_messages import PoolReport, ShareReport, StandingRow, WantedRow
 
 SERVED_THRESHOLD_QUANTA = 1.0
-_DEMANDS_TOLD = 32
-_WANTED_CHANGE_TOLD = 0.25
+_DEMANDS_REPORTED = 32
+_WANTED_CHANGE_REPORTED = 0.25
 _COMPARE_SECONDS = 2.5
 _EXACT_REQUESTS = 2
 _COMPARE_APART_SECONDS = 1.0
@@ -90,7 +90,7 @@
     threshold = SERVED_THRESHOLD_QUANTA * state.quantum()
     if _compares(place, now_seconds):
         # What is compared must hold all service that either side knows of, or each
-        # comparison would take back half of what is still to be told.
+        # comparison would take back half of what is still to be reported.
         threshold = 0.0
     pools = pool_reports(
         link.served_rows(state.totals.accounts(), threshold),
@@ -118,7 +118,7 @@
     Where work waits there too, nothing idles and the next report is soon enough.
     """
     for key in demands:
-        if key not in place.link.told_demands:
+        if key not in place.link.reported_demands:
             news = place.news.get(key[0])
             if news is None or not news.contended:
                 return True
@@ -139,12 +139,12 @@
                 known.cost_units + demand.cost_units,
                 min(known.since_seconds, demand.since_seconds),
             )
-    if len(merged) <= _DEMANDS_TOLD:
+    if len(merged) <= _DEMANDS_REPORTED:
         return merged
     order = sorted(
         merged, key=lambda key: state.pool(key[0]).times.virtual_time(key[1])
     )
-    return {key: merged[key] for key in order[:_DEMANDS_TOLD]}
+    return {key: merged[key] for key in order[:_DEMANDS_REPORTED]}
 
 
 def _with_pool_rows(
@@ -157,7 +157,7 @@
     """Add the slots at hand and, when due, virtual times."""
     compares = _compares(place, now_seconds)
     if full or compares:
-        place.told_times_at_seconds = now_seconds
+        place.reported_times_at_seconds = now_seconds
     for pool, pool_state in state.pools.items():
         virtual_times: tuple[StandingRow, ...] = ()
         if full or compares:
@@ -174,8 +174,8 @@
             )
         known = pools.get(pool)
         slots = _slots_at_hand(state, pool, now_seconds)
-        if known or virtual_times or slots != place.told_slots.get(pool):
-            place.told_slots[pool] = slots
+        if known or virtual_times or slots != place.reported_slots.get(pool):
+            place.reported_slots[pool] = slots
             known = known or PoolReport(pool)
             pools[pool] = PoolReport(
                 pool, known.served, known.demands, slots, virtual_times
@@ -191,7 +191,7 @@
     """
     apart = now_seconds - place.link.regained_at_seconds < _APART_SECONDS
     interval = _COMPARE_APART_SECONDS if apart else _COMPARE_SECONDS
-    return now_seconds - place.told_times_at_seconds >= interval
+    return now_seconds - place.reported_times_at_seconds >= interval
 
 
 def _waiting_customers(state: AllocatorState, pool: str) -> list[str]:
@@ -199,7 +199,7 @@
     customers = {
         key[1] for link in state.routers() for key in link.demands if key[0] == pool
     }
-    return sorted(customers)[:_DEMANDS_TOLD]
+    return sorted(customers)[:_DEMANDS_REPORTED]
 
 
 def _slots_at_hand(state: AllocatorState, pool: str, now_seconds: float) -> int:
@@ -230,27 +230,27 @@
     for link in state.routers():
         for customer, rate in link.wanted.items():
             total[customer] = total.get(customer, 0.0) + rate
-    return wanted_rows(total, place.told_wanted, full)
+    return wanted_rows(total, place.reported_wanted, full)
 
 
 def wanted_rows(
-    rates: dict[str, float], told: dict[str, float], full: bool
+    rates: dict[str, float], reported: dict[str, float], full: bool
 ) -> tuple[WantedRow, ...]:
-    """Return the demands that changed much, and note them as told.
+    """Return the demands that changed much, and note them as reported.
 
     Args:
         rates: Requests per second by customer.
-        told: What the receiver knows.
-        full: Whether it is to be told all.
+        reported: What the receiver knows.
+        full: Whether it is to be sent all.
 
     Returns:
         Rows for a report.
     """
     rows = []
     for customer, rate in sorted(rates.items()):
-        known = told.get(customer)
-        change = _WANTED_CHANGE_TOLD * max(rate, known or 0.0)
+        known = reported.get(customer)
+        change = _WANTED_CHANGE_REPORTED * max(rate, known or 0.0)
         if full or known is None or abs(rate - known) > change:
-            told[customer] = rate
+            reported[customer] = rate
             rows.append(WantedRow(customer, round(rate, 2)))
     return tuple(rows)
--- a/sesameford/router_reports.py
+++ b/sesameford/router_reports.py
@@ -59,7 +59,7 @@
         holdings,
         wanted_rows(
             state.limits.wanted(now_seconds, state.queues.requests_of),
-            state.told_wanted,
+            state.reported_wanted,
             full,
         ),
         link.pace_rows(state.paces),
@@ -75,7 +75,7 @@
     joins the news. With none that runs nothing here would ever start: the word
     of contention outlasts it, and a free slot elsewhere may be had at once.
     """
-    new = [key for key in demands if key not in link.told_demands]
+    new = [key for key in demands if key not in link.reported_demands]
     if not new:
         return False
     running = {state.pool_of_target(one) for one in state.attempts.by_target}
--- a/sesameford/router_state.py
+++ b/sesameford/router_state.py
@@ -27,7 +27,7 @@
     standings: Standings = field(default_factory=Standings)
     totals: OwnTotals = field(default_factory=OwnTotals)
     paces: dict[str, Pace] = field(default_factory=dict)
-    told_wanted: dict[str, float] = field(default_factory=dict)
+    reported_wanted: dict[str, float] = field(default_factory=dict)
 
     def pool_of_target(self, target_id: str) -> str | None:
         """Return the pool that a target belongs to."""
