Reject nobody of a plain service that is idle

A service whose work takes most of its objective would have rejected up to half of its requests while nothing waited: the wanted delay is now at least one and a half times the work, and the rejected part only falls while nothing waits. The new test fails without it.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -206,7 +206,7 @@
     takes_seconds = queue.takes_seconds
     limit = deps.queue_limits.setdefault(service, make_queue_limit())
     rejected_part = limit.update(
-        takes_seconds, route.objective_seconds, queue.is_idle, deps.now()
+        takes_seconds, queue.work_seconds, route.objective_seconds, deps.now()
     )
     if deps.random.random() < rejected_part:
         raise Refusal(
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -60,10 +60,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PlainQueue:
-    """How long a request of a plain service takes, and whether it need not wait."""
+    """How long a request of a plain service takes, and how long without any wait."""
 
     takes_seconds: float
-    is_idle: bool
+    work_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -301,13 +301,13 @@
         work_seconds = self._work_seconds.get(service, 0.0)
         found = self.candidates.of_service(service)
         if not work_seconds or not found:
-            return PlainQueue(0.0, True)
+            return PlainQueue(0.0, 0.0)
         fullness = min(
             self._place(known.row.target_id).all_requests(now_seconds)
             / max(known.row.slots, 1)
             for known in self._usable(found, now_seconds)
         )
-        return PlainQueue(work_seconds * max(fullness, 1.0), fullness < 1.0)
+        return PlainQueue(work_seconds * max(fullness, 1.0), work_seconds)
 
     def answered_badly(self, target_id: str) -> None:
         """Note that a target failed a request that it took."""
--- a/sesameford/gateway/queue_limit.py
+++ b/sesameford/gateway/queue_limit.py
@@ -10,8 +10,11 @@
 
 # The part is worked out once in so long, about as often as routers hear of each other.
 UPDATE_SECONDS = 0.05
-# What an answer should take at most on average, as a part of its objective.
+# What an answer should take at most on average, as a part of its objective, but not
+# less than so many times its work: a service that is idle rejects nobody, however long
+# its work takes.
 DELAY_PART = 0.6
+LEAST_WORKS = 1.5
 # How much the part rises in one update for each objective that answers take too long,
 # and for each objective that they take longer than at the update before.
 INTEGRAL_GAIN = 0.15
@@ -33,28 +36,31 @@
     def update(
         self,
         takes_seconds: float,
+        work_seconds: float,
         objective_seconds: float,
-        is_idle: bool,
         now_seconds: float,
     ) -> float:
         """Bring the rejected part up to date where that is due, and return it.
 
         Args:
             takes_seconds: How long an answer takes at present.
+            work_seconds: How long it takes where nothing waits for its turn.
             objective_seconds: How long it may take.
-            is_idle: Whether nothing waits for its turn.
             now_seconds: The present time.
         """
         if now_seconds < self._next_seconds:
             return self.rejected_part
         self._next_seconds = now_seconds + UPDATE_SECONDS
         objectives = takes_seconds / objective_seconds
-        change = INTEGRAL_GAIN * (objectives - DELAY_PART)
+        wanted = max(DELAY_PART, LEAST_WORKS * work_seconds / objective_seconds)
+        change = INTEGRAL_GAIN * (objectives - wanted)
         change += PROPORTIONAL_GAIN * (objectives - self._before_objectives)
         self._before_objectives = objectives
-        self.rejected_part = min(max(self.rejected_part + change, 0.0), MOST_PART)
-        if is_idle:
+        if takes_seconds <= work_seconds:
             self.rejected_part *= IDLE_KEPT_PART
+        else:
+            part = self.rejected_part + change
+            self.rejected_part = min(max(part, 0.0), MOST_PART)
         return self.rejected_part
 
 
--- a/tests/test_plain_load.py
+++ b/tests/test_plain_load.py
@@ -13,6 +13,7 @@
 from sesameford.effective import BackendSettings, HttpRouteSettings, ServiceSettings
 from sesameford.gateway.admit import _check_queue
 from sesameford.gateway.placement import make_placement
+from sesameford.gateway.queue_limit import make_queue_limit
 from sesameford.gateway.run import Refusal
 from sesameford.load_messages import PlaceLoad
 from sesameford.messages import BeatRow
@@ -132,3 +133,10 @@
 def test_a_service_that_can_do_all_rejects_next_to_nobody(routers):
     served = sum(play(0.7, routers, rejects=True))
     assert served > 0.99 * sum(play(0.7, routers, rejects=False))
+
+
+def test_an_idle_service_rejects_nobody_however_long_its_work_takes():
+    limit = make_queue_limit()
+    for step in range(200):
+        part = limit.update(0.4, 0.4, OBJECTIVE_SECONDS, step * 0.06)
+        assert part == 0.0
