--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -84,6 +84,8 @@
         self.wanted_wait_seconds = wanted_wait_seconds * wait_factor(
             sum(load.in_time_answers for load in loads),
             sum(load.late_answers for load in loads),
+            sum(self.asked_tokens.values()),
+            sum(load.handled_tokens for load in loads),
         )
         self.capacity_tokens = self._capacity(
             loads, declared_tokens, self.wanted_wait_seconds
--- a/sesameford/gateway/timeliness.py
+++ b/sesameford/gateway/timeliness.py
@@ -4,6 +4,9 @@
 read, of what others have sent there. Held at one figure it lets in too little where it
 is too high, and engines stand idle while callers are refused. So the wait that is aimed
 at follows what callers see: the fewer answers begin late, the longer it may be.
+
+Not in a flood: what is let in then beyond shares goes to those who flood, and makes all
+others late.
 """
 
 from dataclasses import dataclass, field
@@ -16,6 +19,8 @@
 LATE_PART = 0.15
 # With none late they may wait so many times as long.
 MOST_FACTOR = 2.2
+# With so many times as much asked as engines handle, nothing but shares is let in.
+FLOOD_RATIO = 3.0
 # Fewer answers a second than this say little; as many are taken as late.
 FEW_ANSWERS = 2.0
 
@@ -46,7 +51,12 @@
         return self._late.tokens_per_second(now_seconds)
 
 
-def wait_factor(in_time_answers: float, late_answers: float) -> float:
+def wait_factor(
+    in_time_answers: float,
+    late_answers: float,
+    asked_tokens: float,
+    handled_tokens: float,
+) -> float:
     """Return how many times as long prompts may wait as they may at the least.
 
     It depends on present figures alone, so that replicas which work it out from the
@@ -55,10 +65,15 @@
     Args:
         in_time_answers: Of the whole fleet, a second.
         late_answers: Likewise.
+        asked_tokens: What all customers ask, a second.
+        handled_tokens: What engines begin to answer or fail, a second.
     """
     late = late_answers + FEW_ANSWERS
     late_part = late / (in_time_answers + late)
-    return MOST_FACTOR - (MOST_FACTOR - 1.0) * min(late_part / LATE_PART, 1.0)
+    in_time_part = 1.0 - min(late_part / LATE_PART, 1.0)
+    ratio = asked_tokens / max(handled_tokens, 1.0)
+    calm_part = min(max((FLOOD_RATIO - ratio) / (FLOOD_RATIO - 1.0), 0.0), 1.0)
+    return 1.0 + (MOST_FACTOR - 1.0) * in_time_part * calm_part
 
 
 def make_timeliness() -> Timeliness:
