Write once what evacuations and cold targets had twice

Whether a data centre is known, and the order itself, stood in the operators' port and in the platform's calls; both now ask evacuations.order_evacuation, and answers of changes and orders end in one function. The time to connect, on which the bound of cold targets rests, was copied; a change of one would have broken the bound unseen. The evacuated data centres were kept in two places and the table of targets was searched by the same filter in three.

Two tests have other names, and one is given the data centres that its order needs now.

--- a/sesameford/evacuations.py
+++ b/sesameford/evacuations.py
@@ -6,11 +6,11 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from secrets import token_hex
 
-from sesameford.errors import NoQuorumError
+from sesameford.errors import NoQuorumError, SesamefordError
 from sesameford.state_machine import Propose
 from sesameford.tree_changes import (
     CONFLICT,
@@ -29,17 +29,32 @@
 OVERTAKEN_AGAIN_SECONDS = 0.5
 
 
+class UnknownDataCentreError(SesamefordError):
+    """An order names a data centre that the deployment doesn't have.
+
+    Args:
+        data_centre: The name.
+        known: Those that there are.
+    """
+
+    def __init__(self, data_centre: str, known: Collection[str]) -> None:
+        super().__init__(f"no data centre is named {data_centre!r}")
+        self.known = known
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuationDeps:
     """What an order needs of the instance that takes it.
 
     Args:
+        data_centres: Returns the data centres that are known here.
         propose: Brings a command to agreement.
         revision: Returns the newest revision of the tree known here.
         now: The present time.
         wall_seconds: The time of day, for the history.
     """
 
+    data_centres: Callable[[], Collection[str]]
     propose: Propose
     revision: Callable[[], int]
     now: Callable[[], float]
@@ -66,9 +81,13 @@
         The answer; the order, or the same one before it, is in force.
 
     Raises:
+        UnknownDataCentreError: There is none of this name.
         NoQuorumError: It may be accepted later, or its opposite was accepted while it
             waited here.
     """
+    known = deps.data_centres()
+    if data_centre not in known:
+        raise UnknownDataCentreError(data_centre, known)
     arrived_at_seconds = deps.now()
     base_revision = deps.revision()
     while True:
--- a/sesameford/gateway/candidates.py
+++ b/sesameford/gateway/candidates.py
@@ -7,8 +7,9 @@
 import logging
 from collections.abc import Callable, Collection, Mapping
 from enum import StrEnum
+from itertools import chain
 
-from sesameford.discovery.beat_table import BeatTable, KnownTarget
+from sesameford.discovery.beat_table import BeatTable, KnownTarget, short_name
 from sesameford.effective import EffectiveTree
 from sesameford.gateway.cold_targets import make_cold_targets
 from sesameford.tables import TargetState
@@ -52,12 +53,13 @@
     def configure(self, tree: EffectiveTree, now_seconds: float) -> bool:
         """Take a tree that comes into force; return whether evacuations changed."""
         evacuated = tree.evacuated_data_centres
-        self.cold.configure(tree.services, evacuated, now_seconds)
+        restored = self._evacuated - evacuated
+        self.cold.configure(tree.services, restored, now_seconds)
         if evacuated == self._evacuated:
             return False
         for data_centre in evacuated - self._evacuated:
             logger.info("evacuation in force", extra={"data_centre": data_centre})
-        for data_centre in self._evacuated - evacuated:
+        for data_centre in restored:
             logger.info("evacuation ended", extra={"data_centre": data_centre})
         self._evacuated = evacuated
         self._seen_changes = -1
@@ -104,6 +106,22 @@
             if self.cold.is_cold(known, now_seconds)
         )
 
+    def cold_rates_requests(self, now_seconds: float) -> dict[int, float]:
+        """Return what each cold target that gets work takes a second, by short name."""
+        rates = {}
+        for known in self._cold(now_seconds):
+            rate_requests = self.cold.rate_requests(known, now_seconds)
+            if rate_requests is not None:
+                rates[short_name(known.row.target_id)] = rate_requests
+        return rates
+
+    def lacks_permits(self, now_seconds: float) -> bool:
+        """Return whether there is a cold target that nothing may be sent to."""
+        return any(
+            not self.cold.may_send(known, now_seconds)
+            for known in self._cold(now_seconds)
+        )
+
     def use_permit(self, known: KnownTarget, now_seconds: float) -> bool:
         """Use up the permit that a request needs, and return whether it needs one."""
         is_cold = self.cold.are_any(now_seconds) and self.cold.is_cold(
@@ -128,11 +146,7 @@
             now_seconds: The present time.
             homes: The regions in which it may run, None for all.
         """
-        ready = [
-            known
-            for known in self._table.known.values()
-            if known.row.service == service and known.row.state is TargetState.READY
-        ]
+        ready = self._ready((service,))
         at_home = self._at_home(ready, homes)
         if ready and not at_home:
             return Nowhere.NOT_AT_HOME
@@ -150,16 +164,29 @@
         """
         if not self._evacuated and not self.cold.are_any(now_seconds):
             return 1.0
-        ready = sum(
-            known.row.service in services and known.row.state is TargetState.READY
-            for known in self._table.known.values()
-        )
+        ready = len(self._ready(services))
         available = sum(
             len(self.warm(self.of_service(service), now_seconds))
             for service in services
         )
         return available / ready if ready else 1.0
 
+    def _ready(self, services: Collection[str]) -> list[KnownTarget]:
+        """Return the targets of some services, those of evacuated data centres too."""
+        return [
+            known
+            for known in self._table.known.values()
+            if known.row.service in services and known.row.state is TargetState.READY
+        ]
+
+    def _cold(self, now_seconds: float) -> list[KnownTarget]:
+        """Return the cold targets that get work."""
+        if not self.cold.are_any(now_seconds):
+            return []
+        self._refresh()
+        found = chain.from_iterable(self._by_service.values())
+        return [known for known in found if self.cold.is_cold(known, now_seconds)]
+
     def _at_home(
         self, found: list[KnownTarget], homes: frozenset[str] | None
     ) -> list[KnownTarget]:
--- a/sesameford/gateway/cold_targets.py
+++ b/sesameford/gateway/cold_targets.py
@@ -11,7 +11,6 @@
 
 from sesameford.discovery.beat_table import BeatTable, KnownTarget, short_name
 from sesameford.effective import ServiceSettings
-from sesameford.tables import TargetState
 
 # A permit counts for so long from when its router asked, by the router's own clock, so
 # one that was held up on its way is worth nothing.
@@ -27,7 +26,6 @@
 
     table: BeatTable
     _services: Mapping[str, ServiceSettings] = field(default_factory=dict)
-    _evacuated: frozenset[str] = frozenset()
     _restored_at_seconds: dict[str, float] = field(default_factory=dict)
     _until_seconds: float = float("-inf")
     _permits: dict[int, float] = field(default_factory=dict)
@@ -36,10 +34,10 @@
     def configure(
         self,
         services: Mapping[str, ServiceSettings],
-        evacuated: frozenset[str],
+        restored: frozenset[str],
         now_seconds: float,
     ) -> None:
-        """Take services and evacuated data centres that come into force.
+        """Take services that come into force, and data centres just restored.
 
         Targets of a data centre that is restored may have grown cold shortly
         before, and their heartbeats say so only later.
@@ -48,10 +46,9 @@
         longest_seconds = max(
             (one.cold_start_seconds for one in services.values()), default=0.0
         )
-        for data_centre in self._evacuated - evacuated:
+        for data_centre in restored:
             self._restored_at_seconds[data_centre] = now_seconds
             self._until_seconds = now_seconds + longest_seconds
-        self._evacuated = evacuated
 
     def are_any(self, now_seconds: float) -> bool:
         """Return whether any target can be cold."""
@@ -74,28 +71,6 @@
         """Return whether a target is cold."""
         return self.rate_requests(known, now_seconds) is not None
 
-    def rates_requests(self, now_seconds: float) -> dict[int, float]:
-        """Return what each cold target that may get work takes, by short name."""
-        if not self.are_any(now_seconds):
-            return {}
-        rates = {}
-        for known in self.table.known.values():
-            if known.row.state is not TargetState.READY:
-                continue
-            if known.row.data_centre in self._evacuated:
-                continue
-            rate_requests = self.rate_requests(known, now_seconds)
-            if rate_requests is not None:
-                rates[short_name(known.row.target_id)] = rate_requests
-        return rates
-
-    def lacks_permits(self, now_seconds: float) -> bool:
-        """Return whether there is a cold target that nothing may be sent to."""
-        return any(
-            not self._has_permit(name, now_seconds)
-            for name in self.rates_requests(now_seconds)
-        )
-
     def take(
         self, names: Collection[int], asked_at_seconds: float, now_seconds: float
     ) -> None:
@@ -112,16 +87,14 @@
 
     def may_send(self, known: KnownTarget, now_seconds: float) -> bool:
         """Return whether there is a permit for a target."""
-        return self._has_permit(short_name(known.row.target_id), now_seconds)
+        name = short_name(known.row.target_id)
+        return now_seconds < self._permits.get(name, float("-inf"))
 
     def sent(self, known: KnownTarget) -> None:
         """Use up the permit for a target."""
         self.requests_sent += 1
         self._permits.pop(short_name(known.row.target_id), None)
 
-    def _has_permit(self, name: int, now_seconds: float) -> bool:
-        return now_seconds < self._permits.get(name, float("-inf"))
-
 
 def make_cold_targets(table: BeatTable) -> ColdTargets:
     """Return what is known of cold targets before any tree is in force.
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -113,7 +113,7 @@
     """
 
     def __init__(self, live: LiveInstances, permits: ColdPermits) -> None:
-        self._permits = permits
+        self.permits = permits
         self.shares = make_share_table()
         self.failing: tuple[FailingTarget, ...] = ()
         self._live = live
@@ -195,7 +195,7 @@
         sums = self._sums(
             declared_tokens, wanted_wait_seconds, targets, live_routers, now_seconds
         )
-        permits = self._permits.give(
+        permits = self.permits.give(
             targets.cold_rates_requests, self._loads.asking(), now_seconds
         )
         return exchanged + self._answers(sums, permits)
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -20,6 +20,10 @@
 from sesameford.errors import SesamefordError
 from sesameford.gateway.calls import AnswerHead, Call, Edge, Sending
 
+# A target in another data centre answers within some hundredths; one that is dark would
+# hold each call up. A lost first packet is sent again only after a second, which is
+# longer than a call can wait.
+CONNECT_SECONDS = 0.3
 # Headers that the HTTP library would add by itself; a target gets the caller's alone.
 OWN_HEADERS = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
 
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -5,8 +5,9 @@
 from random import Random
 
 from sesameford.gateway.aggregator_choice import make_aggregator_choice
-from sesameford.gateway.cold_permits import ColdPermits, make_cold_permits
+from sesameford.gateway.cold_permits import ColdPermits
 from sesameford.gateway.fleet_sums import (
+    ALL_WARM,
     HEARD_SECONDS,
     MISSED_REPORTS,
     LiveInstances,
@@ -25,7 +26,6 @@
 from sesameford.gateway.shares import ShareTable, make_share_table
 from sesameford.load_messages import FleetLoad, PartialLoad, RouterLoad, RouterLoadEnds
 from sesameford.messages import Outgoing
-from sesameford.settings import ColdBoundSettings
 
 logger = logging.getLogger(__name__)
 
@@ -56,11 +56,10 @@
         self.lag = make_loop_lag()
         self._choice = make_aggregator_choice()
         self._has_disk = has_disk
-        self.permits = permits or make_cold_permits(ColdBoundSettings(), 1)
         self._placement = placement
         self._state = state
         self._live = live
-        self._sums = make_fleet_sums(live, self.permits)
+        self._sums = make_fleet_sums(live, permits)
         self._own_shares = make_share_table()
         self._send = send
         self._was_alone = True
@@ -73,6 +72,11 @@
         """Return the shares that are worked out here."""
         return self._sums.shares if self._has_disk else self._own_shares
 
+    @property
+    def permits_given(self) -> int:
+        """Return how many permits for cold targets were given out here."""
+        return self._sums.permits.given
+
     def heard(self, sender_id: str, fleet: FleetLoad, now_seconds: float) -> None:
         """Take what all other routers have under way, and the shares.
 
@@ -126,16 +130,14 @@
         state = self._state()
         declared_tokens = None
         wanted_wait_seconds = 0.0
+        targets = ALL_WARM
         if state is not None:
             declared_tokens = state.tree.fleet.tokens_per_second
             wanted_wait_seconds = WAIT_PART * state.shortest_objective_seconds
-        targets = TargetsNow()
-        if state is not None:
+            candidates = self._placement.candidates
             targets = TargetsNow(
-                self._placement.candidates.cold.rates_requests(now_seconds),
-                self._placement.candidates.available_part(
-                    state.engine_services, now_seconds
-                ),
+                candidates.cold_rates_requests(now_seconds),
+                candidates.available_part(state.engine_services, now_seconds),
             )
         outgoing = self._sums.tick(
             declared_tokens, wanted_wait_seconds, now_seconds, targets
@@ -147,7 +149,7 @@
         """Report to one replica what is under way here, where that is news."""
         self._note_source(now_seconds)
         places = self._placement.loads(now_seconds)
-        lacks_permits = self._placement.candidates.cold.lacks_permits(now_seconds)
+        lacks_permits = self._placement.candidates.lacks_permits(now_seconds)
         if not lacks_permits and not self.report.is_due(places, now_seconds):
             return
         load = RouterLoad(
--- a/sesameford/gateway/node.py
+++ b/sesameford/gateway/node.py
@@ -26,7 +26,7 @@
 from sesameford.gateway.calls import Edge
 from sesameford.gateway.cold_permits import make_cold_permits
 from sesameford.gateway.fleet_sums import LiveInstances
-from sesameford.gateway.forward import make_sender
+from sesameford.gateway.forward import CONNECT_SECONDS, make_sender
 from sesameford.gateway.load_report import REPORT_SECONDS
 from sesameford.gateway.load_system import make_load_system
 from sesameford.gateway.operator_calls import make_operator_calls
@@ -64,9 +64,7 @@
 from sesameford.state_machine import StateMachine
 from sesameford.stops import StopLoad
 from sesameford.tables import InstanceState, TargetState
-from sesameford.tree_changes import (
-    TreeMachine,
-)
+from sesameford.tree_changes import TreeMachine
 from sesameford.tree_holder import TreeHolderDeps, make_tree_holder
 
 logger = logging.getLogger(__name__)
@@ -81,10 +79,6 @@
 UNREADY_SECONDS = 2.6
 CLOSE_LINKS_SECONDS = 0.05
 IDLE_SECONDS = 3.0
-# A target in another data centre answers within some hundredths; one that is dark would
-# hold each call up. A lost first packet is sent again only after a second, which is
-# longer than a call can wait.
-CONNECT_SECONDS = 0.3
 # A target waits a second for an acknowledgement; a replica that is heard answers
 # within some hundredths.
 TAKEN_SECONDS = 0.3
@@ -375,7 +369,7 @@
         self.tally.level("cold_sent", self.placement.candidates.cold.requests_sent)
         if self._own.has_disk:
             shares = self.load.shares
-            self.tally.level("cold_permits", self.load.permits.given)
+            self.tally.level("cold_permits", self.load.permits_given)
             self.tally.level("share_capacity_tokens", shares.capacity_tokens)
             self.tally.level("share_routers", shares.routers)
             self.tally.level("share_limited_customers", len(shares.fractions))
--- a/sesameford/gateway/operator_calls.py
+++ b/sesameford/gateway/operator_calls.py
@@ -31,10 +31,6 @@
     """A declaration can never be accepted."""
 
 
-class UnknownDataCentreError(SesamefordError):
-    """An order names a data centre that the deployment doesn't have."""
-
-
 @dataclass(frozen=True, slots=True)
 class OperatorCalls:
     """The operator's calls at one instance.
@@ -113,10 +109,12 @@
             UnknownDataCentreError: There is none of this name.
             NoQuorumError: It may be accepted later.
         """
-        if data_centre not in self.data_centres():
-            raise UnknownDataCentreError(f"no data centre is named {data_centre!r}")
         deps = EvacuationDeps(
-            self.propose, lambda: self.machine().store.revision, self.now, time
+            self.data_centres,
+            self.propose,
+            lambda: self.machine().store.revision,
+            self.now,
+            time,
         )
         await order_evacuation(deps, data_centre, evacuated, operator)
 
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -232,12 +232,10 @@
         backlog = self._place(lease.target_id).backlog
         backlog.read(lease.number)
         self._began_at_seconds[lease.number] = now_seconds
-        if not lease.waits_for_place:
+        # A cold engine says little of its kind, nor of itself when it is warm.
+        if not lease.waits_for_place and not lease.is_cold:
             took_seconds = now_seconds - lease.sent_at_seconds
             tokens = lease.ahead_tokens + lease.tokens
-            if lease.is_cold:
-                # It says little of the kind, nor of this engine when it is warm.
-                return
             self._learn_fixed(took_seconds - backlog.read_seconds(tokens), tokens)
             read_seconds = took_seconds - self._fixed_seconds
             self._kind_rate.observed(tokens, read_seconds, now_seconds)
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -34,13 +34,14 @@
 # A target whose address another one has now is passed over from now on, so a caller who
 # may not be sent to a second target is served by another as soon as it is back.
 SOON_RETRY_SECONDS = 0.02
-# Without a target a caller comes back when there may be one. An evacuation lasts until
-# an operator ends it, so nothing is gained by coming back often.
+# An evacuation lasts until an operator ends it: nothing is gained by coming back often.
+EVACUATED_RETRY_SECONDS = 2.0
+# Without a target a caller comes back when there may be one.
 NOWHERE_RETRY_SECONDS = {
     Nowhere.NO_TARGET: RETRY_AFTER_SECONDS,
     Nowhere.NOT_AT_HOME: RETRY_AFTER_SECONDS,
     Nowhere.COLD: RETRY_AFTER_SECONDS,
-    Nowhere.EVACUATED: 2.0,
+    Nowhere.EVACUATED: EVACUATED_RETRY_SECONDS,
 }
 # With less left than this a sending could bring no answer in time.
 LEAST_LEFT_SECONDS = 0.02
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -53,7 +53,6 @@
     asked_tokens: Mapping[str, int] = field(default_factory=dict)
     fractions: dict[str, float] = field(default_factory=dict)
     routers: int = 0
-    _available_part: float = 1.0
     _mean_available_part: float = 1.0
     _available_at_seconds: float = 0.0
     _balance: ServiceBalance = field(default_factory=make_service_balance)
@@ -75,7 +74,7 @@
             now_seconds: The present time.
             available_part: The part of the engines that take work as usual.
         """
-        self._note_available(available_part, now_seconds)
+        left_part = self._left_part(available_part, now_seconds)
         declared_tokens = (declared_tokens or FIRST_CAPACITY_TOKENS) * available_part
         self.routers = sum(load.routers for load in loads)
         rows = customers_added_up(load.customers for load in loads)
@@ -88,7 +87,7 @@
             sum(load.handled_tokens for load in loads),
         )
         self.capacity_tokens = self._capacity(
-            loads, declared_tokens, self.wanted_wait_seconds
+            loads, declared_tokens, self.wanted_wait_seconds, left_part
         )
         even = fair_amounts(self.asked_tokens, self.capacity_tokens)
         self._balance.settle(even, begun_tokens, now_seconds)
@@ -112,30 +111,32 @@
             for customer, fraction in self.fractions.items()
         )
 
-    def _note_available(self, available_part: float, now_seconds: float) -> None:
-        """Average the part of the engines as what they handle is averaged."""
+    def _left_part(self, available_part: float, now_seconds: float) -> float:
+        """Return the part left of the engines that handled what was handled of late.
+
+        It is held against its average over the time that reports are averaged over.
+        """
         since_seconds = now_seconds - self._available_at_seconds
         self._available_at_seconds = now_seconds
-        self._available_part = available_part
         gain = min(max(since_seconds, 0.0) / AVERAGE_SECONDS, 1.0)
         change = available_part - self._mean_available_part
         self._mean_available_part += gain * change
         self._mean_available_part = max(self._mean_available_part, LEAST_PART)
+        return min(available_part / self._mean_available_part, 1.0)
 
     def _capacity(
         self,
         loads: Sequence[PartialLoad],
         declared_tokens: float,
         wanted_wait_seconds: float,
+        left_part: float,
     ) -> float:
         """Return what may be asked a second without making prompts wait too long."""
         waits_seconds = sum(load.routers * load.wait_seconds for load in loads)
         self.wait_seconds = waits_seconds / max(self.routers, 1)
         factor = 1 + PART_A_SECOND * (wanted_wait_seconds - self.wait_seconds)
         factor = min(max(factor, LOWEST_FACTOR), HIGHEST_FACTOR)
-        # What engines have handled is an average over those there were until now.
-        lost_part = min(self._available_part / self._mean_available_part, 1.0)
-        capacity = lost_part * factor * sum(load.handled_tokens for load in loads)
+        capacity = left_part * factor * sum(load.handled_tokens for load in loads)
         if self.wait_seconds > wanted_wait_seconds:
             return max(capacity, LOWEST_PART * declared_tokens)
         # Nobody waits too long: what is declared can be served in any case.
--- a/sesameford/operators.py
+++ b/sesameford/operators.py
@@ -17,7 +17,11 @@
     target_news,
 )
 from sesameford.errors import LogError, NoQuorumError, TreeError
-from sesameford.evacuations import EvacuationDeps, order_evacuation
+from sesameford.evacuations import (
+    EvacuationDeps,
+    UnknownDataCentreError,
+    order_evacuation,
+)
 from sesameford.log_service import COMMAND_LIMIT_BYTES
 from sesameford.messages import TargetNews
 from sesameford.operators_http import (
@@ -240,16 +244,10 @@
         Problem: It was not accepted, or nobody knows.
     """
     _check_change_id(body.change_id)
-    report = deps.status()
-    known = {report.data_centre}
-    known |= {instance.data_centre for instance in report.instances}
-    known |= {target.data_centre for target in report.targets}
-    if body.data_centre not in known:
-        names = ", ".join(sorted(known))
-        raise Problem(404, "no-such-data-centre", f"the data centres are {names}")
     try:
         answer = await order_evacuation(
             EvacuationDeps(
+                lambda: _data_centres(deps.status()),
                 deps.propose,
                 lambda: deps.store().revision,
                 deps.now,
@@ -260,16 +258,22 @@
             operator,
             body.change_id,
         )
+    except UnknownDataCentreError as error:
+        names = ", ".join(sorted(error.known))
+        detail = f"the data centres are {names}"
+        raise Problem(404, "no-such-data-centre", detail) from error
     except LogError as error:
         raise Problem(503, "no-quorum", f"{error}; send it again") from error
-    if answer.status == REFUSED:
-        raise Problem(400, "refused", answer.detail)
     await deps.caught_up(answer.revision, CATCH_UP_SECONDS)
-    return {
-        "change_id": body.change_id,
-        "revision": answer.revision,
-        "changed": answer.status == ACCEPTED,
-    }
+    return _decided(body.change_id, answer)
+
+
+def _data_centres(report: StatusReport) -> set[str]:
+    """Return the data centres of all instances and targets."""
+    known = {report.data_centre}
+    known |= {instance.data_centre for instance in report.instances}
+    known |= {target.data_centre for target in report.targets}
+    return known
 
 
 async def _propose(deps: OperatorsDeps, name: str, command: Any) -> bytes:
@@ -313,10 +317,15 @@
             "this instance has not heard of the base revision yet; nothing changed",
             present_revision=answer.revision,
         )
+    return _decided(body.change_id, answer)
+
+
+def _decided(change_id: str, answer: ChangeAnswer) -> dict[str, Any]:
+    """Return the answer's body for what is in force, unless it was refused."""
     if answer.status == REFUSED:
         raise Problem(400, "refused", answer.detail)
     return {
-        "change_id": body.change_id,
+        "change_id": change_id,
         "revision": answer.revision,
         "changed": answer.status == ACCEPTED,
     }
--- a/sesameford/tree.py
+++ b/sesameford/tree.py
@@ -110,18 +110,13 @@
 
 
 def is_evacuated(nodes: Mapping[str, bytes], data_centre: str) -> bool:
-    """Return whether a tree takes a data centre's targets out."""
+    """Return whether a data centre is evacuated under a tree."""
     path = data_centre_path(data_centre)
     if path not in nodes:
         return False
     return bool(read_node(nodes[path]).settings.get("evacuated", False))
 
 
-def is_name(text: str) -> bool:
-    """Return whether a node of the tree can have a name."""
-    return _NAME.fullmatch(text) is not None
-
-
 def joined_nodes(below: bytes, above: bytes) -> bytes:
     """Return a node with the fields of two, those of ``above`` before the others."""
     node, other = read_node(below), read_node(above)
--- a/sesameford/tree_changes.py
+++ b/sesameford/tree_changes.py
@@ -273,8 +273,7 @@
         found = difference(self.store.declared, DeclaredTree(nodes))
         if found.is_empty():
             return self._answer(ACCEPTED)
-        revision = self.store.revision + 1
-        self.store.step(TreeStep(revision, found, self.store.would_be(found)))
+        self._step(found)
         self._note(
             f"{declaration.declarer}/{declaration.version}",
             declaration.declarer,
@@ -303,8 +302,7 @@
             return self._answer(CONFLICT)
         put = data_centre_nodes(nodes, order.data_centre, order.evacuated)
         found = TreeDifference(put, ())
-        step = TreeStep(self.store.revision + 1, found, self.store.would_be(found))
-        self.store.step(step)
+        self._step(found)
         shown = TreeDifference({data_centre_path(order.data_centre): b""}, ())
         change_id = order.order_id or ("evacuate" if order.evacuated else "restore")
         self._note(change_id, order.operator, order.at_seconds, shown)
@@ -315,6 +313,11 @@
         self._committed(self)
         return answer
 
+    def _step(self, found: TreeDifference) -> None:
+        """Go one revision on by a difference that was worked out here."""
+        revision = self.store.revision + 1
+        self.store.step(TreeStep(revision, found, self.store.would_be(found)))
+
     def _change(self, change: TreeChange) -> ChangeAnswer:
         """Accept or turn down a change, once for each change id."""
         # An operator whose answer was lost sends the change again. Taken as new, it
@@ -357,7 +360,7 @@
     def _note(
         self, change_id: str, operator: str, at_seconds: float, done: TreeDifference
     ) -> None:
-        """Put an accepted change into the history."""
+        """Put an accepted change into the history, and note whom it evacuates."""
         paths = sorted({*done.put, *done.removed})
         for path in paths:
             root, _, name = path.partition("/")
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -263,7 +263,7 @@
     async def evacuate(
         self, replica: Program, data_centre: str, evacuated: bool
     ) -> int:
-        """Order a data centre to be emptied, or taken in; return the status."""
+        """Order a data centre to be evacuated, or restored; return the status."""
         method = "POST" if evacuated else "DELETE"
         path = f"/v1/evacuations/{data_centre}"
         return (await self.call(replica.control, method, path))[0]
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -133,8 +133,8 @@
     }
 
 
-def test_targets_that_are_taken_in_again_count_as_cold():
-    """They grew cold before their data centre was taken in, and beat only later."""
+def test_targets_that_are_restored_count_as_cold():
+    """They grew cold before their data centre was restored, and beat only later."""
     placement, _ = make_router(
         row("e0"), row("e1", place="b"), row("e2", place="b"), evacuated=("b",)
     )
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,4 +1,4 @@
-"""Data centres whose targets are emptied, and taken back."""
+"""Data centres that are evacuated, and restored."""
 
 from random import Random
 
@@ -89,7 +89,7 @@
     assert evacuated_in(machine) == {"a"}
 
 
-def test_an_order_with_an_id_is_told_from_a_new_one_for_good():
+def test_an_order_with_an_id_is_recognised_for_good():
     machine = make_machine()
     apply(machine, order(True, 0, "one"))
     apply(machine, order(False, 1, "two"))
@@ -144,7 +144,7 @@
     async def propose(name, kind, command):
         return machine.apply(1, command)
 
-    deps = EvacuationDeps(propose, lambda: 0, lambda: 0.0, lambda: 0.0)
+    deps = EvacuationDeps(lambda: "a", propose, lambda: 0, lambda: 0.0, lambda: 0.0)
     answer = await order_evacuation(deps, "a", False, "operator")
     assert answer.status == ACCEPTED
     assert not evacuated_in(machine)
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -4,11 +4,11 @@
 
 Each seed runs real processes on loopback under drawn faults that overlap and repeat:
 processes killed, paused, stopped as planned and told of changed settings, disks lost,
-data centres of servers evacuated and restored,
-servers that crash, drain and answer wrongly, connections that are delayed, reset and
-silenced. Callers keep their connections until the process is gone. What callers,
-servers and the operator see is checked against the promises; each line of findings
-names its seed, and the logs of that seed are kept.
+data centres of servers evacuated and restored, servers that crash, drain and answer
+wrongly, connections that are delayed, reset and silenced. Callers keep their
+connections until the process is gone. What callers, servers and the operator see is
+checked against the promises; each line of findings names its seed, and the logs of that
+seed are kept.
 """
 
 import argparse
@@ -243,7 +243,7 @@
         await self._declare()
 
     async def _evacuate(self) -> None:
-        """Empty a data centre and take it in, with orders that come again.
+        """Evacuate a data centre and restore it, with orders that come again.
 
         Both orders are sent until they are acknowledged, to any replica; what is
         recorded as evacuated ends when the opposite is sent for the first time.
--- a/tools/platform_soak_verdict.py
+++ b/tools/platform_soak_verdict.py
@@ -192,12 +192,8 @@
         if one.drained_at_seconds is None:
             continue
         late_seconds = one.server.last_arrival_seconds - one.drained_at_seconds
-        harmed = any(
-            span.from_seconds - AFTERMATH_SECONDS
-            <= one.drained_at_seconds
-            <= span.to_seconds + AFTERMATH_SECONDS
-            for span in core_faults
-        )
+        drained_at_seconds = one.drained_at_seconds
+        harmed = _any_near(core_faults, drained_at_seconds, drained_at_seconds)
         if late_seconds > DRAIN_SECONDS and not harmed:
             name = one.server.target_id
             yield f"{name} got work {late_seconds:.1f} s after it drained"
@@ -205,20 +201,25 @@
 
 def _work_while_evacuated(records: Records) -> Iterator[str]:
     """Return servers that got work long after their data centre was evacuated."""
-    core_faults = [span for span in records.faults if span.subject == "core"]
+    harm = [span for span in records.faults if span.subject == "core"]
+    harm += records.pauses
     for span in records.evacuations:
         for one in records.servers:
             if one.data_centre != span.subject:
                 continue
             for at_seconds in one.server.arrivals_seconds:
-                if not span.from_seconds + EVACUATED_SECONDS < at_seconds:
+                late_seconds = at_seconds - span.from_seconds
+                if late_seconds <= EVACUATED_SECONDS or at_seconds >= span.to_seconds:
                     continue
-                harmed = any(
-                    fault.from_seconds - AFTERMATH_SECONDS <= at_seconds
-                    and span.from_seconds <= fault.to_seconds + AFTERMATH_SECONDS
-                    for fault in core_faults + records.pauses
-                )
-                if at_seconds < span.to_seconds and not harmed:
-                    late_seconds = at_seconds - span.from_seconds
+                if not _any_near(harm, span.from_seconds, at_seconds):
                     name = one.server.target_id
                     yield f"{name} got work {late_seconds:.1f} s after its evacuation"
+
+
+def _any_near(faults: list[Span], from_seconds: float, to_seconds: float) -> bool:
+    """Return whether one of some faults may have harmed what happened in a time."""
+    return any(
+        fault.from_seconds - AFTERMATH_SECONDS <= to_seconds
+        and from_seconds <= fault.to_seconds + AFTERMATH_SECONDS
+        for fault in faults
+    )
