Recognise an order that found nothing to do when its copy comes late

An operator evacuates a data centre that somebody else has evacuated already, and it is restored later. A copy of the first order under the same id, held up on its way, then evacuated it once more: only accepted orders were recorded under their ids, where changes record refused and needless ones too. Both now look ids up in one function. An order that was overtaken stays unrecorded, as it is tried again under its id.

test_an_order_that_found_nothing_to_do_is_recognised_too failed before.

--- a/sesameford/tree_changes.py
+++ b/sesameford/tree_changes.py
@@ -289,11 +289,24 @@
         An order that comes again finds what it wants in force. One that waited on its
         way while its opposite was accepted would undo a newer wish, and is told so.
         """
-        recorded = self._answered.get(order.order_id)
+        recorded = self._recorded(order.order_id)
         if recorded is not None:
             if recorded.digest != _order_digest(order):
                 return self._answer(REFUSED, "this id was used for another change")
             return recorded.answer
+        answer = self._decide_order(order)
+        if order.order_id and answer.status != CONFLICT:
+            table, limit = self._turned_down, KEPT_REFUSED
+            if answer.status == ACCEPTED:
+                table, limit = self._answered, KEPT_ACCEPTED
+            record = _Recorded(order.order_id, _order_digest(order), answer)
+            _keep(table, record, limit)
+        if answer.status == ACCEPTED:
+            self._committed(self)
+        return answer
+
+    def _decide_order(self, order: EvacuationOrder) -> ChangeAnswer:
+        """Take an order into force unless it is already, or was overtaken."""
         nodes = self.store.declared.nodes
         if is_evacuated(nodes, order.data_centre) == order.evacuated:
             return self._answer(UNCHANGED)
@@ -306,12 +319,11 @@
         shown = TreeDifference({data_centre_path(order.data_centre): b""}, ())
         change_id = order.order_id or ("evacuate" if order.evacuated else "restore")
         self._note(change_id, order.operator, order.at_seconds, shown)
-        answer = self._answer(ACCEPTED)
-        if order.order_id:
-            record = _Recorded(order.order_id, _order_digest(order), answer)
-            _keep(self._answered, record, KEPT_ACCEPTED)
-        self._committed(self)
-        return answer
+        return self._answer(ACCEPTED)
+
+    def _recorded(self, change_id: str) -> _Recorded | None:
+        """Return what was answered under an id before, if it is still kept."""
+        return self._answered.get(change_id) or self._turned_down.get(change_id)
 
     def _step(self, found: TreeDifference) -> None:
         """Go one revision on by a difference that was worked out here."""
@@ -322,9 +334,7 @@
         """Accept or turn down a change, once for each change id."""
         # An operator whose answer was lost sends the change again. Taken as new, it
         # would be told of a conflict with itself; the first answer is the truth.
-        recorded = self._answered.get(change.change_id) or self._turned_down.get(
-            change.change_id
-        )
+        recorded = self._recorded(change.change_id)
         if recorded is not None:
             if recorded.digest != change.digest:
                 return self._answer(REFUSED, "this change id was used for another tree")
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -98,6 +98,19 @@
     assert apply(machine, order(True, 2, "two")).status == REFUSED
 
 
+def test_an_order_that_found_nothing_to_do_is_recognised_too():
+    """Somebody else had evacuated the data centre, and restored it since.
+
+    A copy of the order that was held up on its way would evacuate it once more.
+    """
+    machine = make_machine()
+    apply(machine, order(True, 0))
+    assert apply(machine, order(True, 1, "mine")).status == UNCHANGED
+    apply(machine, order(False, 1))
+    assert apply(machine, order(True, 2, "mine")).status == UNCHANGED
+    assert not evacuated_in(machine)
+
+
 def test_an_evacuation_outlives_snapshots_and_declarations():
     """A replica starts again from its snapshot; the operator declares routes anew."""
     machine = make_machine()
