Bound the calls that a router has admitted and not begun to handle

Its share of the fleet was the only bound, and it is more than a router serves.

A new connection counts as unread for as long as the backlog has not been empty, and deadlines are checked just before a call is written. Refused calls are to return within a quarter of their objective, as their retry reaches another router; they count as demand there and not twice.

--- a/sesameford/early_answers.py
+++ b/sesameford/early_answers.py
@@ -18,6 +18,8 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 
+from sesameford.listener import AcceptBacklog
+
 logger = logging.getLogger(__name__)
 
 # aiohttp decides which answers to these methods have no body.
@@ -38,8 +40,10 @@
     closes_connection: bool
 
 
-# Returns the answer, or the decision for the handler of a request that continues.
-Decide = Callable[[RawRequestMessage], EarlyAnswer | Any]
+# Returns the answer, or the decision for the handler of a request that continues. The
+# number is for how many seconds the connection may have waited to be accepted, 0 after
+# its first request.
+Decide = Callable[[RawRequestMessage, float], EarlyAnswer | Any]
 
 
 class EarlyHandler(web.RequestHandler):
@@ -80,7 +84,7 @@
                 self._is_head_incomplete = False
             return
         head = _parse_head(data, self._loop)
-        decision = None if head is None else self._decide(head.message)
+        decision = None if head is None else self._decide(head.message, 0.0)
         if head is None or not isinstance(decision, EarlyAnswer):
             self.receive_first_data(data, decision)
             return
@@ -108,9 +112,12 @@
     is refused is closed.
     """
 
-    def __init__(self, server: "EarlyServer", decide: Decide) -> None:
+    def __init__(
+        self, server: "EarlyServer", decide: Decide, backlog_seconds: float
+    ) -> None:
         self._server = server
         self._decide = decide
+        self._backlog_seconds = backlog_seconds
         self._transport: asyncio.Transport | None = None
         self._handler: EarlyHandler | None = None
         self._is_answered = False
@@ -131,7 +138,9 @@
         assert self._transport is not None
         loop = asyncio.get_running_loop()
         head = _parse_head(data, loop)
-        decision = None if head is None else self._decide(head.message)
+        decision = None
+        if head is not None:
+            decision = self._decide(head.message, self._backlog_seconds)
         if head is not None and isinstance(decision, EarlyAnswer):
             self._is_answered = True
             self._transport.write(decision.closing_bytes)
@@ -215,17 +224,22 @@
 class EarlyServer(web.Server):
     """aiohttp's server, with a decision before each request is handled.
 
-    ``unhandled`` holds the connections without a handler.
+    ``unhandled`` holds the connections without a handler. ``backlog`` tells for how
+    long new connections have waited to be accepted.
     """
 
-    def __init__(self, decide: Decide, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, decide: Decide, backlog: AcceptBacklog, *args: Any, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
         self._decide = decide
+        self._backlog = backlog
         self.unhandled: set[EarlyProtocol] = set()
 
     def __call__(self) -> EarlyProtocol:  # type: ignore[override]
         """Return the protocol of a new connection."""
-        return EarlyProtocol(self, self._decide)
+        backlog_seconds = self._backlog.wait_seconds(self._loop.time())
+        return EarlyProtocol(self, self._decide, backlog_seconds)
 
     def make_handler(self) -> EarlyHandler:
         """Return aiohttp's handler of a connection."""
--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -175,6 +175,7 @@
     header_timeout_seconds: float = 10.0
     idle_timeout_seconds: float = 60.0
     tokens_per_second: float | None = None
+    dispatch_limit: bool = True
     weight_store_concurrent_loads: int = 2
     lifted_digests: tuple[str, ...] = ()
 
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -29,12 +29,11 @@
 # exceeds this part of the shortest objective. One idle engine shows little: routers
 # learn of it late, and a prompt read there displaces others to busy engines.
 SPARE_CAPACITY_WAIT_PART = 0.05
-# An instance stays late for as long as its callers overload it. Earlier retries would
-# take time in which it could serve others.
-OVERLOADED_RETRY_SECONDS = 1.0
-# A caller refused because another customer overloads this instance is served by the
-# instance that its retry reaches; the delay only spaces out retries.
+# A caller refused because this instance is overloaded is served by the instance that
+# its retry reaches. The retries of a flood are spread over this part of the objective,
+# so that the others learn of the flood before most of them arrive.
 OTHER_INSTANCE_RETRY_SECONDS = 0.02
+OTHER_INSTANCE_RETRY_PART = 0.25
 # A caller is assumed to have left if its call lay unread for this time, or for this
 # part of its timeout.
 MAX_UNREAD_SECONDS = 1.0
@@ -60,10 +59,14 @@
     service: str
     homes: frozenset[str] | None = None
     unread_seconds: float = 0.0
+    dispatch_number: int = 0
 
 
 def admit_call(
-    deps: GatewayDeps, call: Call, arrived_at_seconds: float
+    deps: GatewayDeps,
+    call: Call,
+    arrived_at_seconds: float,
+    backlog_seconds: float = 0.0,
 ) -> AdmittedCall:
     """Find a call's route and customer, and decide whether to admit it.
 
@@ -71,6 +74,7 @@
         deps: The router's parts.
         call: The call without its body.
         arrived_at_seconds: When its head arrived, by the router's clock.
+        backlog_seconds: How long it may have waited for its connection to be accepted.
 
     Raises:
         Refusal: The call is not admitted.
@@ -88,15 +92,23 @@
     service = choose_service(route, deps.random.random())
     prompt = call.prompt if service in state.engine_services else None
     _check_targets(deps, route, customer or "", prompt, service, homes)
-    unread_seconds = 0.0
-    if deps.lag.is_lagging(arrived_at_seconds):
-        unread_seconds = UNREAD_TURNS * deps.lag.lateness_seconds(arrived_at_seconds)
-        _check_late(deps, call, route, customer or "", prompt, arrived_at_seconds)
+    unread_seconds = backlog_seconds
+    is_lagging = deps.lag.is_lagging(arrived_at_seconds)
+    if is_lagging:
+        unread_seconds += UNREAD_TURNS * deps.lag.lateness_seconds(arrived_at_seconds)
+    _check_caller_waits(
+        deps, call, route, customer or "", backlog_seconds, arrived_at_seconds
+    )
+    if state.tree.fleet.dispatch_limit:
+        _check_dispatch(deps, route, customer or "", arrived_at_seconds)
+    if is_lagging:
+        _check_late(deps, route, customer or "", prompt, arrived_at_seconds)
     elif prompt is not None:
         _check_share(deps, state, route, customer or "", prompt, service, homes)
     elif service not in state.engine_services:
         _check_queue(deps, route, customer or "", service)
-    return AdmittedCall(state, route, customer, service, homes, unread_seconds)
+    number = deps.dispatch_limit.add(customer or "", arrived_at_seconds)
+    return AdmittedCall(state, route, customer, service, homes, unread_seconds, number)
 
 
 async def make_call_context(
@@ -133,51 +145,87 @@
     )
 
 
-def _check_late(
+def _check_caller_waits(
     deps: GatewayDeps,
     call: Call,
     route: HttpRouteSettings,
     customer: str,
+    backlog_seconds: float,
+    now_seconds: float,
+) -> None:
+    """Refuse a call that lay unread for so long that its caller has left.
+
+    Raises:
+        Refusal: The call is not admitted.
+    """
+    unread_seconds = backlog_seconds + deps.lag.lateness_seconds(now_seconds)
+    caller_timeout_seconds = call.caller_timeout_seconds or route.timeout_seconds
+    limit_seconds = min(MAX_UNREAD_SECONDS, MAX_UNREAD_PART * caller_timeout_seconds)
+    if unread_seconds <= limit_seconds:
+        return
+    if call.prompt is not None:
+        deps.gate.record_refused_demand(customer, call.prompt.cost_tokens)
+    detail = f"unread for up to {unread_seconds:.3f} s"
+    raise _overloaded(deps, route, customer, detail)
+
+
+def _check_dispatch(
+    deps: GatewayDeps, route: HttpRouteSettings, customer: str, now_seconds: float
+) -> None:
+    """Refuse a call that this instance can't handle soon enough.
+
+    It does not count as demand, since its retry does at the instance that it reaches.
+    With each call counted twice, a customer whose callers use one instance would get
+    half of its share.
+
+    Raises:
+        Refusal: The call is not admitted.
+    """
+    if deps.dispatch_limit.has_room(customer, now_seconds):
+        return
+    detail = f"{deps.dispatch_limit.waiting_calls} admitted calls wait"
+    raise _overloaded(deps, route, customer, detail)
+
+
+def _check_late(
+    deps: GatewayDeps,
+    route: HttpRouteSettings,
+    customer: str,
     prompt: Prompt | None,
     now_seconds: float,
 ) -> None:
     """Refuse most calls while the event loop is late.
 
     Usually one customer whose callers all use this instance keeps it busy. The calls of
-    other customers are then refused with a short Retry-After: each retry reaches
-    another instance, and those have spare capacity. The customer itself, which is
-    limited, is served its share here however late the loop is: refusing the rest of its
-    calls keeps the loop late, so it would get nothing while that lasts, and customers
-    that use several instances would get their full shares. It is refused too if the
-    loop stood still for so long that its callers have left.
+    other customers are then refused: each retry reaches another instance, and those
+    have spare capacity. The customer itself, which is limited, is served its share here
+    however late the loop is, as far as the dispatch limit allows: refusing the rest of
+    its calls keeps the loop late, so it would get nothing while that lasts, and
+    customers that use several instances would get their full shares. While nobody is
+    limited, it is not known yet whose calls these are.
 
     Raises:
         Refusal: The call is not admitted.
     """
-    lateness_seconds = deps.lag.lateness_seconds(now_seconds)
-    caller_timeout_seconds = call.caller_timeout_seconds or route.timeout_seconds
-    has_caller_left = lateness_seconds > min(
-        MAX_UNREAD_SECONDS, MAX_UNREAD_PART * caller_timeout_seconds
-    )
-    is_limited = customer in deps.gate.fractions
-    if prompt is not None and (has_caller_left or not is_limited):
-        deps.gate.record_refused_demand(customer, prompt.cost_tokens)
-    elif prompt is not None:
-        is_within_share = deps.gate.admits(customer, route.route_id, prompt.cost_tokens)
-        if is_within_share:
+    gate = deps.gate
+    if prompt is not None:
+        is_flood_of_others = gate.fractions and customer not in gate.fractions
+        if is_flood_of_others:
+            gate.record_refused_demand(customer, prompt.cost_tokens)
+        elif gate.admits(customer, route.route_id, prompt.cost_tokens):
             return
+    lateness_seconds = deps.lag.lateness_seconds(now_seconds)
+    raise _overloaded(deps, route, customer, f"loop late by {lateness_seconds:.3f} s")
+
+
+def _overloaded(
+    deps: GatewayDeps, route: HttpRouteSettings, customer: str, detail: str
+) -> Refusal:
+    """Return the refusal of a call that another instance can serve."""
     deps.gate.account.record_late_refusal()
-    is_flood_of_others = deps.gate.fractions and not is_limited
-    raise Refusal(
-        503,
-        "overloaded",
-        OTHER_INSTANCE_RETRY_SECONDS
-        if is_flood_of_others
-        else OVERLOADED_RETRY_SECONDS,
-        route.route_id,
-        customer,
-        f"loop late by {lateness_seconds:.3f} s",
-    )
+    spread_seconds = OTHER_INSTANCE_RETRY_PART * route.objective_seconds
+    retry_seconds = OTHER_INSTANCE_RETRY_SECONDS + deps.random.random() * spread_seconds
+    return Refusal(503, "overloaded", retry_seconds, route.route_id, customer, detail)
 
 
 def _check_targets(
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -10,6 +10,7 @@
 from sesameford.errors import SesamefordError
 from sesameford.event_stream import EventStream
 from sesameford.gateway.calls import Call, WireAdapter
+from sesameford.gateway.dispatch_limit import DispatchLimit, make_dispatch_limit
 from sesameford.gateway.forward import Sender
 from sesameford.gateway.gateway_metrics import GatewayMetrics
 from sesameford.gateway.loop_lag import LoopLag
@@ -79,6 +80,7 @@
     now: Callable[[], float]
     loop_time: Callable[[], float]
     queue_limits: dict[str, QueueLimit] = field(default_factory=dict)
+    dispatch_limit: DispatchLimit = field(default_factory=make_dispatch_limit)
 
 
 class Refusal(SesamefordError):
--- a/sesameford/gateway/early_decision.py
+++ b/sesameford/gateway/early_decision.py
@@ -23,18 +23,22 @@
 
 def make_early_decision(
     deps: GatewayDeps,
-) -> Callable[[RawRequestMessage], EarlyAnswer | EarlyCall]:
+) -> Callable[[RawRequestMessage, float], EarlyAnswer | EarlyCall]:
     """Return the function that decides on a call by its head.
 
-    It returns an ``EarlyCall`` for an admitted call, an answer for a refused one.
+    Its second argument is how long the call's connection may have waited to be
+    accepted. It returns an ``EarlyCall`` for an admitted call, an answer for a refused
+    one.
     """
 
-    def decide_early(message: RawRequestMessage) -> EarlyAnswer | EarlyCall:
+    def decide_early(
+        message: RawRequestMessage, backlog_seconds: float
+    ) -> EarlyAnswer | EarlyCall:
         arrived_at_seconds = deps.now()
         call = None
         try:
             call = read_call(deps, message.method, message.path, message.headers)
-            admitted = admit_call(deps, call, arrived_at_seconds)
+            admitted = admit_call(deps, call, arrived_at_seconds, backlog_seconds)
         except Refusal as refusal:
             return refuse_call(
                 deps, call, None, refusal, arrived_at_seconds
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -44,13 +44,15 @@
     early: EarlyCall | None = pop_decision(request)
     call = early.call if early is not None else None
     arrived_at_seconds = early.arrived_at_seconds if early is not None else deps.now()
+    admitted = early.admitted if early is not None else None
     context = None
     try:
         if call is None:
             call = read_call(deps, request.method, request.raw_path, request.headers)
-        admitted = (
-            early.admitted if early else admit_call(deps, call, arrived_at_seconds)
-        )
+        if admitted is None:
+            admitted = admit_call(deps, call, arrived_at_seconds)
+        # From here on a call waits for the network alone, for its body or a target.
+        deps.dispatch_limit.remove(admitted.dispatch_number)
         context = await make_call_context(
             deps, request, call, admitted, arrived_at_seconds
         )
@@ -164,6 +166,10 @@
         if not deps.placement.may_send(reservation, now_seconds):
             detail = "the target requested backoff or announced its drain"
             raise SendAttemptError(SendOutcome.WITHHELD, detail)
+        # The timeout of the exchange is noticed only after the write if the loop is
+        # late, and the target would work for a caller that has left.
+        if context.until_seconds - deps.loop_time() < MIN_TIME_LEFT_SECONDS:
+            raise SendAttemptError(SendOutcome.TIMEOUT, "no time is left to send")
         context.written_at_seconds = now_seconds
 
     context.written_at_seconds = None
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -17,7 +17,12 @@
 
 from sesameford.connection_guard import GuardCounts, GuardLimits, make_guard
 from sesameford.early_answers import MAX_HEADER_BYTES, Decide, EarlyServer
-from sesameford.listener import Listener, make_listener
+from sesameford.listener import (
+    AcceptBacklog,
+    Listener,
+    make_accept_backlog,
+    make_listener,
+)
 from sesameford.settings import split_address
 from sesameford.target_connections import make_connector
 
@@ -178,7 +183,10 @@
     Raises:
         OSError: The address can't be listened on.
     """
-    make_server = web.Server if decide is None else partial(EarlyServer, decide)
+    backlog = make_accept_backlog()
+    make_server: Callable[..., web.Server] = web.Server
+    if decide is not None:
+        make_server = partial(EarlyServer, decide, backlog)
     calls = make_server(
         handler,
         handler_cancellation=True,
@@ -187,7 +195,7 @@
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=IDLE_TIMEOUT_SECONDS,
     )
-    server = _listen_guarded(calls, address, None, limits, counts)
+    server = _listen_guarded(calls, address, None, limits, counts, backlog)
     return CallsPort(calls, server)
 
 
@@ -197,6 +205,7 @@
     context: SSLContext | None,
     limits: GuardLimits | None,
     counts: GuardCounts | None,
+    backlog: AcceptBacklog | None = None,
 ) -> Listener:
     """Listen with the limits of ``connection_guard``."""
     make_guarded_protocol = make_guard(
@@ -204,5 +213,5 @@
     )
     host, port = split_address(address)
     return make_listener(
-        make_guarded_protocol, host, port, context, BACKLOG_CONNECTIONS
+        make_guarded_protocol, host, port, context, BACKLOG_CONNECTIONS, backlog
     )
--- a/sesameford/listener.py
+++ b/sesameford/listener.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from ssl import SSLContext
 
 logger = logging.getLogger(__name__)
@@ -18,6 +20,30 @@
 ACCEPT_RETRY_SECONDS = 0.1
 
 
+@dataclass(slots=True)
+class AcceptBacklog:
+    """For how long connections have waited to be accepted, as far as can be known.
+
+    The kernel does not tell how long a connection waited. But all that wait now have
+    come since the backlog was last empty.
+    """
+
+    _filled_since_seconds: float | None = None
+
+    def record_turn(self, is_empty: bool, now_seconds: float) -> None:
+        """Record whether the backlog is empty after a turn of accepting."""
+        if is_empty:
+            self._filled_since_seconds = None
+        elif self._filled_since_seconds is None:
+            self._filled_since_seconds = now_seconds
+
+    def wait_seconds(self, now_seconds: float) -> float:
+        """Return the longest time that a connection accepted now can have waited."""
+        if self._filled_since_seconds is None:
+            return 0.0
+        return now_seconds - self._filled_since_seconds
+
+
 class Listener:
     """A listening socket that accepts connections until it is closed."""
 
@@ -26,9 +52,13 @@
         make_protocol: Callable[[], asyncio.Protocol],
         listening: socket.socket,
         context: SSLContext | None,
+        backlog: AcceptBacklog,
     ) -> None:
+        self._backlog = backlog
         self._make_protocol = make_protocol
         self._listening = listening
+        self._poll = select.poll()
+        self._poll.register(listening.fileno(), select.POLLIN)
         self._context = context
         self._loop = asyncio.get_running_loop()
         self._handshake_tasks: set[asyncio.Task[None]] = set()
@@ -53,7 +83,10 @@
         for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
                 connection, _ = self._listening.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
+                self._backlog.record_turn(True, self._loop.time())
+                return
+            except (InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
                 logger.warning("can't accept: %s", error)
@@ -62,6 +95,8 @@
             task = self._loop.create_task(self._open(connection))
             self._handshake_tasks.add(task)
             task.add_done_callback(self._handshake_tasks.discard)
+        is_empty = not self._poll.poll(0)
+        self._backlog.record_turn(is_empty, self._loop.time())
 
     async def _open(self, connection: socket.socket) -> None:
         try:
@@ -89,12 +124,18 @@
         )
 
 
+def make_accept_backlog() -> AcceptBacklog:
+    """Return an empty backlog."""
+    return AcceptBacklog()
+
+
 def make_listener(
     make_protocol: Callable[[], asyncio.Protocol],
     host: str,
     port: int,
     context: SSLContext | None,
-    backlog: int,
+    max_backlog: int,
+    backlog: AcceptBacklog | None = None,
 ) -> Listener:
     """Listen on an address; call this on the running event loop.
 
@@ -103,12 +144,13 @@
         host: An IP address.
         port: The port, or 0 for any free port.
         context: The TLS context, or None.
-        backlog: The number of connections that may wait to be accepted.
+        max_backlog: The number of connections that may wait to be accepted.
+        backlog: Updated with how long they wait.
 
     Raises:
         OSError: The address can't be listened on.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listening = socket.create_server((host, port), family=family, backlog=backlog)
+    listening = socket.create_server((host, port), family=family, backlog=max_backlog)
     listening.setblocking(False)
-    return Listener(make_protocol, listening, context)
+    return Listener(make_protocol, listening, context, backlog or make_accept_backlog())
--- a/standins/virtual_loop.py
+++ b/standins/virtual_loop.py
@@ -71,6 +71,8 @@
     not_connected: int = 0
     left_unread: int = 0
     longest_unread_seconds: float = 0.0
+    longest_dispatch_seconds: float = 0.0
+    _admitted: list[tuple[WaitingCall, int]] = field(default_factory=list)
     _due_at_seconds: float = 0.0
     _inbox: list[Callable[[float], None]] = field(default_factory=list)
 
@@ -96,7 +98,8 @@
             if not calls:
                 self._sleep(until_seconds)
             for call in calls:
-                self._handle_call(call)
+                self._decide(call)
+            self._dispatch_admitted()
 
     def _run_timers(self) -> None:
         inbox, self._inbox = self._inbox, []
@@ -129,7 +132,7 @@
             takewhile(lambda call: call.at_seconds <= self.clock_seconds, waiting)
         )
 
-    def _handle_call(self, call: WaitingCall) -> None:
+    def _decide(self, call: WaitingCall) -> None:
         """Decide on a call; if its caller gave up, it costs as much as a refusal."""
         unread_seconds = self.clock_seconds - call.at_seconds
         if unread_seconds > UNREAD_SECONDS:
@@ -138,23 +141,29 @@
             self.clock_seconds += self.costs.refused_seconds
             return
         self.longest_unread_seconds = max(self.longest_unread_seconds, unread_seconds)
-        if self._is_admitted(call):
-            self.clock_seconds += self.costs.served_seconds
-            self.admit(call)
-        else:
-            self.clock_seconds += self.costs.refused_seconds
-            self.refuse(call)
-
-    def _is_admitted(self, call: WaitingCall) -> bool:
         prompt = Prompt("m", call.tokens, 0)
         gateway_call = Call(
             "id", "POST", call.host, call.path, (), call.customer, None, prompt
         )
         try:
-            admit_call(self.deps, gateway_call, self.clock_seconds)
+            admitted = admit_call(self.deps, gateway_call, self.clock_seconds)
         except Refusal:
-            return False
-        return True
+            self.clock_seconds += self.costs.refused_seconds
+            self.refuse(call)
+            return
+        self._admitted.append((call, admitted.dispatch_number))
+
+    def _dispatch_admitted(self) -> None:
+        """Handle the calls admitted in this turn, as the tasks of their handlers do."""
+        for call, number in self._admitted:
+            self.clock_seconds += self.costs.served_seconds
+            self.deps.dispatch_limit.remove(number)
+            delay_seconds = self.clock_seconds - call.at_seconds
+            self.longest_dispatch_seconds = max(
+                self.longest_dispatch_seconds, delay_seconds
+            )
+            self.admit(call)
+        self._admitted.clear()
 
 
 def make_virtual_loop(
--- a/tests/test_flooded_router.py
+++ b/tests/test_flooded_router.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sesameford.gateway.dispatch_limit import MAX_WAITING_CALLS
 from standins.virtual_loop import UNREAD_SECONDS, CallCosts
 from standins.virtual_shares import Demand, make_virtual_shares
 
@@ -84,3 +85,16 @@
     """Guards against hardly serving a customer whose router refuses calls too late."""
     costs = CallCosts(refused_seconds, SERVED_SECONDS)
     assert find_unfair_shares(play_flood(calls_per_second, costs, seed)) == []
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_admitted_calls_are_dispatched_before_their_callers_leave(seed):
+    """Guards against a share that its router can't dispatch in time.
+
+    Each call costs the router twenty times the usual, so its share is more than it can
+    serve.
+    """
+    fleet = play_flood(600, CallCosts(0.0002, 20 * SERVED_SECONDS), seed)
+    loop = fleet.loops[0]
+    longest_turn_seconds = MAX_WAITING_CALLS * 20 * SERVED_SECONDS
+    assert loop.longest_dispatch_seconds < longest_turn_seconds
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -6,7 +6,7 @@
 import pytest
 import uvloop
 
-from sesameford.listener import make_listener
+from sesameford.listener import make_accept_backlog, make_listener
 
 CALLERS = 200
 
@@ -55,3 +55,39 @@
     assert listener.sockets == ()
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(address)
+
+
+def test_connections_have_waited_since_the_backlog_was_last_empty():
+    """Guards against calls that are sent on after their callers have left.
+
+    A flood fills the backlog for seconds while each turn of the loop is short.
+    """
+    backlog = make_accept_backlog()
+    backlog.record_turn(True, 1.0)
+    assert backlog.wait_seconds(9.0) == 0.0
+    backlog.record_turn(False, 9.0)
+    backlog.record_turn(False, 10.0)
+    assert backlog.wait_seconds(10.5) == 1.5
+    backlog.record_turn(True, 11.0)
+    assert backlog.wait_seconds(12.0) == 0.0
+
+
+def test_the_backlog_counts_as_empty_once_all_connections_are_accepted():
+    backlog = make_accept_backlog()
+
+    async def run():
+        listener = make_listener(CountingProtocol, "127.0.0.1", 0, None, 1024, backlog)
+        address = listener.sockets[0].getsockname()
+        callers = [socket.create_connection(address) for _ in range(CALLERS)]
+        seen = []
+        for _ in range(8):
+            await asyncio.sleep(0.001)
+            seen.append(backlog.wait_seconds(asyncio.get_running_loop().time()))
+        listener.close()
+        for caller in callers:
+            caller.close()
+        return seen
+
+    seen = uvloop.run(run())
+    assert max(seen) > 0.0
+    assert seen[-1] == 0.0
