Share what routers see of each target's speed

A quarter of the maps' engines reads twice as fast as the others. One router sends to one engine every few seconds, and took the fast ones for 50 to 70 thousand tokens a second where they read 87 to 103 thousand, so all got the same work. Routers now report how long prompts that found nothing ahead should have taken and took, replicas sum that by target and send it back, and a router goes by it beside the median of the service.

Replicas that add no loads up no longer repeat their last shares each second.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -176,6 +176,7 @@
     idle_timeout_seconds: float = 60.0
     tokens_per_second: float | None = None
     dispatch_limit: bool = True
+    target_speeds: bool = True
     weight_store_concurrent_loads: int = 2
     lifted_digests: tuple[str, ...] = ()
 
--- a/sesameford/gateway/engine_backlog.py
+++ b/sesameford/gateway/engine_backlog.py
@@ -89,19 +89,24 @@
 
     ``kind_rate`` is the observed rate of all engines of its kind, ``rate`` that of
     this one; ``others_unread_tokens`` are those of all other routers' prompts.
+    ``speed`` is the engine's, as all routers see it, as a multiple of the usual one.
     """
 
     kind_rate: ReadingRate = field(default_factory=ReadingRate)
     rate: ReadingRate = field(default_factory=ReadingRate)
     others_unread_tokens: int = 0
+    speed: float = 1.0
     _unread_prompts: dict[int, _UnreadPrompt] = field(default_factory=dict)
 
     @property
     def rate_tokens(self) -> float:
         """The estimated number of tokens that the engine reads in a second."""
-        return self.rate.rate_tokens(
-            self.kind_rate.rate_tokens(INITIAL_RATE_TOKENS_PER_SECOND)
-        )
+        return self.rate.rate_tokens(self.speed * self.usual_rate_tokens)
+
+    @property
+    def usual_rate_tokens(self) -> float:
+        """The tokens that an engine of its kind reads in a second."""
+        return self.kind_rate.rate_tokens(INITIAL_RATE_TOKENS_PER_SECOND)
 
     def unread_tokens(self, now_seconds: float) -> int:
         """Return the unread tokens of this router's prompts."""
--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -92,7 +92,7 @@
     wait_seconds = record.backlog.wait_seconds(now_seconds)
     wait_seconds += WAIT_SECONDS_PER_RUNNING_REQUEST * requests
     if requests >= slots:
-        wait_seconds += (1 + requests - slots) * hold_seconds / slots
+        wait_seconds += (1 + requests - slots) * hold_seconds / slots / record.speed
     return wait_seconds
 
 
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -34,12 +34,15 @@
 )
 from sesameford.gateway.shares import make_share_table
 from sesameford.gateway.target_outcomes import make_target_outcome_table
+from sesameford.gateway.target_speeds import make_target_speed_table, sum_times
 from sesameford.load_messages import (
     FailingTarget,
     FleetLoad,
     PartialLoad,
     RouterLoad,
     TargetOutcomes,
+    TargetSpeed,
+    TargetTimes,
     UsedParts,
 )
 from sesameford.messages import Outgoing
@@ -72,6 +75,8 @@
 # that an engine has a part in its cache sends the prompt elsewhere, which costs time
 # but breaks no guarantee.
 MAX_USED_ROWS = 64
+# The interval of messages with the speeds of targets, which change slowly.
+SPEEDS_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +134,10 @@
         self._unexchanged_used: list[UsedParts] = []
         self._outcomes = make_target_outcome_table()
         self._unexchanged_outcomes: list[TargetOutcomes] = []
+        self.speeds: tuple[TargetSpeed, ...] = ()
+        self._speeds = make_target_speed_table()
+        self._unexchanged_times: list[TargetTimes] = []
+        self._next_speeds_seconds = 0.0
         self._is_changed = False
         self._next_seconds = 0.0
         self._at_latest_seconds = 0.0
@@ -146,6 +155,8 @@
         self._unexchanged_used += load.used
         self._outcomes.record_outcomes(load.outcomes)
         self._unexchanged_outcomes += load.outcomes
+        self._speeds.record_times(load.times)
+        self._unexchanged_times += load.times
         self._is_changed = True
 
     def handle_handover(self, router_id: str) -> None:
@@ -159,6 +170,7 @@
         self._partials[sender_id] = _ReplicaSums(load, now_seconds)
         self._used += [(sender_id, row) for row in load.used]
         self._outcomes.record_outcomes(load.outcomes)
+        self._speeds.record_times(load.times)
         self._is_changed = True
 
     @property
@@ -241,8 +253,17 @@
             known_routers=known_routers,
             direct_routers=len(self._loads.router_ids),
             failing=self.failing,
+            speeds=self._due_speeds(now_seconds),
         )
 
+    def _due_speeds(self, now_seconds: float) -> tuple[TargetSpeed, ...] | None:
+        """Return the speeds of targets if they are to be sent now."""
+        if now_seconds < self._next_speeds_seconds:
+            return None
+        self._next_speeds_seconds = now_seconds + SPEEDS_SECONDS
+        self.speeds = self._speeds.speeds(now_seconds)
+        return self.speeds
+
     def _is_due(self, now_seconds: float) -> bool:
         if now_seconds >= self._at_latest_seconds:
             return True
@@ -292,7 +313,11 @@
         outgoing = []
         if aggregators:
             used = tuple(self._unexchanged_used[-MAX_USED_ROWS:])
-            load = self._loads.sums(used, sum_outcomes(self._unexchanged_outcomes))
+            load = self._loads.sums(
+                used,
+                sum_outcomes(self._unexchanged_outcomes),
+                sum_times(self._unexchanged_times),
+            )
             outgoing = [Outgoing(one, load, urgent=True) for one in aggregators]
         if not has_all_reports:
             silent = [one for one in others if one not in self._partials]
@@ -304,6 +329,7 @@
         """Delete what routers have reported here since the last exchange."""
         self._unexchanged_used.clear()
         self._unexchanged_outcomes.clear()
+        self._unexchanged_times.clear()
 
     def _remove_expired_partials(self, now_seconds: float) -> None:
         for sender_id, one in list(self._partials.items()):
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -102,6 +102,8 @@
         if state is not None and fleet.used:
             self._placement.record_used_parts(fleet.used, state.tree.services)
         self._placement.set_failing_targets(fleet.failing)
+        if fleet.speeds is not None and state and state.tree.fleet.target_speeds:
+            self._placement.set_speeds(fleet.speeds)
         if fleet.is_whole:
             self._whole_at_seconds = now_seconds
         whole_age_seconds = now_seconds - self._whole_at_seconds
@@ -171,6 +173,7 @@
             round(self.gate.timeliness.in_time_answers(now_seconds), 2),
             round(self.gate.timeliness.late_answers(now_seconds), 2),
             round(self._accepting_part(now_seconds), 4),
+            self._placement.flush_times(),
         )
         self.report.record_report(target_loads, now_seconds)
         if self.report.is_isolated(now_seconds):
@@ -254,10 +257,14 @@
         self._logged_at_seconds = now_seconds
         if not self._has_disk:
             self._log_served(now_seconds)
-        if self._has_disk or self._was_isolated:
+        is_aggregator = self._has_disk and self._sums.has_routers
+        is_isolated_router = not self._has_disk and self._was_isolated
+        if is_aggregator or is_isolated_router:
             self._log_limited()
-        if self._has_disk and self._sums.has_routers and self._sums.failing:
+        if is_aggregator and self._sums.failing:
             self._log_failing()
+        if is_aggregator and self._sums.speeds:
+            self._log_speeds()
 
     def _log_limited(self) -> None:
         """Log the shares computed here, and the figures that they follow from."""
@@ -286,6 +293,14 @@
         text = ",".join(f"{one}:{part:.2f}" for one, part in sorted(parts.items()))
         logger.warning("targets fail in part", extra={"targets": text})
 
+    def _log_speeds(self) -> None:
+        """Log the targets whose speed differs from the usual one of their service."""
+        speeds = self._placement.relative_speeds(self._sums.speeds)
+        if not speeds:
+            return
+        text = ",".join(f"{one}:{speed:.2f}" for one, speed in sorted(speeds.items()))
+        logger.info("targets differ in speed", extra={"targets": text})
+
     def _log_served(self, now_seconds: float) -> None:
         """Log the source, age and effect of the shares that are applied here.
 
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -1,6 +1,7 @@
 """Chooses the target of each request: the one where its answer starts soonest."""
 
-from collections.abc import Iterable, Mapping
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
@@ -26,10 +27,13 @@
 )
 from sesameford.gateway.service_times import make_service_times
 from sesameford.gateway.target_record import Reservation, TargetRecord
+from sesameford.gateway.target_speeds import relative_speeds
 from sesameford.load_messages import (
     FailingTarget,
     TargetLoad,
     TargetOutcomes,
+    TargetSpeed,
+    TargetTimes,
     UsedParts,
 )
 
@@ -224,9 +228,9 @@
 
     def record_first_event(self, reservation: Reservation, now_seconds: float) -> None:
         """Record that a request's prompt has been read."""
-        backlog = self._record(reservation.target_id).backlog
-        backlog.remove(reservation.number)
-        self._times.record_first_event(reservation, backlog, now_seconds)
+        record = self._record(reservation.target_id)
+        record.backlog.remove(reservation.number)
+        self._times.record_first_event(reservation, record, now_seconds)
 
     def is_lost(self, reservation: Reservation, now_seconds: float) -> bool:
         """Return whether a request's answer is so overdue that it counts as lost."""
@@ -266,7 +270,8 @@
         self, service: str, reservation: Reservation, now_seconds: float
     ) -> None:
         """Update how long a plain service works on a request."""
-        self._times.record_work_time(service, reservation, now_seconds)
+        record = self._record(reservation.target_id)
+        self._times.record_work_time(service, reservation, record, now_seconds)
 
     def may_send(self, reservation: Reservation, now_seconds: float) -> bool:
         """Return whether a chosen target still accepts requests of this router."""
@@ -399,6 +404,39 @@
                 record.answered_requests = record.failed_requests = 0
         return tuple(rows)
 
+    def flush_times(self) -> tuple[TargetTimes, ...]:
+        """Return how long requests took at targets since the last call."""
+        rows = [
+            record.times.flush(short_name(target_id))
+            for target_id, record in self._records.items()
+        ]
+        return tuple(row for row in rows if row is not None)
+
+    def set_speeds(self, rows: Iterable[TargetSpeed]) -> None:
+        """Set the speeds of targets, as the whole fleet sees them."""
+        speeds = self.relative_speeds(rows)
+        for target_id, record in self._records.items():
+            record.set_speed(speeds.get(target_id, 1.0))
+
+    def relative_speeds(self, rows: Iterable[TargetSpeed]) -> dict[str, float]:
+        """Return the speeds by target id, beside the usual one of each service.
+
+        Args:
+            rows: The reported speeds.
+
+        Returns:
+            The targets that differ from the usual speed.
+        """
+        by_service: dict[str, dict[str, float]] = defaultdict(dict)
+        for target_id, speed in self._by_id((row.name, row.speed) for row in rows):
+            service = self._table.entries[target_id].row.service
+            by_service[service][target_id] = speed
+        return {
+            target_id: speed
+            for speeds in by_service.values()
+            for target_id, speed in relative_speeds(speeds).items()
+        }
+
     def set_failing_targets(self, rows: Iterable[FailingTarget]) -> None:
         """Set the part of requests that targets fail, as the whole fleet sees it."""
         parts = {row.name: row.failed_part for row in rows}
@@ -407,8 +445,14 @@
 
     def failed_parts_by_id(self, rows: Iterable[FailingTarget]) -> dict[str, float]:
         """Return the failed part by target id, of targets in this router's table."""
-        found = ((self._table.find_by_name(row.name), row.failed_part) for row in rows)
-        return {entry.row.target_id: part for entry, part in found if entry is not None}
+        return dict(self._by_id((row.name, row.failed_part) for row in rows))
+
+    def _by_id(self, rows: Iterable[tuple[int, float]]) -> Iterator[tuple[str, float]]:
+        """Yield target ids in place of the short names in this router's table."""
+        for name, value in rows:
+            entry = self._table.find_by_name(name)
+            if entry is not None:
+                yield entry.row.target_id, value
 
     def record_used_parts(
         self, rows: Iterable[UsedParts], engines: Mapping[str, ServiceSettings]
@@ -559,6 +603,7 @@
             0.0 if entry.row.data_centre == self._data_centre else REMOTE_COST_REQUESTS
         )
         fullness = (requests + remote_requests) / max(entry.row.slots, 1)
+        fullness /= record.speed
         return fullness + FAILURE_COST_FULLNESS * record.failed_part, record.requests
 
 
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -12,6 +12,7 @@
     RouterLoad,
     TargetLoad,
     TargetOutcomes,
+    TargetTimes,
     UsedParts,
 )
 
@@ -87,12 +88,14 @@
         self,
         used: tuple[UsedParts, ...] = (),
         outcomes: tuple[TargetOutcomes, ...] = (),
+        times: tuple[TargetTimes, ...] = (),
     ) -> PartialLoad:
         """Return the sums of all reports.
 
         Args:
             used: What the routers sent to engines, to include in the message.
             outcomes: How targets answered, to include in the message.
+            times: How long requests took there, to include in the message.
         """
         loads = [one.load for one in self._reports.values()]
         routers = max(len(loads), 1)
@@ -108,6 +111,7 @@
             round(sum(load.in_time_answers for load in loads), 2),
             round(sum(load.late_answers for load in loads), 2),
             round(accepting_part, 4) if loads else 1.0,
+            times,
         )
 
 
--- a/sesameford/gateway/service_times.py
+++ b/sesameford/gateway/service_times.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass, field
 
 from sesameford.gateway.engine_backlog import (
+    MIN_SAMPLE_SECONDS,
     MIN_SAMPLE_TOKENS,
-    EngineBacklog,
     ReadingRate,
 )
-from sesameford.gateway.target_record import Reservation
+from sesameford.gateway.target_record import Reservation, TargetRecord
 
 # How long a request occupies its batch slot after its first event, until finished
 # requests show it. A request at an engine without a free slot waits until one ends.
@@ -40,15 +40,16 @@
     _work_seconds: dict[str, float] = field(default_factory=dict)
 
     def record_first_event(
-        self, reservation: Reservation, backlog: EngineBacklog, now_seconds: float
+        self, reservation: Reservation, record: TargetRecord, now_seconds: float
     ) -> None:
         """Record that a request's prompt has been read.
 
         Args:
             reservation: The request's slot.
-            backlog: The unread prompts of its engine, without this one.
+            record: The record of its engine, whose backlog is without this request.
             now_seconds: The present time.
         """
+        backlog = record.backlog
         self._first_event_at_seconds[reservation.number] = now_seconds
         # A cold engine shows neither its own rate when warm nor that of its kind.
         if reservation.waits_for_slot or reservation.is_cold:
@@ -57,6 +58,11 @@
         tokens = reservation.ahead_tokens + reservation.tokens
         self._learn_fixed_delay(took_seconds - backlog.read_seconds(tokens), tokens)
         read_seconds = took_seconds - self.fixed_delay_seconds
+        if not reservation.ahead_tokens and tokens >= MIN_SAMPLE_TOKENS:
+            expected_seconds = tokens / backlog.usual_rate_tokens
+            record.record_speed_sample(
+                expected_seconds, max(read_seconds, MIN_SAMPLE_SECONDS)
+            )
         self.kind_rate.record_reading(tokens, read_seconds, now_seconds)
         backlog.rate.record_reading(tokens, read_seconds, now_seconds)
 
@@ -70,13 +76,18 @@
             self.hold_seconds += BATCH_HOLD_GAIN * (held_seconds - self.hold_seconds)
 
     def record_work_time(
-        self, service: str, reservation: Reservation, now_seconds: float
+        self,
+        service: str,
+        reservation: Reservation,
+        record: TargetRecord,
+        now_seconds: float,
     ) -> None:
         """Update how long a plain service works on a request."""
         took_seconds = (now_seconds - reservation.sent_at_seconds) / max(
             reservation.fullness, 1.0
         )
         before_seconds = self._work_seconds.get(service, took_seconds)
+        record.record_speed_sample(before_seconds, took_seconds)
         change_seconds = took_seconds - before_seconds
         self._work_seconds[service] = before_seconds + WORK_TIME_GAIN * change_seconds
 
--- a/sesameford/gateway/target_record.py
+++ b/sesameford/gateway/target_record.py
@@ -8,12 +8,17 @@
     make_engine_backlog,
 )
 from sesameford.gateway.engine_memory import EngineMemory, make_engine_memory
+from sesameford.gateway.target_speeds import WorkTimes
 
 # A request whose answer is this late shows that the target is silent, if nothing else
 # has arrived from it since the request was sent.
 OVERDUE_ANSWER_SECONDS = 0.5
 
 
+# The weight of a request that took longer than the known speed explains.
+SLOW_SAMPLE_WEIGHT = 0.2
+
+
 @dataclass(slots=True)
 class TargetRecord:
     """A target's load, answers and failures.
@@ -21,8 +26,9 @@
     ``requests`` are this router's running ones, ``others_requests`` those of all other
     routers. ``unanswered`` holds by reservation number when a request was sent and
     when its answer is due. ``answered_requests`` and ``failed_requests`` count
-    outcomes that are not reported yet. The target fails ``failed_part`` of all
-    requests, as the whole fleet sees it.
+    outcomes that are not reported yet, and ``times`` how long requests took. The target
+    fails ``failed_part`` of all requests, and ``speed`` is its speed as a multiple of
+    the usual one of its service, both as the whole fleet sees it.
     """
 
     requests: int = 0
@@ -36,6 +42,23 @@
     answered_requests: int = 0
     failed_requests: int = 0
     failed_part: float = 0.0
+    times: WorkTimes = field(default_factory=WorkTimes)
+    speed: float = 1.0
+
+    def set_speed(self, speed: float) -> None:
+        """Set the target's speed, as a multiple of the usual one."""
+        self.speed = speed
+        self.backlog.speed = speed
+
+    def record_speed_sample(self, expected_seconds: float, took_seconds: float) -> None:
+        """Record how long a request should have taken and took.
+
+        One that took longer than the known speed explains probably waited for requests
+        of other routers that are not known yet.
+        """
+        is_slow = took_seconds * self.speed > expected_seconds
+        weight = SLOW_SAMPLE_WEIGHT if is_slow else 1.0
+        self.times.add(weight * expected_seconds, weight * took_seconds)
 
     def running_requests(self, now_seconds: float) -> int:
         """Return this router's running requests, except those with lost answers."""
--- a/sesameford/load_messages.py
+++ b/sesameford/load_messages.py
@@ -41,6 +41,24 @@
     failed_part: float
 
 
+class TargetTimes(Struct, frozen=True, array_like=True):
+    """How long requests at one target should have taken and took since a message.
+
+    ``expected_milliseconds`` is what a usual target of its service would have needed.
+    """
+
+    name: int
+    expected_milliseconds: int
+    took_milliseconds: int
+
+
+class TargetSpeed(Struct, frozen=True, array_like=True):
+    """The speed of a target, by how long requests should have taken and took."""
+
+    name: int
+    speed: float
+
+
 class CustomerRates(Struct, frozen=True, array_like=True):
     """What a customer requests and is served at some routers, in tokens a second.
 
@@ -70,6 +88,7 @@
     for cold targets. ``in_time_answers`` and ``late_answers`` are the answers that
     start in a second, within and after their objective. ``accepting_part`` is the part
     of the engines that accept requests of the router, by their own answers to it.
+    ``times`` are how long requests took at targets since the last report.
     """
 
     target_loads: tuple[TargetLoad, ...]
@@ -82,6 +101,7 @@
     in_time_answers: float = 0.0
     late_answers: float = 0.0
     accepting_part: float = 1.0
+    times: tuple[TargetTimes, ...] = ()
 
 
 class RouterLoadHandover(Struct, frozen=True, array_like=True, tag="RouterLoadEnds"):
@@ -95,7 +115,8 @@
     report to the sender. ``used`` is what they sent to engines since the last such
     message. Without ``is_whole`` the sums and shares cover only a part of the routers.
     The receiver may send one request to each cold target in ``permits``, which it
-    requested at ``permits_requested_milliseconds`` of its clock.
+    requested at ``permits_requested_milliseconds`` of its clock. ``speeds`` are those
+    of all targets, None if the message has none.
     """
 
     target_loads: tuple[TargetLoad, ...]
@@ -108,6 +129,7 @@
     failing: tuple[FailingTarget, ...] = ()
     permits: tuple[int, ...] = ()
     permits_requested_milliseconds: int = 0
+    speeds: tuple[TargetSpeed, ...] | None = None
 
 
 class PartialLoad(Struct, frozen=True, array_like=True, tag=True):
@@ -128,3 +150,4 @@
     in_time_answers: float = 0.0
     late_answers: float = 0.0
     accepting_part: float = 1.0
+    times: tuple[TargetTimes, ...] = ()
--- a/standins/engine_queue.py
+++ b/standins/engine_queue.py
@@ -10,6 +10,8 @@
     FailingTarget,
     TargetLoad,
     TargetOutcomes,
+    TargetSpeed,
+    TargetTimes,
     UsedParts,
 )
 
@@ -63,6 +65,13 @@
     def flush_outcomes(self) -> tuple[TargetOutcomes, ...]:
         return ()
 
+    def flush_times(self) -> tuple[TargetTimes, ...]:
+        """Return nothing: engines of one kind have the same speed."""
+        return ()
+
+    def set_speeds(self, rows: Iterable[TargetSpeed]) -> None:
+        """Ignore the speeds of targets."""
+
     def set_failing_targets(self, rows: Iterable[FailingTarget]) -> None:
         pass
 
--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -10,7 +10,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
@@ -146,7 +146,8 @@
 
     ``failing`` has, by engine, the fraction of requests that fail at once.
     ``rejections`` are the times and engines of rejected requests, by router. With
-    ``ignores_backoff`` routers don't read what engines request.
+    ``ignores_backoff`` routers don't read what engines request, without
+    ``shares_speeds`` each one knows only the speeds that it has seen itself.
     """
 
     routers: list[Placement]
@@ -159,6 +160,7 @@
     spells: dict[str, RejectionSpell] = field(default_factory=dict)
     rejections: list[tuple[float, str, int]] = field(default_factory=list)
     ignores_backoff: bool = False
+    shares_speeds: bool = True
     random: Random = field(default_factory=lambda: Random(1))
     outcomes: list[Outcome] = field(default_factory=list)
     _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
@@ -189,6 +191,7 @@
                 router.loads(self.now_seconds),
                 used=router.flush_used_parts(),
                 outcomes=router.flush_outcomes(),
+                times=router.flush_times(),
             )
             self._sums.handle_report(f"r{number}", load, self.now_seconds)
         for answer in self._sums.tick(None, 0.0, self.now_seconds):
@@ -201,6 +204,8 @@
         router.set_other_routers_load(fleet.target_loads)
         router.record_used_parts(fleet.used, {SERVICE: self.settings})
         router.set_failing_targets(fleet.failing)
+        if fleet.speeds is not None and self.shares_speeds:
+            router.set_speeds(fleet.speeds)
 
     def _handle_arrival(self, arrival: Arrival) -> None:
         outcome = Outcome(arrival, "")
@@ -354,6 +359,15 @@
         self._start_requests(engine)
 
 
+def _scaled(figures: EngineFigures, speed: float) -> EngineFigures:
+    """Return the figures of an engine of another speed."""
+    return replace(
+        figures,
+        read_tokens_per_second=speed * figures.read_tokens_per_second,
+        event_tokens_per_second=speed * figures.event_tokens_per_second,
+    )
+
+
 def make_virtual_engines(
     routers: int,
     engines: int,
@@ -361,6 +375,7 @@
     report_interval_seconds: float,
     delay_seconds: float = 0.01,
     seed: int = 1,
+    speeds: Sequence[float] = (),
 ) -> VirtualEngines:
     """Return a simulation with idle engines.
 
@@ -371,6 +386,8 @@
         report_interval_seconds: Interval between load reports.
         delay_seconds: Transmission delay of a report.
         seed: Seed of placement's random choices.
+        speeds: The speed of each engine, as a multiple of ``figures``; none if they are
+            alike.
     """
     table = make_heartbeat_table()
     for number in range(engines):
@@ -381,7 +398,10 @@
         table.handle_heartbeat(row, 0.0)
     return VirtualEngines(
         [make_placement(table, "a", 1e6, Random(seed + n)) for n in range(routers)],
-        {f"e{number}": _Engine(figures) for number in range(engines)},
+        {
+            f"e{number}": _Engine(_scaled(figures, speeds[number] if speeds else 1.0))
+            for number in range(engines)
+        },
         ServiceSettings(
             SERVICE,
             batch_slots=figures.slots,
--- a/tests/test_fleet_sums.py
+++ b/tests/test_fleet_sums.py
@@ -78,7 +78,7 @@
     sums.handle_report("r1", RouterLoad((TargetLoad(1, 50, 9_000),), customers), 1.0)
     sums.handle_report("r2", RouterLoad(()), 1.0)
     sums.handle_handover("r1")
-    assert sent(sums, 1.0) == {"r2": FleetLoad((), 1, (), (), False, 1, 1)}
+    assert sent(sums, 1.0) == {"r2": FleetLoad((), 1, (), (), False, 1, 1, speeds=())}
     assert not sums.shares.requested_tokens
 
 
