Count distance and the delay of other answers in the choice of an engine

The reading time of a prompt now counts for each request that runs there, by a twentieth. An engine of another data centre counts as 0.02 s of wait, the home of shared parts is one of the own data centre, and one of three engines considered by lot is elsewhere, so that a full data centre still finds room.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -177,6 +177,8 @@
     tokens_per_second: float | None = None
     dispatch_limit: bool = True
     target_speeds: bool = True
+    near_engines: bool = True
+    spare_answers: bool = True
     weight_store_concurrent_loads: int = 2
     lifted_digests: tuple[str, ...] = ()
 
--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -49,6 +49,34 @@
 RANDOM_ENGINES = 2
 
 
+# The cost of an engine in another data centre, in seconds of wait: more than the way
+# there and back, so that links between data centres carry only what another one can
+# begin sooner.
+REMOTE_COST_SECONDS = 0.02
+# Engines of other data centres in the random sample.
+RANDOM_REMOTE_ENGINES = 1
+# While an engine reads a prompt, the answers that it generates hardly advance. Each of
+# these counts as this part of a wait of the same time: most callers bear a pause that
+# is shorter than their objective for it.
+DELAYED_ANSWER_PART = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceRules:
+    """What counts in the choice of an engine besides the wait of its caller.
+
+    Engines of ``near_data_centre`` are preferred, None if distance does not count.
+    ``spares_answers`` says that the delay of answers in progress counts.
+    """
+
+    near_data_centre: str | None = None
+    spares_answers: bool = False
+
+    def is_near(self, entry: HeartbeatEntry) -> bool:
+        """Return whether an engine is as near as any."""
+        return self.near_data_centre in (None, entry.row.data_centre)
+
+
 @dataclass(frozen=True, slots=True)
 class EngineOption:
     """One engine as an option for one prompt.
@@ -102,6 +130,7 @@
     engine: ServiceSettings,
     random: Random,
     permitted: frozenset[str] = frozenset(),
+    rules: ChoiceRules = ChoiceRules(),
 ) -> list[EngineOption]:
     """Return the options for a prompt, at a selection of the engines.
 
@@ -115,22 +144,28 @@
         random: Selects the random sample.
         permitted: Cold engines that it may be sent to. They are always considered, as a
             permit is for this router alone and expires soon.
+        rules: What counts besides the wait.
     """
     cached = [record.memory.cached_tokens(prompt.shared_parts) for _, record in usable]
     order = _make_home_order(prompt)
     ranked = sorted(
         zip(usable, cached, strict=True),
-        key=lambda candidate: order(candidate[0]),
+        key=lambda candidate: (rules.is_near(candidate[0][0]), order(candidate[0])),
         reverse=True,
     )
     considered = ranked[:HOME_ENGINES]
     others = sorted(
-        ranked[HOME_ENGINES:], key=lambda candidate: candidate[1], reverse=True
+        ranked[HOME_ENGINES:],
+        key=lambda candidate: (candidate[1], rules.is_near(candidate[0][0])),
+        reverse=True,
     )
     caching = [candidate for candidate in others[:CACHING_ENGINES] if candidate[1]]
     considered += caching
     others = others[len(caching) :]
-    considered += random.sample(others, min(RANDOM_ENGINES, len(others)))
+    near = [candidate for candidate in others if rules.is_near(candidate[0][0])]
+    remote = [candidate for candidate in others if not rules.is_near(candidate[0][0])]
+    considered += random.sample(near, min(RANDOM_ENGINES, len(near)))
+    considered += random.sample(remote, min(RANDOM_REMOTE_ENGINES, len(remote)))
     if permitted:
         considered += [
             candidate
@@ -159,6 +194,7 @@
     copy_tokens_per_second: float | None,
     objective_seconds: float,
     now_seconds: float,
+    rules: ChoiceRules = ChoiceRules(),
 ) -> float:
     """Return the cost in seconds of a prompt at an engine, for caller and others."""
     backlog = option.record.backlog
@@ -173,7 +209,20 @@
     failed_seconds = (
         FAILURE_COST_OBJECTIVES * objective_seconds * option.record.failed_part
     )
-    return _wait_cost(wait_seconds, objective_seconds) + reread_seconds + failed_seconds
+    others_seconds = 0.0
+    if rules.spares_answers:
+        answers = option.record.all_requests(now_seconds)
+        others_seconds = (
+            DELAYED_ANSWER_PART * answers * backlog.read_seconds(option.unread_tokens)
+        )
+    remote_seconds = 0.0 if rules.is_near(option.entry) else REMOTE_COST_SECONDS
+    return (
+        _wait_cost(wait_seconds, objective_seconds)
+        + reread_seconds
+        + failed_seconds
+        + others_seconds
+        + remote_seconds
+    )
 
 
 def _option(
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -20,6 +20,7 @@
     make_engine_backlog,
 )
 from sesameford.gateway.engine_choice import (
+    ChoiceRules,
     EngineOption,
     option_cost,
     options_for,
@@ -93,9 +94,14 @@
         self._last_reservation_number = 0
         self._times = make_service_times()
         self._mean_waits: dict[str, _MeanWait] = {}
+        self._rules = ChoiceRules()
 
     def configure(self, tree: EffectiveTree, now_seconds: float) -> None:
         """Apply a tree that comes into force."""
+        self._rules = ChoiceRules(
+            self._data_centre if tree.fleet.near_engines else None,
+            tree.fleet.spare_answers,
+        )
         if self.candidates.configure(tree, now_seconds):
             self._mean_waits.clear()
 
@@ -213,11 +219,14 @@
                 engine.cache_copy_tokens_per_second,
                 objective_seconds,
                 now_seconds,
+                self._rules,
             )
 
         records = [(entry, self._record(entry.row.target_id)) for entry in usable]
         permitted = self.candidates.cold_ids(usable, now_seconds)
-        options = options_for(prompt, records, engine, self._random, permitted)
+        options = options_for(
+            prompt, records, engine, self._random, permitted, self._rules
+        )
         return min(options, key=cost)
 
     def record_answer_data(self, reservation: Reservation, now_seconds: float) -> None:
