Count what a caller has waited before it returned

A refused caller returns to another router after its Retry-After and looked new there: its answer counted as in time although it waited twice, and it was placed as if its whole objective were left. The time that a caller still states, beside the longest that callers of its route state, says how long it has waited; that now counts in the timeliness by which replicas steer, and what is left of the objective in the choice of an engine.

Tried and taken out: returning calls first within their customer's share.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -179,6 +179,7 @@
     target_speeds: bool = True
     near_engines: bool = True
     spare_answers: bool = True
+    count_waits: bool = True
     weight_store_concurrent_loads: int = 2
     lifted_digests: tuple[str, ...] = ()
 
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -50,7 +50,8 @@
     """The route, service and regions of an admitted call, and the state that it used.
 
     ``homes`` are the regions in which it may run, None for all. ``unread_seconds`` is
-    how long it lay unread before, an estimate.
+    how long it lay unread before, and ``waited_seconds`` how long its caller waited
+    before it sent the call, both estimates.
     """
 
     state: GatewayState
@@ -60,6 +61,7 @@
     homes: frozenset[str] | None = None
     unread_seconds: float = 0.0
     dispatch_number: int = 0
+    waited_seconds: float = 0.0
 
 
 def admit_call(
@@ -96,6 +98,11 @@
     is_lagging = deps.lag.is_lagging(arrived_at_seconds)
     if is_lagging:
         unread_seconds += UNREAD_TURNS * deps.lag.lateness_seconds(arrived_at_seconds)
+    waited_seconds = 0.0
+    if state.tree.fleet.count_waits:
+        waited_seconds = deps.returning_calls.waited_seconds(
+            route.route_id, call.caller_timeout_seconds, arrived_at_seconds
+        )
     _check_caller_waits(
         deps, call, route, customer or "", backlog_seconds, arrived_at_seconds
     )
@@ -108,7 +115,16 @@
     elif service not in state.engine_services:
         _check_queue(deps, route, customer or "", service)
     number = deps.dispatch_limit.add(customer or "", arrived_at_seconds)
-    return AdmittedCall(state, route, customer, service, homes, unread_seconds, number)
+    return AdmittedCall(
+        state,
+        route,
+        customer,
+        service,
+        homes,
+        unread_seconds,
+        number,
+        waited_seconds,
+    )
 
 
 async def make_call_context(
@@ -142,6 +158,7 @@
         admitted.homes,
         arrived_at_seconds,
         deps.loop_time() + caller_timeout_seconds - spent_seconds,
+        admitted.waited_seconds,
     )
 
 
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -16,6 +16,7 @@
 from sesameford.gateway.loop_lag import LoopLag
 from sesameford.gateway.placement import Placement
 from sesameford.gateway.queue_limit import QueueLimit
+from sesameford.gateway.returning_calls import ReturningCalls, make_returning_calls
 from sesameford.gateway.route_table import RouteTable, make_route_table
 from sesameford.gateway.second_sends import SecondSends
 from sesameford.gateway.share_gate import ShareGate
@@ -23,6 +24,9 @@
 
 # Default Retry-After: about the time after which a target in backoff is tried again.
 RETRY_AFTER_SECONDS = 0.5
+# A call whose caller has waited for most of the objective is placed as if this part of
+# it were left: it will be late, but must not displace others.
+MIN_LEFT_OBJECTIVE_PART = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +85,7 @@
     loop_time: Callable[[], float]
     queue_limits: dict[str, QueueLimit] = field(default_factory=dict)
     dispatch_limit: DispatchLimit = field(default_factory=make_dispatch_limit)
+    returning_calls: ReturningCalls = field(default_factory=make_returning_calls)
 
 
 class Refusal(SesamefordError):
@@ -117,10 +122,11 @@
 class CallContext:
     """The state of one call; ``until_seconds`` is its deadline on the loop's clock.
 
-    ``homes`` are the regions in which it may run, None for all. ``tried`` are the
-    targets that it was sent to, ``send_attempts`` how often, without the
-    ``failed_connects``. ``response`` is set once the caller has received a part of
-    the answer, and ``forwarded_events`` tracks the events of a resumable stream.
+    ``homes`` are the regions in which it may run, None for all. ``waited_seconds`` is
+    how long its caller waited before it sent the call. ``tried`` are the targets that
+    it was sent to, ``send_attempts`` how often, without the ``failed_connects``.
+    ``response`` is set once the caller has received a part of the answer, and
+    ``forwarded_events`` tracks the events of a resumable stream.
     ``written_at_seconds`` is when the last send attempt was written to its connection,
     None if it was not.
     """
@@ -133,6 +139,7 @@
     homes: frozenset[str] | None
     arrived_at_seconds: float
     until_seconds: float
+    waited_seconds: float = 0.0
     tried: frozenset[str] = frozenset()
     send_attempts: int = 0
     failed_connects: int = 0
@@ -146,6 +153,13 @@
     reservation: Reservation | None = None
     written_at_seconds: float | None = None
 
+    @property
+    def left_objective_seconds(self) -> float:
+        """Return what its caller's wait has left of the objective, a part at least."""
+        objective_seconds = self.route.objective_seconds
+        least_seconds = MIN_LEFT_OBJECTIVE_PART * objective_seconds
+        return max(objective_seconds - self.waited_seconds, least_seconds)
+
     @property
     def may_repeat(self) -> bool:
         """Whether a call that may have run may be sent again."""
--- a/sesameford/gateway/call_log.py
+++ b/sesameford/gateway/call_log.py
@@ -97,6 +97,8 @@
             "took_seconds": round(took_seconds, 3),
             "first_event_seconds": "" if first is None else round(first, 3),
             "longest_pause_seconds": round(context.longest_pause_seconds, 3),
+            "waited_seconds": round(context.waited_seconds, 3),
+            "objective_seconds": context.route.objective_seconds,
             "expected_seconds": round(reservation.expected_seconds, 3)
             if reservation
             else 0.0,
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -109,7 +109,7 @@
         context.service,
         context.call.prompt,
         engine,
-        context.route.objective_seconds,
+        context.left_objective_seconds,
         context.tried,
         deps.now(),
         context.homes,
@@ -298,14 +298,15 @@
 
 
 def _record_first_event_time(deps: GatewayDeps, context: CallContext) -> None:
-    """Record how long a caller waited for the first event.
+    """Record how long a caller waited for the first event, since its first call.
 
     Only of the first attempt: after a failed one the time includes the failure and
     says nothing about how long prompts wait.
     """
     if context.send_attempts == 1 and context.first_event_seconds is not None:
         deps.gate.timeliness.record_answer_start(
-            context.first_event_seconds, context.route.objective_seconds
+            context.waited_seconds + context.first_event_seconds,
+            context.route.objective_seconds,
         )
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -391,6 +391,22 @@
     assert 1.9 - unread_seconds < left_seconds <= 2.0 - unread_seconds
 
 
+async def test_the_wait_of_a_caller_counts_from_its_first_call():
+    """Guards against answers that count as in time though their callers saw them late.
+
+    The caller was refused 1.2 s before, and its objective is one second.
+    """
+    async with open_flooded_desk(1.0, 0.0) as desk:
+        timeliness = desk.deps.gate.timeliness
+        for timeout_milliseconds in (3_000, 1_800):
+            timeliness.in_time_answers(monotonic())
+            timeliness.late_answers(monotonic())
+            deadline = {"X-Sesameford-Deadline-Ms": str(timeout_milliseconds)}
+            assert (await desk.ask("/stream/", **FLOOD_PROMPT, **deadline))[0] == 200
+        assert timeliness.late_answers(monotonic()) > 0.0
+        assert timeliness.in_time_answers(monotonic()) > 0.0
+
+
 @pytest.mark.parametrize(
     ("fault", "path", "failed"),
     [
