Admit less while many answers are late or pause

On the maps a fifth of the served drafts and questions came late, most of them by a pause: what was admitted began soon enough by the estimated wait, but engines that read all the time generate next to nothing. An answer that pauses for longer than its objective counts as late now, and with more than 15 in 100 late the wait limit of prompts falls, to 0.4 of the usual one at 30 in 100. Only customers over the even level get less.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -180,6 +180,7 @@
     near_engines: bool = True
     spare_answers: bool = True
     count_waits: bool = True
+    timely_admission: bool = True
     weight_store_concurrent_loads: int = 2
     lifted_digests: tuple[str, ...] = ()
 
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -24,6 +24,7 @@
 from sesameford.gateway.placement import Placement
 from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.shares import ShareTable, make_share_table
+from sesameford.gateway.timeliness import MIN_WAIT_FACTOR
 from sesameford.load_messages import (
     FleetLoad,
     PartialLoad,
@@ -144,6 +145,7 @@
         if state is not None:
             declared_tokens = state.tree.fleet.tokens_per_second
             base_wait_seconds = BASE_WAIT_PART * state.shortest_objective_seconds
+            self._set_min_wait(state)
             candidates = self._placement.candidates
             targets = TargetAvailability(
                 candidates.cold_rates(now_seconds),
@@ -155,6 +157,11 @@
         for one in outgoing:
             self._send(one)
 
+    def _set_min_wait(self, state: GatewayState) -> None:
+        """Set how far late answers may lower the wait limit of prompts."""
+        is_enabled = state.tree.fleet.timely_admission
+        self.shares.min_wait_factor = MIN_WAIT_FACTOR if is_enabled else 1.0
+
     def _report(self, now_seconds: float) -> None:
         """Report this router's load to one replica if a report is due."""
         self._log_source(now_seconds)
@@ -239,6 +246,7 @@
             accepting_part=load.accepting_part,
         )
         base_wait_seconds = BASE_WAIT_PART * state.shortest_objective_seconds
+        self._set_min_wait(state)
         self._own_shares.tick((own,), declared_tokens, base_wait_seconds, now_seconds)
         self.gate.set_fractions(self._own_shares.rows())
 
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -267,6 +267,7 @@
             await _write(request, context, response, ready)
     if context.forwarded_events is not None and context.forwarded_events.held_bytes:
         raise SendAttemptError(SendOutcome.BROKEN, "the stream ended inside an event")
+    _record_pauses(deps, context)
     if context.response is None:
         await _write(request, context, response, b"")
     try:
@@ -310,6 +311,16 @@
         )
 
 
+def _record_pauses(deps: GatewayDeps, context: CallContext) -> None:
+    """Record whether an answer that started in time paused for too long."""
+    objective_seconds = context.route.pause_objective_seconds
+    if objective_seconds is None or context.longest_pause_seconds <= objective_seconds:
+        return
+    first_seconds = context.waited_seconds + (context.first_event_seconds or 0.0)
+    if first_seconds <= context.route.objective_seconds:
+        deps.gate.timeliness.record_long_pause()
+
+
 def _cut_stream(
     deps: GatewayDeps, request: web.BaseRequest, cut: CutError
 ) -> web.StreamResponse:
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -13,7 +13,7 @@
 
 from sesameford.gateway.router_loads import sum_customer_rates
 from sesameford.gateway.service_balance import ServiceBalance, make_service_balance
-from sesameford.gateway.timeliness import wait_factor
+from sesameford.gateway.timeliness import MIN_WAIT_FACTOR, wait_factor
 from sesameford.gateway.token_rate import AVERAGE_SECONDS
 from sesameford.load_messages import PartialLoad, ShareRow
 
@@ -44,7 +44,8 @@
     ``requested_tokens`` are tokens a second by customer; ``fractions`` are of those
     that don't get all. Demands are averages and not totals, so a replica that takes
     over has the same state as its predecessor once it has received a report of every
-    router, and reports that were delayed and arrive together count once.
+    router, and reports that were delayed and arrive together count once. While very
+    many answers are late, prompts may wait for ``min_wait_factor`` of the usual time.
     """
 
     capacity_tokens: float = INITIAL_CAPACITY_TOKENS
@@ -53,6 +54,7 @@
     requested_tokens: Mapping[str, int] = field(default_factory=dict)
     fractions: dict[str, float] = field(default_factory=dict)
     routers: int = 0
+    min_wait_factor: float = MIN_WAIT_FACTOR
     _mean_available_part: float = 1.0
     _available_at_seconds: float = 0.0
     _balance: ServiceBalance = field(default_factory=make_service_balance)
@@ -87,6 +89,7 @@
             sum(load.late_answers for load in loads),
             sum(self.requested_tokens.values()),
             sum(load.handled_tokens for load in loads),
+            self.min_wait_factor,
         )
         self.capacity_tokens = self._capacity(
             loads, declared_tokens, self.wait_setpoint_seconds, remaining_part
--- a/sesameford/gateway/timeliness.py
+++ b/sesameford/gateway/timeliness.py
@@ -6,7 +6,9 @@
 what callers see: the fewer answers start late, the longer prompts may wait.
 
 It is not raised during overload: requests admitted beyond shares would then be those of
-the customers that cause it, and would delay all others.
+the customers that cause it, and would delay all others. It is lowered below the least
+time while many answers are late or pause for too long: an engine that reads prompts all
+the time generates next to nothing.
 """
 
 from dataclasses import dataclass, field
@@ -15,8 +17,10 @@
 
 # Long enough for some hundred answers of a small fleet, short beside an overload.
 AVERAGE_SECONDS = 1.5
-# With this part of the answers late, prompts may wait for the least time only.
+# With this part of the answers late, prompts may wait for the usual time only.
 LATE_PART = 0.15
+# With twice that part late, they may wait for this part of the usual time.
+MIN_WAIT_FACTOR = 0.4
 # With no answer late they may wait so many times as long.
 MAX_WAIT_FACTOR = 2.2
 # From this ratio of requested to handled tokens on, nothing beyond shares is admitted.
@@ -44,6 +48,10 @@
         counts = self._late if took_seconds > objective_seconds else self._in_time
         counts.add(1)
 
+    def record_long_pause(self) -> None:
+        """Count an answer that started in time and paused for too long."""
+        self._late.add(1)
+
     def in_time_answers(self, now_seconds: float) -> float:
         """Return the answers a second that start in time."""
         return self._in_time.tokens_per_second(now_seconds)
@@ -58,24 +66,29 @@
     late_answers: float,
     requested_tokens: float,
     handled_tokens: float,
+    min_factor: float = MIN_WAIT_FACTOR,
 ) -> float:
-    """Return by how much the least wait limit of prompts is multiplied.
+    """Return by how much the usual wait limit of prompts is multiplied.
 
     It depends on present figures alone, so that replicas which compute it from the same
     sums get the same result.
 
     Args:
         in_time_answers: Answers of the whole fleet that start in time, a second.
-        late_answers: Those that start late, a second.
+        late_answers: Those that start late or pause for too long, a second.
         requested_tokens: What all customers request, a second.
         handled_tokens: What engines start to answer or fail, a second.
+        min_factor: The factor while very many answers are late.
     """
     late = late_answers + PRIOR_LATE_ANSWERS
     late_part = late / (in_time_answers + late)
     in_time_part = 1.0 - min(late_part / LATE_PART, 1.0)
     ratio = requested_tokens / max(handled_tokens, 1.0)
     calm_part = min(max((OVERLOAD_RATIO - ratio) / (OVERLOAD_RATIO - 1.0), 0.0), 1.0)
-    return 1.0 + (MAX_WAIT_FACTOR - 1.0) * in_time_part * calm_part
+    certain_late_part = late_answers / (in_time_answers + late)
+    excess_part = min(max(certain_late_part / LATE_PART - 1.0, 0.0), 1.0)
+    lowered_factor = 1.0 - (1.0 - min_factor) * excess_part
+    return lowered_factor + (MAX_WAIT_FACTOR - 1.0) * in_time_part * calm_part
 
 
 def make_timeliness() -> Timeliness:
