--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -181,6 +181,7 @@
             round(self.gate.timeliness.late_answers(now_seconds), 2),
             round(self._accepting_part(now_seconds), 4),
             self._placement.flush_times(),
+            round(self.gate.timeliness.paused_answers(now_seconds), 2),
         )
         self.report.record_report(target_loads, now_seconds)
         if self.report.is_isolated(now_seconds):
@@ -244,6 +245,7 @@
             in_time_answers=load.in_time_answers,
             late_answers=load.late_answers,
             accepting_part=load.accepting_part,
+            paused_answers=load.paused_answers,
         )
         base_wait_seconds = BASE_WAIT_PART * state.shortest_objective_seconds
         self._set_min_wait(state)
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -112,6 +112,7 @@
             round(sum(load.late_answers for load in loads), 2),
             round(accepting_part, 4) if loads else 1.0,
             times,
+            round(sum(load.paused_answers for load in loads), 2),
         )
 
 
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -87,6 +87,7 @@
         self.wait_setpoint_seconds = base_wait_seconds * wait_factor(
             sum(load.in_time_answers for load in loads),
             sum(load.late_answers for load in loads),
+            sum(load.paused_answers for load in loads),
             sum(self.requested_tokens.values()),
             sum(load.handled_tokens for load in loads),
             self.min_wait_factor,
--- a/sesameford/gateway/timeliness.py
+++ b/sesameford/gateway/timeliness.py
@@ -6,9 +6,9 @@
 what callers see: the fewer answers start late, the longer prompts may wait.
 
 It is not raised during overload: requests admitted beyond shares would then be those of
-the customers that cause it, and would delay all others. It is lowered below the least
-time while many answers are late or pause for too long: an engine that reads prompts all
-the time generates next to nothing.
+the customers that cause it, and would delay all others. It is lowered instead, below
+the usual time, while many answers are late or pause for too long: an engine that reads
+prompts all the time generates next to nothing.
 """
 
 from dataclasses import dataclass, field
@@ -35,6 +35,7 @@
 
     _in_time: TokenRate = field(default_factory=lambda: TokenRate(AVERAGE_SECONDS))
     _late: TokenRate = field(default_factory=lambda: TokenRate(AVERAGE_SECONDS))
+    _paused: TokenRate = field(default_factory=lambda: TokenRate(AVERAGE_SECONDS))
 
     def record_answer_start(
         self, took_seconds: float, objective_seconds: float
@@ -50,7 +51,7 @@
 
     def record_long_pause(self) -> None:
         """Count an answer that started in time and paused for too long."""
-        self._late.add(1)
+        self._paused.add(1)
 
     def in_time_answers(self, now_seconds: float) -> float:
         """Return the answers a second that start in time."""
@@ -60,10 +61,15 @@
         """Return the answers a second that start late."""
         return self._late.tokens_per_second(now_seconds)
 
+    def paused_answers(self, now_seconds: float) -> float:
+        """Return the answers a second that start in time and pause for too long."""
+        return self._paused.tokens_per_second(now_seconds)
+
 
 def wait_factor(
     in_time_answers: float,
     late_answers: float,
+    paused_answers: float,
     requested_tokens: float,
     handled_tokens: float,
     min_factor: float = MIN_WAIT_FACTOR,
@@ -75,22 +81,31 @@
 
     Args:
         in_time_answers: Answers of the whole fleet that start in time, a second.
-        late_answers: Those that start late or pause for too long, a second.
+        late_answers: Those that start late, a second.
+        paused_answers: Those that start in time and pause for too long, a second.
         requested_tokens: What all customers request, a second.
         handled_tokens: What engines start to answer or fail, a second.
-        min_factor: The factor while very many answers are late.
+        min_factor: The factor during overload while very many answers are late.
     """
     late = late_answers + PRIOR_LATE_ANSWERS
     late_part = late / (in_time_answers + late)
     in_time_part = 1.0 - min(late_part / LATE_PART, 1.0)
     ratio = requested_tokens / max(handled_tokens, 1.0)
     calm_part = min(max((OVERLOAD_RATIO - ratio) / (OVERLOAD_RATIO - 1.0), 0.0), 1.0)
-    certain_late_part = late_answers / (in_time_answers + late)
-    excess_part = min(max(certain_late_part / LATE_PART - 1.0, 0.0), 1.0)
-    lowered_factor = 1.0 - (1.0 - min_factor) * excess_part
+    excess_part = _excess_part(in_time_answers, late_answers, paused_answers)
+    lowered_factor = 1.0 - (1.0 - min_factor) * excess_part * (1.0 - calm_part)
     return lowered_factor + (MAX_WAIT_FACTOR - 1.0) * in_time_part * calm_part
 
 
+def _excess_part(
+    in_time_answers: float, late_answers: float, paused_answers: float
+) -> float:
+    """Return by how much too many answers are late or pause, from 0 to 1."""
+    answers = in_time_answers + late_answers + PRIOR_LATE_ANSWERS
+    failed_part = (late_answers + paused_answers) / answers
+    return min(max(failed_part / LATE_PART - 1.0, 0.0), 1.0)
+
+
 def make_timeliness() -> Timeliness:
     """Return the counts of a router that has relayed no answer yet."""
     return Timeliness()
--- a/sesameford/load_messages.py
+++ b/sesameford/load_messages.py
@@ -88,7 +88,8 @@
     for cold targets. ``in_time_answers`` and ``late_answers`` are the answers that
     start in a second, within and after their objective. ``accepting_part`` is the part
     of the engines that accept requests of the router, by their own answers to it.
-    ``times`` are how long requests took at targets since the last report.
+    ``times`` are how long requests took at targets since the last report, and
+    ``paused_answers`` the answers a second that pause for longer than their objective.
     """
 
     target_loads: tuple[TargetLoad, ...]
@@ -102,6 +103,7 @@
     late_answers: float = 0.0
     accepting_part: float = 1.0
     times: tuple[TargetTimes, ...] = ()
+    paused_answers: float = 0.0
 
 
 class RouterLoadHandover(Struct, frozen=True, array_like=True, tag="RouterLoadEnds"):
@@ -151,3 +153,4 @@
     late_answers: float = 0.0
     accepting_part: float = 1.0
     times: tuple[TargetTimes, ...] = ()
+    paused_answers: float = 0.0
