--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -30,6 +30,7 @@
 )
 from sesameford.gateway.calls import WireAdapter
 from sesameford.gateway.cold_permits import make_cold_permits
+from sesameford.gateway.dispatch_limit import make_dispatch_limit
 from sesameford.gateway.fleet_sums import LiveInstances
 from sesameford.gateway.forward import make_sender, make_target_session
 from sesameford.gateway.gateway_metrics import make_gateway_metrics
@@ -179,6 +180,7 @@
                 self._roster.is_first_of_data_centre,
             ),
         )
+        self._dispatch_limit = make_dispatch_limit()
         self._state: GatewayState | None = None
         self._session: ClientSession | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -231,6 +233,7 @@
             lambda: self._stop.accepts_requests,
             self._now,
             loop.time,
+            dispatch_limit=self._dispatch_limit,
         )
 
     def is_ready(self) -> bool:
@@ -381,6 +384,9 @@
         self.metrics.set_level(
             "cold_sent", self.placement.candidates.cold.requests_sent
         )
+        self.metrics.set_level("waiting_calls", self._dispatch_limit.waiting_calls)
+        other_speeds = self.placement.reports.count_other_speeds()
+        self.metrics.set_level("targets_of_other_speed", other_speeds)
         notices = self.placement.candidates.notices
         in_backoff = notices.count_in_backoff(self._now())
         self.metrics.set_level("targets_in_backoff", in_backoff)
@@ -391,6 +397,7 @@
             self.metrics.set_level("share_capacity_tokens", shares.capacity_tokens)
             self.metrics.set_level("share_routers", shares.routers)
             self.metrics.set_level("share_limited_customers", len(shares.fractions))
+            self.metrics.set_level("share_wait_setpoint", shares.wait_setpoint_seconds)
 
     def _broadcast_hello(self) -> None:
         self._links.send(Outgoing(None, self._roster.make_hello(self._now())))
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -101,10 +101,10 @@
         )
         state = self._state()
         if state is not None and fleet.used:
-            self._placement.record_used_parts(fleet.used, state.tree.services)
-        self._placement.set_failing_targets(fleet.failing)
+            self._placement.reports.record_used_parts(fleet.used, state.tree.services)
+        self._placement.reports.set_failing_targets(fleet.failing)
         if fleet.speeds is not None and state and state.tree.fleet.target_speeds:
-            self._placement.set_speeds(fleet.speeds)
+            self._placement.reports.set_speeds(fleet.speeds)
         if fleet.is_whole:
             self._whole_at_seconds = now_seconds
         whole_age_seconds = now_seconds - self._whole_at_seconds
@@ -165,7 +165,7 @@
     def _report(self, now_seconds: float) -> None:
         """Report this router's load to one replica if a report is due."""
         self._log_source(now_seconds)
-        target_loads = self._placement.loads(now_seconds)
+        target_loads = self._placement.reports.loads(now_seconds)
         lacks_permits = self._placement.candidates.lacks_permits(now_seconds)
         if not lacks_permits and not self.report.is_due(target_loads, now_seconds):
             return
@@ -174,13 +174,13 @@
             self.gate.rows(now_seconds),
             round(self._wait_seconds(now_seconds), 4),
             round(self.gate.handled.tokens_per_second(now_seconds)),
-            self._placement.flush_used_parts(),
-            self._placement.flush_outcomes(),
+            self._placement.reports.flush_used_parts(),
+            self._placement.reports.flush_outcomes(),
             round(now_seconds * 1000) if lacks_permits else 0,
             round(self.gate.timeliness.in_time_answers(now_seconds), 2),
             round(self.gate.timeliness.late_answers(now_seconds), 2),
             round(self._accepting_part(now_seconds), 4),
-            self._placement.flush_times(),
+            self._placement.reports.flush_times(),
             round(self.gate.timeliness.paused_answers(now_seconds), 2),
         )
         self.report.record_report(target_loads, now_seconds)
@@ -299,13 +299,13 @@
 
     def _log_failing(self) -> None:
         """Log the targets that fail a part of the whole fleet's requests."""
-        parts = self._placement.failed_parts_by_id(self._sums.failing)
+        parts = self._placement.reports.failed_parts_by_id(self._sums.failing)
         text = ",".join(f"{one}:{part:.2f}" for one, part in sorted(parts.items()))
         logger.warning("targets fail in part", extra={"targets": text})
 
     def _log_speeds(self) -> None:
         """Log the targets whose speed differs from the usual one of their service."""
-        speeds = self._placement.relative_speeds(self._sums.speeds)
+        speeds = self._placement.reports.relative_speeds(self._sums.speeds)
         if not speeds:
             return
         text = ",".join(f"{one}:{speed:.2f}" for one, speed in sorted(speeds.items()))
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -1,7 +1,6 @@
 """Chooses the target of each request: the one where its answer starts soonest."""
 
-from collections import defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
@@ -28,14 +27,9 @@
 )
 from sesameford.gateway.service_times import make_service_times
 from sesameford.gateway.target_record import Reservation, TargetRecord
-from sesameford.gateway.target_speeds import relative_speeds
+from sesameford.gateway.target_reports import make_target_reports
 from sesameford.load_messages import (
-    FailingTarget,
     TargetLoad,
-    TargetOutcomes,
-    TargetSpeed,
-    TargetTimes,
-    UsedParts,
 )
 
 # Backoff of a target after a failed connection, doubled with each further failure.
@@ -91,6 +85,7 @@
         self._data_centre = data_centre
         self._heartbeat_seconds = heartbeat_seconds
         self._records: dict[str, TargetRecord] = {}
+        self.reports = make_target_reports(table, self._records, self._record)
         self._last_reservation_number = 0
         self._times = make_service_times()
         self._mean_waits: dict[str, _MeanWait] = {}
@@ -379,110 +374,6 @@
         self._mean_waits[service] = _MeanWait(seconds, valid_until_seconds)
         return seconds
 
-    def loads(self, now_seconds: float) -> tuple[TargetLoad, ...]:
-        """Return this router's running requests and unread tokens by target."""
-        return tuple(
-            TargetLoad(
-                short_name(target_id),
-                record.running_requests(now_seconds),
-                record.backlog.unread_tokens(now_seconds),
-            )
-            for target_id, record in self._records.items()
-            if record.requests
-        )
-
-    def flush_used_parts(self) -> tuple[UsedParts, ...]:
-        """Return what this router sent to engines since the last call."""
-        rows = [
-            record.memory.flush_used_parts(short_name(target_id))
-            for target_id, record in self._records.items()
-        ]
-        return tuple(row for row in rows if row is not None)
-
-    def flush_outcomes(self) -> tuple[TargetOutcomes, ...]:
-        """Return how many requests targets answered and failed since the last call."""
-        rows = []
-        for target_id, record in self._records.items():
-            if record.answered_requests or record.failed_requests:
-                name = short_name(target_id)
-                rows.append(
-                    TargetOutcomes(
-                        name, record.answered_requests, record.failed_requests
-                    )
-                )
-                record.answered_requests = record.failed_requests = 0
-        return tuple(rows)
-
-    def flush_times(self) -> tuple[TargetTimes, ...]:
-        """Return how long requests took at targets since the last call."""
-        rows = [
-            record.times.flush(short_name(target_id))
-            for target_id, record in self._records.items()
-        ]
-        return tuple(row for row in rows if row is not None)
-
-    def set_speeds(self, rows: Iterable[TargetSpeed]) -> None:
-        """Set the speeds of targets, as the whole fleet sees them."""
-        speeds = self.relative_speeds(rows)
-        for target_id, record in self._records.items():
-            record.set_speed(speeds.get(target_id, 1.0))
-
-    def relative_speeds(self, rows: Iterable[TargetSpeed]) -> dict[str, float]:
-        """Return the speeds by target id, beside the usual one of each service.
-
-        Args:
-            rows: The reported speeds.
-
-        Returns:
-            The targets that differ from the usual speed.
-        """
-        by_service: dict[str, dict[str, float]] = defaultdict(dict)
-        for target_id, speed in self._by_id((row.name, row.speed) for row in rows):
-            service = self._table.entries[target_id].row.service
-            by_service[service][target_id] = speed
-        return {
-            target_id: speed
-            for speeds in by_service.values()
-            for target_id, speed in relative_speeds(speeds).items()
-        }
-
-    def set_failing_targets(self, rows: Iterable[FailingTarget]) -> None:
-        """Set the part of requests that targets fail, as the whole fleet sees it."""
-        parts = {row.name: row.failed_part for row in rows}
-        for target_id, record in self._records.items():
-            record.failed_part = parts.get(short_name(target_id), 0.0)
-
-    def failed_parts_by_id(self, rows: Iterable[FailingTarget]) -> dict[str, float]:
-        """Return the failed part by target id, of targets in this router's table."""
-        return dict(self._by_id((row.name, row.failed_part) for row in rows))
-
-    def _by_id(self, rows: Iterable[tuple[int, float]]) -> Iterator[tuple[str, float]]:
-        """Yield target ids in place of the short names in this router's table."""
-        for name, value in rows:
-            entry = self._table.find_by_name(name)
-            if entry is not None:
-                yield entry.row.target_id, value
-
-    def record_used_parts(
-        self, rows: Iterable[UsedParts], engines: Mapping[str, ServiceSettings]
-    ) -> None:
-        """Record what other routers have sent to engines.
-
-        Args:
-            rows: The parts and tokens, one row for each engine.
-            engines: The settings by service.
-        """
-        for row in rows:
-            entry = self._table.find_by_name(row.name)
-            if entry is None:
-                # This instance's table has no such target yet, or no longer.
-                continue
-            engine = engines.get(entry.row.service)
-            memory_tokens = engine.cache_tokens if engine else None
-            self._record(entry.row.target_id).memory.record_used_parts(
-                row, memory_tokens
-            )
-
     def set_other_routers_load(self, loads: Iterable[TargetLoad]) -> None:
         """Set the load that all other routers have at each target."""
         self._mean_waits.clear()
--- a/standins/engine_queue.py
+++ b/standins/engine_queue.py
@@ -6,14 +6,9 @@
 
 from sesameford.discovery.heartbeat_table import make_heartbeat_table
 from sesameford.gateway.candidates import make_candidates
-from sesameford.load_messages import (
-    FailingTarget,
-    TargetLoad,
-    TargetOutcomes,
-    TargetSpeed,
-    TargetTimes,
-    UsedParts,
-)
+from sesameford.gateway.target_record import TargetRecord
+from sesameford.gateway.target_reports import TargetReports
+from sesameford.load_messages import TargetLoad
 
 
 @dataclass(slots=True)
@@ -45,36 +40,25 @@
             self.credit_tokens = 0.0
 
 
+class _ChangingLoads(TargetReports):
+    """Loads that change at each call, so that routers report as often as allowed."""
+
+    def loads(self, now_seconds: float) -> tuple[TargetLoad, ...]:
+        return (TargetLoad(1, 1, int(now_seconds * 1_000)),)
+
+
 class QueuePlacement:
     """A placement that only reports how long prompts wait."""
 
     def __init__(self, queue: EngineQueue) -> None:
         self._queue = queue
-        self.candidates = make_candidates(make_heartbeat_table(), {}, lambda _: None)
+        table = make_heartbeat_table()
+        self.candidates = make_candidates(table, {}, lambda _: None)
+        self.reports = _ChangingLoads(table, {}, lambda _: TargetRecord())
 
     def mean_wait_seconds(self, service: str, slots: int, now_seconds: float) -> float:
         return self._queue.wait_seconds
 
-    def loads(self, now_seconds: float) -> tuple[TargetLoad, ...]:
-        # Changes at each call, so that routers report as often as they are allowed.
-        return (TargetLoad(1, 1, int(now_seconds * 1_000)),)
-
-    def flush_used_parts(self) -> tuple[UsedParts, ...]:
-        return ()
-
-    def flush_outcomes(self) -> tuple[TargetOutcomes, ...]:
-        return ()
-
-    def flush_times(self) -> tuple[TargetTimes, ...]:
-        """Return nothing: engines of one kind have the same speed."""
-        return ()
-
-    def set_speeds(self, rows: Iterable[TargetSpeed]) -> None:
-        """Ignore the speeds of targets."""
-
-    def set_failing_targets(self, rows: Iterable[FailingTarget]) -> None:
-        pass
-
     def set_other_routers_load(self, loads: Iterable[TargetLoad]) -> None:
         pass
 
--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -188,10 +188,10 @@
     def _report_loads(self) -> None:
         for number, router in enumerate(self.routers):
             load = RouterLoad(
-                router.loads(self.now_seconds),
-                used=router.flush_used_parts(),
-                outcomes=router.flush_outcomes(),
-                times=router.flush_times(),
+                router.reports.loads(self.now_seconds),
+                used=router.reports.flush_used_parts(),
+                outcomes=router.reports.flush_outcomes(),
+                times=router.reports.flush_times(),
             )
             self._sums.handle_report(f"r{number}", load, self.now_seconds)
         for answer in self._sums.tick(None, 0.0, self.now_seconds):
@@ -202,10 +202,10 @@
 
     def _apply_fleet_load(self, router: Placement, fleet: FleetLoad) -> None:
         router.set_other_routers_load(fleet.target_loads)
-        router.record_used_parts(fleet.used, {SERVICE: self.settings})
-        router.set_failing_targets(fleet.failing)
+        router.reports.record_used_parts(fleet.used, {SERVICE: self.settings})
+        router.reports.set_failing_targets(fleet.failing)
         if fleet.speeds is not None and self.shares_speeds:
-            router.set_speeds(fleet.speeds)
+            router.reports.set_speeds(fleet.speeds)
 
     def _handle_arrival(self, arrival: Arrival) -> None:
         outcome = Outcome(arrival, "")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -425,7 +425,7 @@
     """
     async with open_desk(fault) as desk:
         await desk.ask(path)
-        outcomes = desk.deps.placement.flush_outcomes()
+        outcomes = desk.deps.placement.reports.flush_outcomes()
     assert sum(one.failed for one in outcomes) == failed
     assert sum(one.answered for one in outcomes) == (fault is Fault.NONE)
 
@@ -458,7 +458,7 @@
         status, _, _ = await desk.ask("/unsafe/", **{"X-Sesameford-Deadline-Ms": "5"})
         assert status == 504
         assert desk.runs == 0
-        assert desk.deps.placement.loads(monotonic()) == ()
+        assert desk.deps.placement.reports.loads(monotonic()) == ()
 
 
 async def ask_on_a_new_connection(desk, path):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -338,11 +338,11 @@
 def test_released_requests_no_longer_count():
     placement, _ = make_engines(1)
     reservation = choose(placement, prompt(1))
-    assert placement.loads(0.0) == (others_load("e0", 1, reservation.tokens),)
+    assert placement.reports.loads(0.0) == (others_load("e0", 1, reservation.tokens),)
     placement.record_first_event(reservation, 0.1)
-    assert placement.loads(0.0) == (others_load("e0", 1, 0),)
+    assert placement.reports.loads(0.0) == (others_load("e0", 1, 0),)
     placement.release(reservation, 0.2)
-    assert placement.loads(0.0) == ()
+    assert placement.reports.loads(0.0) == ()
 
 
 def test_the_mean_wait_is_cached_while_one_router_is_overloaded(monkeypatch):
@@ -379,7 +379,7 @@
         "desk", None, None, 0.2, frozenset({"e1", "e2"}), 0.0
     )
     placement.release(reservation, 0.0)
-    placement.set_failing_targets((FailingTarget(short_name("e0"), 0.6),))
+    placement.reports.set_failing_targets((FailingTarget(short_name("e0"), 0.6),))
     chosen = [
         placement.choose("desk", None, None, 0.2, frozenset(), 0.0).target_id
         for _ in range(40)
@@ -405,5 +405,5 @@
     assert max(waits_seconds) < LOST_ANSWER_SECONDS
     after_seconds = 10.0 + 3 * LOST_ANSWER_SECONDS
     assert placement.mean_wait_seconds("pool", 32, after_seconds) == 0.0
-    for load in placement.loads(after_seconds):
+    for load in placement.reports.loads(after_seconds):
         assert (load.requests, load.unread_tokens) == (0, 0)
--- a/tests/test_plain_load.py
+++ b/tests/test_plain_load.py
@@ -86,7 +86,9 @@
                     TargetLoad(short_name(name), running[name] + len(waiting[name]), 0)
                     for name in targets
                 ]
-                own = {load.name: load for load in router.placement.loads(clock[0])}
+                own = {
+                    load.name: load for load in router.placement.reports.loads(clock[0])
+                }
                 router.placement.set_other_routers_load(
                     TargetLoad(load.name, load.requests - own[load.name].requests, 0)
                     if load.name in own
