Leave waits before a return out of the lateness that steers admission

What a caller waited still decides which engine its call goes to, and stands in the line of its end.

--- a/sesameford/gateway/returning_calls.py
+++ b/sesameford/gateway/returning_calls.py
@@ -1,9 +1,8 @@
 """How long a caller has already waited for its answer when its call arrives.
 
 The load: more is requested than can be served, and refused callers return after their
-Retry-After. A returning call looks like a new one: its answer counts as in time
-although its caller sees it late, and it goes to an engine where it has to wait as if
-it had not waited yet.
+Retry-After. A returning call looks like a new one, and goes to an engine where it has
+to wait as if its caller had not waited yet.
 
 A caller states how long it still waits. One that returns states less than callers of
 its route usually do, by the time that it has waited already. Callers with shorter
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -299,15 +299,15 @@
 
 
 def _record_first_event_time(deps: GatewayDeps, context: CallContext) -> None:
-    """Record how long a caller waited for the first event, since its first call.
+    """Record how long a caller waited for the first event.
 
-    Only of the first attempt: after a failed one the time includes the failure and
+    What it waited before it returned is left out: answers that are late because of
+    refusals are no reason to refuse more. Only of the first attempt: after a failed one the time includes the failure and
     says nothing about how long prompts wait.
     """
     if context.send_attempts == 1 and context.first_event_seconds is not None:
         deps.gate.timeliness.record_answer_start(
-            context.waited_seconds + context.first_event_seconds,
-            context.route.objective_seconds,
+            context.first_event_seconds, context.route.objective_seconds
         )
 
 
@@ -316,8 +316,7 @@
     objective_seconds = context.route.pause_objective_seconds
     if objective_seconds is None or context.longest_pause_seconds <= objective_seconds:
         return
-    first_seconds = context.waited_seconds + (context.first_event_seconds or 0.0)
-    if first_seconds <= context.route.objective_seconds:
+    if (context.first_event_seconds or 0.0) <= context.route.objective_seconds:
         deps.gate.timeliness.record_long_pause()
 
 
