--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -302,8 +302,8 @@
     """Record how long a caller waited for the first event.
 
     What it waited before it returned is left out: answers that are late because of
-    refusals are no reason to refuse more. Only of the first attempt: after a failed one the time includes the failure and
-    says nothing about how long prompts wait.
+    refusals are no reason to refuse more. Only of the first attempt: after a failed one
+    the time includes the failure and says nothing about how long prompts wait.
     """
     if context.send_attempts == 1 and context.first_event_seconds is not None:
         deps.gate.timeliness.record_answer_start(
