--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 from xxhash import xxh32_intdigest
 
@@ -93,6 +94,15 @@
     copy_from: str | None = None
 
 
+class _Candidate(NamedTuple):
+    """An engine that a prompt may be sent to; some tens are made for each prompt."""
+
+    entry: HeartbeatEntry
+    record: TargetRecord
+    cached_tokens: int
+    is_near: bool
+
+
 @dataclass(frozen=True, slots=True)
 class _PartHolders:
     """The home engine of a prompt, and the engine with most of it cached.
@@ -146,47 +156,62 @@
             permit is for this router alone and expires soon.
         rules: What counts besides the wait.
     """
-    cached = [record.memory.cached_tokens(prompt.shared_parts) for _, record in usable]
-    order = _make_home_order(prompt)
-    ranked = sorted(
-        zip(usable, cached, strict=True),
-        key=lambda candidate: (rules.is_near(candidate[0][0]), order(candidate[0])),
-        reverse=True,
-    )
-    considered = ranked[:HOME_ENGINES]
-    others = sorted(
-        ranked[HOME_ENGINES:],
-        key=lambda candidate: (candidate[1], rules.is_near(candidate[0][0])),
-        reverse=True,
-    )
-    caching = [candidate for candidate in others[:CACHING_ENGINES] if candidate[1]]
-    considered += caching
-    others = others[len(caching) :]
-    near = [candidate for candidate in others if rules.is_near(candidate[0][0])]
-    remote = [candidate for candidate in others if not rules.is_near(candidate[0][0])]
+    shared_parts = prompt.shared_parts
+    candidates = [
+        _Candidate(
+            entry,
+            record,
+            record.memory.cached_tokens(shared_parts),
+            rules.is_near(entry),
+        )
+        for entry, record in usable
+    ]
+    near = [candidate for candidate in candidates if candidate.is_near]
+    homes = sorted(near or candidates, key=_make_home_order(prompt), reverse=True)
+    considered = homes[:HOME_ENGINES]
+    considered += _most_caching(candidates, _ids(considered))
+    chosen_ids = _ids(considered)
+    others = [
+        candidate
+        for candidate in candidates
+        if candidate.entry.row.target_id not in chosen_ids
+    ]
+    near = [candidate for candidate in others if candidate.is_near]
+    remote = [candidate for candidate in others if not candidate.is_near]
     considered += random.sample(near, min(RANDOM_ENGINES, len(near)))
     considered += random.sample(remote, min(RANDOM_REMOTE_ENGINES, len(remote)))
     if permitted:
         considered += [
             candidate
             for candidate in others
-            if candidate[0][0].row.target_id in permitted
-            and candidate not in considered
+            if candidate.entry.row.target_id in permitted - _ids(considered)
         ]
-    source, most_cached = max(ranked, key=lambda candidate: candidate[1])
-    holders = _PartHolders(ranked[0][0][0], source[0], most_cached)
+    source = max(candidates, key=lambda candidate: candidate.cached_tokens)
+    holders = _PartHolders(homes[0].entry, source.entry, source.cached_tokens)
+    copy_tokens_per_second = engine.cache_copy_tokens_per_second
     return [
-        _option(
-            prompt,
-            candidate[0],
-            candidate[1],
-            holders,
-            engine.cache_copy_tokens_per_second,
-        )
+        _option(prompt, candidate, holders, copy_tokens_per_second)
         for candidate in considered
     ]
 
 
+def _ids(candidates: Sequence[_Candidate]) -> frozenset[str]:
+    return frozenset(candidate.entry.row.target_id for candidate in candidates)
+
+
+def _most_caching(
+    candidates: Sequence[_Candidate], without_ids: frozenset[str]
+) -> list[_Candidate]:
+    """Return the engines with most of a prompt cached, near ones first if equal."""
+    caching = [
+        candidate
+        for candidate in candidates
+        if candidate.cached_tokens and candidate.entry.row.target_id not in without_ids
+    ]
+    caching.sort(key=lambda one: (one.cached_tokens, one.is_near), reverse=True)
+    return caching[:CACHING_ENGINES]
+
+
 def option_cost(
     option: EngineOption,
     slots: int,
@@ -227,13 +252,12 @@
 
 def _option(
     prompt: Prompt,
-    engine: tuple[HeartbeatEntry, TargetRecord],
-    cached_tokens: int,
+    candidate: _Candidate,
     holders: _PartHolders,
     copy_tokens_per_second: float | None,
 ) -> EngineOption:
     """Return the option of one engine that has some tokens of a prompt cached."""
-    entry, record = engine
+    entry, record, cached_tokens, _ = candidate
     shared_tokens = sum(part.tokens for part in prompt.shared_parts)
     own_tokens = max(prompt.prompt_tokens - shared_tokens, 0)
     missing_tokens = shared_tokens - cached_tokens
@@ -247,15 +271,14 @@
     return EngineOption(entry, record, own_tokens + missing_tokens, elsewhere_tokens)
 
 
-def _make_home_order(
-    prompt: Prompt,
-) -> Callable[[tuple[HeartbeatEntry, TargetRecord]], int]:
+def _make_home_order(prompt: Prompt) -> Callable[[_Candidate], int]:
     """Return the sort key of engines for a prompt's last shared part."""
     shared = prompt.shared_parts or prompt.parts
     part_id = shared[-1].part_id if shared else 0
 
-    def order(option: tuple[HeartbeatEntry, TargetRecord]) -> int:
-        return xxh32_intdigest(f"{part_id}/{option[0].row.target_id}".encode())
+    def order(candidate: _Candidate) -> int:
+        text = f"{part_id}/{candidate.entry.row.target_id}"
+        return xxh32_intdigest(text.encode())
 
     return order
 
