--- a/tests/test_foreign_heartbeats.py
+++ b/tests/test_foreign_heartbeats.py
@@ -56,7 +56,7 @@
 
 
 @given(st.dictionaries(st.sampled_from(sorted(HEARTBEAT)), VALUES), st.binary())
-def test_whatever_arrives_other_targets_hold_and_peers_can_be_told(changes, tail):
+def test_whatever_arrives_other_targets_hold_and_peers_can_receive_all(changes, tail):
     """Guards against one unreadable heartbeat that hides all targets from peers."""
     table = make_heartbeat_table()
     usual = json.dumps(HEARTBEAT).encode()
