Tell each refused caller a moment of its own to return

All callers of a kind that were refused as over their share were told the same time, a quarter of their objective, so a clump returned as a clump to routers that knew nothing of it; the same at a full queue. Each gets a time drawn from 0.15 to 0.35 of the objective, and from one to one and a half times what an answer takes at a full queue. One function serves these, late routers and backoff.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -15,12 +15,17 @@
 from sesameford.gateway.calls import Call, Prompt
 from sesameford.gateway.no_target import no_target_retry_seconds
 from sesameford.gateway.queue_limit import make_queue_limit
+from sesameford.gateway.retry_times import spread_retry_seconds
 from sesameford.gateway.route_table import choose_service
 from sesameford.operators_http import digest_of_key
 
-# Retry-After of a request over its customer's share, as a part of the route's
-# objective: the retry can still meet the objective.
-OVER_SHARE_RETRY_PART = 0.25
+# The earliest and the latest Retry-After of a request over its customer's share, as
+# parts of the route's objective: the retry can still meet the objective.
+MIN_OVER_SHARE_RETRY_PART = 0.15
+MAX_OVER_SHARE_RETRY_PART = 0.35
+# The latest Retry-After of a request that finds the queues of its service full, as a
+# multiple of the time that an answer takes there.
+MAX_QUEUE_RETRY_FACTOR = 1.5
 # An engine that would start to read within this part of the shortest objective has
 # spare capacity: any customer is served there, as most of the objective remains for the
 # requests that follow. A larger part would delay customers that request little.
@@ -240,8 +245,12 @@
 ) -> Refusal:
     """Return the refusal of a call that another instance can serve."""
     deps.gate.account.record_late_refusal()
-    spread_seconds = OTHER_INSTANCE_RETRY_PART * route.objective_seconds
-    retry_seconds = OTHER_INSTANCE_RETRY_SECONDS + deps.random.random() * spread_seconds
+    latest_seconds = OTHER_INSTANCE_RETRY_PART * route.objective_seconds
+    retry_seconds = spread_retry_seconds(
+        OTHER_INSTANCE_RETRY_SECONDS,
+        OTHER_INSTANCE_RETRY_SECONDS + latest_seconds,
+        deps.random,
+    )
     return Refusal(503, "overloaded", retry_seconds, route.route_id, customer, detail)
 
 
@@ -301,7 +310,11 @@
     raise Refusal(
         429,
         "over-share",
-        OVER_SHARE_RETRY_PART * route.objective_seconds,
+        spread_retry_seconds(
+            MIN_OVER_SHARE_RETRY_PART * route.objective_seconds,
+            MAX_OVER_SHARE_RETRY_PART * route.objective_seconds,
+            deps.random,
+        ),
         route.route_id,
         customer,
         f"fraction {deps.gate.fractions.get(customer, 1.0):.3f}",
@@ -329,7 +342,9 @@
         raise Refusal(
             503,
             "queue-full",
-            takes_seconds,
+            spread_retry_seconds(
+                takes_seconds, MAX_QUEUE_RETRY_FACTOR * takes_seconds, deps.random
+            ),
             route.route_id,
             customer,
             f"takes {takes_seconds:.3f} s, rejected part {refused_part:.2f}",
--- a/sesameford/gateway/no_target.py
+++ b/sesameford/gateway/no_target.py
@@ -2,6 +2,7 @@
 
 from sesameford.gateway.call_context import RETRY_AFTER_SECONDS, GatewayDeps
 from sesameford.gateway.candidates import NoTargetReason
+from sesameford.gateway.retry_times import spread_retry_seconds
 
 # An evacuation lasts until an operator ends it, so frequent retries are useless.
 EVACUATED_RETRY_SECONDS = 2.0
@@ -37,5 +38,5 @@
     if end_seconds is None:
         return RETRY_AFTER_SECONDS
     remaining_seconds = min(end_seconds - now_seconds, MAX_BACKOFF_RETRY_SECONDS)
-    spread = BACKOFF_RETRY_SPREAD_PART * deps.random.random()
-    return remaining_seconds * (1.0 + spread)
+    latest_seconds = (1.0 + BACKOFF_RETRY_SPREAD_PART) * remaining_seconds
+    return spread_retry_seconds(remaining_seconds, latest_seconds, deps.random)
