Test a clump of one customer's calls at a router

A hundred calls of one customer and one of another, over real sockets: the other is served, at least half of the limit of the clump is, refused callers are to return within the objective, and with dispatch_limit off all are served.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,6 +15,7 @@
     OTHER_INSTANCE_RETRY_PART,
     OTHER_INSTANCE_RETRY_SECONDS,
 )
+from sesameford.gateway.dispatch_limit import MAX_WAITING_CALLS
 from sesameford.load_messages import ShareRow
 from sesameford.operators_http import digest_of_key
 from sesameford.tree import effective_tree, parse_tree
@@ -415,6 +416,30 @@
     assert [one.waited_seconds for one in ends] == [0.0, 1.2]
 
 
+@pytest.mark.parametrize("is_limited", [True, False])
+async def test_a_clump_of_one_customer_leaves_room_for_others(is_limited):
+    """Guards against a flood at one router that delays all of its callers.
+
+    A hundred calls of one customer arrive within one turn of the loop, and then one of
+    another customer.
+    """
+    settings = f"fleet: {{dispatch_limit: {str(is_limited).lower()}}}\n"
+    tree = effective_tree(parse_tree(settings + FLOODED_TREE, "t"), 1)
+    async with open_desk(Fault.NONE, tree=tree) as desk:
+        flood_key = {"Authorization": f"Bearer {FLOOD_KEY}"}
+        flood = [desk.ask("/unsafe/", **flood_key) for _ in range(100)]
+        *statuses, other = await asyncio.gather(*flood, desk.ask("/unsafe/"))
+        served = sum(status == 200 for status, _, _ in statuses)
+        assert other[0] == 200
+        assert served >= (MAX_WAITING_CALLS / 2 if is_limited else len(flood))
+        assert desk.runs == served + 1
+        assert all(
+            is_retry_elsewhere(headers)
+            for status, _, headers in statuses
+            if status == 503
+        )
+
+
 @pytest.mark.parametrize(
     ("fault", "path", "failed"),
     [
