--- a/sesameford/gateway/timeliness.py
+++ b/sesameford/gateway/timeliness.py
@@ -24,7 +24,7 @@
 # With no answer late they may wait so many times as long.
 MAX_WAIT_FACTOR = 2.2
 # From this ratio of requested to handled tokens on, nothing beyond shares is admitted.
-OVERLOAD_RATIO = 3.0
+OVERLOAD_RATIO = 2.0
 # Added to the late answers a second, since fewer answers than this say little.
 PRIOR_LATE_ANSWERS = 2.0
 
