--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -14,6 +14,11 @@
 )
 from sesameford.gateway.calls import Call, Prompt
 from sesameford.gateway.no_target import no_target_retry_seconds
+from sesameford.gateway.overload_checks import (
+    check_caller_waits,
+    check_dispatch,
+    check_late,
+)
 from sesameford.gateway.queue_limit import make_queue_limit
 from sesameford.gateway.retry_times import spread_retry_seconds
 from sesameford.gateway.route_table import choose_service
@@ -34,15 +39,6 @@
 # exceeds this part of the shortest objective. One idle engine shows little: routers
 # learn of it late, and a prompt read there displaces others to busy engines.
 SPARE_CAPACITY_WAIT_PART = 0.05
-# A caller refused because this instance is overloaded is served by the instance that
-# its retry reaches. The retries of a flood are spread over this part of the objective,
-# so that the others learn of the flood before most of them arrive.
-OTHER_INSTANCE_RETRY_SECONDS = 0.02
-OTHER_INSTANCE_RETRY_PART = 0.25
-# A caller is assumed to have left if its call lay unread for this time, or for this
-# part of its timeout.
-MAX_UNREAD_SECONDS = 1.0
-MAX_UNREAD_PART = 1 / 3
 # A call at a late loop has lain unread for about so many late turns: one to read it and
 # one to handle it, more on a new connection.
 UNREAD_TURNS = 2.0
@@ -56,7 +52,8 @@
 
     ``homes`` are the regions in which it may run, None for all. ``unread_seconds`` is
     how long it lay unread before, and ``waited_seconds`` how long its caller waited
-    before it sent the call, both estimates.
+    before it sent the call, both estimates. ``dispatch_number`` is its number in the
+    dispatch limit until its handler begins.
     """
 
     state: GatewayState
@@ -108,13 +105,13 @@
         waited_seconds = deps.returning_calls.waited_seconds(
             route.route_id, call.caller_timeout_seconds, arrived_at_seconds
         )
-    _check_caller_waits(
+    check_caller_waits(
         deps, call, route, customer or "", backlog_seconds, arrived_at_seconds
     )
     if state.tree.fleet.dispatch_limit:
-        _check_dispatch(deps, route, customer or "", arrived_at_seconds)
+        check_dispatch(deps, route, customer or "", arrived_at_seconds)
     if is_lagging:
-        _check_late(deps, route, customer or "", prompt, arrived_at_seconds)
+        check_late(deps, route, customer or "", prompt, arrived_at_seconds)
     elif prompt is not None:
         _check_share(deps, state, route, customer or "", prompt, service, homes)
     elif service not in state.engine_services:
@@ -167,93 +164,6 @@
     )
 
 
-def _check_caller_waits(
-    deps: GatewayDeps,
-    call: Call,
-    route: HttpRouteSettings,
-    customer: str,
-    backlog_seconds: float,
-    now_seconds: float,
-) -> None:
-    """Refuse a call that lay unread for so long that its caller has left.
-
-    Raises:
-        Refusal: The call is not admitted.
-    """
-    unread_seconds = backlog_seconds + deps.lag.lateness_seconds(now_seconds)
-    caller_timeout_seconds = call.caller_timeout_seconds or route.timeout_seconds
-    limit_seconds = min(MAX_UNREAD_SECONDS, MAX_UNREAD_PART * caller_timeout_seconds)
-    if unread_seconds <= limit_seconds:
-        return
-    if call.prompt is not None:
-        deps.gate.record_refused_demand(customer, call.prompt.cost_tokens)
-    detail = f"unread for up to {unread_seconds:.3f} s"
-    raise _overloaded(deps, route, customer, detail)
-
-
-def _check_dispatch(
-    deps: GatewayDeps, route: HttpRouteSettings, customer: str, now_seconds: float
-) -> None:
-    """Refuse a call that this instance can't handle soon enough.
-
-    It does not count as demand, since its retry does at the instance that it reaches.
-    With each call counted twice, a customer whose callers use one instance would get
-    half of its share.
-
-    Raises:
-        Refusal: The call is not admitted.
-    """
-    if deps.dispatch_limit.has_room(customer, now_seconds):
-        return
-    detail = f"{deps.dispatch_limit.waiting_calls} admitted calls wait"
-    raise _overloaded(deps, route, customer, detail)
-
-
-def _check_late(
-    deps: GatewayDeps,
-    route: HttpRouteSettings,
-    customer: str,
-    prompt: Prompt | None,
-    now_seconds: float,
-) -> None:
-    """Refuse most calls while the event loop is late.
-
-    Usually one customer whose callers all use this instance keeps it busy. The calls of
-    other customers are then refused: each retry reaches another instance, and those
-    have spare capacity. The customer itself, which is limited, is served its share here
-    however late the loop is, as far as the dispatch limit allows: refusing the rest of
-    its calls keeps the loop late, so it would get nothing while that lasts, and
-    customers that use several instances would get their full shares. While nobody is
-    limited, it is not known yet whose calls these are.
-
-    Raises:
-        Refusal: The call is not admitted.
-    """
-    gate = deps.gate
-    if prompt is not None:
-        is_flood_of_others = gate.fractions and customer not in gate.fractions
-        if is_flood_of_others:
-            gate.record_refused_demand(customer, prompt.cost_tokens)
-        elif gate.admits(customer, route.route_id, prompt.cost_tokens):
-            return
-    lateness_seconds = deps.lag.lateness_seconds(now_seconds)
-    raise _overloaded(deps, route, customer, f"loop late by {lateness_seconds:.3f} s")
-
-
-def _overloaded(
-    deps: GatewayDeps, route: HttpRouteSettings, customer: str, detail: str
-) -> Refusal:
-    """Return the refusal of a call that another instance can serve."""
-    deps.gate.account.record_late_refusal()
-    latest_seconds = OTHER_INSTANCE_RETRY_PART * route.objective_seconds
-    retry_seconds = spread_retry_seconds(
-        OTHER_INSTANCE_RETRY_SECONDS,
-        OTHER_INSTANCE_RETRY_SECONDS + latest_seconds,
-        deps.random,
-    )
-    return Refusal(503, "overloaded", retry_seconds, route.route_id, customer, detail)
-
-
 def _check_targets(
     deps: GatewayDeps,
     route: HttpRouteSettings,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,11 +11,11 @@
 
 from sesameford.connection_guard import GuardLimits
 from sesameford.effective import HttpRouteSettings
-from sesameford.gateway.admit import (
+from sesameford.gateway.dispatch_limit import MAX_WAITING_CALLS
+from sesameford.gateway.overload_checks import (
     OTHER_INSTANCE_RETRY_PART,
     OTHER_INSTANCE_RETRY_SECONDS,
 )
-from sesameford.gateway.dispatch_limit import MAX_WAITING_CALLS
 from sesameford.load_messages import ShareRow
 from sesameford.operators_http import digest_of_key
 from sesameford.tree import effective_tree, parse_tree
