Sum times with the other rows, and keep a target's speed once

sum_times was written beside _sum_by_name of router_loads, which sums the other rows; it uses it now. A target's speed stood in its record and in its backlog; the record reads the backlog's. The ids of permitted engines that are not considered yet were made anew for each engine. No change of logic.

--- a/sesameford/gateway/dispatch_limit.py
+++ b/sesameford/gateway/dispatch_limit.py
@@ -3,7 +3,7 @@
 The load: the callers of one customer all use one router and multiply. Its share is more
 than the router can forward, so admitted calls pile up between their head and their
 handler. All of them come late, those of other customers too, and some are sent after
-their callers have left. The sign are ``sending failed`` lines with the outcome
+their callers have left. The signs are ``sending failed`` lines with the outcome
 ``timeout``, all of one router.
 
 The bound is on a number of calls, so that a fast router, whose handlers begin sooner,
--- a/sesameford/gateway/engine_choice.py
+++ b/sesameford/gateway/engine_choice.py
@@ -48,8 +48,6 @@
 HOME_ENGINES = 1
 CACHING_ENGINES = 2
 RANDOM_ENGINES = 2
-
-
 # The cost of an engine in another data centre, in seconds of wait: more than the way
 # there and back, so that links between data centres carry only what another one can
 # begin sooner.
@@ -181,10 +179,11 @@
     considered += random.sample(near, min(RANDOM_ENGINES, len(near)))
     considered += random.sample(remote, min(RANDOM_REMOTE_ENGINES, len(remote)))
     if permitted:
+        missing_ids = permitted - _ids(considered)
         considered += [
             candidate
             for candidate in others
-            if candidate.entry.row.target_id in permitted - _ids(considered)
+            if candidate.entry.row.target_id in missing_ids
         ]
     source = max(candidates, key=lambda candidate: candidate.cached_tokens)
     holders = _PartHolders(homes[0].entry, source.entry, source.cached_tokens)
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -31,10 +31,11 @@
     subtract_target_loads,
     sum_outcomes,
     sum_target_loads,
+    sum_times,
 )
 from sesameford.gateway.shares import make_share_table
 from sesameford.gateway.target_outcomes import make_target_outcome_table
-from sesameford.gateway.target_speeds import make_target_speed_table, sum_times
+from sesameford.gateway.target_speeds import make_target_speed_table
 from sesameford.load_messages import (
     FailingTarget,
     FleetLoad,
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -149,6 +149,14 @@
     return tuple(TargetOutcomes(name, *sums) for name, sums in _sum_by_name(counts))
 
 
+def sum_times(rows: Iterable[TargetTimes]) -> tuple[TargetTimes, ...]:
+    """Return the times of each target, summed into one row."""
+    times = (
+        (one.name, one.expected_milliseconds, one.took_milliseconds) for one in rows
+    )
+    return tuple(TargetTimes(name, *sums) for name, sums in _sum_by_name(times))
+
+
 def sum_customer_rates(
     tables: Iterable[tuple[CustomerRates, ...]],
 ) -> tuple[CustomerRates, ...]:
--- a/sesameford/gateway/target_record.py
+++ b/sesameford/gateway/target_record.py
@@ -13,8 +13,6 @@
 # A request whose answer is this late shows that the target is silent, if nothing else
 # has arrived from it since the request was sent.
 OVERDUE_ANSWER_SECONDS = 0.5
-
-
 # The weight of a request that took longer than the known speed explains.
 SLOW_SAMPLE_WEIGHT = 0.2
 
@@ -27,8 +25,7 @@
     routers. ``unanswered`` holds by reservation number when a request was sent and
     when its answer is due. ``answered_requests`` and ``failed_requests`` count
     outcomes that are not reported yet, and ``times`` how long requests took. The target
-    fails ``failed_part`` of all requests, and ``speed`` is its speed as a multiple of
-    the usual one of its service, both as the whole fleet sees it.
+    fails ``failed_part`` of all requests, as the whole fleet sees it.
     """
 
     requests: int = 0
@@ -43,11 +40,14 @@
     failed_requests: int = 0
     failed_part: float = 0.0
     times: WorkTimes = field(default_factory=WorkTimes)
-    speed: float = 1.0
+
+    @property
+    def speed(self) -> float:
+        """The target's speed as a multiple of the usual one of its service."""
+        return self.backlog.speed
 
     def set_speed(self, speed: float) -> None:
-        """Set the target's speed, as a multiple of the usual one."""
-        self.speed = speed
+        """Set the target's speed, as the whole fleet sees it."""
         self.backlog.speed = speed
 
     def record_speed_sample(self, expected_seconds: float, took_seconds: float) -> None:
--- a/sesameford/gateway/target_speeds.py
+++ b/sesameford/gateway/target_speeds.py
@@ -127,18 +127,6 @@
     }
 
 
-def sum_times(rows: Iterable[TargetTimes]) -> tuple[TargetTimes, ...]:
-    """Return the times of each target, summed into one row."""
-    sums: dict[int, tuple[int, int]] = {}
-    for row in rows:
-        expected, took = sums.get(row.name, (0, 0))
-        sums[row.name] = (
-            expected + row.expected_milliseconds,
-            took + row.took_milliseconds,
-        )
-    return tuple(TargetTimes(name, *times) for name, times in sums.items())
-
-
 def make_target_speed_table() -> TargetSpeedTable:
     """Return a table of no times."""
     return TargetSpeedTable()
