Read a close that arrived before the wait of a probe ended

Cause: a probe waits 0.1 s for the close of its connection. A loop that stood still until just after that moment handles the end of the wait before the close that arrived meanwhile. Its lateness is then under the 20 ms from which a wait is repeated, so the dead target counted as alive, its crash as none.

Evidence: the new test holds the loop until 2, 10 and 18 ms after the wait was due, while a thread closes the connection after 50 ms. All three cases failed before: alive where refused is right.

Why it works: after the wait the loop runs some iterations, in which it reads what has arrived, and the state of the reader decides.

--- a/sesameford/probes.py
+++ b/sesameford/probes.py
@@ -11,6 +11,8 @@
 # timeout before a close that has arrived meanwhile.
 MAX_LATE_SECONDS = 0.02
 MAX_CLOSE_WAITS = 5
+# The iterations in which the event loop reads what arrived before a wait ended.
+READ_ITERATIONS = 4
 
 
 async def probe_target(url: str) -> Probe:
@@ -75,6 +77,11 @@
                 await reader.read(1)
                 return True
         except TimeoutError:
+            # A loop that stood still ends the wait before it reads the close.
+            for _ in range(READ_ITERATIONS):
+                await asyncio.sleep(0)
+            if reader.at_eof() or reader.exception() is not None:
+                return True
             if loop.time() - due_at_seconds <= MAX_LATE_SECONDS:
                 return False
     return False
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -4,41 +4,67 @@
 import socket
 import threading
 import time
+from contextlib import contextmanager
 
-from sesameford.probes import probe_target
+import pytest
+
+from sesameford.probes import CLOSE_WAIT_SECONDS, probe_target
 from sesameford.silence import Probe
 
 
-def accept_and_close(listener):
+def accept_and_close(listener, close_after_seconds):
     """Close each connection soon, as a proxy in front of a dead target does."""
     while True:
         try:
             connection, _ = listener.accept()
         except OSError:
             return
-        time.sleep(0.05)
+        time.sleep(close_after_seconds)
         connection.close()
 
 
+@contextmanager
+def dead_target(close_after_seconds=0.05):
+    """Listen as a proxy in front of a dead target, and return the URL."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    thread = threading.Thread(
+        target=accept_and_close, args=(listener, close_after_seconds)
+    )
+    thread.start()
+    try:
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        thread.join()
+
+
 async def test_a_late_event_loop_does_not_take_a_dead_target_for_a_live_one():
     """The loop stands still while the probe waits for the connection to be closed.
 
     The crash of the target was not noticed, and a request that crashes targets was
     sent to a third one.
     """
-    listener = socket.create_server(("127.0.0.1", 0))
-    thread = threading.Thread(target=accept_and_close, args=(listener,))
-    thread.start()
-    try:
-        port = listener.getsockname()[1]
-        probing = asyncio.create_task(probe_target(f"http://127.0.0.1:{port}"))
+    with dead_target() as url:
+        probing = asyncio.create_task(probe_target(url))
         await asyncio.sleep(0.02)
         time.sleep(0.3)
         assert await probing is Probe.REFUSED
-    finally:
-        listener.shutdown(socket.SHUT_RDWR)
-        listener.close()
-        thread.join()
+
+
+@pytest.mark.parametrize("late_seconds", [0.002, 0.01, 0.018])
+async def test_a_loop_that_runs_again_when_the_wait_ends_reads_the_close(late_seconds):
+    """The loop stands still until just after the wait for the close was due.
+
+    The close has arrived, and the loop handles the end of the wait first.
+    """
+    with dead_target() as url:
+        probing = asyncio.create_task(probe_target(url))
+        started_at_seconds = time.monotonic()
+        await asyncio.sleep(0.02)
+        until_seconds = started_at_seconds + CLOSE_WAIT_SECONDS + late_seconds
+        time.sleep(until_seconds - time.monotonic())
+        assert await probing is Probe.REFUSED
 
 
 async def test_a_server_that_accepts_and_waits_is_alive():
