Keep a request with two doubtful crashes back until their probes end

What callers saw: behind a forwarder that tries its dead target for longer than 0.1 s, or on a loop that is late at every wait, one request that crashes its targets was sent to four of them in one call, and to others with each resend over the routers.

Cause: after 0.1 s without a close a probe took the target for alive and closed its connection, so no crash was ever proven and nothing made the request a suspect. Not known is not alive.

Why it works: the result after 0.1 s still decides about the present exchange, so that callers of live targets wait no longer than before. The connection is watched for another second, and a close then proves the crash. A request with two crashes, proven or in doubt, waits for its probes, within its deadline; one whose first two connections were cut by the network at live targets is held for 1.1 s before its third attempt.

The silence of a service's exchange uses the same probe now, so a target that refuses it is suspended at once.

--- a/sesameford/completion_run.py
+++ b/sesameford/completion_run.py
@@ -134,7 +134,9 @@
         # answers. The stream itself reports that the answer is truncated.
         settle(run.deps, run.call, run.attempt, _usage(run), Outcome.UNKNOWN)
         run.deps.spawn(_cancel(run))
-        await run.deps.check_target_after_failure(run.attempt, run.target, error)
+        await run.deps.check_target_after_failure(
+            run.call, run.attempt, run.target, error
+        )
         return await caller.end_with_error("answer-cut", str(error))
     finally:
         heartbeat.cancel()
--- a/sesameford/outcomes.py
+++ b/sesameford/outcomes.py
@@ -2,13 +2,19 @@
 
 from collections.abc import Callable, Sequence
 
+from sesameford.crash_doubts import CrashDoubts
 from sesameford.effective import EffectiveTree, FleetSettings
 from sesameford.in_flight_attempts import InFlightAttempts, TargetCrash
 from sesameford.keyed import KeyedRequests
 from sesameford.messages import Outgoing, SuspectUpdate
 from sesameford.retries import RetryBudget, make_backoff
 from sesameford.suspect_log import log_quarantine
-from sesameford.suspects import Suspects, SuspectTreatment, make_crash_id
+from sesameford.suspects import (
+    CRASHES_TO_QUARANTINE,
+    Suspects,
+    SuspectTreatment,
+    make_crash_id,
+)
 from sesameford.target_exclusion import TargetExclusion
 
 
@@ -27,6 +33,7 @@
         self.suspects = Suspects(fleet.quarantine_seconds)
         self.in_flight_attempts = InFlightAttempts()
         self.target_exclusion = TargetExclusion()
+        self.crash_doubts = CrashDoubts()
         self.keyed: KeyedRequests | None = None
         self.open_requests = 0
         self.target_crashes = 0
@@ -50,6 +57,16 @@
         """Return how this request is treated now."""
         return self.suspects.treatment(request_digest, now_seconds)
 
+    def must_wait_for_probes(self, request_digest: bytes) -> bool:
+        """Return whether a request may have crashed enough targets for a quarantine.
+
+        Some of the crashes are in doubt until the probes of the targets end.
+        """
+        doubts = self.crash_doubts.count(request_digest)
+        row = self.suspects.get(request_digest)
+        crashes = len(row.uncleared_crashes) if row is not None else 0
+        return doubts > 0 and doubts + crashes >= CRASHES_TO_QUARANTINE
+
     def record_target_crash(
         self, target_id: str, incarnation: int, now_seconds: float
     ) -> None:
--- a/sesameford/probes.py
+++ b/sesameford/probes.py
@@ -1,28 +1,80 @@
 """Probes of targets by fresh connections."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import urlsplit
 
 from sesameford.silence import PROBE_TIMEOUT_SECONDS, Probe
 
 CLOSE_WAIT_SECONDS = 0.1
+# A forwarder may first try for some time to reach its dead target. Servers close a
+# connection on which nothing is sent too, but much later.
+LATE_CLOSE_WAIT_SECONDS = 1.0
 REFUSAL_TIMEOUT_SECONDS = 0.3
-# A wait that ended later than this proves nothing: a late event loop handles its
-# timeout before a close that has arrived meanwhile.
+# A wait that ended later than this proves nothing: a late event loop, or a machine
+# that stood still, may not have let the close arrive.
 MAX_LATE_SECONDS = 0.02
 MAX_CLOSE_WAITS = 5
 # The iterations in which the event loop reads what arrived before a wait ended.
 READ_ITERATIONS = 4
 
 
-async def probe_target(url: str) -> Probe:
+@dataclass(frozen=True, slots=True)
+class ProbeConnection:
+    """A probe's connection that the target accepted."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def is_closed_soon(self) -> bool:
+        """Return whether the peer closes the connection, on which nothing is sent.
+
+        Nothing is sent so that the target never sees a request in a probe.
+        """
+        loop = asyncio.get_running_loop()
+        for _ in range(MAX_CLOSE_WAITS):
+            due_at_seconds = loop.time() + CLOSE_WAIT_SECONDS
+            if await self._is_closed_within(CLOSE_WAIT_SECONDS):
+                return True
+            if loop.time() - due_at_seconds <= MAX_LATE_SECONDS:
+                return False
+        return False
+
+    async def is_closed_late(self) -> bool:
+        """Return whether the peer closes a connection that it did not close soon."""
+        return await self._is_closed_within(LATE_CLOSE_WAIT_SECONDS)
+
+    def close(self) -> None:
+        """Close this end."""
+        self.writer.close()
+
+    async def _is_closed_within(self, seconds: float) -> bool:
+        try:
+            async with asyncio.timeout(seconds):
+                await self.reader.read(1)
+                return True
+        except TimeoutError:
+            # A loop that stood still ends the wait before it reads the close.
+            for _ in range(READ_ITERATIONS):
+                await asyncio.sleep(0)
+            return self.reader.at_eof() or self.reader.exception() is not None
+        except OSError:
+            return True
+
+
+async def probe_target(
+    url: str, keep_connection: Callable[[ProbeConnection], None] | None = None
+) -> Probe:
     """Probe with a fresh connection whether a target accepts connections.
 
     Args:
         url: The target's address.
+        keep_connection: Takes over the connection if the result is ``ALIVE``; closed
+            if None.
 
     Returns:
-        ``REFUSED`` if the connection is refused, or accepted and closed at once, as a
+        ``REFUSED`` if the connection is refused, or accepted and soon closed, as a
         proxy in front of a dead target does. ``NO_ANSWER`` may also mean that the
         network is partitioned.
     """
@@ -35,12 +87,18 @@
         return Probe.REFUSED
     except (TimeoutError, OSError):
         return Probe.NO_ANSWER
+    connection = ProbeConnection(reader, writer)
+    is_kept = False
     try:
-        return Probe.REFUSED if await _is_closed_soon(reader) else Probe.ALIVE
-    except OSError:
-        return Probe.REFUSED
+        if await connection.is_closed_soon():
+            return Probe.REFUSED
+        if keep_connection is not None:
+            keep_connection(connection)
+            is_kept = True
+        return Probe.ALIVE
     finally:
-        writer.close()
+        if not is_kept:
+            connection.close()
 
 
 async def refuses_connections(address: str) -> bool:
@@ -59,29 +117,3 @@
         return False
     writer.close()
     return False
-
-
-async def _is_closed_soon(reader: asyncio.StreamReader) -> bool:
-    """Return whether the peer closes a connection on which nothing is sent.
-
-    Nothing is sent so that the target never sees a request in a probe.
-
-    Raises:
-        OSError: The connection was reset.
-    """
-    loop = asyncio.get_running_loop()
-    for _ in range(MAX_CLOSE_WAITS):
-        due_at_seconds = loop.time() + CLOSE_WAIT_SECONDS
-        try:
-            async with asyncio.timeout_at(due_at_seconds):
-                await reader.read(1)
-                return True
-        except TimeoutError:
-            # A loop that stood still ends the wait before it reads the close.
-            for _ in range(READ_ITERATIONS):
-                await asyncio.sleep(0)
-            if reader.at_eof() or reader.exception() is not None:
-                return True
-            if loop.time() - due_at_seconds <= MAX_LATE_SECONDS:
-                return False
-    return False
--- a/sesameford/relay.py
+++ b/sesameford/relay.py
@@ -301,7 +301,7 @@
         try:
             return await _run_attempt(deps, call, caller, attempt, target, history)
         except TargetError as error:
-            await deps.check_target_after_failure(attempt, target, error)
+            await deps.check_target_after_failure(call, attempt, target, error)
             raise
 
 
@@ -329,12 +329,19 @@
     history: AttemptHistory,
     stack: AsyncExitStack,
 ) -> None:
-    """Wait until the attempt may run: a suspect exclusively, all others shared."""
+    """Wait until the attempt may run: a suspect exclusively, all others shared.
+
+    Raises:
+        TargetRefusedError: Its deadline passed before.
+        NotRunError: The body was quarantined.
+    """
     digest = call.request.request_digest
     exclusion = deps.outcomes.target_exclusion
     left_seconds = max(history.deadline_at_seconds - deps.now(), 0.0)
     try:
         async with asyncio.timeout(left_seconds):
+            while deps.outcomes.must_wait_for_probes(digest):
+                await deps.outcomes.crash_doubts.wait_for_one(digest)
             if deps.outcomes.treatment(digest, deps.now()) is SuspectTreatment.CLEAR:
                 turn = exclusion.run_shared(attempt.target_id)
             else:
--- a/sesameford/relay_deps.py
+++ b/sesameford/relay_deps.py
@@ -14,7 +14,7 @@
 from sesameford.costs import cost_of_usage
 from sesameford.errors import TargetError
 from sesameford.outcomes import Outcomes, make_outcomes
-from sesameford.probes import probe_target
+from sesameford.probes import ProbeConnection, probe_target
 from sesameford.retries import PROVEN_NOT_STARTED, Failure
 from sesameford.router import Router
 from sesameford.service_adapter import HOP_BY_HOP_HEADERS
@@ -57,13 +57,9 @@
         return task
 
     async def check_target_after_failure(
-        self, attempt: Attempt, target: Target, error: TargetError
+        self, call: "Call", attempt: Attempt, target: Target, error: TargetError
     ) -> None:
-        """Record the backoff that a failed attempt's target requests, or probe it.
-
-        A target that fails the probe, over a fresh connection, gets no new work; one
-        that refuses the connection counts as crashed.
-        """
+        """Record the backoff that a failed attempt's target requests, or probe it."""
         failure = failure_of(error)
         in_flight_attempts = self.outcomes.in_flight_attempts
         if failure in PROVEN_NOT_STARTED:
@@ -72,12 +68,52 @@
             in_flight_attempts.record_broken(attempt.attempt_id, self.now())
         if error.retry_after_seconds is not None:
             self._back_off(target, error.retry_after_seconds)
-        if failure not in _PROBED_FAILURES:
-            return
-        probe = await probe_target(target.url)
+        if failure in _PROBED_FAILURES:
+            await self.probe_target(target, call.request.request_digest)
+
+    async def probe_target(self, target: Target, digest: bytes) -> Probe:
+        """Probe a target at which the exchange of a request broke or is silent.
+
+        A target that fails the probe, over a fresh connection, gets no new work; one
+        that refuses the connection counts as crashed. One that closes it later is
+        alive as far as this result says, and counts as crashed when it does.
+        """
+        started_seconds = self.now()
+
+        def watch(connection: ProbeConnection) -> None:
+            watching = self._watch_for_close(target, connection, started_seconds)
+            self.outcomes.crash_doubts.add(digest, watching)
+
+        probe = await probe_target(target.url, watch)
+        self._record_probe(target, probe, started_seconds)
+        return probe
+
+    async def _watch_for_close(
+        self, target: Target, connection: ProbeConnection, started_seconds: float
+    ) -> None:
+        """Wait on for a close of a probe's connection."""
+        try:
+            is_closed = await connection.is_closed_late()
+        finally:
+            connection.close()
+        if is_closed:
+            self._record_probe(target, Probe.REFUSED, started_seconds)
+
+    def _record_probe(
+        self, target: Target, probe: Probe, started_seconds: float
+    ) -> None:
+        now_seconds = self.now()
+        logger.info(
+            "target probed",
+            extra={
+                "target": target.target_id,
+                "incarnation": target.incarnation,
+                "result": probe.value,
+                "took_seconds": round(now_seconds - started_seconds, 3),
+            },
+        )
         if probe is Probe.ALIVE:
             return
-        now_seconds = self.now()
         self.router.registry.suspend(target.target_id, target.incarnation, now_seconds)
         self.router.refresh_targets()
         if probe is Probe.REFUSED:
--- a/sesameford/service_run.py
+++ b/sesameford/service_run.py
@@ -5,7 +5,6 @@
 from aiohttp.web import Response
 
 from sesameford.errors import TargetLostError
-from sesameford.probes import probe_target
 from sesameford.relay_deps import Call, RelayDeps, make_relayed_response, settle
 from sesameford.retries import AttemptHistory, Failure
 from sesameford.service_adapter import open_call, read_complete_body
@@ -35,7 +34,7 @@
     exchange = asyncio.ensure_future(_send_call(deps, call, attempt, target))
     try:
         with deps.tracer.start_as_current_span("target"):
-            await _wait_for_answer(deps, exchange, target, history)
+            await _wait_for_answer(deps, call, exchange, target, history)
         answer = exchange.result()
     except asyncio.CancelledError:
         usage = Usage(service_seconds=deps.now() - started_seconds)
@@ -65,6 +64,7 @@
 
 async def _wait_for_answer(
     deps: RelayDeps,
+    call: Call,
     exchange: "asyncio.Future[Response]",
     target: Target,
     history: AttemptHistory,
@@ -88,7 +88,7 @@
         if exchange.done():
             return
         deps.outcomes.silent_connections += 1
-        probe = await probe_target(target.url)
+        probe = await deps.probe_target(target, call.request.request_digest)
         if exchange.done():
             return
         step = choose_next_step(TargetKind.SERVICE, probe, history, deps.now())
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -20,6 +20,8 @@
     Attributes:
         delay_seconds: Added to each chunk of bytes, in both directions.
         refuse: New connections are closed at once.
+        refuse_after_seconds: How long a refused connection stays open, as at a
+            forwarder that tries its dead target first.
         cut_answer_after_bytes: A connection is reset after this many bytes of its
             answers.
         half_close_answer_after_bytes: As above, but with an orderly end.
@@ -28,6 +30,7 @@
 
     delay_seconds: float = 0.0
     refuse: bool = False
+    refuse_after_seconds: float = 0.0
     cut_answer_after_bytes: int | None = None
     half_close_answer_after_bytes: int | None = None
     hold_answers: bool = False
@@ -110,6 +113,7 @@
     ) -> None:
         self.connections += 1
         if self.faults.refuse:
+            await asyncio.sleep(self.faults.refuse_after_seconds)
             writer.transport.abort()
             return
         try:
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -67,6 +67,15 @@
         assert await probing is Probe.REFUSED
 
 
+async def test_a_close_after_the_wait_is_left_to_the_caller_of_the_probe():
+    """A forwarder tries its dead target for longer than the probe waits."""
+    with dead_target(close_after_seconds=0.3) as url:
+        connections = []
+        assert await probe_target(url, connections.append) is Probe.ALIVE
+        assert await connections[0].is_closed_late()
+        connections[0].close()
+
+
 async def test_a_server_that_accepts_and_waits_is_alive():
     server = await asyncio.start_server(lambda *_: asyncio.sleep(1), "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
--- /dev/null
+++ b/tests/test_slow_forwarders.py
@@ -0,0 +1,99 @@
+"""Crashes that are noticed late: few targets are lost before they are proven."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from tests.faults_fixture import GOOD_KEY, open_world
+
+POISON_PATH = "/services/roster/x?mark=poison"
+
+
+class CrashingTargets:
+    """Targets that end when they run the poison request."""
+
+    def __init__(self, world, crash):
+        self.world, self.crash = world, crash
+        self.crashed_ports = []
+
+    async def add(self, count):
+        for number in range(count):
+            await self.world.add_handler(f"s{number}", self._run)
+
+    async def _run(self, http):
+        if http.query.get("mark") == "poison":
+            self.crashed_ports.append(http.url.port)
+            target = next(t for t in self.world.targets if t.port == http.url.port)
+            return await self.crash(target, http)
+        return web.Response(text=http.query.get("mark"))
+
+
+def crash_behind(seconds):
+    """Return a crash behind a forwarder that closes connections after some time."""
+
+    async def crash(target, http):
+        target.proxy.faults.refuse_after_seconds = seconds
+        target.proxy.faults.refuse = True
+        target.proxy.reset_all()
+        return web.Response()
+
+    return crash
+
+
+async def resend(router):
+    answer = await router.client.get(POISON_PATH, headers=GOOD_KEY)
+    return answer.headers["Sesameford-Outcome"]
+
+
+@pytest.mark.parametrize("seconds", [0.15, 0.3, 0.7])
+async def test_a_slow_forwarder_hides_no_crash(seconds):
+    """A forwarder tries its dead target for longer than a probe waits.
+
+    The crash counted as none, and the request was sent to four targets in turn, and
+    to others with each resend.
+    """
+    async with open_world(routers=2) as world:
+        targets = CrashingTargets(world, crash_behind(seconds))
+        await targets.add(6)
+        outcomes = [await resend(world.routers[n % 2]) for n in range(8)]
+        assert len(targets.crashed_ports) == 2
+        assert outcomes == ["unknown"] + ["not-run"] * 7
+
+
+async def test_connections_that_break_at_live_targets_hold_a_request_for_a_moment():
+    """The network cuts the first two connections of a request, and no target ended.
+
+    The request waits for the probes and is then served.
+    """
+    async with open_world() as world:
+        await world.add_handler("s0", answer_after_two_cuts(world))
+        await world.add_handler("s1", answer_after_two_cuts(world))
+        answer = await world.routers[0].client.get(POISON_PATH, headers=GOOD_KEY)
+        assert answer.headers["Sesameford-Outcome"] == "ran"
+        suspects = world.routers[0].outcomes.suspects
+        assert suspects.count_suspects() == 0
+
+
+def answer_after_two_cuts(world):
+    """Return a handler that aborts the first two connections at any target."""
+
+    async def run(http):
+        world.deaths["cuts"] += 1
+        if world.deaths["cuts"] <= 2:
+            http.transport.abort()
+        return web.Response(text="done")
+
+    return run
+
+
+async def test_a_request_that_waits_for_probes_keeps_its_deadline():
+    """Two crashes are in doubt when the deadline of the request passes."""
+    async with open_world() as world:
+        targets = CrashingTargets(world, crash_behind(0.9))
+        await targets.add(6)
+        headers = {**GOOD_KEY, "Sesameford-Deadline-Seconds": "0.6"}
+        async with asyncio.timeout(0.9):
+            answer = await world.routers[0].client.get(POISON_PATH, headers=headers)
+        assert answer.headers["Sesameford-Outcome"] == "unknown"
+        assert len(targets.crashed_ports) == 2
