Probe a target whose answer has no length and may be cut

What callers saw: a request whose target ends in the middle of an answer without a length was sent to four targets in one call.

Cause: the end of the connection is the only end of such an answer, so the exchange failed as an invalid answer, and no probe followed.

Evidence: test_a_crash_in_an_answer_without_length_is_noticed failed before (4 crashes in the first call, 2 are allowed).

Why it works: the probe tells a target that ended from one that speaks badly.

--- a/sesameford/relay_deps.py
+++ b/sesameford/relay_deps.py
@@ -30,6 +30,8 @@
         Failure.CONNECT_TIMEOUT,
         Failure.LOST_BEFORE_ANSWER,
         Failure.ANSWER_CUT,
+        # The end of an answer without a length may also be a crash.
+        Failure.ANSWER_INVALID,
         Failure.TARGET_GONE,
     }
 )
--- a/tests/test_slow_forwarders.py
+++ b/tests/test_slow_forwarders.py
@@ -41,6 +41,14 @@
     return crash
 
 
+async def crash_in_an_answer_without_length(target, http):
+    """Close the connection in the middle of an answer that has no length."""
+    http.transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+    http.transport.close()
+    target.proxy.faults.refuse = True
+    return web.Response()
+
+
 async def resend(router):
     answer = await router.client.get(POISON_PATH, headers=GOOD_KEY)
     return answer.headers["Sesameford-Outcome"]
@@ -61,6 +69,19 @@
         assert outcomes == ["unknown"] + ["not-run"] * 7
 
 
+async def test_a_crash_in_an_answer_without_length_is_noticed():
+    """Nothing marks the end of an answer, and its target ends in the middle of it.
+
+    No probe followed, and the request was sent to four targets in turn.
+    """
+    async with open_world() as world:
+        targets = CrashingTargets(world, crash_in_an_answer_without_length)
+        await targets.add(6)
+        outcomes = [await resend(world.routers[0]) for _ in range(4)]
+        assert len(targets.crashed_ports) == 2
+        assert outcomes == ["unknown"] + ["not-run"] * 3
+
+
 async def test_connections_that_break_at_live_targets_hold_a_request_for_a_moment():
     """The network cuts the first two connections of a request, and no target ended.
 
