Postpone a probe that comes too soon, in place of leaving it out

A call that ends servers could be sent on for seconds where its server had been probed less than a second before.

Cause: probes of a target are made once a second at most, and one that came sooner was dropped. A target that ended after the first one was then noticed by the next call that was sent there, or by five missing heartbeats.

Evidence: test_a_target_that_ends_just_after_a_probe_is_probed_again found nothing before (run against the code before with forget in place of tick).

Why it works: the probe is made when the second is over. The limit of one a second stays; the test of it now starts a probe every 50 ms for two seconds and counts three connections, where it counted two in one second before.

--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -165,7 +165,7 @@
             if self._is_silent(target_id, now_seconds):
                 self._probes.start(target_id, incarnation, address, now_seconds)
         self.exchange.tick(now_seconds)
-        self._probes.forget(now_seconds)
+        self._probes.tick(now_seconds)
 
     def notify_waiting(self) -> None:
         """Let the copies that wait check again."""
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -243,7 +243,31 @@
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     assert (probed, refused) == (["alive:1", "dead:1"], [("dead", 3)])
-    probes.forget(10.0 + PROBE_INTERVAL_SECONDS)
-    probes.start("alive", 0, "alive:1", 10.0 + PROBE_INTERVAL_SECONDS)
+    for step in range(1, 41):
+        now_seconds = 10.0 + step * PROBE_INTERVAL_SECONDS / 20
+        probes.start("alive", 0, "alive:1", now_seconds)
+        probes.tick(now_seconds)
+        await asyncio.sleep(0)
+    assert probed.count("alive:1") == 3
+
+
+async def test_a_target_that_ends_just_after_a_probe_is_probed_again():
+    """An exchange is reset and the target runs; half a second later it crashes.
+
+    Without another exchange there the crash was noticed only seconds later.
+    """
+    is_refused = False
+    found = []
+
+    async def refuses(address):
+        return is_refused
+
+    probes = make_crash_probes(refuses, lambda *target: found.append(target))
+    probes.start("t1", 7, "t1:1", 10.0)
     await asyncio.sleep(0)
-    assert len(probed) == 3
+    is_refused = True
+    probes.start("t1", 7, "t1:1", 10.5)
+    for now_seconds in (10.6, 10.9, 11.1):
+        probes.tick(now_seconds)
+        await asyncio.sleep(0)
+    assert found == [("t1", 7)]
