Count only the runs of suspects as trials in the daemon

What callers saw: copies of one popular request ran on all targets of a rack when it failed, and the request was then refused as quarantined for minutes.

Cause: the daemon counted every run as a trial, so two crashes at once were enough for a quarantine.

Evidence: test_a_popular_request_is_served_after_a_rack_failed failed before (the copies and the next send were refused).

Why it works: an attempt is a trial if its request was a suspect when it was sent, or if an earlier attempt of it may have crashed its target. Two crashes without a trial among them quarantine nothing; the next run is a trial.

--- a/sesameford/outcomes.py
+++ b/sesameford/outcomes.py
@@ -118,7 +118,9 @@
                 continue
             self.target_crashes += 1
             name = make_crash_id(crash.target_id, crash.incarnation)
-            self.suspects.record_crash(name, crash.request_digests, now_seconds)
+            self.suspects.record_crash(
+                name, crash.request_digests, now_seconds, crash.trials
+            )
         # Sent at once: the caller may resend the body through another router.
         self.send_suspect_updates(now_seconds)
 
--- a/sesameford/relay.py
+++ b/sesameford/relay.py
@@ -285,7 +285,7 @@
     """
     async with AsyncExitStack() as stack:
         try:
-            await _enter_target(deps, call, attempt, history, stack)
+            is_trial = await _enter_target(deps, call, attempt, history, stack)
         except asyncio.CancelledError:
             settle(deps, call, attempt, Usage(), Outcome.NOT_RUN)
             raise
@@ -296,6 +296,7 @@
                 attempt.target_id,
                 attempt.target_incarnation,
                 call.request.request_digest,
+                is_trial,
             ),
         )
         try:
@@ -328,9 +329,13 @@
     attempt: Attempt,
     history: AttemptHistory,
     stack: AsyncExitStack,
-) -> None:
+) -> bool:
     """Wait until the attempt may run: a suspect exclusively, all others shared.
 
+    Returns:
+        Whether it is a trial. That includes a resend after an attempt which may have
+        crashed its target, as that crash may be proven later.
+
     Raises:
         TargetRefusedError: Its deadline passed before.
         NotRunError: The body was quarantined.
@@ -342,14 +347,21 @@
         async with asyncio.timeout(left_seconds):
             while deps.outcomes.must_wait_for_probes(digest):
                 await deps.outcomes.crash_doubts.wait_for_one(digest)
-            if deps.outcomes.treatment(digest, deps.now()) is SuspectTreatment.CLEAR:
-                turn = exclusion.run_shared(attempt.target_id)
-            else:
+            treatment = deps.outcomes.treatment(digest, deps.now())
+            is_suspect = treatment is not SuspectTreatment.CLEAR
+            if is_suspect:
                 turn = exclusion.run_exclusive(attempt.target_id, digest)
+            else:
+                turn = exclusion.run_shared(attempt.target_id)
             await stack.enter_async_context(turn)
     except TimeoutError as error:
         raise TargetRefusedError("no turn in time", Failure.NEVER_SENT) from error
     _refuse_quarantined(deps, call)
+    return (
+        is_suspect
+        or history.may_have_run
+        or deps.outcomes.crash_doubts.count(digest) > 0
+    )
 
 
 async def _run_attempt(
