Quarantine neither of two suspects that were on trial at one crash

Cause: a quarantine asked only that no other suspect shared both crashes. Two suspects of different crashes that are on trial at one server when it ends share one crash, so both were quarantined, and one of them was innocent.

The first new test failed before: quarantined where suspect is right.

Why it works: two crashes are enough only if the request was alone on trial at one of them. Otherwise each may run once more: a completion clears the innocent one, which quarantines the other at once without a further crash; a third crash of its own does so too.

--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -10,9 +10,9 @@
 
 A crashing request that is resent one at a time costs at most two targets in the whole
 fleet before it is quarantined, or three if another suspect was in flight at both
-crashes. After that it costs one target per quarantine, and each quarantine lasts twice
-as long as the one before. Copies that already run at the first crash, or start before
-its update arrives, cost one more target each.
+crashes, or on trial at the second one. After that it costs one target per quarantine,
+and each quarantine lasts twice as long as the one before. Copies that already run at
+the first crash, or start before its update arrives, cost one more target each.
 """
 
 from collections.abc import Collection, Iterable, Sequence
@@ -369,6 +369,7 @@
 
         Two suspects may run on one target from two routers. Both then have two
         crashes, and one of them did not cause them: each may run once more, alone.
+        They may be suspects of the same crash or of different ones.
         """
         crashes = row.uncleared_crashes
         trials = row.uncleared_trial_crashes
@@ -380,7 +381,16 @@
         ):
             return True
         involved = (self._by_crash[crash_id] for crash_id in crashes)
-        return set.intersection(*involved) == {row.request_digest}
+        if set.intersection(*involved) != {row.request_digest}:
+            return False
+        return any(self._trials_at(crash_id) == 1 for crash_id in trials)
+
+    def _trials_at(self, crash_id: str) -> int:
+        """Return how many requests on trial at a crash have not completed since."""
+        return sum(
+            crash_id in self._rows[digest].uncleared_trial_crashes
+            for digest in self._by_crash.get(crash_id, ())
+        )
 
 
 def make_crash_id(target_id: str, incarnation: int) -> str:
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -4,9 +4,49 @@
 
 from aiohttp import web
 
+from sesameford.suspects import Suspects, SuspectTreatment
 from tests.faults_fixture import GOOD_KEY, open_world
 
 TARGETS = 3
+POISON, INNOCENT = b"poison", b"innocent"
+
+
+def make_suspects_on_trial_together():
+    """Two targets crash, and a suspect of each is then on trial at a third one."""
+    suspects = Suspects(300.0)
+    suspects.record_crash("t/1", [POISON, b"one"], 0.0, trials=[])
+    suspects.record_crash("t/2", [INNOCENT, b"two"], 0.0, trials=[])
+    both = [POISON, INNOCENT]
+    suspects.record_crash("t/3", [*both, b"three"], 1.0, trials=both)
+    return suspects
+
+
+def test_suspects_of_different_crashes_on_trial_together_run_once_more():
+    """Routers try a suspect each at the same target, and one of them crashes it.
+
+    Both were refused for minutes, though one of them had crashed nothing.
+    """
+    suspects = make_suspects_on_trial_together()
+    for digest in (POISON, INNOCENT):
+        assert suspects.treatment(digest, 1.0) is SuspectTreatment.SUSPECT
+    suspects.record_completion(INNOCENT, 2.0)
+    assert suspects.treatment(INNOCENT, 2.0) is SuspectTreatment.CLEAR
+    assert suspects.treatment(POISON, 2.0) is SuspectTreatment.QUARANTINED
+
+
+def test_a_suspect_that_was_on_trial_with_another_is_refused_after_a_third_crash():
+    suspects = make_suspects_on_trial_together()
+    suspects.record_crash("t/4", [POISON, b"four"], 2.0, trials=[POISON])
+    assert suspects.treatment(POISON, 2.0) is SuspectTreatment.QUARANTINED
+    assert suspects.treatment(INNOCENT, 2.0) is SuspectTreatment.SUSPECT
+
+
+def test_a_suspect_alone_on_trial_is_refused_beside_first_suspects():
+    suspects = Suspects(300.0)
+    suspects.record_crash("t/1", [POISON, INNOCENT], 0.0, trials=[])
+    suspects.record_crash("t/2", [POISON, b"two"], 1.0, trials=[POISON])
+    assert suspects.treatment(POISON, 1.0) is SuspectTreatment.QUARANTINED
+    assert suspects.treatment(INNOCENT, 1.0) is SuspectTreatment.SUSPECT
 
 
 async def test_a_popular_request_is_served_after_a_rack_failed():
