Report a quarantine only if it lasts

Cause: what several routers observed of one crash arrives request by request. Between two updates a request can look as if it had been alone on trial, and the line was written at once.

Evidence: test_only_quarantines_that_last_are_reported failed before.

Why it works: the lines are written at the next tick, for those that are still quarantined then; one that is no more gets a new start if it comes again.

--- a/sesameford/gateway/suspect_exchange.py
+++ b/sesameford/gateway/suspect_exchange.py
@@ -113,7 +113,6 @@
         is_changed = self.suspects.merge_update(update, now_seconds, repeats)
         if is_changed:
             self.grants.end(update.request_digest)
-            self._log_quarantines(now_seconds)
         return is_changed
 
     def handle_heartbeat(
@@ -143,7 +142,8 @@
                 self._send(Outgoing(receiver, update, urgent=True))
         self.suspects.tick(now_seconds)
         self.grants.forget(now_seconds)
-        self._log_quarantines(now_seconds)
+        for row in self.suspects.pop_newly_quarantined():
+            log_quarantine(self.suspects, row, now_seconds)
 
     def _first_receiver(self, now_seconds: float) -> str | None:
         """Return the replica that a router sends to first, None to send to all."""
@@ -156,10 +156,6 @@
         if row is not None and self.suspects.record_completion(digest, now_seconds):
             log_cleared(row, reason)
 
-    def _log_quarantines(self, now_seconds: float) -> None:
-        for row in self.suspects.pop_newly_quarantined():
-            log_quarantine(self.suspects, row, now_seconds)
-
 
 def make_suspect_exchange(
     own_id: str,
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -213,10 +213,22 @@
         return [(row, seconds) for row, seconds in left if seconds > 0.0]
 
     def pop_newly_quarantined(self) -> Sequence[Suspect]:
-        """Return the requests whose quarantine started since the last call."""
+        """Return the requests whose quarantine started since the last call.
+
+        Those are left out that another update has made suspects again: what routers
+        observed of one crash arrives request by request.
+        """
         digests, self._newly_quarantined = self._newly_quarantined, []
-        rows = (self._rows.get(digest) for digest in digests)
-        return [row for row in rows if row is not None]
+        started = []
+        for digest in digests:
+            row = self._rows.get(digest)
+            if row is None:
+                continue
+            if self._is_quarantine_due(row):
+                started.append(row)
+            else:
+                self._put(replace(row, quarantined_at_seconds=None))
+        return started
 
     def count_suspects(self) -> int:
         """Return how many requests have crashes that no completion cleared."""
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -49,6 +49,22 @@
     assert suspects.treatment(INNOCENT, 1.0) is SuspectTreatment.SUSPECT
 
 
+def test_only_quarantines_that_last_are_reported():
+    """The updates on two requests that were on trial together arrive one by one.
+
+    Operators saw a quarantine of each, and one of them was no reason to look further.
+    """
+    router = make_suspects_on_trial_together()
+    instance = Suspects(300.0)
+    for update in router.make_due_updates(1.0):
+        instance.merge_update(update, 1.0)
+    assert not instance.pop_newly_quarantined()
+    instance.record_completion(INNOCENT, 2.0)
+    (row,) = instance.pop_newly_quarantined()
+    assert row.request_digest == POISON
+    assert instance.quarantine_left_seconds(POISON, 2.0) == 300.0
+
+
 async def test_a_popular_request_is_served_after_a_rack_failed():
     """Copies of one request run on all targets of a rack when it loses power.
 
