Take a target that answers a probe's connection for a live one

What callers saw: a service with too many connections, which answers each new one and closes it, counted as crashed while it ran; its running requests became suspects.

Cause: a probe took any end of its wait but silence for a close.

Evidence: test_a_server_that_answers_before_it_closes_is_alive failed before (run against the code before: refused).

Why it works: only an end without a byte is a close.

--- a/sesameford/probes.py
+++ b/sesameford/probes.py
@@ -52,8 +52,9 @@
     async def _is_closed_within(self, seconds: float) -> bool:
         try:
             async with asyncio.timeout(seconds):
-                await self.reader.read(1)
-                return True
+                # A target that answers, for example that it has too many
+                # connections, is alive.
+                return not await self.reader.read(1)
         except TimeoutError:
             # A loop that stood still ends the wait before it reads the close.
             for _ in range(READ_ITERATIONS):
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -81,3 +81,23 @@
     port = server.sockets[0].getsockname()[1]
     assert await probe_target(f"http://127.0.0.1:{port}") is Probe.ALIVE
     server.close()
+
+
+async def test_a_server_that_answers_before_it_closes_is_alive():
+    """A server with too many connections answers 503 to each new one and closes it.
+
+    It counted as crashed, and its running requests as suspects.
+    """
+
+    async def reject(_, writer):
+        writer.write(b"HTTP/1.1 503 Service Unavailable\r\n\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(reject, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connections = []
+    url = f"http://127.0.0.1:{port}"
+    assert await probe_target(url, connections.append) is Probe.ALIVE
+    assert not await connections[0].is_closed_late()
+    connections[0].close()
+    server.close()
