Close a link's socket only when it can't be about to connect

Cause: a link that is dialled again closes its old socket. nng's dialer looks up the address, also a numeric one, at each attempt to connect, every 50 to 200 ms while the peer is silent. A socket that is closed at that moment makes nng's resolver use a mutex that is gone, and it aborts the process.

Why it works: a connected socket looks nothing up and is closed at once. Any other gets a reconnect interval of an hour, and is closed 0.4 s later, when the attempt that was already due (200 ms at most) has looked up its address. A stop waits for that time only if a link is not connected.

--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -25,6 +25,7 @@
     record_envelope,
     should_redial,
 )
+from sesameford.retired_sockets import CLOSE_DELAY_SECONDS, RetiredSockets
 from sesameford.settings import DaemonSettings, Peer
 from sesameford.tls import TlsFiles, make_dialler_config, make_listener_config
 
@@ -105,6 +106,7 @@
         self._peers = {peer.instance_id: peer for peer in settings.peers}
         self._states = {peer_id: PeerState(now()) for peer_id in self._peers}
         self._sockets: dict[str, Push0] = {}
+        self._retired = RetiredSockets()
         self._pending: dict[str, list[Message]] = {peer: [] for peer in self._peers}
         self._listener: Pull0 | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -178,7 +180,7 @@
         self._pending.pop(peer_id, None)
         socket = self._sockets.pop(peer_id, None)
         if socket is not None:
-            socket.close()
+            self._retired.add(socket, self._now())
 
     def raise_incarnation(self, above: int) -> bool:
         """Raise the incarnation above that of an earlier process of this instance.
@@ -226,7 +228,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for socket in self._sockets.values():
-            socket.close()
+            self._retired.add(socket, self._now())
+        if self._retired:
+            await asyncio.sleep(CLOSE_DELAY_SECONDS)
+            self._retired.close_due(float("inf"))
         if self._listener is not None:
             self._listener.close()
 
@@ -302,6 +307,7 @@
             await asyncio.sleep(FLUSH_SECONDS)
             self.flush()
             now_seconds = self._now()
+            self._retired.close_due(now_seconds)
             for peer_id, peer in list(self._peers.items()):
                 if should_redial(
                     self._states[peer_id], now_seconds, self._redial_after_seconds
@@ -311,7 +317,7 @@
     def _dial(self, peer: Peer) -> None:
         old = self._sockets.pop(peer.instance_id, None)
         if old is not None:
-            old.close()
+            self._retired.add(old, self._now())
         socket = Push0(
             send_buffer_size=SEND_BUFFER_MESSAGES,
             reconnect_time_min=RECONNECT_MIN_MS,
