Index the requests on trial by crash

Each update of a crash with hundreds of calls in flight counted those on trial anew for every suspect with two crashes. The index is kept beside that of all calls by crash; what is decided is the same.

--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -91,6 +91,7 @@
         self._rows: dict[bytes, Suspect] = {}
         self._by_customer: dict[bytes, dict[bytes, None]] = {}
         self._by_crash: dict[str, set[bytes]] = {}
+        self._trials_by_crash: dict[str, set[bytes]] = {}
         # The few suspects with enough crashes for a quarantine. Only these are
         # compared with each other, as a crash may add hundreds of suspects at once.
         self._repeated: set[bytes] = set()
@@ -336,8 +337,8 @@
         self._put(row)
         self._by_customer.setdefault(customer_part(digest), {})[digest] = None
         uncleared = row.uncleared_crashes
-        for crash_id in uncleared:
-            self._by_crash.setdefault(crash_id, set()).add(digest)
+        _add_to(self._by_crash, uncleared, digest)
+        _add_to(self._trials_by_crash, row.uncleared_trial_crashes, digest)
         if len(uncleared) >= CRASHES_TO_QUARANTINE:
             self._repeated.add(digest)
 
@@ -351,10 +352,8 @@
         self._by_customer[customer].pop(digest)
         if not self._by_customer[customer]:
             del self._by_customer[customer]
-        for crash_id in row.uncleared_crashes:
-            self._by_crash[crash_id].discard(digest)
-            if not self._by_crash[crash_id]:
-                del self._by_crash[crash_id]
+        _remove_from(self._by_crash, row.uncleared_crashes, digest)
+        _remove_from(self._trials_by_crash, row.uncleared_trial_crashes, digest)
 
     def _drop_surplus(self, customer: bytes) -> None:
         """Keep the table within its bounds after a row of a customer changed."""
@@ -395,13 +394,9 @@
         involved = (self._by_crash[crash_id] for crash_id in crashes)
         if set.intersection(*involved) != {row.request_digest}:
             return False
-        return any(self._trials_at(crash_id) == 1 for crash_id in trials)
-
-    def _trials_at(self, crash_id: str) -> int:
-        """Return how many requests on trial at a crash have not completed since."""
-        return sum(
-            crash_id in self._rows[digest].uncleared_trial_crashes
-            for digest in self._by_crash.get(crash_id, ())
+        return any(
+            self._trials_by_crash[crash_id] == {row.request_digest}
+            for crash_id in trials
         )
 
 
@@ -422,3 +417,21 @@
             trials = tuple(sorted(crashes & row.trial_crashes))
             messages.append(SuspectUpdate(row.request_digest, deaths, cleared, trials))
     return messages
+
+
+def _add_to(
+    index: dict[str, set[bytes]], crash_ids: Iterable[str], digest: bytes
+) -> None:
+    """Add a request to an index by crash."""
+    for crash_id in crash_ids:
+        index.setdefault(crash_id, set()).add(digest)
+
+
+def _remove_from(
+    index: dict[str, set[bytes]], crash_ids: Iterable[str], digest: bytes
+) -> None:
+    """Remove a request from an index by crash."""
+    for crash_id in crash_ids:
+        index[crash_id].discard(digest)
+        if not index[crash_id]:
+            del index[crash_id]
