Name crashes that a probe has not confirmed, and run their probes as other tasks

Read as a newcomer: CrashDoubts kept tasks of its own, as RelayDeps.spawn does already, and doubt is no term of the field.

--- a/sesameford/in_flight_attempts.py
+++ b/sesameford/in_flight_attempts.py
@@ -19,7 +19,7 @@
     target_id: str
     incarnation: int
     request_digest: bytes
-    is_trial: bool = True
+    is_trial: bool
     broken_at_seconds: float | None = None
 
 
--- a/sesameford/outcomes.py
+++ b/sesameford/outcomes.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Sequence
 
-from sesameford.crash_doubts import CrashDoubts
 from sesameford.effective import EffectiveTree, FleetSettings
 from sesameford.in_flight_attempts import InFlightAttempts, TargetCrash
 from sesameford.keyed import KeyedRequests
@@ -16,6 +15,7 @@
     make_crash_id,
 )
 from sesameford.target_exclusion import TargetExclusion
+from sesameford.unconfirmed_crashes import UnconfirmedCrashes
 
 
 class Outcomes:
@@ -33,7 +33,7 @@
         self.suspects = Suspects(fleet.quarantine_seconds)
         self.in_flight_attempts = InFlightAttempts()
         self.target_exclusion = TargetExclusion()
-        self.crash_doubts = CrashDoubts()
+        self.unconfirmed_crashes = UnconfirmedCrashes()
         self.keyed: KeyedRequests | None = None
         self.open_requests = 0
         self.target_crashes = 0
@@ -60,12 +60,12 @@
     def must_wait_for_probes(self, request_digest: bytes) -> bool:
         """Return whether a request may have crashed enough targets for a quarantine.
 
-        Some of the crashes are in doubt until the probes of the targets end.
+        Some of the crashes are unconfirmed until the probes of the targets end.
         """
-        doubts = self.crash_doubts.count(request_digest)
+        unconfirmed = self.unconfirmed_crashes.count(request_digest)
         row = self.suspects.get(request_digest)
         crashes = len(row.uncleared_crashes) if row is not None else 0
-        return doubts > 0 and doubts + crashes >= CRASHES_TO_QUARANTINE
+        return unconfirmed > 0 and unconfirmed + crashes >= CRASHES_TO_QUARANTINE
 
     def record_target_crash(
         self, target_id: str, incarnation: int, now_seconds: float
--- a/sesameford/probes.py
+++ b/sesameford/probes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
@@ -89,17 +90,14 @@
     except (TimeoutError, OSError):
         return Probe.NO_ANSWER
     connection = ProbeConnection(reader, writer)
-    is_kept = False
-    try:
+    with ExitStack() as stack:
+        stack.callback(connection.close)
         if await connection.is_closed_soon():
             return Probe.REFUSED
         if keep_connection is not None:
+            stack.pop_all()
             keep_connection(connection)
-            is_kept = True
         return Probe.ALIVE
-    finally:
-        if not is_kept:
-            connection.close()
 
 
 async def refuses_connections(address: str) -> bool:
--- a/sesameford/relay_deps.py
+++ b/sesameford/relay_deps.py
@@ -83,8 +83,10 @@
         started_seconds = self.now()
 
         def watch(connection: ProbeConnection) -> None:
-            watching = self._watch_for_close(target, connection, started_seconds)
-            self.outcomes.crash_doubts.add(digest, target.target_id, watching)
+            watching = self.spawn(
+                self._watch_for_close(target, connection, started_seconds)
+            )
+            self.outcomes.unconfirmed_crashes.add(digest, target.target_id, watching)
 
         probe = await probe_target(target.url, watch)
         self._record_probe(target, probe, started_seconds)
@@ -171,7 +173,7 @@
         digest = call.request.request_digest
         deps.outcomes.in_flight_attempts.record_end(attempt.attempt_id)
         deps.outcomes.suspects.record_completion(digest, deps.now())
-        deps.outcomes.crash_doubts.clear(digest)
+        deps.outcomes.unconfirmed_crashes.clear(digest)
         deps.router.registry.record_success(attempt.target_id)
     elif outcome is Outcome.UNKNOWN:
         # The body may still crash the target after the caller disconnected.
--- a/sesameford/request_run.py
+++ b/sesameford/request_run.py
@@ -234,7 +234,7 @@
     return (
         is_suspect
         or history.may_have_run
-        or deps.outcomes.crash_doubts.count(digest) > 0
+        or deps.outcomes.unconfirmed_crashes.count(digest) > 0
     )
 
 
@@ -244,7 +244,7 @@
     Probes that begin meanwhile are not waited for: a popular request whose connections
     break again and again would never be sent.
     """
-    probes = deps.outcomes.crash_doubts.running(digest)
+    probes = deps.outcomes.unconfirmed_crashes.probes(digest)
     while probes and deps.outcomes.must_wait_for_probes(digest):
         _, probes = await asyncio.wait(probes, return_when=asyncio.FIRST_COMPLETED)
 
--- a/tests/test_slow_forwarders.py
+++ b/tests/test_slow_forwarders.py
@@ -110,7 +110,7 @@
 
 
 async def test_a_request_that_waits_for_probes_keeps_its_deadline():
-    """Two crashes are in doubt when the deadline of the request passes."""
+    """Two crashes are unconfirmed when the deadline of the request passes."""
     async with open_world() as world:
         targets = CrashingTargets(world, crash_behind(0.9))
         await targets.add(6)
@@ -124,8 +124,8 @@
 async def test_a_popular_request_whose_connections_break_is_served():
     """A network breaks the first exchange of every third copy, and no target ends.
 
-    Each broken exchange is in doubt for a second. Copies that waited until no doubt
-    was left were answered late or never.
+    Each broken exchange is an unconfirmed crash for a second. Copies that waited
+    until there was none were answered late or never.
     """
     async with open_world() as world:
         broken = set()
