--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -25,7 +25,7 @@
     record_envelope,
     should_redial,
 )
-from sesameford.retired_sockets import CLOSE_DELAY_SECONDS, RetiredSockets
+from sesameford.retired_sockets import RetiredSockets
 from sesameford.settings import DaemonSettings, Peer
 from sesameford.tls import TlsFiles, make_dialler_config, make_listener_config
 
@@ -229,9 +229,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for socket in self._sockets.values():
             self._retired.add(socket, self._now())
-        if self._retired:
-            await asyncio.sleep(CLOSE_DELAY_SECONDS)
-            self._retired.close_due(float("inf"))
+        await self._retired.close_all()
         if self._listener is not None:
             self._listener.close()
 
--- a/sesameford/retired_sockets.py
+++ b/sesameford/retired_sockets.py
@@ -5,6 +5,7 @@
 connected first stops its attempts, and is closed when the last one has begun.
 """
 
+import asyncio
 from collections import deque
 
 from pynng import Push0
@@ -38,3 +39,10 @@
         """Close the sockets whose last attempt to connect has begun."""
         while self._sockets and now_seconds >= self._sockets[0][0]:
             self._sockets.popleft()[1].close()
+
+    async def close_all(self) -> None:
+        """Wait until all sockets can be closed, and close them."""
+        if self._sockets:
+            await asyncio.sleep(CLOSE_DELAY_SECONDS)
+        while self._sockets:
+            self._sockets.popleft()[1].close()
