Count the probes of the dead target again in the test of their rate

The test counted all connections before probes were postponed, and after that only those of the live target. It holds both targets and what was found again.

--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -248,7 +248,8 @@
         probes.start("alive", 0, "alive:1", now_seconds)
         probes.tick(now_seconds)
         await asyncio.sleep(0)
-    assert probed.count("alive:1") == 3
+    assert sorted(probed) == ["alive:1"] * 3 + ["dead:1"] * 2
+    assert refused == [("dead", 3)] * 2
 
 
 async def test_a_target_that_ends_just_after_a_probe_is_probed_again():
