Test customers of which unequal parts are lost or refused

Callers leave, engines fail requests with and without having worked on them, other checks refuse requests before the share is asked, each for another part of each customer. Calls that always fail beside ten rivals take no more than a tenth of these, which holds.

The virtual fleet gains callers that leave and requests that are refused before.

--- a/standins/share_ledger.py
+++ b/standins/share_ledger.py
@@ -60,19 +60,24 @@
         rows = (self._seconds[second][customer] for second in range(begin, end))
         return sum(row.started_tokens for row in rows)
 
-    def find_unfair_shares(self, begin: int, end: int) -> list[UnfairShare]:
+    def find_unfair_shares(
+        self, begin: int, end: int, largest_requests: int = LARGEST_REQUESTS
+    ) -> list[UnfairShare]:
         """Return the customers that received less than their fair share in a window.
 
         Args:
             begin: First second to check.
             end: Second after the last one to check.
+            largest_requests: How many of its largest requests a customer may lack.
         """
         found = []
         for second in range(begin, end - WINDOW_SECONDS + 1):
-            found += self._unfair_shares_from(second)
+            found += self._unfair_shares_from(second, largest_requests)
         return found
 
-    def _unfair_shares_from(self, second: int) -> list[UnfairShare]:
+    def _unfair_shares_from(
+        self, second: int, largest_requests: int
+    ) -> list[UnfairShare]:
         window = range(second, second + WINDOW_SECONDS)
         names = {name for number in window for name in self._seconds[number]}
         started = {
@@ -85,7 +90,7 @@
             if not all(row.is_refused for row in rows):
                 continue
             requested = sum(row.requested_tokens for row in rows)
-            allowance = LARGEST_REQUESTS * self._largest_tokens[name]
+            allowance = largest_requests * self._largest_tokens[name]
             if started[name] < FAIR_PART * min(requested, highest) - allowance:
                 found.append(
                     UnfairShare(second, name, requested, started[name], highest)
--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -88,7 +88,9 @@
     replicas receive nothing from other replicas. ``cut`` has pairs of replicas of which
     the second receives nothing from the first. Engines fail ``failed_fraction`` of the
     admitted requests at once, ``failed_fractions`` of single customers. If
-    ``failed_work`` is set, they have done the work of these before.
+    ``failed_work`` is set, they have done the work of these before. The callers of
+    ``left_fractions`` of a customer's admitted requests leave before an engine works on
+    them. ``refused_fractions`` of its requests are refused before its share is asked.
     """
 
     def __init__(
@@ -110,6 +112,8 @@
         self.failed_fraction = 0.0
         self.failed_fractions: dict[str, float] = {}
         self.failed_work = False
+        self.left_fractions: dict[str, float] = {}
+        self.refused_fractions: dict[str, float] = {}
         self._random = Random("failures")
         self.cut: set[tuple[str, str]] = set()
         self._data_centres = data_centres
@@ -280,21 +284,34 @@
         def has_spare_capacity() -> bool:
             return self._queue.wait_seconds < spare_capacity_wait_seconds
 
-        is_admitted = self.routers[router].gate.admits(
-            name, route, tokens, has_spare_capacity
-        )
+        gate = self.routers[router].gate
+        is_admitted = False
+        if self._is_drawn(self.refused_fractions.get(name, 0.0)):
+            gate.record_refused_demand(name, tokens)
+        else:
+            is_admitted = gate.admits(name, route, tokens, has_spare_capacity)
         self.ledger.record_request(name, tokens, not is_admitted, int(self.now_seconds))
-        if not is_admitted:
+        if is_admitted:
+            self._run_admitted(name, router, tokens)
+
+    def _run_admitted(self, name: str, router: int, tokens: int) -> None:
+        """Send an admitted request to the engines, or lose it before."""
+        gate = self.routers[router].gate
+        if self._is_drawn(self.left_fractions.get(name, 0.0)):
+            gate.account.lost.add(name, "caller-left", tokens)
             return
         failed_fraction = self.failed_fractions.get(name, self.failed_fraction)
         if self._random.random() >= failed_fraction:
             self._queue.add(name, router, tokens)
             return
-        self.routers[router].gate.record_failure(tokens)
-        self.routers[router].gate.record_lost(name, "failed", tokens)
+        gate.record_failure(tokens)
+        gate.record_lost(name, "failed", tokens)
         if self.failed_work:
             self._queue.add_failed(router, tokens)
 
+    def _is_drawn(self, fraction: float) -> bool:
+        return fraction > 0.0 and self._random.random() < fraction
+
     def _run_loops(self) -> None:
         """Run the loops of routers with call costs until the next step."""
         arriving, self._arriving = (
