Keep customers limited for two seconds after their demand seems to have gone

The replica keeps a customer limited for two seconds, to all that it requests if that is due. The test fails without the change.

--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -34,6 +34,8 @@
 MIN_DECLARED_PART = 0.25
 # The least average of the available part, against a division by zero.
 MIN_AVAILABLE_PART = 0.01
+# A customer stays limited for so long after it was last due less than it requested.
+LIMITED_SECONDS = 2.0
 # Used until a capacity is declared and requests have come.
 INITIAL_CAPACITY_TOKENS = 100_000.0
 # With four digits a customer that requests twenty thousand times its share would get a
@@ -61,6 +63,7 @@
     min_wait_factor: float = MIN_WAIT_FACTOR
     _mean_available_part: float = 1.0
     _available_at_seconds: float = 0.0
+    _limited_until_seconds: dict[str, float] = field(default_factory=dict)
     _balance: ServiceBalance = field(default_factory=make_service_balance)
 
     def tick(
@@ -117,6 +120,7 @@
             for customer, requested in self.requested_tokens.items()
             if amounts[customer] < requested
         }
+        self._keep_limited(now_seconds)
 
     def rows(self) -> tuple[ShareRow, ...]:
         """Return the rows for routers: the customers that don't get all."""
@@ -125,6 +129,21 @@
             for customer, fraction in self.fractions.items()
         )
 
+    def _keep_limited(self, now_seconds: float) -> None:
+        """Keep customers limited for a while, to all that they request if that is due.
+
+        A router whose loop is late refuses customers that are not limited. It reads
+        fewer of the requests that keep it late, so their customer seems to request
+        less than its share every other moment.
+        """
+        until_seconds = now_seconds + LIMITED_SECONDS
+        self._limited_until_seconds |= dict.fromkeys(self.fractions, until_seconds)
+        for customer, until_seconds in list(self._limited_until_seconds.items()):
+            if until_seconds < now_seconds:
+                del self._limited_until_seconds[customer]
+            else:
+                self.fractions.setdefault(customer, 1.0)
+
     def _remaining_part(self, available_part: float, now_seconds: float) -> float:
         """Return the part that remains of the engines behind the handled tokens.
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -351,3 +351,20 @@
     (row,) = gate.rows(1.0)
     assert (row.customer, row.lost_tokens) == ("a", 4_000)
     assert gate.account.lost.format_sums() == "a/timeout:1:4.0"
+
+
+def test_a_customer_that_seems_to_request_less_for_a_moment_stays_limited():
+    """A late router reads few of the requests that keep it late, then many again.
+
+    It refuses customers that are not limited, since others can serve them. So one whose
+    callers all use this router was refused altogether every other second.
+    """
+    table = make_share_table()
+    rivals = tuple(CustomerRates(f"c{number}", 90_000, 30_000) for number in range(3))
+    for tick in range(200):
+        requested_tokens = 900_000 if tick // 10 % 2 else 10_000
+        rows = (CustomerRates("one", requested_tokens, 10_000), *rivals)
+        load = PartialLoad(4, (), rows, 0.1, 100_000.0)
+        table.tick((load,), DECLARED_TOKENS, BASE_WAIT_SECONDS, tick * TICK_SECONDS)
+        if tick > 20:
+            assert "one" in table.fractions
