Let other requests take the place of those that other checks refuse

A customer of which 0.8 of the requests were refused before its share was asked (unread for too long, as its router is late) got 0.2 of its level, though the rest would have filled the level several times over: a fraction is the level over all demand, refused requests included, and was applied to what was left of it.

The credit of a refused request now goes to the customer's next ones at that router, up to two and a half requests. Nobody is served less: what reaches the share is bounded by the level as before. Requests that no target can take are not made up for, or all would come at once when they are back.

Where less than half of the level reaches the share at all (0.8 refused of 405 thousand a second), a customer can't get half of the level; the test wants most of what reaches it.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -223,7 +223,9 @@
     if reason is None:
         return
     if prompt is not None:
-        deps.gate.record_refused_demand(customer, prompt.cost_tokens)
+        deps.gate.record_refused_demand(
+            customer, prompt.cost_tokens, is_made_up_for=False
+        )
     retry_seconds = no_target_retry_seconds(deps, reason, service, homes)
     raise Refusal(503, reason.value, retry_seconds, route.route_id, customer)
 
--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -19,6 +19,9 @@
 # but not for routes that may never be requested again: at most until the customer's
 # credit exceeds one request by another half.
 MAX_DEFERRED_REQUESTS = 1.5
+# Other checks may refuse requests that are within the share. Its customer may send so
+# many others in their place, and not all at once after seconds without service.
+MAX_CREDIT_REQUESTS = 2.5
 # Averaging time of demands. Until a rising demand is known, its customer is served by
 # its old share while all others wait behind that. Single large prompts move a short
 # average, which evens out within the time that service is balanced over.
@@ -29,7 +32,8 @@
 class _ShareCredit:
     """The requests that a limited customer may still send at one router.
 
-    ``by_route`` adds up to ``all_routes`` less the initial credit.
+    ``by_route`` adds up to ``all_routes`` less the initial credit, and less that of
+    requests that other checks refused.
     """
 
     all_routes: float
@@ -48,6 +52,12 @@
         self.by_route[route_id] = route_credit - 1.0
         return True
 
+    def add_refused(self, fraction: float) -> None:
+        """Count a request that another check refused, for requests that follow."""
+        if self.all_routes < MAX_CREDIT_REQUESTS:
+            credit = self.all_routes + fraction
+            self.all_routes = min(credit, MAX_CREDIT_REQUESTS)
+
 
 @dataclass(slots=True)
 class _Rates:
@@ -118,14 +128,26 @@
         self.account.record_request(customer, tokens, admission)
         return admission is not Admission.REFUSED
 
-    def record_refused_demand(self, customer: str, tokens: int) -> None:
-        """Count a refused request of a customer without a limit.
+    def record_refused_demand(
+        self, customer: str, tokens: int, is_made_up_for: bool = True
+    ) -> None:
+        """Count a request that another check refuses before the share is asked.
 
         It counts as demand all the same: otherwise a customer whose requests are all
-        refused during overload would never be limited, and never get a share.
+        refused during overload would never be limited, and never get a share. So the
+        share is a part of these requests too, and others may be sent in their place.
+
+        Args:
+            customer: Whose request it is.
+            tokens: What it would cost.
+            is_made_up_for: Whether others may be. Not if nobody can be served now: all
+                would be sent at once later.
         """
         self._rates.setdefault(customer, _Rates()).requested.add(tokens)
         self.account.record_request(customer, tokens, Admission.REFUSED)
+        credit = self._credits.get(customer)
+        if is_made_up_for and credit is not None:
+            credit.add_refused(self.fractions.get(customer, 0.0))
 
     def record_start(self, customer: str, tokens: int) -> None:
         """Count a request whose answer an engine has started."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -353,6 +353,31 @@
     assert gate.account.lost.format_sums() == "a/timeout:1:4.0"
 
 
+@pytest.mark.parametrize("refused_part", [0.5, 0.8, 0.9])
+def test_requests_that_other_checks_refuse_take_no_part_of_the_share(refused_part):
+    """A tenth of all requests is due, and what reaches the share is that at least."""
+    random = Random(1)
+    gate = make_share_gate(Random(2))
+    gate.set_fractions((ShareRow("a", 0.1),))
+    admitted = 0
+    for _ in range(5_000):
+        if random.random() < refused_part:
+            gate.record_refused_demand("a", 10)
+        else:
+            admitted += gate.admits("a", random.choice("rst"), 10)
+    assert admitted >= 0.75 * 500
+
+
+def test_seconds_without_any_target_are_not_made_up_for_at_once():
+    """Guards against a burst when targets that asked for backoff are back."""
+    gate = make_share_gate(Random(2))
+    gate.set_fractions((ShareRow("a", 0.1),))
+    gate.admits("a", "r", 10)
+    for _ in range(1_000):
+        gate.record_refused_demand("a", 10, is_made_up_for=False)
+    assert sum(gate.admits("a", "r", 10) for _ in range(5)) <= 1
+
+
 def test_a_customer_that_seems_to_request_less_for_a_moment_stays_limited():
     """A late router reads few of the requests that keep it late, then many again.
 
--- a/tests/test_unequal_losses.py
+++ b/tests/test_unequal_losses.py
@@ -140,7 +140,6 @@
     assert find_unfair_shares(play_losses(demands, losses)) == []
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize(
     ("demands", "losses"),
     [
@@ -156,7 +155,6 @@
     assert find_unfair_shares(play_losses(demands, losses)) == []
 
 
-@pytest.mark.known_red
 def test_a_customer_is_served_all_that_other_checks_leave_of_its_share():
     """Guards against refusals by the share of what is less than the share."""
     losses = Losses(refused=first(1, 0.8))
