Steer shares by what engines start, and bound what making up for losses costs

What callers saw: a flooding customer got 0.37 of what the best served one got while its calls failed for four seconds. Shares are controlled where calls are admitted and compared where engines start them. What was lost in between was counted by reason, and calls whose callers left raised no share; raises were bounded in proportion to losses, so that of many losing customers none got half; those that lose nothing were lowered by what they had over the median alone.

Now a router reports what it admitted and engines should have started by now, less what they started, for whatever reason (due_rate). A replica takes from this which part of each customer's requests is started, and from what engines start less than before while prompts wait, which part of lost requests costs them work (lost_work). Losses without work are made up for whole, and capacity is divided by work. At the others' cost a customer is raised to 0.7 of the usual one if that can bring it to half: one takes at most 0.07 of the others' shares, all together 0.2; those that can't be brought there share 0.06, and those ahead of the usual one give way first (share_weights). A replica that takes over needs no history.

--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -169,10 +169,13 @@
         lacks_permits = self._placement.candidates.lacks_permits(now_seconds)
         if not lacks_permits and not self.report.is_due(target_loads, now_seconds):
             return
+        wait_seconds = self._wait_seconds(now_seconds)
         load = RouterLoad(
             target_loads,
-            self.gate.rows(now_seconds),
-            round(self._wait_seconds(now_seconds), 4),
+            self.gate.rows(
+                now_seconds, wait_seconds + self.lag.lateness_seconds(now_seconds)
+            ),
+            round(wait_seconds, 4),
             round(self.gate.handled.tokens_per_second(now_seconds)),
             self._placement.reports.flush_used_parts(),
             self._placement.reports.flush_outcomes(),
--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from sesameford.gateway.due_rate import DueRate
 from sesameford.gateway.share_account import (
     Admission,
     ShareAccount,
@@ -63,18 +64,19 @@
 class _Rates:
     """The tokens that one customer requests here, and what became of them.
 
-    Engines ``started`` some of the admitted ones; others were ``lost`` before.
+    Engines should have started those that are ``due``, the admitted ones less those
+    that are still expected to wait.
     """
 
     requested: TokenRate = field(
         default_factory=lambda: TokenRate(REQUESTED_AVERAGE_SECONDS)
     )
     started: TokenRate = field(default_factory=TokenRate)
-    lost: TokenRate = field(default_factory=TokenRate)
+    due: DueRate = field(default_factory=DueRate)
 
     @property
     def has_pending_tokens(self) -> bool:
-        rates = (self.requested, self.started, self.lost)
+        rates = (self.requested, self.started, self.due)
         return any(rate.has_pending_tokens for rate in rates)
 
 
@@ -123,10 +125,14 @@
                 for some requests of a customer over its share: refusing those would
                 serve no other customer sooner.
         """
-        self._rates.setdefault(customer, _Rates()).requested.add(tokens)
+        rates = self._rates.setdefault(customer, _Rates())
+        rates.requested.add(tokens)
         admission = self._admission(customer, route_id, has_spare_capacity)
         self.account.record_request(customer, tokens, admission)
-        return admission is not Admission.REFUSED
+        if admission is Admission.REFUSED:
+            return False
+        rates.due.add(tokens)
+        return True
 
     def record_refused_demand(
         self, customer: str, tokens: int, is_made_up_for: bool = True
@@ -160,16 +166,13 @@
         self.handled.add(tokens)
 
     def record_lost(self, customer: str, reason: str, tokens: int) -> None:
-        """Count an admitted request that ended before an engine started its answer.
-
-        Its customer pays for it with its share, and got nothing.
+        """Count for the log an admitted request that ended before an engine started it.
 
         Args:
             customer: Whose request it was.
             reason: A short, stable code of how it ended.
             tokens: What it would have cost.
         """
-        self._rates.setdefault(customer, _Rates()).lost.add(tokens)
         self.account.lost.add(customer, reason, tokens)
 
     def _admission(
@@ -211,13 +214,21 @@
             if customer in self.fractions
         }
 
-    def rows(self, now_seconds: float) -> tuple[CustomerRates, ...]:
-        """Return the rates that this router reports for each customer."""
+    def rows(
+        self, now_seconds: float, wait_seconds: float = 0.0
+    ) -> tuple[CustomerRates, ...]:
+        """Return the rates that this router reports for each customer.
+
+        Args:
+            now_seconds: The present time.
+            wait_seconds: How long admitted requests wait for an engine at present.
+        """
         rows = []
         for customer, rates in list(self._rates.items()):
             requested_tokens = rates.requested.tokens_per_second(now_seconds)
             started_tokens = rates.started.tokens_per_second(now_seconds)
-            lost_tokens = rates.lost.tokens_per_second(now_seconds)
+            due_tokens = rates.due.tokens_per_second(now_seconds, wait_seconds)
+            lost_tokens = due_tokens - started_tokens
             figures = (requested_tokens, started_tokens, lost_tokens)
             if max(figures) >= MIN_REPORTED_TOKENS:
                 rows.append(CustomerRates(customer, *map(round, figures)))
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -8,22 +8,27 @@
 customers gets, and refuse its other requests at once.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from statistics import median
 
-from sesameford.gateway.router_loads import sum_customer_rates
-from sesameford.gateway.service_balance import (
+from sesameford.gateway.lost_work import (
+    LostWork,
+    LostWorkEstimator,
     ServedRates,
-    ServiceBalance,
-    make_service_balance,
+    busy_part,
+    make_lost_work_estimator,
 )
+from sesameford.gateway.router_loads import sum_customer_rates
+from sesameford.gateway.service_balance import ServiceBalance, make_service_balance
+from sesameford.gateway.share_weights import Standing, share_weights
 from sesameford.gateway.timeliness import MIN_WAIT_FACTOR, wait_factor
 from sesameford.gateway.token_rate import AVERAGE_SECONDS
 from sesameford.load_messages import PartialLoad, ShareRow
 
-# The capacity is the rate that engines handled recently: requests that they started to
-# answer, and those that they failed or whose answers were lost. Without the latter,
-# engines that fail half of their requests would be sent less and less while they idle.
+# The capacity is the rate at which engines worked recently: on requests that they
+# started to answer, and on others that they failed or whose answers were lost. Without
+# the latter, engines that fail half of their requests would be sent less and less.
 # It is lowered by this part of itself for each second by which prompts wait too long,
 # and raised in the same way, so that a backlog is worked off in about half a second.
 CAPACITY_GAIN_PER_SECOND = 2.0
@@ -52,6 +57,7 @@
     over has the same state as its predecessor once it has received a report of every
     router, and reports that were delayed and arrive together count once. While very
     many answers are late, prompts may wait for ``min_wait_factor`` of the usual time.
+    ``weights`` are by how much the even shares of limited customers are multiplied.
     """
 
     capacity_tokens: float = INITIAL_CAPACITY_TOKENS
@@ -61,10 +67,13 @@
     fractions: dict[str, float] = field(default_factory=dict)
     routers: int = 0
     min_wait_factor: float = MIN_WAIT_FACTOR
+    lost_work: LostWork = field(default_factory=LostWork)
+    weights: Mapping[str, float] = field(default_factory=dict)
     _mean_available_part: float = 1.0
     _available_at_seconds: float = 0.0
-    _limited_until_seconds: dict[str, float] = field(default_factory=dict)
     _balance: ServiceBalance = field(default_factory=make_service_balance)
+    _limited_until_seconds: dict[str, float] = field(default_factory=dict)
+    _estimator: LostWorkEstimator = field(default_factory=make_lost_work_estimator)
 
     def tick(
         self,
@@ -103,23 +112,31 @@
             handled_tokens,
             self.min_wait_factor,
         )
+        waits_seconds = sum(load.routers * load.wait_seconds for load in loads)
+        self.wait_seconds = waits_seconds / max(self.routers, 1)
+        self._estimator.update(
+            served,
+            declared_tokens,
+            busy_part(self.wait_seconds, self.wait_setpoint_seconds),
+            now_seconds,
+        )
+        started_tokens = {name: one.started_tokens for name, one in served.items()}
+        worked_tokens = self._worked_tokens(
+            handled_tokens, sum(started_tokens.values())
+        )
         self.capacity_tokens = self._capacity(
-            loads, declared_tokens, self.wait_setpoint_seconds, remaining_part
+            remaining_part * worked_tokens, declared_tokens
         )
         even = fair_amounts(self.requested_tokens, self.capacity_tokens)
-        self._balance.update(even, served, now_seconds)
-        limited = {
-            customer: requested
+        self._balance.update(even, started_tokens, now_seconds)
+        limited = [
+            customer
             for customer, requested in self.requested_tokens.items()
             if even[customer] < requested
-        }
-        weights = self._balance.weights(limited, handled_tokens, declared_tokens)
-        amounts = fair_amounts(self.requested_tokens, self.capacity_tokens, weights)
-        self.fractions = {
-            customer: amounts[customer] / requested
-            for customer, requested in self.requested_tokens.items()
-            if amounts[customer] < requested
-        }
+        ]
+        self.lost_work = self._estimator.lost_work(served, limited)
+        self.weights = share_weights(self._standings(limited))
+        self.fractions = self._fractions()
         self._keep_limited(now_seconds)
 
     def rows(self) -> tuple[ShareRow, ...]:
@@ -129,21 +146,6 @@
             for customer, fraction in self.fractions.items()
         )
 
-    def _keep_limited(self, now_seconds: float) -> None:
-        """Keep customers limited for a while, to all that they request if that is due.
-
-        A router whose loop is late refuses customers that are not limited. It reads
-        fewer of the requests that keep it late, so their customer seems to request
-        less than its share every other moment.
-        """
-        until_seconds = now_seconds + LIMITED_SECONDS
-        self._limited_until_seconds |= dict.fromkeys(self.fractions, until_seconds)
-        for customer, until_seconds in list(self._limited_until_seconds.items()):
-            if until_seconds < now_seconds:
-                del self._limited_until_seconds[customer]
-            else:
-                self.fractions.setdefault(customer, 1.0)
-
     def _remaining_part(self, available_part: float, now_seconds: float) -> float:
         """Return the part that remains of the engines behind the handled tokens.
 
@@ -158,26 +160,78 @@
         self._mean_available_part = max(self._mean_available_part, MIN_AVAILABLE_PART)
         return min(available_part / self._mean_available_part, 1.0)
 
-    def _capacity(
-        self,
-        loads: Sequence[PartialLoad],
-        declared_tokens: float,
-        wait_setpoint_seconds: float,
-        remaining_part: float,
-    ) -> float:
+    def _worked_tokens(self, handled_tokens: float, started_tokens: float) -> float:
+        """Return the tokens a second that engines worked on, failed ones included."""
+        failed_tokens = max(handled_tokens - started_tokens, 0.0)
+        return started_tokens + self._estimator.worked_part * failed_tokens
+
+    def _capacity(self, worked_tokens: float, declared_tokens: float) -> float:
         """Return the tokens a second that can be served without too long a wait."""
-        waits_seconds = sum(load.routers * load.wait_seconds for load in loads)
-        self.wait_seconds = waits_seconds / max(self.routers, 1)
         factor = 1 + CAPACITY_GAIN_PER_SECOND * (
-            wait_setpoint_seconds - self.wait_seconds
+            self.wait_setpoint_seconds - self.wait_seconds
         )
         factor = min(max(factor, MIN_CAPACITY_FACTOR), MAX_CAPACITY_FACTOR)
-        capacity = remaining_part * factor * sum(load.handled_tokens for load in loads)
-        if self.wait_seconds > wait_setpoint_seconds:
+        capacity = factor * worked_tokens
+        if self.wait_seconds > self.wait_setpoint_seconds:
             return max(capacity, MIN_DECLARED_PART * declared_tokens)
         # No prompt waits too long: the declared rate can be served in any case.
         return max(capacity, declared_tokens)
 
+    def _standings(self, limited: Iterable[str]) -> dict[str, Standing]:
+        """Return how each limited customer stands against the usual one."""
+        served_parts = self._balance.served_parts(limited)
+        if not served_parts:
+            return {}
+        lost = self.lost_work
+        usual_started = median(map(lost.started_part, served_parts))
+        usual_worked = median(map(lost.work_part, served_parts))
+        return {
+            customer: Standing(
+                served_part,
+                lost.started_part(customer) / usual_started,
+                lost.work_part(customer) / usual_worked,
+            )
+            for customer, served_part in served_parts.items()
+        }
+
+    def _keep_limited(self, now_seconds: float) -> None:
+        """Keep customers limited for a while, to all that they request if that is due.
+
+        A router whose loop is late refuses customers that are not limited. It reads
+        fewer of the requests that keep it late, so their customer seems to request
+        less than its share every other moment.
+        """
+        until_seconds = now_seconds + LIMITED_SECONDS
+        self._limited_until_seconds |= dict.fromkeys(self.fractions, until_seconds)
+        for customer, until_seconds in list(self._limited_until_seconds.items()):
+            if until_seconds < now_seconds:
+                del self._limited_until_seconds[customer]
+            else:
+                self.fractions.setdefault(customer, 1.0)
+
+    def _fractions(self) -> dict[str, float]:
+        """Return the part of its requests that each customer is admitted, if not all.
+
+        The capacity is divided by what engines work on, which may be less than what is
+        admitted. A customer whose even share is less than it requests stays limited,
+        also if making up for its losses admits all.
+        """
+        work_parts = {name: self.lost_work.work_part(name) for name in self.weights}
+        requested_work = {
+            customer: requested * work_parts.get(customer, 1.0)
+            for customer, requested in self.requested_tokens.items()
+        }
+        work_weights = {
+            customer: weight * work_parts[customer]
+            for customer, weight in self.weights.items()
+        }
+        amounts = fair_amounts(requested_work, self.capacity_tokens, work_weights)
+        return {
+            customer: amounts[customer] / requested
+            for customer, requested in requested_work.items()
+            if amounts[customer] < requested or customer in self.weights
+        }
+
 
 def _mean_accepting_part(loads: Sequence[PartialLoad]) -> float:
     """Return the mean part of the engines that accept requests of a router."""
--- a/sesameford/gateway/unserved_calls.py
+++ b/sesameford/gateway/unserved_calls.py
@@ -1,15 +1,11 @@
 """Counts admitted calls that ended before an engine began them, by reason.
 
-Shares are controlled where calls are admitted, and customers compare what engines began
-for them. What is lost in between shows in no other figure of a customer.
+Only the log names the reasons: shares follow what engines start, for whatever reason
+the rest is lost.
 """
 
 from sesameford.gateway.call_context import CallContext, GatewayDeps
 
-# Calls that end so by their customer's own doing, which no share makes up for: their
-# callers left, or targets crashed under such calls.
-OWN_REASONS = frozenset({"caller-left", "quarantined", "on-trial"})
-
 
 def record_unserved_call(deps: GatewayDeps, context: CallContext, reason: str) -> None:
     """Record that an admitted call ended, if no engine has begun it.
@@ -22,8 +18,4 @@
     prompt = context.call.prompt
     if prompt is None or context.first_event_seconds is not None:
         return
-    customer = context.customer or ""
-    if reason in OWN_REASONS or context.is_trial:
-        deps.gate.account.lost.add(customer, reason, prompt.cost_tokens)
-    else:
-        deps.gate.record_lost(customer, reason, prompt.cost_tokens)
+    deps.gate.record_lost(context.customer or "", reason, prompt.cost_tokens)
--- a/sesameford/load_messages.py
+++ b/sesameford/load_messages.py
@@ -63,7 +63,8 @@
     """What a customer requests and is served at some routers, in tokens a second.
 
     ``started_tokens`` are those of requests whose answers engines have started,
-    ``lost_tokens`` those of admitted requests that ended before.
+    ``lost_tokens`` those of admitted requests that they should have started besides.
+    These are negative while requests start sooner than expected.
     """
 
     customer: str
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -346,6 +346,7 @@
 
 def test_lost_requests_of_a_customer_are_reported():
     gate = make_share_gate(Random(1))
+    gate.admits("a", "r", 4_000)
     gate.record_lost("a", "timeout", 4_000)
     gate.rows(0.0)
     (row,) = gate.rows(1.0)
@@ -353,6 +354,28 @@
     assert gate.account.lost.format_sums() == "a/timeout:1:4.0"
 
 
+def test_requests_that_end_without_a_reason_are_reported_as_lost():
+    """Guards against a list of reasons that lacks one."""
+    gate = make_share_gate(Random(1))
+    gate.admits("a", "r", 4_000)
+    gate.admits("a", "r", 6_000)
+    gate.record_start("a", 6_000)
+    gate.rows(0.0)
+    (row,) = gate.rows(1.0)
+    assert (row.started_tokens, row.lost_tokens) == (6_000, 4_000)
+
+
+def test_requests_that_still_wait_are_not_lost():
+    """Guards against taking a queue that grows for lost requests."""
+    gate = make_share_gate(Random(1))
+    gate.admits("a", "r", 4_000)
+    gate.rows(0.0, 3.0)
+    (row,) = gate.rows(1.0, 3.0)
+    assert row.lost_tokens == 0
+    (row,) = gate.rows(3.5, 3.0)
+    assert row.lost_tokens > 0
+
+
 @pytest.mark.parametrize("refused_part", [0.5, 0.8, 0.9])
 def test_requests_that_other_checks_refuse_take_no_part_of_the_share(refused_part):
     """A tenth of all requests is due, and what reaches the share is that at least."""
--- a/tests/test_unequal_losses.py
+++ b/tests/test_unequal_losses.py
@@ -98,7 +98,6 @@
 LARGE = overload(3_000_000.0)
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize(
     ("demands", "left"),
     [
@@ -118,7 +117,6 @@
     assert find_unfair_shares(fleet) == []
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("failed_work", [False, True])
 @pytest.mark.parametrize(
     ("demands", "failed"),
@@ -165,7 +163,6 @@
     assert started_tokens >= 0.8 * remaining_tokens * (end - begin)
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("kind", ["left", "failed"])
 def test_losses_that_move_leave_each_customer_its_share(kind):
     """Guards against a correction that comes when the losses are elsewhere already."""
@@ -178,7 +175,6 @@
     assert find_unfair_shares(fleet) == []
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("data_centres", [1, 3])
 def test_a_replica_that_takes_over_knows_which_customers_lose_work(data_centres):
     """Guards against losses that a new aggregator has to learn of for seconds."""
--- a/tests/test_unserved_calls.py
+++ b/tests/test_unserved_calls.py
@@ -13,8 +13,12 @@
 
 
 def record(reason, prompt=PROMPT, first_event_seconds=None, is_trial=False):
-    """Record the end of a call; return its share gate."""
+    """Admit a call and record its end; return its share gate."""
     gate = make_share_gate(Random(1))
+    if prompt is not None:
+        gate.admits("club", "r", prompt.cost_tokens)
+    if first_event_seconds is not None:
+        gate.record_start("club", prompt.cost_tokens)
     context = SimpleNamespace(
         call=Call("id", "POST", "h", "/x", (), prompt=prompt),
         customer="club",
@@ -37,7 +41,7 @@
 def test_only_prompts_that_no_engine_began_are_lost(prompt, first_event_seconds, lost):
     gate = record("timeout", prompt, first_event_seconds)
     assert gate.account.lost.format_sums() == lost
-    assert lost_rates(gate) == ([1_000] if lost else [])
+    assert sum(lost_rates(gate)) == (1_000 if lost else 0)
 
 
 @pytest.mark.parametrize(
@@ -49,8 +53,8 @@
         ("lost", True),
     ],
 )
-def test_calls_that_end_by_their_customers_own_doing_are_logged_alone(reason, is_trial):
-    """Guards against a larger share for calls that crash targets or are given up."""
+def test_calls_are_lost_for_whatever_reason_they_end(reason, is_trial):
+    """Guards against a list of reasons for which a customer's share is not made up."""
     gate = record(reason, is_trial=is_trial)
     assert gate.account.lost.format_sums() == f"club/{reason}:1:1.0"
-    assert lost_rates(gate) == []
+    assert lost_rates(gate) == [1_000]
