Charge lost attempts for their slots in the daemon

A lost attempt, requeued ones included, is charged half of what its slot could have served in the time that it held it, at the rate of the target's completions. Limits don't count it. The first of the two tests failed before, the second holds with and without.

--- a/sesameford/leased.py
+++ b/sesameford/leased.py
@@ -36,6 +36,10 @@
 # can then lead to grants, and the grants to another report.
 _MAX_EXCHANGE_ROUNDS = 4
 _MAX_DECISION_ROUNDS = 3
+# What a lost attempt is charged, as a part of what its slot could have served: ten
+# rivals of a customer whose attempts are all lost keep nine tenths, and one that loses
+# three fifths still gets half of what they get.
+LOST_CHARGED_PART = 0.5
 
 
 class LeasedScheduler:
@@ -328,7 +332,9 @@
             return
         used = cost_of_usage(self._state.tree, row.request, usage)
         self._charge_usage(row, used, now_seconds)
-        if outcome is Outcome.RAN:
+        if outcome is not Outcome.RAN:
+            self._charge_lost(row, now_seconds)
+        else:
             self._estimates.record_cost(row.request, used)
             busy_seconds = now_seconds - row.attempt.started_at_seconds
             target_id = row.attempt.target_id
@@ -345,6 +351,7 @@
         if row is None:
             return
         self._charge_usage(row, 0.0, now_seconds)
+        self._charge_lost(row, now_seconds)
         estimate = row.attempt.estimated_cost_units
         waiting = WaitingRequest(row.request, estimate, avoid_target_id)
         self._state.queues.add(waiting, in_front=True)
@@ -366,6 +373,25 @@
         self._state.totals.add(row.account, change)
         self._state.limits.record_cost(row.account[1], change, now_seconds)
 
+    def _charge_lost(self, row: RunningAttempt, now_seconds: float) -> None:
+        """Charge a part of what the slot of a lost attempt could have served.
+
+        It brought its customer nothing, and the others had to wait. If it cost nothing,
+        a customer whose calls always fail would always be next and get all slots.
+        Limits don't count it.
+        """
+        totals = self._state.completion_totals.get(
+            row.attempt.target_id, CompletionTotals()
+        )
+        held_cost_units = row.attempt.estimated_cost_units
+        if totals.busy_seconds > 0.0:
+            held_seconds = now_seconds - row.attempt.started_at_seconds
+            slot_rate = totals.cost_units / totals.busy_seconds
+            held_cost_units = min(held_cost_units, slot_rate * held_seconds)
+        lost_cost_units = LOST_CHARGED_PART * held_cost_units - row.charged_cost_units
+        if lost_cost_units > 0.0:
+            self._state.totals.add(row.account, lost_cost_units)
+
     # --- messages --------------------------------------------------------------------
 
     def handle_message(
--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -124,6 +124,9 @@
 class VirtualFleet:
     """Simulates routers, targets and the network between the routers.
 
+    The answers of ``lost_fractions`` of a customer's requests are lost when they end;
+    ``completed`` are the cost units of the others.
+
     Args:
         make_scheduler: Returns a scheduler for a router's id, incarnation, data centre
             and random seed.
@@ -153,6 +156,8 @@
         self.random = Random(seed)
         self.measurements = Measurements()
         self.served: dict[str, float] = {}
+        self.completed: dict[str, float] = {}
+        self.lost_fractions: dict[str, float] = {}
         self.gaps = GapMeter(
             {name: customer.share for name, customer in tree.customers.items()}
         )
@@ -357,17 +362,28 @@
                 self.served[customer] = self.served.get(customer, 0.0) + served
                 if run.served_cost_units >= run.cost_units - 1e-9:
                     finished.append(run)
-                elif reports_progress:
+                elif reports_progress and customer not in self.lost_fractions:
                     usage = Usage(output_tokens=int(run.served_cost_units))
                     self.routers[run.router_id].record_progress(
                         run.attempt.attempt_id, usage, self.now_seconds
                     )
             for run in finished:
                 runs.remove(run)
-                usage = Usage(output_tokens=round(run.cost_units))
-                self.routers[run.router_id].settle_attempt(
-                    run.attempt.attempt_id, usage, Outcome.RAN, self.now_seconds
-                )
+                self._end_run(run)
+
+    def _end_run(self, run: _TargetRequest) -> None:
+        """Settle a finished run, or lose its answer."""
+        customer = run.attempt.customer_id
+        lost_fraction = self.lost_fractions.get(customer, 0.0)
+        if lost_fraction > 0.0 and self.random.random() < lost_fraction:
+            usage, outcome = Usage(), Outcome.UNKNOWN
+        else:
+            usage, outcome = Usage(output_tokens=round(run.cost_units)), Outcome.RAN
+            completed = self.completed.get(customer, 0.0)
+            self.completed[customer] = completed + run.cost_units
+        self.routers[run.router_id].settle_attempt(
+            run.attempt.attempt_id, usage, outcome, self.now_seconds
+        )
 
     # --- measurements ----------------------------------------------------------------
 
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -58,3 +58,44 @@
     fleet.run(20.0)
     assert not fleet.backlogged()
     assert fleet.measurements.max_overfill_requests <= 0
+
+
+LOSS_SECONDS = 60.0
+
+
+def play_losses(lost_fractions, customers=11):
+    """Return what each customer completes while all always have requests waiting."""
+    fleet = make_fleet(8, {"p0": 2, "p1": 2, "p2": 2}, customers=customers)
+    fleet.lost_fractions = lost_fractions
+    random = Random(3)
+
+    def arrive(fleet):
+        for router in sorted(fleet.data_centres):
+            waiting = [one.customer_id for one in fleet.waiting[router].values()]
+            for customer in sorted(fleet.tree.customers):
+                if waiting.count(customer) < 2:
+                    fleet.submit(router, customer, random.uniform(50.0, 150.0), 100.0)
+
+    fleet.run(10.0, arrive)
+    before = dict(fleet.completed)
+    fleet.run(LOSS_SECONDS, arrive)
+    return {
+        customer: fleet.completed.get(customer, 0.0) - before.get(customer, 0.0)
+        for customer in fleet.tree.customers
+    }
+
+
+def test_a_customer_whose_attempts_are_all_lost_leaves_nine_tenths_to_ten_rivals():
+    """Guards against attempts that cost nothing, so that their customer is next."""
+    calm = play_losses({})
+    served = play_losses({"c0": 1.0})
+    rivals = [f"c{number}" for number in range(1, 11)]
+    kept = [served[name] / calm[name] for name in rivals]
+    assert sum(kept) / len(kept) >= 0.9
+    # Single requests of some seconds make a difference to each of them.
+    assert min(kept) >= 0.8
+
+
+def test_a_customer_that_loses_some_attempts_is_served_half_of_the_others():
+    served = play_losses({"c0": 0.6})
+    assert served["c0"] >= 0.5 * max(served.values())
