Log which customers are raised or lowered, and for which losses

The lines told what each customer was let in, had begun and lost, and not what the replica made of it: whom it raised or lowered, and whether it took lost calls for work of the engines. The line shares limited now has weights, started_parts (customers that differ from 1 by a tenth or more, twelve at most) and worked_part.

--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -22,6 +22,7 @@
 )
 from sesameford.gateway.loop_lag import make_loop_lag
 from sesameford.gateway.placement import Placement
+from sesameford.gateway.share_account import format_unusual_parts
 from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.shares import ShareTable, make_share_table
 from sesameford.gateway.timeliness import MIN_WAIT_FACTOR
@@ -297,6 +298,9 @@
                 "asked_tokens": round(sum(shares.requested_tokens.values())),
                 "wait_seconds": round(shares.wait_seconds, 4),
                 "wanted_seconds": round(shares.wait_setpoint_seconds, 4),
+                "weights": format_unusual_parts(shares.weights),
+                "started_parts": format_unusual_parts(shares.lost_work.started_parts),
+                "worked_part": round(shares.lost_work.worked_part, 2),
             },
         )
 
--- a/sesameford/gateway/share_account.py
+++ b/sesameford/gateway/share_account.py
@@ -15,6 +15,8 @@
 # Pairs of a customer and a reason named in one line: those with most tokens.
 MAX_LOGGED_REASONS = 16
 THOUSAND = 1_000
+# A customer's part is named in a line if it differs from 1 by this or more.
+UNUSUAL_DIFFERENCE = 0.1
 
 
 class Admission(StrEnum):
@@ -132,6 +134,17 @@
         )
 
 
+def format_unusual_parts(parts: Mapping[str, float]) -> str:
+    """Return the customers whose part differs from 1, those with most difference."""
+    differences = {customer: abs(part - 1.0) for customer, part in parts.items()}
+    unusual = [one for one in parts if differences[one] >= UNUSUAL_DIFFERENCE]
+    unusual.sort(key=differences.__getitem__, reverse=True)
+    return ",".join(
+        f"{customer}:{parts[customer]:.2f}"
+        for customer in unusual[:MAX_LOGGED_CUSTOMERS]
+    )
+
+
 def make_share_account() -> ShareAccount:
     """Return an account without requests."""
     return ShareAccount()
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,6 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sesameford.gateway.share_account import (
+    MAX_LOGGED_CUSTOMERS,
+    format_unusual_parts,
+)
 from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.shares import fair_amounts, make_share_table
 from sesameford.load_messages import CustomerRates, PartialLoad, ShareRow
@@ -416,3 +420,12 @@
         table.tick((load,), DECLARED_TOKENS, BASE_WAIT_SECONDS, tick * TICK_SECONDS)
         if tick > 20:
             assert "one" in table.fractions
+
+
+def test_customers_with_unusual_parts_are_named_in_a_bounded_line():
+    parts = {f"c{number:02}": 1.0 + number for number in range(30)}
+    text = format_unusual_parts({**parts, "usual": 1.05, "behind": 0.5})
+    named = text.split(",")
+    assert named[0] == "c29:30.00"
+    assert len(named) == MAX_LOGGED_CUSTOMERS
+    assert format_unusual_parts({"usual": 1.05, "behind": 0.5}) == "behind:0.50"
