Admit everything of a customer that stays limited and is due all

Since customers stay limited for two seconds after their demand seems to have gone, some have the fraction 1. The test failed before.

--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -181,6 +181,8 @@
         fraction = self.fractions.get(customer)
         if fraction is None:
             return Admission.NOT_LIMITED
+        if fraction >= 1.0:
+            return Admission.SHARE
         credit = self._credits.get(customer)
         if credit is None:
             credit = self._credits[customer] = _ShareCredit(self.random.random())
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -239,6 +239,19 @@
         assert abs(count - 200 * fraction) <= 0.1 * 200 * fraction
 
 
+@pytest.mark.parametrize("seed", range(60))
+def test_a_customer_that_is_due_all_is_refused_nothing(seed):
+    """Guards against deferring routes of a customer that stays limited for a while."""
+    random = Random(seed)
+    gate = make_share_gate(Random(seed))
+    gate.set_fractions((ShareRow("a", random.choice([0.1, 0.3, 0.6])),))
+    routes = "rstuv"[: random.randint(2, 5)]
+    for _ in range(random.randint(3, 60)):
+        gate.admits("a", random.choice(routes), 10)
+    gate.set_fractions((ShareRow("a", 1.0),))
+    assert all(gate.admits("a", random.choice(routes), 10) for _ in range(60))
+
+
 def test_a_route_is_not_deferred_for_one_without_requests():
     gate = make_share_gate(Random(1))
     gate.set_fractions((ShareRow("a", 0.05),))
