--- a/tests/test_unequal_losses.py
+++ b/tests/test_unequal_losses.py
@@ -187,6 +187,22 @@
     assert find_unfair_shares(fleet) == []
 
 
+@pytest.mark.parametrize(
+    "losses",
+    [Losses(left=first(3, 0.7)), Losses(failed=rising(11, 0.7), failed_work=True)],
+)
+def test_routers_that_are_cut_off_make_up_for_losses_by_themselves(losses):
+    """Guards against shares of a cut-off router that follow what it admits alone."""
+
+    def cut_off_routers(fleet):
+        fleet.silent.update(
+            (number, replica) for number in range(20) for replica in REPLICAS
+        )
+
+    fleet = play_losses(overloads(11), losses, during=cut_off_routers)
+    assert find_unfair_shares(fleet) == []
+
+
 @pytest.mark.parametrize("kind", ["left", "failed"])
 @pytest.mark.parametrize("failed_work", [False, True])
 def test_calls_that_always_fail_take_no_more_than_a_tenth_of_ten_rivals(
