--- a/standins/virtual_shares.py
+++ b/standins/virtual_shares.py
@@ -298,7 +298,7 @@
         """Send an admitted request to the engines, or lose it before."""
         gate = self.routers[router].gate
         if self._is_drawn(self.left_fractions.get(name, 0.0)):
-            gate.account.lost.add(name, "caller-left", tokens)
+            gate.record_lost(name, "caller-left", tokens)
             return
         failed_fraction = self.failed_fractions.get(name, self.failed_fraction)
         if self._random.random() >= failed_fraction:
--- a/tests/test_virtual_shares.py
+++ b/tests/test_virtual_shares.py
@@ -6,38 +6,22 @@
 
 from standins.share_ledger import WINDOW_SECONDS
 from standins.virtual_shares import Demand, make_virtual_shares
+from tests.shares_fixture import (
+    ALL_ROUTERS,
+    ENGINES_TOKENS,
+    OVERLOAD_BEGIN_SECONDS,
+    REPLICAS,
+    ROUTERS,
+    SIZE_TOKENS,
+    make_overload,
+    make_overloads,
+)
 
-ROUTERS = 70
-ALL_ROUTERS = tuple(range(ROUTERS))
-REPLICAS = ("a", "b", "c")
-ENGINES_TOKENS = 2_000_000.0
-OVERLOAD_TOKENS_PER_SECOND = 405_000.0
-SIZE_TOKENS = 4_500
-# An overload begins here; before it, routers and replicas find each other.
-OVERLOAD_BEGIN_SECONDS = 2.0
 END_SECONDS = 14.0
 # Time between two links that are restored to a resumed replica.
 RECONNECT_SECONDS = 0.02
 
 
-def make_overload(routers):
-    """Return a demand far above the customer's share at some routers."""
-    return Demand(
-        OVERLOAD_TOKENS_PER_SECOND,
-        routers,
-        SIZE_TOKENS,
-        from_seconds=OVERLOAD_BEGIN_SECONDS,
-    )
-
-
-def make_overloads(count, **others):
-    """Return overloads of some customers at all routers, and the other demands."""
-    return {
-        **{f"wide-{number}": make_overload(ALL_ROUTERS) for number in range(count)},
-        **others,
-    }
-
-
 @pytest.mark.parametrize("seed", range(3))
 def test_a_customer_of_many_routers_gets_as_much_as_one_of_few(seed):
     """60 customers request twelve times the engines' capacity, two more at few routers.
@@ -161,81 +145,6 @@
     assert fleet.longest_wait(8.0) < 0.5
 
 
-LOSS_BEGIN_SECONDS, LOSS_END_SECONDS = 6.0, 14.0
-
-
-def play_losses(fractions, demands, failed_work=False, seconds=8.0, seed=1):
-    """Play calm seconds, then losses after admission, then calm seconds; return it."""
-    fleet = make_virtual_shares(ROUTERS, REPLICAS, ENGINES_TOKENS)
-    fleet.failed_work = failed_work
-    fleet.play(LOSS_BEGIN_SECONDS, demands, Random(seed))
-    fleet.failed_fractions = fractions
-    fleet.play(seconds, demands, Random(seed + 1))
-    fleet.failed_fractions = {}
-    fleet.play(4.0, demands, Random(seed + 2))
-    return fleet
-
-
-@pytest.mark.parametrize("failed_work", [False, True])
-@pytest.mark.parametrize(
-    ("lost_fraction", "rivals", "seconds"),
-    [(2 / 3, 10, 8.0), (0.75, 20, 8.0), (1.0, 10, 3.0), (0.6, 6, 8.0)],
-)
-@pytest.mark.parametrize("routers", [ALL_ROUTERS, (3, 4)])
-def test_a_customer_whose_admitted_work_is_lost_still_gets_half_of_its_share(
-    lost_fraction, rivals, seconds, routers, failed_work
-):
-    """Guards against shares that are right at admission and lost before work begins."""
-    fractions = {"lost": lost_fraction}
-    demands = make_overloads(rivals, lost=make_overload(routers))
-    fleet = play_losses(fractions, demands, failed_work, seconds)
-    assert fleet.ledger.find_unfair_shares(4, 18) == []
-
-
-@pytest.mark.parametrize(("losing", "customers", "tokens"), [(3, 11, 1.0), (1, 4, 2.2)])
-def test_requests_that_fail_at_once_are_made_up_for_to_several_customers(
-    losing, customers, tokens
-):
-    """Guards against a bound for the others that keeps what costs them nothing."""
-    demand = Demand(
-        tokens * OVERLOAD_TOKENS_PER_SECOND,
-        ALL_ROUTERS,
-        SIZE_TOKENS,
-        from_seconds=OVERLOAD_BEGIN_SECONDS,
-    )
-    demands = {f"c{number}": demand for number in range(customers)}
-    fleet = play_losses({f"c{number}": 2 / 3 for number in range(losing)}, demands)
-    assert fleet.ledger.find_unfair_shares(4, 18) == []
-
-
-def test_losses_that_move_from_customer_to_customer_leave_each_its_share():
-    """Guards against a correction that comes when the losses are elsewhere already."""
-    demands = make_overloads(11)
-    fleet = make_virtual_shares(ROUTERS, REPLICAS, ENGINES_TOKENS)
-    fleet.play(LOSS_BEGIN_SECONDS, demands, Random(1))
-    for number in (0, 1, 2, 0, 1):
-        fleet.failed_fractions = {f"wide-{number}": 0.8}
-        fleet.play(2.0, demands, Random(number))
-    assert fleet.ledger.find_unfair_shares(4, 16) == []
-
-
-@pytest.mark.parametrize("failed_work", [False, True])
-@pytest.mark.parametrize(("failing", "fraction"), [(1, 1.0), (1, 0.9), (3, 0.9)])
-def test_customers_whose_calls_always_fail_take_no_more_than_a_tenth_of_the_others(
-    failing, fraction, failed_work
-):
-    """Guards against feeding customers whose calls fail by their own doing."""
-    fractions = {f"wide-{number}": fraction for number in range(failing)}
-    demands = make_overloads(11)
-    calm = play_losses({}, demands)
-    fleet = play_losses(fractions, demands, failed_work)
-    begin, end = int(LOSS_BEGIN_SECONDS), int(LOSS_END_SECONDS)
-    for number in range(failing, 11):
-        name = f"wide-{number}"
-        before = calm.ledger.started_tokens(name, begin, end)
-        assert fleet.ledger.started_tokens(name, begin, end) >= 0.9 * before
-
-
 RISE_SECONDS = 7.0
 
 
