Work out standings once, and add up what engines worked on in one place

A standing worked its level out again at each of four or five uses in a tick, work parts were looked up three times for each customer, and started tokens were summed twice. The medians of three figures stood in two modules. Standings are made in share_weights, the estimator returns what engines worked on, the level of recoverable customers has a function of its own, and a bound was tested before it was applied. estimate_busy_part no longer has the name of an argument beside it.

--- a/sesameford/gateway/lost_work.py
+++ b/sesameford/gateway/lost_work.py
@@ -75,17 +75,22 @@
     def update(
         self,
         served: Mapping[str, ServedRates],
+        handled_tokens: float,
         declared_tokens: float,
         busy_part: float,
         now_seconds: float,
-    ) -> None:
+    ) -> float:
         """Update the part of lost tokens that engines have worked on.
 
         Args:
             served: What is started and lost of each customer.
-            declared_tokens: What engines produce a second as declared.
+            handled_tokens: What engines started and failed a second.
+            declared_tokens: What they produce a second as declared.
             busy_part: How far engines are busy, from 0 to 1.
             now_seconds: The present time.
+
+        Returns:
+            The tokens a second that engines worked on, failed ones included.
         """
         last_seconds, self._updated_at_seconds = self._updated_at_seconds, now_seconds
         since_seconds = 0.0 if last_seconds is None else now_seconds - last_seconds
@@ -97,6 +102,8 @@
             peak_tokens = max(self._peak_started_tokens, declared_tokens)
             spent_tokens = max(peak_tokens - started_tokens, 0.0)
             self.worked_part = busy_part * min(spent_tokens / lost_tokens, 1.0)
+        failed_tokens = max(handled_tokens - started_tokens, 0.0)
+        return started_tokens + self.worked_part * failed_tokens
 
     def _update_peak(
         self, started_tokens: float, busy_tokens: float, since_seconds: float
@@ -130,7 +137,7 @@
         return LostWork(started_parts, self.worked_part)
 
 
-def busy_part(wait_seconds: float, wait_setpoint_seconds: float) -> float:
+def estimate_busy_part(wait_seconds: float, wait_setpoint_seconds: float) -> float:
     """Return how far engines are busy, from 0 to 1, by the average wait of prompts."""
     busy_wait_seconds = BUSY_WAIT_PART * wait_setpoint_seconds
     if busy_wait_seconds <= 0.0:
--- a/sesameford/gateway/service_balance.py
+++ b/sesameford/gateway/service_balance.py
@@ -11,7 +11,6 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from statistics import median
 
 # Averaging time of service and due tokens. Shares that follow within some tenths of a
 # second can be steered by it without oscillation.
@@ -64,10 +63,7 @@
                 del self._averages[customer]
 
     def served_parts(self, customers: Iterable[str]) -> dict[str, float]:
-        """Return the part of its due tokens that each customer got, against the usual.
-
-        Customers are compared with each other: a deficit that they all have is no
-        reason to prefer one, since engines may do less than the assumed capacity.
+        """Return the part of its due tokens that each customer got.
 
         Args:
             customers: The customers that don't get all that they request.
@@ -77,17 +73,11 @@
             for customer in customers
             if customer in self._averages
         }
-        served_parts = {
+        return {
             customer: one.served_tokens / one.due_tokens
             for customer, one in averages.items()
             if one.due_tokens > 0.0
         }
-        # Not the mean: one customer without any service would make all others seem to
-        # be ahead.
-        usual_part = median(served_parts.values()) if served_parts else 0.0
-        if usual_part <= 0.0:
-            return {}
-        return {customer: part / usual_part for customer, part in served_parts.items()}
 
 
 def make_service_balance() -> ServiceBalance:
--- a/sesameford/gateway/share_gate.py
+++ b/sesameford/gateway/share_gate.py
@@ -55,9 +55,7 @@
 
     def add_refused(self, fraction: float) -> None:
         """Count a request that another check refused, for requests that follow."""
-        if self.all_routes < MAX_CREDIT_REQUESTS:
-            credit = self.all_routes + fraction
-            self.all_routes = min(credit, MAX_CREDIT_REQUESTS)
+        self.all_routes = min(self.all_routes + fraction, MAX_CREDIT_REQUESTS)
 
 
 @dataclass(slots=True)
--- a/sesameford/gateway/share_weights.py
+++ b/sesameford/gateway/share_weights.py
@@ -9,8 +9,9 @@
 it can't bring there shares a smaller amount with all such customers.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from statistics import median
 
 # A customer that is ahead by a tenth of its due tokens gets so many tenths less.
 GAIN = 1.5
@@ -44,19 +45,14 @@
 class Standing:
     """How one limited customer stands, each figure against that of the usual customer.
 
-    ``served_part`` is what engines started for it lately, of what was due to it;
-    ``started_part`` and ``work_part`` are the parts of its admitted tokens that engines
-    start and work on.
+    ``level`` is how well an even share would serve it, made worse by what it lacks of
+    recent service; ``started_part`` and ``work_part`` are the parts of its admitted
+    tokens that engines start and work on.
     """
 
-    served_part: float = 1.0
-    started_part: float = 1.0
-    work_part: float = 1.0
-
-    @property
-    def level(self) -> float:
-        """Return how well it is served by an even share, 1 if like the usual one."""
-        return self.started_part / _balancing_weight(self.served_part)
+    level: float
+    started_part: float
+    work_part: float
 
     @property
     def raise_limit(self) -> float:
@@ -75,6 +71,49 @@
         return needed <= 1.0 + max_raised
 
 
+def make_standings(
+    served_parts: Mapping[str, float],
+    started_parts: Mapping[str, float],
+    work_parts: Mapping[str, float],
+) -> dict[str, Standing]:
+    """Return how limited customers stand against the usual one.
+
+    Customers are compared with each other: a deficit that they all have is no reason to
+    prefer one, since engines may do less than the assumed capacity.
+
+    Args:
+        served_parts: What engines started for each customer lately, as a part of what
+            was due to it.
+        started_parts: The part of its admitted tokens that engines start.
+        work_parts: The part of them that engines work on.
+
+    Returns:
+        The standings, none while the usual customer has got nothing.
+    """
+    # Not the mean: one customer without any service would make all others seem to be
+    # ahead.
+    usual_served = median(served_parts.values()) if served_parts else 0.0
+    if usual_served <= 0.0:
+        return {}
+    usual_started = median(started_parts[one] for one in served_parts)
+    usual_worked = median(work_parts[one] for one in served_parts)
+    return {
+        customer: _make_standing(
+            served_part / usual_served,
+            started_parts[customer] / usual_started,
+            work_parts[customer] / usual_worked,
+        )
+        for customer, served_part in served_parts.items()
+    }
+
+
+def _make_standing(
+    served_part: float, started_part: float, work_part: float
+) -> Standing:
+    level = started_part / _balancing_weight(served_part)
+    return Standing(level, started_part, work_part)
+
+
 def share_weights(standings: Mapping[str, Standing]) -> dict[str, float]:
     """Return by how much the even share of each customer is to be multiplied."""
     lowered = {
@@ -111,10 +150,7 @@
         if standing.is_recoverable(max_each)
     }
     limits = [standing.raise_limit for standing in recoverable.values()]
-    level = _affordable_level(limits, max_each)
-    if level < RECOVERED_PART:
-        max_recovery = _even_shares(MAX_RECOVERY_PART, customers) + freed
-        level = min(_affordable_level(limits, max_recovery), RECOVERED_PART)
+    level = _recovery_level(limits, customers, freed)
     weights = {
         customer: min(
             max(level / standing.level, 1.0), (1.0 + max_each) / standing.work_part
@@ -133,6 +169,27 @@
     }
 
 
+def _recovery_level(
+    raise_limits: Sequence[float], customers: int, freed: float
+) -> float:
+    """Return the level to which recoverable customers are raised, at most 1.
+
+    Beyond what one of them may take, they are raised to the recovered part only.
+
+    Args:
+        raise_limits: The level up to which raising each of them costs nothing.
+        customers: How many customers are limited.
+        freed: What those that are ahead get less, in even shares.
+    """
+    level = _affordable_level(
+        raise_limits, _even_shares(MAX_RAISED_PART, customers) + freed
+    )
+    if level >= RECOVERED_PART:
+        return level
+    max_recovery = _even_shares(MAX_RECOVERY_PART, customers) + freed
+    return min(_affordable_level(raise_limits, max_recovery), RECOVERED_PART)
+
+
 def _even_shares(part: float, customers: int) -> float:
     """Return the even shares that leave the others all but a part of theirs."""
     return max(customers * (1.0 / (1.0 - part) - 1.0), MIN_MAX_RAISED)
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -8,20 +8,19 @@
 customers gets, and refuse its other requests at once.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from statistics import median
 
 from sesameford.gateway.lost_work import (
     LostWork,
     LostWorkEstimator,
     ServedRates,
-    busy_part,
+    estimate_busy_part,
     make_lost_work_estimator,
 )
 from sesameford.gateway.router_loads import sum_customer_rates
 from sesameford.gateway.service_balance import ServiceBalance, make_service_balance
-from sesameford.gateway.share_weights import Standing, share_weights
+from sesameford.gateway.share_weights import make_standings, share_weights
 from sesameford.gateway.timeliness import MIN_WAIT_FACTOR, wait_factor
 from sesameford.gateway.token_rate import AVERAGE_SECONDS
 from sesameford.load_messages import PartialLoad, ShareRow
@@ -114,20 +113,18 @@
         )
         waits_seconds = sum(load.routers * load.wait_seconds for load in loads)
         self.wait_seconds = waits_seconds / max(self.routers, 1)
-        self._estimator.update(
+        worked_tokens = self._estimator.update(
             served,
+            handled_tokens,
             declared_tokens,
-            busy_part(self.wait_seconds, self.wait_setpoint_seconds),
+            estimate_busy_part(self.wait_seconds, self.wait_setpoint_seconds),
             now_seconds,
         )
-        started_tokens = {name: one.started_tokens for name, one in served.items()}
-        worked_tokens = self._worked_tokens(
-            handled_tokens, sum(started_tokens.values())
-        )
         self.capacity_tokens = self._capacity(
             remaining_part * worked_tokens, declared_tokens
         )
         even = fair_amounts(self.requested_tokens, self.capacity_tokens)
+        started_tokens = {name: one.started_tokens for name, one in served.items()}
         self._balance.update(even, started_tokens, now_seconds)
         limited = [
             customer
@@ -135,8 +132,15 @@
             if even[customer] < requested
         ]
         self.lost_work = self._estimator.lost_work(served, limited)
-        self.weights = share_weights(self._standings(limited))
-        self.fractions = self._fractions()
+        work_parts = {name: self.lost_work.work_part(name) for name in limited}
+        self.weights = share_weights(
+            make_standings(
+                self._balance.served_parts(limited),
+                {name: self.lost_work.started_part(name) for name in limited},
+                work_parts,
+            )
+        )
+        self.fractions = self._fractions(work_parts)
         self._keep_limited(now_seconds)
 
     def rows(self) -> tuple[ShareRow, ...]:
@@ -160,11 +164,6 @@
         self._mean_available_part = max(self._mean_available_part, MIN_AVAILABLE_PART)
         return min(available_part / self._mean_available_part, 1.0)
 
-    def _worked_tokens(self, handled_tokens: float, started_tokens: float) -> float:
-        """Return the tokens a second that engines worked on, failed ones included."""
-        failed_tokens = max(handled_tokens - started_tokens, 0.0)
-        return started_tokens + self._estimator.worked_part * failed_tokens
-
     def _capacity(self, worked_tokens: float, declared_tokens: float) -> float:
         """Return the tokens a second that can be served without too long a wait."""
         factor = 1 + CAPACITY_GAIN_PER_SECOND * (
@@ -177,23 +176,6 @@
         # No prompt waits too long: the declared rate can be served in any case.
         return max(capacity, declared_tokens)
 
-    def _standings(self, limited: Iterable[str]) -> dict[str, Standing]:
-        """Return how each limited customer stands against the usual one."""
-        served_parts = self._balance.served_parts(limited)
-        if not served_parts:
-            return {}
-        lost = self.lost_work
-        usual_started = median(map(lost.started_part, served_parts))
-        usual_worked = median(map(lost.work_part, served_parts))
-        return {
-            customer: Standing(
-                served_part,
-                lost.started_part(customer) / usual_started,
-                lost.work_part(customer) / usual_worked,
-            )
-            for customer, served_part in served_parts.items()
-        }
-
     def _keep_limited(self, now_seconds: float) -> None:
         """Keep customers limited for a while, to all that they request if that is due.
 
@@ -209,16 +191,20 @@
             else:
                 self.fractions.setdefault(customer, 1.0)
 
-    def _fractions(self) -> dict[str, float]:
+    def _fractions(self, work_parts: Mapping[str, float]) -> dict[str, float]:
         """Return the part of its requests that each customer is admitted, if not all.
 
         The capacity is divided by what engines work on, which may be less than what is
         admitted. A customer whose even share is less than it requests stays limited,
         also if making up for its losses admits all.
+
+        Args:
+            work_parts: The part of its admitted tokens that engines work on, of each
+                limited customer.
         """
-        work_parts = {name: self.lost_work.work_part(name) for name in self.weights}
         requested_work = {
-            customer: requested * work_parts.get(customer, 1.0)
+            customer: requested
+            * (work_parts[customer] if customer in self.weights else 1.0)
             for customer, requested in self.requested_tokens.items()
         }
         work_weights = {
--- a/tests/test_service_balance.py
+++ b/tests/test_service_balance.py
@@ -13,7 +13,7 @@
     MAX_RECOVERY_PART,
     MAX_UNRECOVERED_PART,
     PROMISED_PART,
-    Standing,
+    make_standings,
     share_weights,
 )
 
@@ -37,12 +37,11 @@
         worked_part,
     )
     return share_weights(
-        {
-            customer: Standing(
-                part, lost.started_part(customer), lost.work_part(customer)
-            )
-            for customer, part in balance.served_parts(due).items()
-        }
+        make_standings(
+            balance.served_parts(due),
+            {customer: lost.started_part(customer) for customer in served},
+            {customer: lost.work_part(customer) for customer in served},
+        )
     )
 
 
@@ -85,10 +84,10 @@
     assert min(weights[f"lost-{number}"] for number in range(4)) >= 3.0
 
 
-def test_customers_that_can_be_brought_to_the_promise_come_before_hopeless_ones():
+def test_customers_that_can_be_brought_to_the_promised_part_come_first():
     """Guards against calls that always fail and use up what would help another one."""
     served = {f"c{number}": ServedRates(DUE) for number in range(9)}
-    served["hopeless"] = ServedRates(0.0, DUE)
+    served["failing"] = ServedRates(0.0, DUE)
     served["lost"] = ServedRates(0.4 * DUE, 0.6 * DUE)
     weights = weights_of(served)
     assert 0.4 * weights["lost"] >= PROMISED_PART
@@ -122,9 +121,9 @@
     estimator = make_lost_work_estimator()
     calm = {customer: ServedRates(DUE) for customer in served}
     for tick in range(100):
-        estimator.update(calm, 0.0, 1.0, 0.1 * tick)
+        estimator.update(calm, 0.0, 0.0, 1.0, 0.1 * tick)
     for tick in range(round(10 * seconds)):
-        estimator.update(served, 0.0, busy_part, 10.0 + 0.1 * tick)
+        estimator.update(served, 0.0, 0.0, busy_part, 10.0 + 0.1 * tick)
     return estimator.worked_part
 
 
@@ -150,3 +149,11 @@
     lost = make_lost_work_estimator().lost_work(served, served)
     assert ServedRates(0.0, DUE).started_part == MIN_STARTED_PART
     assert {lost.work_part(name) for name in served} == {1.0}
+
+
+def test_failed_requests_count_as_work_as_far_as_engines_spend_on_them():
+    served = {"a": ServedRates(DUE), "lost": ServedRates(DUE, DUE)}
+    worked_tokens = make_lost_work_estimator().update(
+        served, 3 * DUE, 2.5 * DUE, 1.0, 0.0
+    )
+    assert worked_tokens == pytest.approx(2.5 * DUE)
--- a/tests/test_unserved_calls.py
+++ b/tests/test_unserved_calls.py
@@ -35,13 +35,19 @@
 
 
 @pytest.mark.parametrize(
-    ("prompt", "first_event_seconds", "lost"),
-    [(PROMPT, None, "club/timeout:1:1.0"), (PROMPT, 0.2, ""), (None, None, "")],
+    ("prompt", "first_event_seconds", "lost", "rates"),
+    [
+        (PROMPT, None, "club/timeout:1:1.0", [1_000]),
+        (PROMPT, 0.2, "", [0]),
+        (None, None, "", []),
+    ],
 )
-def test_only_prompts_that_no_engine_began_are_lost(prompt, first_event_seconds, lost):
+def test_only_prompts_that_no_engine_began_are_lost(
+    prompt, first_event_seconds, lost, rates
+):
     gate = record("timeout", prompt, first_event_seconds)
     assert gate.account.lost.format_sums() == lost
-    assert sum(lost_rates(gate)) == (1_000 if lost else 0)
+    assert lost_rates(gate) == rates
 
 
 @pytest.mark.parametrize(
