Compare the id of an answer before anything else in it counts

What callers saw: 503 for requests that ran, and work that was done twice when they asked again, as they may after this promise. A server that requests backoff in a late answer got no call for that time, one that left or had lost its address in it none.

Cause: Sender._check_head read a 421 and Not-Executed before it compared the request's id, so a late rejection of any other request counted as this one's; its head was then recorded as what the target says of itself.

Now an answer that isn't this call's ends the attempt as foreign: the call may have run, nothing else of the head is heeded, and the target isn't set aside as one whose connections fail. That the connection goes back to the pool is another fault, not mended here.

--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -44,6 +44,7 @@
     NOT_RUN = "not-run"
     WRONG_TARGET = "wrong-target"
     LOST = "lost"
+    FOREIGN = "foreign-answer"
     BROKEN = "broken"
     TIMEOUT = "timeout"
 
@@ -57,6 +58,8 @@
         SendOutcome.WRONG_TARGET,
     }
 )
+# After these outcomes the target has accepted the call and failed it.
+FAILED_OUTCOMES = frozenset({SendOutcome.LOST, SendOutcome.FOREIGN, SendOutcome.BROKEN})
 
 
 class SendAttemptError(SesamefordError):
@@ -230,24 +233,23 @@
     def _check_head(self, call: Call, response: ClientResponse) -> AnswerHead:
         """Return an answer's head after checking that it is this call's and it ran.
 
-        A target may answer twice. The second answer then arrives in place of the next
-        call's answer, and that call's caller would receive another caller's data. The
-        request id in the answer reveals this, and the connection is not used again.
+        Nothing else in a head counts before the id is compared: a rejection of another
+        request would tell this call's caller that it has not run.
 
         Raises:
             SendAttemptError: The answer is another call's, or the call did not run.
         """
         headers = [(str(name), value) for name, value in response.headers.items()]
         head = self.wire_adapter.read_answer(response.status, headers)
+        if head.request_id != call.request_id:
+            detail = f"an answer to {head.request_id or 'nobody'}"
+            raise SendAttemptError(SendOutcome.FOREIGN, detail)
         if head.is_other_target:
             raise SendAttemptError(
                 SendOutcome.WRONG_TARGET, "another target has the address", head
             )
         if head.not_run:
             raise SendAttemptError(SendOutcome.NOT_RUN, f"status {head.status}", head)
-        if head.request_id != call.request_id:
-            detail = f"an answer to {head.request_id or 'nobody'}"
-            raise SendAttemptError(SendOutcome.LOST, detail, head)
         return head
 
 
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -18,6 +18,7 @@
 from sesameford.gateway.calls import SendAttempt
 from sesameford.gateway.early_decision import EarlyCall, read_call
 from sesameford.gateway.forward import (
+    FAILED_OUTCOMES,
     SendAttemptError,
     SendOutcome,
     body_until,
@@ -182,7 +183,7 @@
                 )
         is_failed = context.status >= 500
     except SendAttemptError as error:
-        is_failed = error.outcome in (SendOutcome.LOST, SendOutcome.BROKEN)
+        is_failed = error.outcome in FAILED_OUTCOMES
         if error.head is not None:
             deps.placement.record_answer_head(
                 reservation, error.head, context.call.request_id, deps.now()
--- a/tests/raw_fixture.py
+++ b/tests/raw_fixture.py
@@ -1,6 +1,8 @@
 """Raw servers before one router, and a raw caller that reads the framing strictly."""
 
 import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import StrEnum
@@ -40,14 +42,21 @@
 
 @dataclass
 class RawServer:
-    """Answers each call by the script; ``calls`` are their heads."""
+    """Answers each call by a function; ``calls`` are their heads.
 
-    script: Script
+    The function takes the server, the call's id and the writer, and returns whether the
+    connection stays open. ``runs`` counts by request id what it says it ran.
+    """
+
+    answer: Callable[["RawServer", str, asyncio.StreamWriter], Awaitable[bool]]
     target_id: str
     address: str = ""
 
     def __post_init__(self):
         self.calls = []
+        self.runs = Counter()
+        self.connections = 0
+        self.open_connections = 0
         self.server = None
 
     async def start(self):
@@ -56,35 +65,47 @@
         self.address = f"{host}:{port}"
 
     async def _serve(self, reader, writer):
+        self.connections += 1
+        self.open_connections += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 self.calls.append(head)
                 await reader.readexactly(int(header_of(head, "Content-Length") or 0))
-                await self._answer(header_of(head, "X-Sesameford-Attempt-Id"), writer)
-                if self.script.close is Close.IN_ORDER:
-                    return
-                if self.script.close is Close.RESET:
-                    reset_connection(writer)
+                request_id = header_of(head, "X-Sesameford-Attempt-Id")
+                if not await self.answer(self, request_id, writer):
                     return
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self.open_connections -= 1
             writer.close()
 
-    async def _answer(self, request_id, writer):
-        lines = [
-            f"HTTP/1.1 {self.script.status} OK",
-            f"X-Sesameford-Attempt-Id: {request_id}",
-            f"X-Sesameford-Response-Signature: signed-{request_id}",
-            *self.script.head,
-        ]
-        writer.write("\r\n".join([*lines, "", ""]).encode())
-        for part in self.script.parts:
+
+def answer_by_script(script):
+    """Return the answer function that gives the same answer to each call."""
+
+    async def answer(server, request_id, writer):
+        writer.write(raw_head(request_id, script.status, script.head))
+        for part in script.parts:
             writer.write(part)
             await writer.drain()
             # Each part is read by itself, as on a real network.
-            await asyncio.sleep(self.script.pause_seconds)
+            await asyncio.sleep(script.pause_seconds)
+        if script.close is Close.RESET:
+            reset_connection(writer)
+        return script.close is Close.KEEP
+
+    return answer
+
+
+def raw_head(request_id, status=200, more=()):
+    """Return the bytes of the head of a signed answer, without an id if it is None."""
+    lines = [f"HTTP/1.1 {status} OK"]
+    if request_id is not None:
+        lines.append(f"X-Sesameford-Attempt-Id: {request_id}")
+    lines.append(f"X-Sesameford-Response-Signature: signed-{request_id}")
+    return "\r\n".join([*lines, *more, "", ""]).encode()
 
 
 def header_of(head, name):
@@ -159,9 +180,15 @@
 
 
 @asynccontextmanager
-async def open_raw_desk(*scripts, **desk_arguments):
-    """Start a router before one raw server for each script."""
-    servers = [RawServer(script, f"raw{n}") for n, script in enumerate(scripts)]
+async def open_raw_desk(*answers, **desk_arguments):
+    """Start a router before one raw server for each script or answer function."""
+    servers = [
+        RawServer(
+            answer_by_script(answer) if isinstance(answer, Script) else answer,
+            f"raw{number}",
+        )
+        for number, answer in enumerate(answers)
+    ]
     for server in servers:
         await server.start()
     async with open_desk(**desk_arguments) as desk:
