Skip an answer to another request, and deliver the own one behind it

What callers saw: after a late answer that was read to its end the connection went back to the pool, and the next call found the answer before its own: it ran and failed, and so on while answers were short.

Cause: the library releases a connection when the body of what it took for the answer has ended; nothing marked the connection as out of step.

A connection now knows the id of the request that is under way, which its connector tells it, and its read() hands the library only interim answers and the own one. Another request's answer is read to its end, up to 4 MB, logged and counted, and the connection isn't used again. If nothing can follow it the call fails at once, as it may have run. An id that a connection has carried before is sent on another one, as a late answer to the first could not be told from the second's. A HEAD's connection isn't used again: its answer, sent once more, would swallow the next one as its body.

--- a/sesameford/gateway/calls.py
+++ b/sesameford/gateway/calls.py
@@ -151,6 +151,8 @@
             ``BadCallError``.
         sent_headers: Returns all headers of a request to a target.
         read_answer: Parses status and headers of a target's answer.
+        read_request_id: Returns the request id in the headers of a request or an
+            answer, None without one.
         generated_answer_headers: Returns the headers of an answer that the router
             generates itself.
     """
@@ -158,4 +160,5 @@
     read_call: Callable[[str, str, Mapping[str, str], Headers], Call]
     sent_headers: Callable[[Call, SendAttempt], Headers]
     read_answer: Callable[[int, Headers], AnswerHead]
+    read_request_id: Callable[[Mapping[str, str]], str | None]
     generated_answer_headers: Callable[[Call | None], Headers]
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -24,7 +24,9 @@
 from sesameford.errors import SesamefordError
 from sesameford.framing import Framing, framing_of
 from sesameford.gateway.calls import AnswerHead, Call, SendAttempt, WireAdapter
-from sesameford.http_ports import make_session
+from sesameford.gateway.gateway_metrics import GatewayMetrics
+from sesameford.http_ports import PoolOptions, make_session
+from sesameford.target_connections import AnswerOwners, ForeignAnswerError
 
 # A target in another data centre accepts within some hundredths of a second; one that
 # is unreachable would delay each call. TCP resends a lost first packet only after a
@@ -223,6 +225,8 @@
             ) from error
         except TimeoutError as error:
             raise SendAttemptError(SendOutcome.TIMEOUT, "no answer in time") from error
+        except ForeignAnswerError as error:
+            raise SendAttemptError(SendOutcome.FOREIGN, str(error)) from error
         except (ClientConnectionError, ClientError, OSError) as error:
             # A part of the call may have arrived. Only the target could report that
             # it did not run, and this connection delivers nothing more.
@@ -273,17 +277,24 @@
 
 
 def make_target_session(
-    idle_seconds: float, connect_seconds: float = CONNECT_TIMEOUT_SECONDS
+    idle_seconds: float,
+    wire_adapter: WireAdapter,
+    metrics: GatewayMetrics,
+    connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
 ) -> ClientSession:
     """Return a client session for ``make_sender``.
 
     Args:
         idle_seconds: The idle timeout of a pooled connection.
+        wire_adapter: Reads whose an answer is.
+        metrics: Counts what the connections show.
         connect_seconds: The connect timeout.
     """
     trace = TraceConfig()
     trace.on_request_headers_sent.append(_call_before_write)
-    return make_session(None, idle_seconds, connect_seconds, trace)
+    owners = AnswerOwners(wire_adapter.read_request_id, metrics.record_skipped_answer)
+    pool = PoolOptions(idle_seconds, owners)
+    return make_session(None, pool, connect_seconds, trace)
 
 
 def make_sender(session: ClientSession, wire_adapter: WireAdapter) -> Sender:
--- a/sesameford/gateway/gateway_metrics.py
+++ b/sesameford/gateway/gateway_metrics.py
@@ -30,6 +30,11 @@
             "Tokens that customers asked, by what became of the request at the gate",
             registry=self.registry,
         )
+        self._skipped_answers = CounterMetric(
+            "sesameford_skipped_answers_total",
+            "Answers to other requests that arrived before a call's own",
+            registry=self.registry,
+        )
         self._call_seconds = Histogram(
             "sesameford_call_seconds",
             "Time from arrival to the end of the answer",
@@ -93,6 +98,10 @@
         if first_event_seconds is not None:
             self._first_event.observe({"route": route_id}, first_event_seconds)
 
+    def record_skipped_answer(self) -> None:
+        """Count an answer to another request that arrived before a call's own."""
+        self._skipped_answers.inc({})
+
     def record_pause(self, route_id: str, longest_pause_seconds: float) -> None:
         """Record the longest pause of a stream."""
         self._longest_pause.observe({"route": route_id}, longest_pause_seconds)
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -263,7 +263,9 @@
             is_crowded: Returns whether few free connections for callers are left.
         """
         loop = asyncio.get_running_loop()
-        self._session = make_target_session(IDLE_SECONDS)
+        self._session = make_target_session(
+            IDLE_SECONDS, self._wire_adapter, self.metrics
+        )
         return GatewayDeps(
             self._wire_adapter,
             make_sender(self._session, self._wire_adapter),
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -24,7 +24,7 @@
     make_listener,
 )
 from sesameford.settings import split_address
-from sesameford.target_connections import make_connector
+from sesameford.target_connections import AnswerOwners, make_connector
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 IDLE_TIMEOUT_SECONDS = 60.0
@@ -32,9 +32,22 @@
 BACKLOG_CONNECTIONS = 1024
 
 
+@dataclass(frozen=True, slots=True)
+class PoolOptions:
+    """How a session uses its connections again.
+
+    Args:
+        idle_seconds: The idle timeout of a pooled connection.
+        owners: How the answers on a connection are told apart.
+    """
+
+    idle_seconds: float
+    owners: AnswerOwners
+
+
 def make_session(
     context: SSLContext | None,
-    idle_seconds: float | None = None,
+    pool: PoolOptions | None = None,
     connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
     trace: TraceConfig | None = None,
 ) -> ClientSession:
@@ -44,21 +57,19 @@
 
     Args:
         context: The TLS context, or None.
-        idle_seconds: The idle timeout of a pooled connection. Only for targets whose
-            answers name the request that they belong to.
+        pool: How connections are used again, or None.
         connect_seconds: The connect timeout.
         trace: Callbacks for the steps of each request, or None.
 
-    Without ``idle_seconds`` each exchange has its own connection. On a pooled one a
-    late answer to an abandoned exchange would be read as the answer to the next, and
-    a connection that the target has just closed looks like a target that crashed
-    during the request.
+    Without ``pool`` each exchange has its own connection. On a pooled one a late answer
+    to an abandoned exchange would be read as the answer to the next, and a connection
+    that the target has just closed looks like a target that crashed during the request.
     """
     ssl = context if context is not None else True
-    if idle_seconds is None:
+    if pool is None:
         connector = TCPConnector(limit=0, ssl=ssl, force_close=True)
     else:
-        connector = make_connector(ssl, idle_seconds)
+        connector = make_connector(ssl, pool.idle_seconds, pool.owners)
     timeout = ClientTimeout(total=None, sock_connect=connect_seconds)
     session = ClientSession(
         connector=connector,
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -124,8 +124,9 @@
         await server.start()
         add_target(table, server)
     state = make_gateway_state(tree or effective_tree(parse_tree(TREE, "t"), 1))
-    targets = make_target_session(3.0)
     adapter = make_wire_adapter()
+    metrics = make_gateway_metrics()
+    targets = make_target_session(3.0, adapter, metrics)
     placement = make_placement(table, "a", heartbeat_seconds, Random(1))
     exchange = make_suspect_exchange(
         "r1", 300.0, False, lambda now_seconds: (), lambda outgoing: None
@@ -144,7 +145,7 @@
         make_share_gate(Random(1)),
         make_second_sends(RetryBudgetSettings()),
         make_loop_lag(),
-        make_gateway_metrics(),
+        metrics,
         Random(1),
         lambda: state,
         lambda: 1,
--- a/tests/raw_fixture.py
+++ b/tests/raw_fixture.py
@@ -57,6 +57,7 @@
         self.runs = Counter()
         self.connections = 0
         self.open_connections = 0
+        self.before_body = _send_nothing
         self.server = None
 
     async def start(self):
@@ -71,6 +72,7 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 self.calls.append(head)
+                await self.before_body(self, writer)
                 await reader.readexactly(int(header_of(head, "Content-Length") or 0))
                 request_id = header_of(head, "X-Sesameford-Attempt-Id")
                 if not await self.answer(self, request_id, writer):
@@ -82,6 +84,10 @@
             writer.close()
 
 
+async def _send_nothing(server, writer):
+    """Send nothing before a call's body was read."""
+
+
 def answer_by_script(script):
     """Return the answer function that gives the same answer to each call."""
 
