Hold a bounded part of all answers, and forward the rest as it comes

What callers saw: a server that sends a body without end filled the router, which held each plain answer to its end: eight such answers at once took 540 to 850 MB until their deadline of 2 s, and a router has 300. It would have been ended with every call at it. Streams were bounded for one event each (4 MB), not for all together.

Now an answer holds 64 KB in any case and up to 1 MB while all answers of the router hold less than fleet.held_answers_limit_bytes (24 MB) together. What finds no room is forwarded as it arrives, as fast as its caller reads, with its length if it has one; a failure then cuts it instead of becoming a 502. No sound answer is refused for the room: 20 of 3 MB at once pass whole, also without a length and to HTTP/1.0.

An answer over fleet.answer_limit_bytes (16 MB) is given up: a 502 if its head states the length, else no end. `sending failed` has the fate answer-too-long, and sesameford_long_answers_total counts it. The target has failed the request.

A failure of a route that may be repeated is sent elsewhere without reading its body. An event that isn't complete is no longer copied and searched for each of its parts, and a body of which more has arrived lets others run first: the loop was late by up to 0.8 s beside eight bodies in small pieces.

22 of the 36 cases of bodies and events failed before, by memory; all grow by less than 64 MB now, callers and servers of the tests included.

--- a/sesameford/event_stream.py
+++ b/sesameford/event_stream.py
@@ -12,6 +12,7 @@
 _END = b"\n\n"
 # A blank line ends an event, whatever ends the lines.
 _EVENT_ENDS = (_END, b"\n\r\n", b"\r\r")
+_LONGEST_END_BYTES = max(len(end) for end in _EVENT_ENDS)
 _NEWLINES = b"\r\n"
 _DONE_LINE = b"data: [DONE]"
 _DATA_PREFIX = b"data: "
@@ -27,11 +28,14 @@
     ``last_event_id`` is -1 before the first event. ``is_done`` is True once the end
     mark arrived; without it the answer is truncated. ``in_order`` turns False if an
     event is missing or repeated: after a resume on another connection, such a stream
-    lacks or repeats text and still ends with its mark.
+    lacks or repeats text and still ends with its mark. ``held_bytes`` is the size of
+    the buffered partial event.
     """
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest: list[bytes] = []
+        self._last_bytes = b""
+        self.held_bytes = 0
         self.last_event_id = -1
         self.event_count = 0
         self.is_done = False
@@ -45,33 +49,43 @@
         retracted when the stream is resumed, and the caller would read broken text,
         so a partial event is buffered until its end arrives.
         """
-        buffer = self._rest + data
-        end = _end_of_last_event(buffer)
-        if not end:
-            self._rest = buffer
+        is_complete = bool(_end_of_last_event(self._last_bytes + data))
+        self._hold(data)
+        if not is_complete:
             return b""
-        ready, self._rest = buffer[:end], buffer[end:]
+        buffer = self.pop_rest()
+        end = _end_of_last_event(buffer)
+        ready = buffer[:end]
+        self._hold(buffer[end:])
         self._inspect_events(_with_line_feeds(ready))
         return ready
 
+    def _hold(self, data: bytes) -> None:
+        """Buffer bytes; a long event is not copied and searched for each of its parts.
+
+        The end of an event may be split over two reads of which one is short.
+        """
+        if data:
+            self._rest.append(data)
+            self.held_bytes += len(data)
+            self._last_bytes = (self._last_bytes + data)[-_LONGEST_END_BYTES + 1 :]
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes so far end inside an event."""
-        return bool(self._rest.strip(_NEWLINES))
+        return any(part.strip(_NEWLINES) for part in self._rest)
 
     def pop_rest(self) -> bytes:
         """Return the buffered bytes after the last event of a complete stream."""
-        rest, self._rest = self._rest, b""
+        rest = b"".join(self._rest)
+        self.drop_partial()
         return rest
 
     def drop_partial(self) -> None:
         """Drop the buffered partial event after its connection ended."""
-        self._rest = b""
-
-    @property
-    def held_bytes(self) -> int:
-        """Return the size of the buffered partial event."""
-        return len(self._rest)
+        self._rest.clear()
+        self._last_bytes = b""
+        self.held_bytes = 0
 
     def usage_so_far(self, prompt_tokens: int) -> Usage:
         """Return the usage that the engine reported, or an estimate from the events."""
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -14,6 +14,7 @@
 from sesameford.gateway.dispatch_limit import DispatchLimit, make_dispatch_limit
 from sesameford.gateway.forward import Sender
 from sesameford.gateway.gateway_metrics import GatewayMetrics
+from sesameford.gateway.held_answers import HeldAnswers, make_held_answers
 from sesameford.gateway.loop_lag import LoopLag
 from sesameford.gateway.origin_exchange import OriginExchange
 from sesameford.gateway.placement import Placement
@@ -91,6 +92,7 @@
     suspect_calls: SuspectCalls
     origin_exchange: OriginExchange
     service_versions: ServiceVersions
+    held_answers: HeldAnswers = field(default_factory=make_held_answers)
     queue_limits: dict[str, QueueLimit] = field(default_factory=dict)
     dispatch_limit: DispatchLimit = field(default_factory=make_dispatch_limit)
     returning_calls: ReturningCalls = field(default_factory=make_returning_calls)
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -1,7 +1,7 @@
 """Sends a call to one target; failures show whether the call may have run."""
 
-from asyncio import timeout_at
-from collections.abc import AsyncIterator, Callable
+from asyncio import sleep, timeout_at
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import StrEnum
@@ -48,6 +48,7 @@
     LOST = "lost"
     FOREIGN = "foreign-answer"
     BROKEN = "broken"
+    TOO_LONG = "answer-too-long"
     TIMEOUT = "timeout"
 
 
@@ -61,7 +62,14 @@
     }
 )
 # After these outcomes the target has accepted the call and failed it.
-FAILED_OUTCOMES = frozenset({SendOutcome.LOST, SendOutcome.FOREIGN, SendOutcome.BROKEN})
+FAILED_OUTCOMES = frozenset(
+    {
+        SendOutcome.LOST,
+        SendOutcome.FOREIGN,
+        SendOutcome.BROKEN,
+        SendOutcome.TOO_LONG,
+    }
+)
 
 
 class SendAttemptError(SesamefordError):
@@ -103,14 +111,26 @@
         """Return what marks the end of the body."""
         return framing_of(self.response)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    @property
+    def length_bytes(self) -> int | None:
+        """Return the length that the head states for the body, None without one."""
+        return self.response.content_length
+
+    async def chunks(self, limit_bytes: int) -> AsyncGenerator[bytes, None]:
         """Yield the body as it arrives; the caller must bound the time.
 
+        Args:
+            limit_bytes: The longest body.
+
         Raises:
-            SendAttemptError: It broke off.
+            SendAttemptError: It broke off, or is longer.
         """
         content = self.response.content
+        read_bytes = 0
         while True:
+            if content.total_bytes > limit_bytes:
+                detail = f"over {limit_bytes} bytes"
+                raise SendAttemptError(SendOutcome.TOO_LONG, detail)
             try:
                 chunk = await content.readany()
             except (ClientError, OSError) as error:
@@ -120,14 +140,10 @@
             if not chunk:
                 return
             yield chunk
-
-    async def whole_body(self) -> bytes:
-        """Return the complete body; the caller must bound the time.
-
-        Raises:
-            SendAttemptError: It broke off.
-        """
-        return b"".join([chunk async for chunk in self.chunks()])
+            read_bytes += len(chunk)
+            if content.total_bytes > read_bytes:
+                # The next read won't wait, and others would as long as that lasts.
+                await sleep(0)
 
 
 @asynccontextmanager
--- a/sesameford/gateway/forward_answer.py
+++ b/sesameford/gateway/forward_answer.py
@@ -1,10 +1,12 @@
 """Forwards a target's answer to its caller: whole, or as a stream of events."""
 
 import asyncio
+from contextlib import aclosing
 
 from aiohttp import web
 
 from sesameford.abortive_close import close_in_order, reset_on_close
+from sesameford.effective import FleetSettings
 from sesameford.event_stream import MAX_EVENT_BYTES, EventStream
 from sesameford.framing import Framing
 from sesameford.gateway.call_context import CallContext, CutError, GatewayDeps
@@ -35,17 +37,58 @@
         raise SendAttemptError(
             SendOutcome.BROKEN, f"status {head.status} in place of the rest"
         )
-    body = await exchange.whole_body()
     if head.status >= 500 and context.route.repeatable and not is_last_attempt(context):
         raise SendAttemptError(
             SendOutcome.BROKEN,
             f"status {head.status}",
             is_connection_lost=exchange.framing is Framing.CONNECTION,
         )
-    context.status = head.status
-    answer = web.Response(status=head.status, body=body)
-    _set_headers(deps, answer, exchange)
-    return answer
+    return await _forward_plain(deps, request, context, exchange)
+
+
+async def _forward_plain(
+    deps: GatewayDeps,
+    request: web.BaseRequest,
+    context: CallContext,
+    exchange: Exchange,
+) -> web.StreamResponse:
+    """Forward a plain answer: at its end, or as it arrives if it can't be held.
+
+    Raises:
+        SendAttemptError: It is not complete, or too long.
+    """
+    settings = _fleet_settings(deps)
+    length_bytes = exchange.length_bytes or 0
+    if (
+        exchange.framing is Framing.LENGTH
+        and length_bytes > settings.answer_limit_bytes
+    ):
+        detail = f"its length is {length_bytes} bytes"
+        raise SendAttemptError(SendOutcome.TOO_LONG, detail)
+    context.status = exchange.head.status
+    parts: list[bytes] = []
+    held_bytes = 0
+    async with aclosing(exchange.chunks(settings.answer_limit_bytes)) as chunks:
+        with deps.held_answers.hold(settings.held_answers_limit_bytes) as held:
+            async for part in chunks:
+                parts.append(part)
+                held_bytes += len(part)
+                if not held.resize(held_bytes):
+                    break
+            else:
+                answer = web.Response(status=context.status, body=b"".join(parts))
+                _set_headers(deps, answer, exchange)
+                return answer
+            response = web.StreamResponse(status=context.status)
+            _set_headers(deps, response, exchange)
+            if exchange.framing is Framing.LENGTH:
+                response.content_length = length_bytes
+            for part in parts:
+                await _write(request, context, response, part)
+            parts.clear()
+        async for part in chunks:
+            await _write(request, context, response, part)
+    return await _end(request, response)
 
 
 async def _forward_stream(
@@ -66,17 +109,36 @@
         _set_headers(deps, response, exchange)
     events = context.events
     events_before = events.event_count
-    async for chunk in exchange.chunks():
-        deps.placement.record_answer_data(reservation, deps.now())
-        ready = events.feed(chunk)
-        if events.held_bytes > MAX_EVENT_BYTES:
-            raise SendAttemptError(SendOutcome.BROKEN, "an event is too long")
-        if ready:
-            _record_event(deps, context, reservation)
-            await _write(request, context, response, ready)
+    settings = _fleet_settings(deps)
+    with deps.held_answers.hold(settings.held_answers_limit_bytes) as held:
+        async for chunk in exchange.chunks(settings.answer_limit_bytes):
+            deps.placement.record_answer_data(reservation, deps.now())
+            ready = events.feed(chunk)
+            if not held.resize(events.held_bytes, MAX_EVENT_BYTES):
+                raise SendAttemptError(SendOutcome.TOO_LONG, "an event is too long")
+            if ready:
+                _record_event(deps, context, reservation)
+                await _write(request, context, response, ready)
     _check_end(events, events.event_count - events_before, exchange.framing)
     _record_pauses(deps, context)
     await _write(request, context, response, events.pop_rest())
+    return await _end(request, response)
+
+
+def _fleet_settings(deps: GatewayDeps) -> FleetSettings:
+    """Return the deployment's settings, the defaults before any are in force."""
+    state = deps.state()
+    return FleetSettings() if state is None else state.tree.fleet
+
+
+async def _end(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> web.StreamResponse:
+    """Mark the end of an answer that was forwarded as it came.
+
+    Raises:
+        CancelledError: The caller closed the connection.
+    """
     try:
         await response.write_eof()
     except ConnectionError as error:
--- a/sesameford/gateway/gateway_metrics.py
+++ b/sesameford/gateway/gateway_metrics.py
@@ -35,6 +35,11 @@
             "Answers to other requests that arrived before a call's own",
             registry=self.registry,
         )
+        self._long_answers = CounterMetric(
+            "sesameford_long_answers_total",
+            "Answers that were given up because they are too long, or never end",
+            registry=self.registry,
+        )
         self._call_seconds = Histogram(
             "sesameford_call_seconds",
             "Time from arrival to the end of the answer",
@@ -102,6 +107,10 @@
         """Count an answer to another request that arrived before a call's own."""
         self._skipped_answers.inc({})
 
+    def record_long_answer(self) -> None:
+        """Count an answer that was given up because it is too long, or never ends."""
+        self._long_answers.inc({})
+
     def record_pause(self, route_id: str, longest_pause_seconds: float) -> None:
         """Record the longest pause of a stream."""
         self._longest_pause.observe({"route": route_id}, longest_pause_seconds)
--- /dev/null
+++ b/sesameford/gateway/held_answers.py
@@ -0,0 +1,67 @@
+"""How much a router holds of the answers that it forwards.
+
+An answer that is held to its end can be sent to another target if it breaks, and its
+caller learns of the failure from a status. But a server may send without end, and
+several large answers at once are as bad as one: the process would be ended for its
+memory, with every call at it. What finds no room is forwarded as it comes.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+# Each answer may hold this much, however much the others hold.
+MIN_HELD_BYTES = 65_536
+# A single answer holds no more; it is a small part of what all may hold together.
+MAX_HELD_BYTES = 1_000_000
+
+
+class HeldAnswers:
+    """The bytes of answers that one router holds, over all calls."""
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+
+    @contextmanager
+    def hold(self, limit_bytes: int) -> Iterator["HeldAnswer"]:
+        """Account for one answer as long as the context lasts.
+
+        Args:
+            limit_bytes: What all answers may hold together.
+        """
+        held = HeldAnswer(self, limit_bytes)
+        try:
+            yield held
+        finally:
+            held.release()
+
+
+class HeldAnswer:
+    """What a router holds of one answer."""
+
+    def __init__(self, answers: HeldAnswers, limit_bytes: int) -> None:
+        self._answers = answers
+        self._limit_bytes = limit_bytes
+        self._held_bytes = 0
+
+    def resize(self, held_bytes: int, max_bytes: int = MAX_HELD_BYTES) -> bool:
+        """Set what is held of the answer, and return whether there is room for it.
+
+        Args:
+            held_bytes: The bytes held from now on.
+            max_bytes: The most that this answer may hold.
+        """
+        self._answers.held_bytes += held_bytes - self._held_bytes
+        self._held_bytes = held_bytes
+        if held_bytes <= MIN_HELD_BYTES:
+            return True
+        has_room = self._answers.held_bytes <= self._limit_bytes
+        return has_room and held_bytes <= max_bytes
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        self.resize(0)
+
+
+def make_held_answers() -> HeldAnswers:
+    """Return the account of a router that holds nothing."""
+    return HeldAnswers()
--- a/sesameford/gateway/send_failures.py
+++ b/sesameford/gateway/send_failures.py
@@ -48,7 +48,9 @@
         context.send_attempts -= 1
     if error.outcome is SendOutcome.NEVER_SENT:
         context.failed_connects += 1
-    if error.outcome is SendOutcome.BROKEN:
+    if error.outcome is SendOutcome.TOO_LONG:
+        deps.metrics.record_long_answer()
+    if error.outcome in (SendOutcome.BROKEN, SendOutcome.TOO_LONG):
         context.events.drop_partial()
 
 
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -30,6 +30,8 @@
 IDLE_TIMEOUT_SECONDS = 60.0
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
 BACKLOG_CONNECTIONS = 1024
+# What an answer may be ahead of its reader, and so the longest turn to parse it.
+READ_BUFFER_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +77,7 @@
         connector=connector,
         timeout=timeout,
         auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
         cookie_jar=DummyCookieJar(),
         trace_configs=None if trace is None else [trace],
     )
--- a/sesameford/tree_fields.py
+++ b/sesameford/tree_fields.py
@@ -293,6 +293,8 @@
         (FleetSettings, "balancer_delay_seconds"): _number(0, 600),
         (FleetSettings, "retry_budget_fraction"): _number(0, 1),
         (FleetSettings, "body_limit_bytes"): _integer(1, 1_000_000_000),
+        (FleetSettings, "answer_limit_bytes"): _integer(1, 1_000_000_000_000),
+        (FleetSettings, "held_answers_limit_bytes"): _integer(0, 1_000_000_000),
         (FleetSettings, "weight_store_concurrent_loads"): _integer(1, 10_000),
     }
 )
--- a/tests/raw_fixture.py
+++ b/tests/raw_fixture.py
@@ -134,7 +134,7 @@
     arrivals_seconds: tuple[float, ...] = ()
 
 
-async def ask_raw(desk, path, version="1.1", body=b"notes", **headers):
+async def ask_raw(desk, path, version="1.1", body=b"notes", keeps_body=True, **headers):
     """Send one call over a socket and read the answer by its framing alone."""
     host, port = desk.address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -143,12 +143,12 @@
     writer.write("\r\n".join([*lines, "", ""]).encode() + body)
     try:
         async with asyncio.timeout(READ_SECONDS):
-            return await _read_answer(reader)
+            return await _read_answer(reader, keeps_body)
     finally:
         writer.close()
 
 
-async def _read_answer(reader):
+async def _read_answer(reader, keeps_body):
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -158,7 +158,8 @@
     seen = Seen.WHOLE
     try:
         async for chunk in _read_body(reader, head):
-            chunks.append(chunk)
+            if keeps_body:
+                chunks.append(chunk)
             arrivals.append(monotonic())
     except (asyncio.IncompleteReadError, ConnectionError):
         seen = Seen.CUT
@@ -167,6 +168,8 @@
 
 async def _read_body(reader, head):
     length = header_of(head, "Content-Length")
+    if head.split(" ")[1] in ("204", "304"):
+        return
     if (header_of(head, "Transfer-Encoding") or "") == "chunked":
         while True:
             size = int((await reader.readuntil(b"\r\n")).strip(), 16)
@@ -175,11 +178,13 @@
                 return
             yield data[:-2]
     elif length is not None:
-        try:
-            yield await reader.readexactly(int(length))
-        except asyncio.IncompleteReadError as error:
-            yield error.partial
-            raise
+        left_bytes = int(length)
+        while left_bytes:
+            data = await reader.read(min(left_bytes, 65536))
+            if not data:
+                raise asyncio.IncompleteReadError(b"", left_bytes)
+            left_bytes -= len(data)
+            yield data
     else:
         while data := await reader.read(65536):
             yield data
