Read no more of an answer than its head and body can be

What callers saw: newlines, interim answers, answers to others, the size or extension of a chunk without end were read until the deadline, some 150 MB in 3 s for nobody, the loop late by up to 0.3 s beside eight of them. Bytes behind a complete answer, in the segment of its head, failed it: 502 where a whole answer had come, for streams too. A body whose chunks were malformed was waited for until the deadline once its head had been read.

Causes: the library reads on until somebody times out; it parses what follows an answer as another one, and an error there drops the heads parsed in the same call; after an error in a body it closes the connection and leaves the body open.

A target's connection now passes bytes on by parts of 16 KB at most that end where a head or a body may end, stops at the end of the own answer, and closes the connection if anything follows. More than 32 heads, or more than 128 KB of what is no body beyond one byte for each byte of body, are given up: answer-too-long, at once, not as a broken connection, so that no call is suspected of a crash. A reader that is behind leaves the rest unparsed. The reading of answers has its own module, target_answers.

--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -26,7 +26,11 @@
 from sesameford.gateway.calls import AnswerHead, Call, SendAttempt, WireAdapter
 from sesameford.gateway.gateway_metrics import GatewayMetrics
 from sesameford.http_ports import PoolOptions, make_session
-from sesameford.target_connections import AnswerOwners, ForeignAnswerError
+from sesameford.target_answers import (
+    AnswerOwners,
+    EndlessAnswerError,
+    ForeignAnswerError,
+)
 
 # A target in another data centre accepts within some hundredths of a second; one that
 # is unreachable would delay each call. TCP resends a lost first packet only after a
@@ -133,6 +137,8 @@
                 raise SendAttemptError(SendOutcome.TOO_LONG, detail)
             try:
                 chunk = await content.readany()
+            except EndlessAnswerError as error:
+                raise SendAttemptError(SendOutcome.TOO_LONG, str(error)) from error
             except (ClientError, OSError) as error:
                 raise SendAttemptError(
                     SendOutcome.BROKEN, _describe_error(error), is_connection_lost=True
@@ -243,6 +249,8 @@
             raise SendAttemptError(SendOutcome.TIMEOUT, "no answer in time") from error
         except ForeignAnswerError as error:
             raise SendAttemptError(SendOutcome.FOREIGN, str(error)) from error
+        except EndlessAnswerError as error:
+            raise SendAttemptError(SendOutcome.TOO_LONG, str(error)) from error
         except (ClientConnectionError, ClientError, OSError) as error:
             # A part of the call may have arrived. Only the target could report that
             # it did not run, and this connection delivers nothing more.
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -24,7 +24,8 @@
     make_listener,
 )
 from sesameford.settings import split_address
-from sesameford.target_connections import AnswerOwners, make_connector
+from sesameford.target_answers import AnswerOwners
+from sesameford.target_connections import make_connector
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 IDLE_TIMEOUT_SECONDS = 60.0
--- /dev/null
+++ b/sesameford/target_answers.py
@@ -0,0 +1,265 @@
+"""Reads the answers of targets: each exchange gets its own one, and no endless one.
+
+A target may send an answer late: where the answer to the next request on its connection
+is expected. The request id in an answer shows whose it is. A server in trouble may also
+send bytes without end, in a head, a body or behind an answer.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPMethod
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientError, ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+if TYPE_CHECKING:
+    from asyncio import AbstractEventLoop
+
+    from aiohttp import ClientRequest
+
+logger = logging.getLogger(__name__)
+
+# The body of another request's answer that is read to get to the own answer behind it.
+MAX_SKIPPED_BYTES = 4_000_000
+# Heads end with it, and bodies in chunks.
+_EMPTY_LINE = b"\r\n\r\n"
+# Interim answers, answers to other requests and empty lines before one answer.
+MAX_HEADS = 32
+# So many bytes are parsed before heads and framing are counted.
+MAX_PART_BYTES = 16_384
+# What an answer may have beside its body: its head, and the framing of chunks.
+MAX_FRAMING_BYTES = 131_072
+# Each byte of a body pays for itself and one of framing, as in chunks of five bytes.
+RECEIVED_BYTES_PER_BODY_BYTE = 2
+# An answer that is late by more requests than this is not expected.
+REMEMBERED_REQUESTS = 64
+
+
+class ForeignAnswerError(ClientError):
+    """Another request's answer arrived, and the own one can't follow it."""
+
+
+class EndlessAnswerError(ClientPayloadError):
+    """An answer was given up: it brought far more bytes than it may have."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerOwners:
+    """How the answers on a connection are told apart.
+
+    Args:
+        read_request_id: Returns the request id in the headers of a request or an
+            answer, None without one.
+        record_skipped: Counts an answer to another request that was skipped.
+    """
+
+    read_request_id: Callable[[Mapping[str, str]], str | None]
+    record_skipped: Callable[[], None]
+
+
+class TargetConnection(ResponseHandler):
+    """Delivers to each exchange its own answer alone, and only if it is whole.
+
+    An answer without a length ends with its connection. The library accepts any end,
+    even a reset in the middle of the body. The caller would get a part of the answer,
+    framed as if it were complete.
+
+    A server in trouble may send bytes without end that are no part of a body. The
+    library reads them until the deadline, and holds the heads of interim answers.
+
+    Args:
+        owners: How answers are told apart.
+        loop: The running loop.
+    """
+
+    def __init__(self, owners: AnswerOwners, loop: "AbstractEventLoop") -> None:
+        super().__init__(loop=loop)
+        self._owners = owners
+        self._request_ids: deque[str | None] = deque(maxlen=REMEMBERED_REQUESTS)
+        # What arrived while the reader was behind.
+        self._unparsed = b""
+        self._heads = 0
+        self._received_bytes = 0
+        self._body: StreamReader | None = None
+        self._earlier_body_bytes = 0
+        self._has_own_head = False
+        # None if the length of the present body is not known.
+        self._left_body_bytes: int | None = None
+
+    def begin_exchange(self, request: "ClientRequest") -> bool:
+        """Take a request whose answer is to be read next.
+
+        Returns:
+            Whether its id is new here. A late answer to an earlier request of the same
+            id could not be told from the answer to this one.
+        """
+        request_id = self._owners.read_request_id(request.headers)
+        if request_id in self._request_ids:
+            return False
+        self._request_ids.append(request_id)
+        self._heads = self._received_bytes = self._earlier_body_bytes = 0
+        self._body = None
+        self._has_own_head = False
+        if request.method == HTTPMethod.HEAD:
+            # Its answer has a length and no body. If it came once more, the next
+            # exchange would take its own answer for that body.
+            self.force_close()
+        return True
+
+    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head and the body of the next interim answer or of the own one.
+
+        The library calls this for the head of an answer.
+
+        Raises:
+            ForeignAnswerError: The own answer can't be found behind another one.
+            ClientError: The connection broke.
+        """
+        while True:
+            message, body = await super().read()
+            if _is_interim(message) or self._is_own(message):
+                return message, body
+            # Even if the own answer follows, it may be sent twice as well.
+            self.force_close()
+            await self._skip(message, body)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes to the library up to the end of the answer, and bound them.
+
+        Each head and each body goes by itself, so that an error in what follows does
+        not fail it.
+        """
+        if not data:
+            # The reader has caught up, and the parser goes on with what it holds.
+            super().data_received(data)
+            self._fail_malformed_body()
+        self._unparsed += data
+        while self._unparsed and not self._reading_paused:
+            part, self._unparsed = self._split(self._unparsed)
+            if not part:
+                self._close_behind_answer()
+                return
+            self._received_bytes += len(part)
+            super().data_received(part)
+            self._fail_malformed_body()
+            if max(self._heads, len(self._buffer)) > MAX_HEADS:
+                self._give_up("too many heads")
+            elif self._framing_bytes() > MAX_FRAMING_BYTES:
+                self._give_up("too many bytes that are no body")
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Queue a head and its body; the library calls this when a head has arrived."""
+        message, body = data
+        if self._body is not None:
+            self._earlier_body_bytes += self._body.total_bytes
+        self._body = body
+        self._has_own_head = self._has_own_head or self._is_own(message)
+        length = None if message.chunked else message.headers.get("Content-Length")
+        self._left_body_bytes = None if length is None else int(length)
+        super().feed_data(data, size)
+
+    def _fail_malformed_body(self) -> None:
+        """Fail a body in which the library found an error, which it leaves open."""
+        if self._exception is None or self._payload is None:
+            return
+        if not self._payload.is_eof() and self._payload.exception() is None:
+            self._payload.set_exception(ClientPayloadError("the body is malformed"))
+
+    def _split(self, data: bytes) -> tuple[bytes, bytes]:
+        """Split bytes where a head or a body may end.
+
+        Returns:
+            What belongs to the present head or body, nothing behind the own answer, and
+            the rest.
+        """
+        if self._payload is None or self._payload.is_eof():
+            if self._has_own_head:
+                return b"", data
+            self._heads += 1
+        elif self._left_body_bytes is not None:
+            at = self._left_body_bytes
+            self._left_body_bytes -= min(at, len(data))
+            return data[:at], data[at:]
+        end = data.find(_EMPTY_LINE, 0, MAX_PART_BYTES)
+        at = MAX_PART_BYTES if end < 0 else end + len(_EMPTY_LINE)
+        return data[:at], data[at:]
+
+    def _framing_bytes(self) -> int:
+        """Return by how many bytes more arrived than the bodies so far explain."""
+        body_bytes = self._earlier_body_bytes
+        if self._body is not None:
+            body_bytes += self._body.total_bytes
+        return self._received_bytes - RECEIVED_BYTES_PER_BODY_BYTE * body_bytes
+
+    def _close_behind_answer(self) -> None:
+        """Close a connection on which bytes follow a complete answer.
+
+        They belong to no request. The library would parse them and, if they are no
+        answer, drop the complete one unless it has been read already.
+        """
+        self.force_close()
+        self._unparsed = b""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _give_up(self, detail: str) -> None:
+        """Close the connection, and fail the exchange without a lost connection."""
+        error = EndlessAnswerError(detail)
+        body, transport = self._payload, self.transport
+        # The library would replace the error when it learns that the connection ended.
+        self._parser = self._payload = None
+        self._unparsed = b""
+        self._buffer.clear()
+        self.set_exception(error)
+        if body is not None and not body.is_eof():
+            body.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+    def _is_own(self, message: RawResponseMessage) -> bool:
+        answered_id = self._owners.read_request_id(message.headers)
+        return answered_id is not None and answered_id == self._request_ids[-1]
+
+    async def _skip(self, message: RawResponseMessage, body: StreamReader) -> None:
+        """Read another request's answer to its end.
+
+        Raises:
+            ForeignAnswerError: Its end can't be found, or nothing comes after it.
+            ClientError: The connection broke.
+        """
+        answered_id = self._owners.read_request_id(message.headers)
+        logger.warning(
+            "answer to another request",
+            extra={
+                "request": self._request_ids[-1] or "",
+                "answered": answered_id or "",
+                "status": message.code,
+            },
+        )
+        description = f"an answer to {answered_id or 'nobody'}"
+        if message.should_close or message.upgrade or self._skip_payload:
+            raise ForeignAnswerError(description)
+        skipped_bytes = 0
+        while data := await body.readany():
+            skipped_bytes += len(data)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ForeignAnswerError(f"{description}, too long to skip")
+        self._owners.record_skipped()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Mark an incomplete body as broken before the library ends it."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"reset: {exc}"))
+        super().connection_lost(exc)
+
+
+def _is_interim(message: RawResponseMessage) -> bool:
+    return 100 <= message.code < 200 and not message.upgrade
