Bound what the daemon reads and holds of a target's answer

What callers of the daemon saw: a service whose body never ends filled its router, 700 MB for eight calls in 4 s; interim answers without end were read for over 8 s.

Cause: read_complete_body and a completion that is collected read on whatever came, and connections for one exchange had none of the bounds of pooled ones.

All connections to targets bound heads and framing now; one that carries a single exchange needs no ids. The daemon must see an answer's end before it reports that the call ran, so it can't forward an answer as it comes: one over fleet.answer_limit_bytes, or all over fleet.queued_limit_bytes together, is given up as an invalid answer. A stated length is checked before the body is read.

--- a/sesameford/completion_run.py
+++ b/sesameford/completion_run.py
@@ -64,7 +64,8 @@
         response = await _open_stream(run)
         if response.status != 200:
             with run.deps.tracer.start_as_current_span("relay"):
-                body = await read_complete_body(response)
+                with run.deps.hold_answer() as hold:
+                    body = await read_complete_body(response, hold)
                 settle(run.deps, run.call, run.attempt, _usage(run), Outcome.RAN)
                 return make_relayed_response(response, body, run.call)
         with run.deps.tracer.start_as_current_span("relay"):
@@ -105,8 +106,14 @@
 
 async def _relay_whole(run: CompletionRun, response: ClientResponse) -> Response:
     """Collect a stream and return the completion as one response."""
-    async with aclosing(_read_events(run, response)) as events:
-        collected = [ready async for ready in events]
+    collected: list[bytes] = []
+    held_bytes = 0
+    with run.deps.hold_answer() as hold:
+        async with aclosing(_read_events(run, response)) as events:
+            async for ready in events:
+                collected.append(ready)
+                held_bytes += len(ready)
+                hold(held_bytes)
     body = assemble_completion(
         b"".join(collected), run.call.path.endswith("/chat/completions")
     )
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -14,7 +14,6 @@
 from sesameford.gateway.dispatch_limit import DispatchLimit, make_dispatch_limit
 from sesameford.gateway.forward import Sender
 from sesameford.gateway.gateway_metrics import GatewayMetrics
-from sesameford.gateway.held_answers import HeldAnswers, make_held_answers
 from sesameford.gateway.loop_lag import LoopLag
 from sesameford.gateway.origin_exchange import OriginExchange
 from sesameford.gateway.placement import Placement
@@ -27,6 +26,7 @@
 from sesameford.gateway.stream_origins import StreamOrigin
 from sesameford.gateway.suspect_calls import SuspectCalls
 from sesameford.gateway.target_record import Reservation
+from sesameford.held_answers import HeldAnswers, make_held_answers
 
 # Default Retry-After: about the time after which a target in backoff is tried again.
 RETRY_AFTER_SECONDS = 0.5
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -25,12 +25,13 @@
 from sesameford.framing import Framing, framing_of
 from sesameford.gateway.calls import AnswerHead, Call, SendAttempt, WireAdapter
 from sesameford.gateway.gateway_metrics import GatewayMetrics
-from sesameford.http_ports import PoolOptions, make_session
+from sesameford.http_ports import make_session
 from sesameford.target_answers import (
     AnswerOwners,
     EndlessAnswerError,
     ForeignAnswerError,
 )
+from sesameford.target_connections import PoolOptions
 
 # A target in another data centre accepts within some hundredths of a second; one that
 # is unreachable would delay each call. TCP resends a lost first packet only after a
--- a/sesameford/gateway/held_answers.py
+++ b/sesameford/held_answers.py
@@ -3,7 +3,9 @@
 An answer that is held to its end can be sent to another target if it breaks, and its
 caller learns of the failure from a status. But a server may send without end, and
 several large answers at once are as bad as one: the process would be ended for its
-memory, with every call at it. What finds no room is forwarded as it comes.
+memory, with every call at it. A router of the platform forwards what finds no room as
+it comes; the daemon, which must see the end of an answer before it reports that the
+call ran, gives it up.
 """
 
 from collections.abc import Iterator
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -10,7 +10,6 @@
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
     TraceConfig,
     web,
 )
@@ -24,8 +23,7 @@
     make_listener,
 )
 from sesameford.settings import split_address
-from sesameford.target_answers import AnswerOwners
-from sesameford.target_connections import make_connector
+from sesameford.target_connections import PoolOptions, make_connector
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 IDLE_TIMEOUT_SECONDS = 60.0
@@ -35,19 +33,6 @@
 READ_BUFFER_BYTES = 65_536
 
 
-@dataclass(frozen=True, slots=True)
-class PoolOptions:
-    """How a session uses its connections again.
-
-    Args:
-        idle_seconds: The idle timeout of a pooled connection.
-        owners: How the answers on a connection are told apart.
-    """
-
-    idle_seconds: float
-    owners: AnswerOwners
-
-
 def make_session(
     context: SSLContext | None,
     pool: PoolOptions | None = None,
@@ -69,10 +54,7 @@
     that the target has just closed looks like a target that crashed during the request.
     """
     ssl = context if context is not None else True
-    if pool is None:
-        connector = TCPConnector(limit=0, ssl=ssl, force_close=True)
-    else:
-        connector = make_connector(ssl, pool.idle_seconds, pool.owners)
+    connector = make_connector(ssl, pool)
     timeout = ClientTimeout(total=None, sock_connect=connect_seconds)
     session = ClientSession(
         connector=connector,
--- a/sesameford/relay_deps.py
+++ b/sesameford/relay_deps.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,7 +13,8 @@
 
 from sesameford.answers_http import OUTCOME_HEADER, outcome_headers
 from sesameford.costs import cost_of_usage
-from sesameford.errors import TargetError
+from sesameford.errors import TargetError, TargetLostError
+from sesameford.held_answers import HeldAnswers, make_held_answers
 from sesameford.outcomes import Outcomes, make_outcomes
 from sesameford.probes import ProbeConnection, probe_target
 from sesameford.retries import PROVEN_NOT_STARTED, Failure
@@ -46,8 +48,29 @@
     tracer: Tracer
     now: Callable[[], float]
     outcomes: Outcomes = field(default_factory=make_outcomes)
+    held_answers: HeldAnswers = field(default_factory=make_held_answers)
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
+    @contextmanager
+    def hold_answer(self) -> Iterator[Callable[[int], None]]:
+        """Account for an answer that is read to its end before it is passed on.
+
+        Yields:
+            A function to call with the bytes that are held of it, which raises
+            ``TargetLostError`` if they are too many.
+        """
+        fleet = self.router.tree.fleet
+        with self.held_answers.hold(fleet.queued_limit_bytes) as held:
+
+            def resize(held_bytes: int) -> None:
+                if not held.resize(held_bytes, fleet.answer_limit_bytes):
+                    raise TargetLostError(
+                        f"the answer is too long: over {held_bytes} bytes",
+                        Failure.ANSWER_INVALID,
+                    )
+
+            yield resize
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run work that outlives its caller.
 
--- a/sesameford/service_adapter.py
+++ b/sesameford/service_adapter.py
@@ -1,5 +1,7 @@
 """HTTP client of plain services."""
 
+from collections.abc import Callable
+
 from aiohttp import ClientError, ClientResponse, ClientSession
 
 from sesameford.answers import Completeness, judge_body
@@ -70,15 +72,28 @@
     return await send_request(session, method, target.url + path, body or None, headers)
 
 
-async def read_complete_body(response: ClientResponse) -> bytes:
+async def read_complete_body(
+    response: ClientResponse, hold: Callable[[int], None]
+) -> bytes:
     """Return the body of a complete answer.
 
+    Args:
+        response: The answer, whose head has arrived.
+        hold: Takes the bytes held so far; see ``RelayDeps.hold_answer``.
+
     Raises:
         TargetLostError: The connection closed before the Content-Length or the last
-            chunk, or the head has no framing of the body.
+            chunk, the head has no framing of the body, or it is too long.
     """
+    parts: list[bytes] = []
+    held_bytes = 0
+    hold(response.content_length or 0)
     try:
-        body = await response.read()
+        async for part in response.content.iter_any():
+            parts.append(part)
+            held_bytes += len(part)
+            hold(held_bytes)
+        body = b"".join(parts)
     except (ClientError, TimeoutError, OSError) as error:
         response.close()
         raise TargetLostError(
--- a/sesameford/service_run.py
+++ b/sesameford/service_run.py
@@ -55,7 +55,8 @@
         deps.session, target, attempt, call.method, call.path, call.body, call.headers
     )
     try:
-        body = await read_complete_body(response)
+        with deps.hold_answer() as hold:
+            body = await read_complete_body(response, hold)
     finally:
         response.close()
     with deps.tracer.start_as_current_span("relay"):
--- a/sesameford/target_answers.py
+++ b/sesameford/target_answers.py
@@ -62,6 +62,10 @@
     record_skipped: Callable[[], None]
 
 
+# A connection that carries one exchange carries no other one's answer.
+SINGLE_EXCHANGE = AnswerOwners(lambda headers: "", lambda: None)
+
+
 class TargetConnection(ResponseHandler):
     """Delivers to each exchange its own answer alone, and only if it is whole.
 
@@ -81,6 +85,7 @@
         super().__init__(loop=loop)
         self._owners = owners
         self._request_ids: deque[str | None] = deque(maxlen=REMEMBERED_REQUESTS)
+        self._request_id: str | None = ""
         # What arrived while the reader was behind.
         self._unparsed = b""
         self._heads = 0
@@ -102,6 +107,7 @@
         if request_id in self._request_ids:
             return False
         self._request_ids.append(request_id)
+        self._request_id = request_id
         self._heads = self._received_bytes = self._earlier_body_bytes = 0
         self._body = None
         self._has_own_head = False
@@ -224,8 +230,10 @@
             transport.abort()
 
     def _is_own(self, message: RawResponseMessage) -> bool:
+        if _is_interim(message):
+            return False
         answered_id = self._owners.read_request_id(message.headers)
-        return answered_id is not None and answered_id == self._request_ids[-1]
+        return answered_id is not None and answered_id == self._request_id
 
     async def _skip(self, message: RawResponseMessage, body: StreamReader) -> None:
         """Read another request's answer to its end.
@@ -238,7 +246,7 @@
         logger.warning(
             "answer to another request",
             extra={
-                "request": self._request_ids[-1] or "",
+                "request": self._request_id or "",
                 "answered": answered_id or "",
                 "status": message.code,
             },
--- a/sesameford/target_connections.py
+++ b/sesameford/target_connections.py
@@ -1,5 +1,6 @@
 """Pooled connections to targets; one with unsolicited bytes is never reused."""
 
+from dataclasses import dataclass
 from functools import partial
 from ssl import SSLContext
 from typing import TYPE_CHECKING, cast
@@ -8,7 +9,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
-from sesameford.target_answers import AnswerOwners, TargetConnection
+from sesameford.target_answers import SINGLE_EXCHANGE, AnswerOwners, TargetConnection
 
 if TYPE_CHECKING:
     from aiohttp import ClientRequest, ClientTimeout
@@ -46,17 +47,34 @@
             connection.close()
 
 
-def make_connector(
-    ssl: SSLContext | bool, idle_seconds: float, owners: AnswerOwners
-) -> TCPConnector:
-    """Return a connector with a connection pool; call it on the running loop.
+@dataclass(frozen=True, slots=True)
+class PoolOptions:
+    """How connections are used again.
 
     Args:
-        ssl: A context for TLS, or True for the default one.
-        idle_seconds: How long an idle connection stays in the pool.
+        idle_seconds: The idle timeout of a pooled connection.
         owners: How the answers on a connection are told apart.
     """
-    connector = CleanConnector(limit=0, ssl=ssl, keepalive_timeout=idle_seconds)
+
+    idle_seconds: float
+    owners: AnswerOwners
+
+
+def make_connector(ssl: SSLContext | bool, pool: PoolOptions | None) -> TCPConnector:
+    """Return a connector for targets; call it on the running loop.
+
+    Args:
+        ssl: A context for TLS, or True for the default one.
+        pool: How connections are used again; None gives each exchange its own.
+    """
+    owners = SINGLE_EXCHANGE
+    if pool is None:
+        connector = TCPConnector(limit=0, ssl=ssl, force_close=True)
+    else:
+        owners = pool.owners
+        connector = CleanConnector(
+            limit=0, ssl=ssl, keepalive_timeout=pool.idle_seconds
+        )
     # The library has no public way to set the protocol of its connections.
     connector._factory = cast(
         "partial[ResponseHandler]",
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameford.gateway.held_answers import (
+from sesameford.held_answers import (
     MAX_HELD_BYTES,
     MIN_HELD_BYTES,
     make_held_answers,
