Add a voter before a silent one is taken away

What an operator saw: a voter that stood still for 4 s and one other disk that was lost meanwhile ended the log for good. What had been acknowledged could not be read back, and nothing was accepted any more, also after restarts.

Cause: a silent voter was demoted before its successor was promoted. Of the two voters left one had just lost its disk and still counted as alive; a configuration of two needs both, and the lost identity never comes back.

Now learners are promoted first, also with the newcomer's vote while a silent voter is to be replaced, and a silent voter is demoted only if the others keep a majority with one of those that reply gone. What is lost for good can then be one disk; a silent voter returns and makes the majority.

--- a/sesameford/log_membership.py
+++ b/sesameford/log_membership.py
@@ -97,8 +97,8 @@
     return (
         _add_announced_learner(core, present, now_seconds)
         or _remove_replaced_learner(core, present, now_seconds)
-        or _demote_undesired_voter(core, present, now_seconds)
         or _promote_caught_up_learner(core, present, now_seconds)
+        or _demote_undesired_voter(core, present, now_seconds)
     )
 
 
@@ -158,6 +158,10 @@
     )
     for voter in order:
         voters = tuple(other for other in present.voters if other != voter)
+        is_silent = voter != core.me and not _is_alive(core, voter, now_seconds)
+        if is_silent and not _is_majority_alive(core, voters, now_seconds, spare=1):
+            # It may return with its disk, and one of the others may have lost its own.
+            continue
         if _is_majority_alive(core, voters, now_seconds):
             return _make_configuration(present, voters, (*present.learners, voter))
     return None
@@ -188,8 +192,9 @@
             if not _is_majority_alive(core, voters, now_seconds):
                 continue
             return _make_configuration(present, voters, present.learners)
-        if len(present.voters) > 1 and not _has_majority_without(
-            core, learner, now_seconds
+        if len(present.voters) > 1 and not (
+            _has_majority_without(core, learner, now_seconds)
+            or _replaces_silent_voter(core, present, now_seconds)
         ):
             continue
         learners = tuple(other for other in present.learners if other != learner)
@@ -215,17 +220,23 @@
 
 
 def _is_majority_alive(
-    core: Core, voters: tuple[Member, ...], now_seconds: float
+    core: Core, voters: tuple[Member, ...], now_seconds: float, spare: int = 0
 ) -> bool:
     """Return whether a majority of these voters replies.
 
     Removing a voter that replies while another's disk is lost could leave the rest
     without a majority for ever: no change would be accepted any more.
+
+    Args:
+        core: The leader.
+        voters: The voters.
+        now_seconds: The current time.
+        spare: How many of those that reply may have failed unnoticed.
     """
     alive = sum(
         voter == core.me or _is_alive(core, voter, now_seconds) for voter in voters
     )
-    return 2 * alive > len(voters)
+    return 2 * (alive - spare) > len(voters)
 
 
 def _has_majority_without(core: Core, newcomer: Member, now_seconds: float) -> bool:
@@ -242,6 +253,24 @@
     return 2 * alive > len(core.voters) + 1
 
 
+def _replaces_silent_voter(
+    core: Core, present: Configuration, now_seconds: float
+) -> bool:
+    """Return whether a newcomer may be needed, as a silent voter is to be replaced.
+
+    The silent voter stays until the newcomer votes, and brings the majority back if
+    the newcomer fails.
+    """
+    desired = core.desired_voters
+    if desired is None or not _is_majority_alive(core, present.voters, now_seconds):
+        return False
+    return any(
+        voter.instance_id not in desired and not _is_alive(core, voter, now_seconds)
+        for voter in present.voters
+        if voter != core.me
+    )
+
+
 def _make_configuration(
     present: Configuration, voters: tuple[Member, ...], learners: tuple[Member, ...]
 ) -> Configuration:
