Serve requests whose bodies arrive during a planned stop

What callers saw: a request whose body was still on its way at SIGTERM was read whole and never answered; its connection was closed in order. Nothing was promised, so its caller could not ask again.

Causes: CallsPort.stop_accepting called the library's close() on every connection, after which the library drops all that arrives, also the rest of a body; and a call counted as open only once its body was in, so the planned stop did not wait for it.

A connection on which a body is on its way is left open. The answer of a router that stops closes it, and the call counts as open from its admission on.

--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -55,11 +55,12 @@
             admitted = admit_call(deps, call, arrived_at_seconds)
         # From here on a call waits for the network alone, for its body or a target.
         deps.dispatch_limit.remove(admitted.dispatch_number)
-        context = await make_call_context(
-            deps, request, call, admitted, arrived_at_seconds
-        )
+        # A planned stop waits for it while its body is on the way, too.
         deps.metrics.record_call_start()
         try:
+            context = await make_call_context(
+                deps, request, call, admitted, arrived_at_seconds
+            )
             response = await _send_until_answered(deps, request, context)
         finally:
             deps.metrics.record_call_end()
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -131,6 +131,10 @@
             for unhandled in tuple(self.calls.unhandled):
                 unhandled.close()
         for connection in self.calls.connections:
+            if _awaits_body(connection):
+                # After ``close`` the library drops the rest of the body. The answer of
+                # an instance that stops closes the connection as well.
+                continue
             # aiohttp has no current request on an idle connection, and none yet on one
             # whose request has arrived but not started, so ``_is_idle`` checks more.
             is_idle = _is_idle(connection)
@@ -157,6 +161,14 @@
     return is_new or (waiter is not None and not waiter.done())
 
 
+def _awaits_body(connection: web.RequestHandler) -> bool:
+    """Return whether the body of a request is still on its way."""
+    request = connection._current_request
+    if request is not None and not request.content.is_eof():
+        return True
+    return any(not body.is_eof() for _, body in connection._messages)
+
+
 async def listen_calls(
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     address: str,
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -68,6 +68,7 @@
         self.deps = deps
         self.address = ""
         self.port = None
+        self.is_leaving = False
         self.asked = 0
 
     def headers(self, **more):
@@ -149,7 +150,7 @@
         Random(1),
         lambda: state,
         lambda: 1,
-        lambda: False,
+        lambda: desk.is_leaving,
         partial(is_crowded, counts, limits),
         lambda: True,
         monotonic,
