Forward encoded request bodies as they came

What callers saw: a body with Content-Encoding gzip or deflate reached its target decoded, with the header still there; one with br or zstd was answered 400.

Cause: the HTTP library decodes bodies of requests unless it is told not to.

--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -200,6 +200,8 @@
         handler,
         handler_cancellation=True,
         access_log=None,
+        # A target receives the body as its caller encoded it.
+        auto_decompress=False,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=IDLE_TIMEOUT_SECONDS,
