--- a/tests/test_log_voter_changes.py
+++ b/tests/test_log_voter_changes.py
@@ -135,7 +135,7 @@
 
 TestSilentReplicasAndOneLostDisk = SilentReplicasAndOneLostDisk.TestCase
 TestSilentReplicasAndOneLostDisk.settings = settings(
-    max_examples=40,
+    max_examples=60,
     stateful_step_count=12,
     derandomize=True,
     deadline=None,
