--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -33,6 +33,8 @@
     open_raw_desk,
 )
 
+pytestmark = pytest.mark.heavy
+
 BODIES = {
     "without a length": never_ends(start(), X),
     "in chunks": never_ends(start(CHUNKED), CHUNK),
--- a/tests/test_endless_framing.py
+++ b/tests/test_endless_framing.py
@@ -22,6 +22,9 @@
 from tests.raw_fixture import Seen, ask_raw, open_raw_desk, raw_head
 
 
+pytestmark = pytest.mark.heavy
+
+
 def foreign(*lines, status=200):
     return lambda request_id: raw_head("other", status, lines)
 
--- a/tests/test_endless_services.py
+++ b/tests/test_endless_services.py
@@ -7,6 +7,8 @@
 from tests.endless_fixture import MAX_GROWTH_BYTES, X, watch_process
 from tests.faults_fixture import GOOD_KEY, open_world
 
+pytestmark = pytest.mark.heavy
+
 CHUNK = b"%x\r\n%b\r\n" % (len(X), X)
 OK = b"HTTP/1.1 200 OK\r\n"
 ENDLESS = {
--- a/tests/test_log_voter_changes.py
+++ b/tests/test_log_voter_changes.py
@@ -19,6 +19,8 @@
 
 from tests.test_founding import accept_change, leaders, run, running_world, voters
 
+pytestmark = pytest.mark.heavy
+
 RECOVERY_SECONDS = 12.0
 
 
