--- a/tests/test_endless_framing.py
+++ b/tests/test_endless_framing.py
@@ -21,7 +21,6 @@
 )
 from tests.raw_fixture import Seen, ask_raw, open_raw_desk, raw_head
 
-
 pytestmark = pytest.mark.heavy
 
 
