Collect answers that are held to their end in one place

A plain service's body and a completion that is collected had the same loop, which counts what is held; both call collect_held now.

--- a/sesameford/completion_run.py
+++ b/sesameford/completion_run.py
@@ -14,6 +14,7 @@
 from sesameford.caller_stream import CallerDisconnectedError, CallerStream
 from sesameford.errors import TargetError, TargetLostError, TargetRefusedError
 from sesameford.event_stream import MAX_EVENT_BYTES, EventStream
+from sesameford.held_answers import collect_held
 from sesameford.model_adapter import (
     cancel_completion,
     engine_body,
@@ -106,17 +107,10 @@
 
 async def _relay_whole(run: CompletionRun, response: ClientResponse) -> Response:
     """Collect a stream and return the completion as one response."""
-    collected: list[bytes] = []
-    held_bytes = 0
     with run.deps.hold_answer() as hold:
         async with aclosing(_read_events(run, response)) as events:
-            async for ready in events:
-                collected.append(ready)
-                held_bytes += len(ready)
-                hold(held_bytes)
-    body = assemble_completion(
-        b"".join(collected), run.call.path.endswith("/chat/completions")
-    )
+            collected = await collect_held(events, hold)
+    body = assemble_completion(collected, run.call.path.endswith("/chat/completions"))
     settle(run.deps, run.call, run.attempt, _usage(run), Outcome.RAN)
     return Response(
         body=body,
--- a/sesameford/held_answers.py
+++ b/sesameford/held_answers.py
@@ -8,7 +8,7 @@
 call ran, gives it up.
 """
 
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
 
 # Each answer may hold this much, however much the others hold.
@@ -64,6 +64,24 @@
         self.resize(0)
 
 
+async def collect_held(
+    parts: AsyncIterator[bytes], hold: Callable[[int], None]
+) -> bytes:
+    """Return all parts of an answer that is read to its end.
+
+    Args:
+        parts: The parts as they arrive.
+        hold: Called with the bytes held so far; it raises if they are too many.
+    """
+    collected: list[bytes] = []
+    held_bytes = 0
+    async for part in parts:
+        collected.append(part)
+        held_bytes += len(part)
+        hold(held_bytes)
+    return b"".join(collected)
+
+
 def make_held_answers() -> HeldAnswers:
     """Return the account of a router that holds nothing."""
     return HeldAnswers()
--- a/sesameford/service_adapter.py
+++ b/sesameford/service_adapter.py
@@ -8,6 +8,7 @@
 from sesameford.effective import ServiceSettings
 from sesameford.errors import TargetLostError
 from sesameford.framing import Framing, framing_of
+from sesameford.held_answers import collect_held
 from sesameford.model_adapter import ATTEMPT_HEADER, send_request
 from sesameford.retries import Failure
 from sesameford.tables import Attempt, Target
@@ -85,15 +86,9 @@
         TargetLostError: The connection closed before the Content-Length or the last
             chunk, the head has no framing of the body, or it is too long.
     """
-    parts: list[bytes] = []
-    held_bytes = 0
     hold(response.content_length or 0)
     try:
-        async for part in response.content.iter_any():
-            parts.append(part)
-            held_bytes += len(part)
-            hold(held_bytes)
-        body = b"".join(parts)
+        body = await collect_held(response.content.iter_any(), hold)
     except (ClientError, TimeoutError, OSError) as error:
         response.close()
         raise TargetLostError(
--- a/tests/endless_fixture.py
+++ b/tests/endless_fixture.py
@@ -20,8 +20,6 @@
 X = b"x" * PIECE_BYTES
 CHUNK = b"%x\r\n%b\r\n" % (len(X), X)
 EVENT = b"id: 1\ndata: one\n\n"
-
-
 PATHS = ("/unsafe/permit", "/safe/permit", "/stream/draft", "/stream/resumed/draft")
 
 
