Log what each router takes for the wait of the engines

No line could tell whether engines were busy or only believed to be: replicas wrote one average wait, and routers nothing of what it is made of. Replicas now write the usual and the longest wait that routers report and the answers that steer the limit, routers their own wait, and their own and the others' requests and unread tokens.

--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -179,6 +179,11 @@
         """Whether any router reports here."""
         return bool(self._loads.router_ids)
 
+    @property
+    def router_waits_seconds(self) -> list[float]:
+        """Return the average wait of a prompt as each router here estimates it."""
+        return self._loads.waits_seconds
+
     def tick(
         self,
         declared_tokens: float | None,
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from random import Random
+from statistics import median
 
 from sesameford.gateway.aggregator_choice import make_aggregator_choice
 from sesameford.gateway.call_context import GatewayState
@@ -295,12 +296,27 @@
                 "asked_tokens": round(sum(shares.requested_tokens.values())),
                 "wait_seconds": round(shares.wait_seconds, 4),
                 "wanted_seconds": round(shares.wait_setpoint_seconds, 4),
+                **self._router_waits(),
+                "in_time_answers": round(shares.in_time_answers, 1),
+                "late_answers": round(shares.late_answers, 1),
+                "paused_answers": round(shares.paused_answers, 1),
+                "handled_tokens": round(shares.handled_tokens),
                 "weights": format_unusual_parts(shares.weights),
                 "started_parts": format_unusual_parts(shares.lost_work.started_parts),
                 "worked_part": round(shares.lost_work.worked_part, 2),
             },
         )
 
+    def _router_waits(self) -> dict[str, float]:
+        """Return the usual and the longest wait that routers report here, to log."""
+        waits_seconds = self._sums.router_waits_seconds
+        if not waits_seconds:
+            return {}
+        return {
+            "usual_wait_seconds": round(median(waits_seconds), 4),
+            "longest_wait_seconds": round(max(waits_seconds), 4),
+        }
+
     def _log_failing(self) -> None:
         """Log the targets that fail a part of the whole fleet's requests."""
         parts = self._placement.reports.failed_parts_by_id(self._sums.failing)
@@ -339,9 +355,25 @@
                 "lost": lost,
                 "late_seconds": round(late_seconds, 3),
                 "late_requests": late_requests,
+                **self._engine_view(now_seconds),
             },
         )
 
+    def _engine_view(self, now_seconds: float) -> dict[str, float]:
+        """Return what this router takes for the state of the engines, to log."""
+        view = self._placement.reports.engine_view(now_seconds)
+        timeliness = self.gate.timeliness
+        return {
+            "wait_seconds": round(self._wait_seconds(now_seconds), 4),
+            "own_requests": view.own_requests,
+            "other_requests": view.other_requests,
+            "own_unread_tokens": view.own_unread_tokens,
+            "other_unread_tokens": view.other_unread_tokens,
+            "in_time_answers": round(timeliness.in_time_answers(now_seconds), 1),
+            "late_answers": round(timeliness.late_answers(now_seconds), 1),
+            "paused_answers": round(timeliness.paused_answers(now_seconds), 1),
+        }
+
 
 def make_load_system(
     has_disk: bool,
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -66,6 +66,11 @@
         """Return the load of one router at each target."""
         return self._reports[router_id].load.target_loads
 
+    @property
+    def waits_seconds(self) -> list[float]:
+        """Return the average wait of a prompt as each router estimates it."""
+        return [one.load.wait_seconds for one in self._reports.values()]
+
     def list_permit_requesters(self) -> list[str]:
         """Return the routers whose last report requests permits.
 
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -65,6 +65,10 @@
     requested_tokens: Mapping[str, int] = field(default_factory=dict)
     fractions: dict[str, float] = field(default_factory=dict)
     routers: int = 0
+    in_time_answers: float = 0.0
+    late_answers: float = 0.0
+    paused_answers: float = 0.0
+    handled_tokens: float = 0.0
     min_wait_factor: float = MIN_WAIT_FACTOR
     lost_work: LostWork = field(default_factory=LostWork)
     weights: Mapping[str, float] = field(default_factory=dict)
@@ -102,20 +106,23 @@
             row.customer: ServedRates(row.started_tokens, row.lost_tokens)
             for row in rows
         }
-        handled_tokens = sum(load.handled_tokens for load in loads)
+        self.handled_tokens = sum(load.handled_tokens for load in loads)
+        self.in_time_answers = sum(load.in_time_answers for load in loads)
+        self.late_answers = sum(load.late_answers for load in loads)
+        self.paused_answers = sum(load.paused_answers for load in loads)
         self.wait_setpoint_seconds = base_wait_seconds * wait_factor(
-            sum(load.in_time_answers for load in loads),
-            sum(load.late_answers for load in loads),
-            sum(load.paused_answers for load in loads),
+            self.in_time_answers,
+            self.late_answers,
+            self.paused_answers,
             sum(self.requested_tokens.values()),
-            handled_tokens,
+            self.handled_tokens,
             self.min_wait_factor,
         )
         waits_seconds = sum(load.routers * load.wait_seconds for load in loads)
         self.wait_seconds = waits_seconds / max(self.routers, 1)
         worked_tokens = self._estimator.update(
             served,
-            handled_tokens,
+            self.handled_tokens,
             declared_tokens,
             estimate_busy_part(self.wait_seconds, self.wait_setpoint_seconds),
             now_seconds,
--- a/sesameford/gateway/target_reports.py
+++ b/sesameford/gateway/target_reports.py
@@ -6,6 +6,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass
 
 from sesameford.discovery.heartbeat_table import HeartbeatTable, short_name
 from sesameford.effective import ServiceSettings
@@ -21,6 +22,16 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """What one router takes for the load of all targets, its own part and the rest."""
+
+    own_requests: int
+    other_requests: int
+    own_unread_tokens: int
+    other_unread_tokens: int
+
+
 class TargetReports:
     """Reports from and to the records of one router's targets."""
 
@@ -46,6 +57,16 @@
             if record.requests
         )
 
+    def engine_view(self, now_seconds: float) -> EngineView:
+        """Return the sums of what this router takes for the load of all targets."""
+        records = self._records.values()
+        return EngineView(
+            sum(one.running_requests(now_seconds) for one in records),
+            sum(one.others_requests for one in records),
+            sum(one.backlog.unread_tokens(now_seconds) for one in records),
+            sum(one.backlog.others_unread_tokens for one in records),
+        )
+
     def flush_used_parts(self) -> tuple[UsedParts, ...]:
         """Return what this router sent to engines since the last call."""
         rows = [
