--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -148,6 +148,8 @@
     ``rejections`` are the times and engines of rejected requests, by router. With
     ``ignores_backoff`` routers don't read what engines request, without
     ``shares_speeds`` each one knows only the speeds that it has seen itself.
+    ``late_seconds`` is by how much the loop of a router is late: it writes requests and
+    reads answers so much later.
     """
 
     routers: list[Placement]
@@ -161,6 +163,7 @@
     rejections: list[tuple[float, str, int]] = field(default_factory=list)
     ignores_backoff: bool = False
     shares_speeds: bool = True
+    late_seconds: dict[int, float] = field(default_factory=dict)
     random: Random = field(default_factory=lambda: Random(1))
     outcomes: list[Outcome] = field(default_factory=list)
     _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
@@ -182,6 +185,28 @@
             run_event()
         return self.outcomes
 
+    def set_lateness(self, router: int, late_seconds: float) -> None:
+        """Make the loop of a router late from now on.
+
+        Args:
+            router: Its number.
+            late_seconds: By how much it writes requests and reads answers later.
+        """
+        self.late_seconds[router] = late_seconds
+
+    def watch(
+        self,
+        from_seconds: float,
+        to_seconds: float,
+        every_seconds: float,
+        sample: Callable[[], None],
+    ) -> None:
+        """Call a function at regular times of the simulation that follows."""
+        at_seconds = from_seconds
+        while at_seconds < to_seconds:
+            self._schedule(at_seconds, sample)
+            at_seconds += every_seconds
+
     def _schedule(self, at_seconds: float, run_event: Callable[[], None]) -> None:
         heappush(self._events, (at_seconds, next(self._order), run_event))
 
@@ -241,6 +266,18 @@
             reject = partial(self._reject, outcome, reservation, head, retries)
             self._schedule(self.now_seconds + REJECTION_SECONDS, reject)
             return
+        self._schedule(
+            self.now_seconds + self._late_seconds_of(outcome),
+            partial(self._add_waiting, engine, outcome, reservation),
+        )
+
+    def _late_seconds_of(self, outcome: Outcome) -> float:
+        """Return by how much the loop of a request's router is late."""
+        return self.late_seconds.get(outcome.arrival.router, 0.0)
+
+    def _add_waiting(
+        self, engine: _Engine, outcome: Outcome, reservation: Reservation
+    ) -> None:
         engine.waiting.append((outcome, reservation))
         self._start_requests(engine)
 
@@ -322,9 +359,16 @@
         if copied and figures.copy_tokens_per_second:
             engine.busy_until_seconds += copied / figures.copy_tokens_per_second
         first_seconds = engine.busy_until_seconds + figures.first_event_seconds
+        answer_seconds = _answer_seconds(outcome.arrival, figures)
+        self._schedule(first_seconds + answer_seconds, partial(self._free_slot, engine))
+        late_seconds = self._late_seconds_of(outcome)
+        self._schedule(
+            first_seconds + late_seconds,
+            lambda: self._handle_first_event(outcome, reservation),
+        )
         self._schedule(
-            first_seconds,
-            lambda: self._handle_first_event(engine, outcome, reservation),
+            first_seconds + answer_seconds + late_seconds,
+            lambda: self._handle_end(outcome, reservation),
         )
 
     def _record_read(self, prompt: Prompt) -> bool:
@@ -336,29 +380,28 @@
         self._read_anywhere.add(part_id)
         return was_read
 
-    def _handle_first_event(
-        self, engine: _Engine, outcome: Outcome, reservation: Reservation
-    ) -> None:
+    def _handle_first_event(self, outcome: Outcome, reservation: Reservation) -> None:
         arrival = outcome.arrival
         router = self.routers[arrival.router]
         outcome.first_event_seconds = self.now_seconds - arrival.at_seconds
         router.record_answer_data(reservation, self.now_seconds)
         router.record_first_event(reservation, self.now_seconds)
-        answer_seconds = arrival.output_tokens / engine.figures.event_tokens_per_second
-        self._schedule(
-            self.now_seconds + answer_seconds,
-            lambda: self._finish_request(engine, router, reservation),
-        )
 
-    def _finish_request(
-        self, engine: _Engine, router: Placement, reservation: Reservation
-    ) -> None:
+    def _handle_end(self, outcome: Outcome, reservation: Reservation) -> None:
+        router = self.routers[outcome.arrival.router]
         router.record_success(reservation.target_id)
         router.release(reservation, self.now_seconds)
+
+    def _free_slot(self, engine: _Engine) -> None:
         engine.running -= 1
         self._start_requests(engine)
 
 
+def _answer_seconds(arrival: Arrival, figures: EngineFigures) -> float:
+    """Return how long an engine generates the answer to a request."""
+    return arrival.output_tokens / figures.event_tokens_per_second
+
+
 def _scaled(figures: EngineFigures, speed: float) -> EngineFigures:
     """Return the figures of an engine of another speed."""
     return replace(
