Bear wrong measures of some routers in the capacity of the fleet

The wait was the mean over routers and the late answers a sum, so one router with a wait of ten seconds, or most of the late answers, decided for all. Now each router has one voice and the middle third counts, of waits and of late and pausing parts; replicas exchange voices in bins.

--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from sesameford.gateway.load_report import REPORT_VALID_SECONDS
+from sesameford.gateway.trimmed_sums import bin_answers, bin_waits
 from sesameford.load_messages import (
     CustomerRates,
     PartialLoad,
@@ -119,6 +120,8 @@
             round(accepting_part, 4) if loads else 1.0,
             times,
             round(sum(load.paused_answers for load in loads), 2),
+            bin_waits(loads),
+            bin_answers(loads),
         )
 
 
--- a/sesameford/gateway/shares.py
+++ b/sesameford/gateway/shares.py
@@ -23,6 +23,7 @@
 from sesameford.gateway.share_weights import make_standings, share_weights
 from sesameford.gateway.timeliness import MIN_WAIT_FACTOR, wait_factor
 from sesameford.gateway.token_rate import AVERAGE_SECONDS
+from sesameford.gateway.trimmed_sums import fleet_answers, fleet_wait_seconds
 from sesameford.load_messages import PartialLoad, ShareRow
 
 # The capacity is the rate at which engines worked recently: on requests that they
@@ -107,9 +108,9 @@
             for row in rows
         }
         self.handled_tokens = sum(load.handled_tokens for load in loads)
-        self.in_time_answers = sum(load.in_time_answers for load in loads)
-        self.late_answers = sum(load.late_answers for load in loads)
-        self.paused_answers = sum(load.paused_answers for load in loads)
+        self.in_time_answers, self.late_answers, self.paused_answers = fleet_answers(
+            loads
+        )
         self.wait_setpoint_seconds = base_wait_seconds * wait_factor(
             self.in_time_answers,
             self.late_answers,
@@ -118,8 +119,7 @@
             self.handled_tokens,
             self.min_wait_factor,
         )
-        waits_seconds = sum(load.routers * load.wait_seconds for load in loads)
-        self.wait_seconds = waits_seconds / max(self.routers, 1)
+        self.wait_seconds = fleet_wait_seconds(loads)
         worked_tokens = self._estimator.update(
             served,
             self.handled_tokens,
--- a/sesameford/load_messages.py
+++ b/sesameford/load_messages.py
@@ -80,6 +80,17 @@
     fraction: float
 
 
+class MeasureBin(Struct, frozen=True, array_like=True):
+    """What some routers measured that agree about it, summed.
+
+    ``position`` is the number of the bin in order of what is measured.
+    """
+
+    position: int
+    routers: int
+    totals: tuple[float, ...]
+
+
 class RouterLoad(Struct, frozen=True, array_like=True, tag=True):
     """A router's load at each target, and the rates of its customers.
 
@@ -141,8 +152,10 @@
     """The sums of the routers that report to one replica, for other replicas.
 
     The fields are as in ``RouterLoad``, with the averages of ``wait_seconds`` and
-    ``accepting_part``. A message without routers only announces that its sender is an
-    aggregator.
+    ``accepting_part``. ``waits`` are the routers by their wait, with its sum in
+    seconds, ``answers`` those by the part of their answers that is late or pauses, with
+    the answers in time, late and paused. A message without routers only announces that
+    its sender is an aggregator.
     """
 
     routers: int = 0
@@ -157,3 +170,5 @@
     accepting_part: float = 1.0
     times: tuple[TargetTimes, ...] = ()
     paused_answers: float = 0.0
+    waits: tuple[MeasureBin, ...] = ()
+    answers: tuple[MeasureBin, ...] = ()
