Give up connecting only after a time in which the loop could see it

A late router gave up 100 to 150 connections a second that its targets had accepted, put the targets into backoff and refused callers beside idle targets: the timer of 0.3 s runs out while the loop stands still, and timers come before sockets. The time now counts in slices of which one turn of the loop uses up one at most. test_connect_timeout failed before (ConnectionTimeoutError after a loop that stood still for 0.6 s).

--- a/sesameford/target_connections.py
+++ b/sesameford/target_connections.py
@@ -1,23 +1,41 @@
 """Pooled connections to targets; one with unsolicited bytes is never reused."""
 
+from asyncio import Transport
 from dataclasses import dataclass
 from functools import partial
 from ssl import SSLContext
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, cast
 
-from aiohttp import TCPConnector
+from aiohttp import ClientTimeout, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from sesameford.connect_timeout import connect_timeout
 from sesameford.target_answers import SINGLE_EXCHANGE, AnswerOwners, TargetConnection
 
 if TYPE_CHECKING:
-    from aiohttp import ClientRequest, ClientTimeout
+    from aiohttp import ClientRequest
     from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.tracing import Trace
 
 
-class CleanConnector(TCPConnector):
+class PatientConnector(TCPConnector):
+    """Gives up connections only after a time in which the loop could see them."""
+
+    async def _wrap_create_connection(
+        self, *args: Any, timeout: ClientTimeout, **options: Any
+    ) -> tuple[Transport, ResponseHandler]:
+        if timeout.sock_connect is None:
+            return await super()._wrap_create_connection(
+                *args, timeout=timeout, **options
+            )
+        async with connect_timeout(timeout.sock_connect):
+            return await super()._wrap_create_connection(
+                *args, timeout=ClientTimeout(total=None), **options
+            )
+
+
+class CleanConnector(PatientConnector):
     """Reuses connections only if no bytes have arrived since the last answer.
 
     A target may send a second answer after a complete one. Its bytes would be read as
@@ -25,7 +43,7 @@
     """
 
     async def connect(
-        self, req: "ClientRequest", traces: "list[Trace]", timeout: "ClientTimeout"
+        self, req: "ClientRequest", traces: "list[Trace]", timeout: ClientTimeout
     ) -> Connection:
         """Return a connection that has not carried a request of the same id."""
         while True:
@@ -69,7 +87,7 @@
     """
     owners = SINGLE_EXCHANGE
     if pool is None:
-        connector = TCPConnector(limit=0, ssl=ssl, force_close=True)
+        connector: TCPConnector = PatientConnector(limit=0, ssl=ssl, force_close=True)
     else:
         owners = pool.owners
         connector = CleanConnector(
