Check that a target still takes work when a call is written to it

A call chooses its target, then waits for a connection, and only the target's own notices were asked when its first byte was written. A target that had drained, left or started again under its id meanwhile got the call, at a late router seconds after its leave was acknowledged. The row is now asked too; a call that finds it changed is withheld, as not run, and chooses again. test_table_proofs failed before in its three cases.

--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -29,6 +29,7 @@
 from sesameford.load_messages import (
     TargetLoad,
 )
+from sesameford.tables import TargetState
 
 # Backoff of a target after a failed connection, doubled with each further failure.
 INITIAL_BACKOFF_SECONDS = 0.5
@@ -297,7 +298,15 @@
         self._times.record_work_time(service, reservation, record, now_seconds)
 
     def may_send(self, reservation: Reservation, now_seconds: float) -> bool:
-        """Return whether a chosen target still accepts requests of this router."""
+        """Return whether a chosen target still accepts requests of this router.
+
+        It may have left since, while the request waited for a connection.
+        """
+        entry = self._table.entries.get(reservation.target_id)
+        if entry is None or entry.row.state is not TargetState.READY:
+            return False
+        if entry.row.incarnation != reservation.incarnation:
+            return False
         return self.candidates.notices.accepts(
             reservation.target_id, reservation.incarnation, now_seconds
         )
