Send calls only by a table of targets that is proven to be recent

Calls reached servers later than two seconds after their leave was acknowledged. A router took any row that says READY, however old its table: at one that a flood keeps late the message of the leave lies unread, and nothing bounded by how old a view it sends.

A router's report now has its own time, and the replica's answer returns it with the digest of its table. While the digests are equal the table was right when the report left, however late the answer is read. A loop that was late within the last 1.5 s and has no proof of that time refuses calls at once, and sends none that was admitted before. A punctual router without answers is cut off and serves by the table that it has, a late one after 4 s without any. Answers of an earlier release prove nothing and take nothing away.

In calm times a proof is a report interval and a round trip old; it costs two numbers in reports and answers.

--- a/sesameford/discovery/heartbeat_table.py
+++ b/sesameford/discovery/heartbeat_table.py
@@ -82,6 +82,11 @@
     _requested_at_seconds: dict[str, float] = field(default_factory=dict)
     _heard_at_seconds: float = float("-inf")
 
+    @property
+    def digest(self) -> int:
+        """Return the digest of all rows that decide which targets get work."""
+        return self._digest
+
     def handle_heartbeat(
         self, row: HeartbeatRow, now_seconds: float, token: int = 0
     ) -> Sequence[Outgoing]:
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -18,6 +18,7 @@
     check_caller_waits,
     check_dispatch,
     check_late,
+    check_table,
 )
 from sesameford.gateway.queue_limit import make_queue_limit
 from sesameford.gateway.retry_times import spread_retry_seconds
@@ -111,6 +112,7 @@
     check_caller_waits(
         deps, call, route, customer or "", backlog_seconds, arrived_at_seconds
     )
+    check_table(deps, route, customer or "", arrived_at_seconds)
     if state.tree.fleet.dispatch_limit:
         check_dispatch(deps, route, customer or "", arrived_at_seconds)
     if is_lagging:
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -25,6 +25,7 @@
 from sesameford.gateway.share_gate import ShareGate
 from sesameford.gateway.stream_origins import StreamOrigin
 from sesameford.gateway.suspect_calls import SuspectCalls
+from sesameford.gateway.table_proof import TableProof, make_table_proof
 from sesameford.gateway.target_record import Reservation
 from sesameford.held_answers import HeldAnswers, make_held_answers
 
@@ -97,6 +98,7 @@
     queue_limits: dict[str, QueueLimit] = field(default_factory=dict)
     dispatch_limit: DispatchLimit = field(default_factory=make_dispatch_limit)
     returning_calls: ReturningCalls = field(default_factory=make_returning_calls)
+    table_proof: TableProof = field(default_factory=make_table_proof)
 
 
 class Refusal(SesamefordError):
--- a/sesameford/gateway/fleet_sums.py
+++ b/sesameford/gateway/fleet_sums.py
@@ -98,11 +98,13 @@
     """How far the engines accept work at present.
 
     ``cold_rates`` are the requests a second that cold ones accept, by short name;
-    ``available_part`` is the part of all that is neither cold nor evacuated.
+    ``available_part`` is the part of all that is neither cold nor evacuated, and
+    ``table_digest`` the digest of the table that has them.
     """
 
     cold_rates: Mapping[int, float] = field(default_factory=dict)
     available_part: float = 1.0
+    table_digest: int = 0
 
 
 ALL_WARM = TargetAvailability()
@@ -260,6 +262,7 @@
             direct_routers=len(self._loads.router_ids),
             failing=self.failing,
             speeds=self._due_speeds(now_seconds),
+            table_digest=targets.table_digest,
         )
 
     def _due_speeds(self, now_seconds: float) -> tuple[TargetSpeed, ...] | None:
@@ -295,6 +298,7 @@
                     permits_requested_milliseconds=self._loads.permits_requested_milliseconds(
                         router_id
                     ),
+                    report_milliseconds=self._loads.sent_milliseconds(router_id),
                 ),
                 urgent=True,
             )
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -48,6 +48,7 @@
 
     NEVER_SENT = "never-sent"
     WITHHELD = "withheld"
+    OUTDATED = "table-outdated"
     NOT_RUN = "not-run"
     WRONG_TARGET = "wrong-target"
     LOST = "lost"
@@ -62,6 +63,7 @@
     {
         SendOutcome.NEVER_SENT,
         SendOutcome.WITHHELD,
+        SendOutcome.OUTDATED,
         SendOutcome.NOT_RUN,
         SendOutcome.WRONG_TARGET,
     }
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -300,6 +300,7 @@
             self.origin_exchange,
             self._service_versions,
             dispatch_limit=self._dispatch_limit,
+            table_proof=self.load.table_proof,
         )
 
     def is_ready(self) -> bool:
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -25,6 +25,7 @@
 from sesameford.gateway.share_account import format_unusual_parts
 from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.shares import ShareTable, make_share_table
+from sesameford.gateway.table_proof import make_table_proof
 from sesameford.gateway.timeliness import MIN_WAIT_FACTOR
 from sesameford.load_messages import (
     FleetLoad,
@@ -58,6 +59,7 @@
         permits: ColdPermits | None = None,
     ) -> None:
         self.report = make_load_report()
+        self.table_proof = make_table_proof()
         self.gate = make_share_gate(random)
         self.lag = placement.lag
         self._choice = make_aggregator_choice()
@@ -93,6 +95,8 @@
         ignored while the last whole ones are no older than a report's validity.
         """
         self._choice.record_answer(sender_id, fleet, now_seconds)
+        digest = self._placement.table_digest
+        self.table_proof.record_answer(fleet, digest, now_seconds)
         if self._choice.chosen not in (None, sender_id):
             return
         self.report.record_fleet_load(fleet, now_seconds)
@@ -148,6 +152,7 @@
             targets = TargetAvailability(
                 candidates.cold_rates(now_seconds),
                 candidates.available_part(state.engine_services, now_seconds),
+                self._placement.table_digest,
             )
         outgoing = self._sums.tick(
             declared_tokens, base_wait_seconds, now_seconds, targets
@@ -183,6 +188,7 @@
             round(self._accepting_part(now_seconds), 4),
             self._placement.reports.flush_times(),
             round(self.gate.timeliness.paused_answers(now_seconds), 2),
+            int(now_seconds * 1000),
         )
         self.report.record_report(target_loads, now_seconds)
         if self.report.is_isolated(now_seconds):
--- a/sesameford/gateway/overload_checks.py
+++ b/sesameford/gateway/overload_checks.py
@@ -40,6 +40,19 @@
     raise _overloaded(deps, route, customer, detail)
 
 
+def check_table(
+    deps: GatewayDeps, route: HttpRouteSettings, customer: str, now_seconds: float
+) -> None:
+    """Refuse a call while targets may have left unnoticed, as nothing may be sent.
+
+    Raises:
+        Refusal: The call is not admitted.
+    """
+    if deps.table_proof.allows_sending(deps.lag, now_seconds):
+        return
+    raise _overloaded(deps, route, customer, "the table of targets may be outdated")
+
+
 def check_dispatch(
     deps: GatewayDeps, route: HttpRouteSettings, customer: str, now_seconds: float
 ) -> None:
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -22,7 +22,7 @@
     options_for,
     queue_seconds,
 )
-from sesameford.gateway.loop_lag import LoopLag, make_loop_lag
+from sesameford.gateway.loop_lag import make_loop_lag
 from sesameford.gateway.service_times import make_service_times
 from sesameford.gateway.target_record import Reservation, TargetRecord
 from sesameford.gateway.target_reports import make_target_reports
@@ -68,7 +68,10 @@
 
 
 class Placement:
-    """One router's records of all targets, and its choice among them."""
+    """One router's records of all targets, and its choice among them.
+
+    ``lag`` is the lateness of the router's loop, which its load system measures.
+    """
 
     def __init__(
         self,
@@ -77,8 +80,8 @@
         heartbeat_seconds: float,
         random: Random,
         regions: Mapping[str, str],
-        lag: LoopLag,
     ) -> None:
+        self.lag = make_loop_lag()
         self.candidates = make_candidates(table, regions, self._forget_restarted_target)
         self._table = table
         self._random = random
@@ -87,8 +90,7 @@
         self._records: dict[str, TargetRecord] = {}
         self.reports = make_target_reports(table, self._records, self._record)
         self._last_reservation_number = 0
-        self.lag = lag
-        self._times = make_service_times(lag)
+        self._times = make_service_times(self.lag)
         self._mean_waits: dict[str, _MeanWait] = {}
         self._rules = ChoiceRules()
 
@@ -311,6 +313,11 @@
             reservation.target_id, reservation.incarnation, now_seconds
         )
 
+    @property
+    def table_digest(self) -> int:
+        """Return the digest of the table of targets."""
+        return self._table.digest
+
     def record_answer_head(
         self,
         reservation: Reservation,
@@ -546,7 +553,6 @@
     heartbeat_seconds: float,
     random: Random,
     regions: Mapping[str, str] | None = None,
-    lag: LoopLag | None = None,
 ) -> Placement:
     """Return the placement of one router.
 
@@ -556,13 +562,5 @@
         heartbeat_seconds: The interval of targets' heartbeats.
         random: Selects the engines that are considered.
         regions: The region of each data centre.
-        lag: The lateness of the router's loop, None if it is never late.
     """
-    return Placement(
-        table,
-        data_centre,
-        heartbeat_seconds,
-        random,
-        regions or {},
-        lag or make_loop_lag(),
-    )
+    return Placement(table, data_centre, heartbeat_seconds, random, regions or {})
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -87,6 +87,10 @@
                 requesters.append(router_id)
         return requesters
 
+    def sent_milliseconds(self, router_id: str) -> int:
+        """Return when a router sent its last report, by its own clock."""
+        return self._reports[router_id].load.sent_milliseconds
+
     def permits_requested_milliseconds(self, router_id: str) -> int:
         """Return when a router last requested permits, by its own clock."""
         return self._permits_requested_milliseconds.get(router_id, 0)
--- a/sesameford/gateway/send_failures.py
+++ b/sesameford/gateway/send_failures.py
@@ -22,8 +22,12 @@
 # excluded at once, so a caller whose call may not go to a second target can retry right
 # away.
 EXCLUDED_TARGET_RETRY_SECONDS = 0.02
+# After these outcomes no other target can take the call either.
+FINAL_OUTCOMES = frozenset({SendOutcome.TIMEOUT, SendOutcome.OUTDATED})
 # The call did not leave the router.
-UNSENT_OUTCOMES = frozenset({SendOutcome.NEVER_SENT, SendOutcome.WITHHELD})
+UNSENT_OUTCOMES = frozenset(
+    {SendOutcome.NEVER_SENT, SendOutcome.WITHHELD, SendOutcome.OUTDATED}
+)
 # With less time left than this, a send attempt could not return an answer in time.
 MIN_TIME_LEFT_SECONDS = 0.02
 
@@ -67,7 +71,7 @@
     deps: GatewayDeps, context: CallContext, error: SendAttemptError
 ) -> bool:
     """Return whether a call may be sent to another target after a failure."""
-    if error.outcome is SendOutcome.TIMEOUT or is_last_attempt(context):
+    if error.outcome in FINAL_OUTCOMES or is_last_attempt(context):
         return False
     if error.is_connection_lost and context.is_trial:
         # It probably crashed its target, and would crash the next one.
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -136,8 +136,10 @@
     def before_write() -> None:
         now_seconds = deps.now()
         if not deps.placement.may_send(reservation, now_seconds):
-            detail = "the target requested backoff or announced its drain"
+            detail = "the target requested backoff, drains or is gone"
             raise SendAttemptError(SendOutcome.WITHHELD, detail)
+        if not deps.table_proof.allows_sending(deps.lag, now_seconds):
+            raise SendAttemptError(SendOutcome.OUTDATED, "targets may be gone")
         # The timeout of the exchange is noticed only after the write if the loop is
         # late, and the target would work for a caller that has left.
         if context.until_seconds - deps.loop_time() < MIN_TIME_LEFT_SECONDS:
--- a/sesameford/load_messages.py
+++ b/sesameford/load_messages.py
@@ -104,6 +104,7 @@
     of the engines that accept requests of the router, by their own answers to it.
     ``times`` are how long requests took at targets since the last report, and
     ``paused_answers`` the answers a second that pause for longer than their objective.
+    ``sent_milliseconds`` is the time of the router's clock.
     """
 
     target_loads: tuple[TargetLoad, ...]
@@ -118,6 +119,7 @@
     accepting_part: float = 1.0
     times: tuple[TargetTimes, ...] = ()
     paused_answers: float = 0.0
+    sent_milliseconds: int = 0
 
 
 class RouterLoadHandover(Struct, frozen=True, array_like=True, tag="RouterLoadEnds"):
@@ -132,7 +134,9 @@
     message. Without ``is_whole`` the sums and shares cover only a part of the routers.
     The receiver may send one request to each cold target in ``permits``, which it
     requested at ``permits_requested_milliseconds`` of its clock. ``speeds`` are those
-    of all targets, None if the message has none.
+    of all targets, None if the message has none. ``report_milliseconds`` is when the
+    receiver sent the report that this answers, by its clock, and ``table_digest`` that
+    of the sender's table of targets.
     """
 
     target_loads: tuple[TargetLoad, ...]
@@ -146,6 +150,8 @@
     permits: tuple[int, ...] = ()
     permits_requested_milliseconds: int = 0
     speeds: tuple[TargetSpeed, ...] | None = None
+    report_milliseconds: int = 0
+    table_digest: int = 0
 
 
 class PartialLoad(Struct, frozen=True, array_like=True, tag=True):
