Resume a stream of unknown origin only after replicas have shown their tables

A router that was cut off from the others went on with streams at another version: a version had joined, served streams by other routers, and their callers resumed them here without naming an attempt. The router took one version for the only one while its table had equalled a replica's within 1.6 s, which a cut leaves true for as long.

It now asks all live replicas after the call has come, and their replies have the digests of their tables; only if all reply and all equal its own is one version the only one.

--- a/sesameford/discovery/heartbeat_table.py
+++ b/sesameford/discovery/heartbeat_table.py
@@ -51,6 +51,14 @@
     first_seen_at_seconds: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class TableDigests:
+    """Digests of the rows that decide which targets get work, and of their versions."""
+
+    rows: int = 0
+    versions: int = 0
+
+
 @dataclass(slots=True)
 class HeartbeatTable:
     """All rows at one instance, filled by ``handle_heartbeat`` and ``handle_message``.
@@ -83,9 +91,9 @@
     _heard_at_seconds: float = float("-inf")
 
     @property
-    def digest(self) -> int:
-        """Return the digest of all rows that decide which targets get work."""
-        return self._digest
+    def digests(self) -> TableDigests:
+        """Return the present digests."""
+        return TableDigests(self._digest, self._versions_digest)
 
     def handle_heartbeat(
         self, row: HeartbeatRow, now_seconds: float, token: int = 0
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -236,6 +236,7 @@
             make_origin_files(Path(settings.data_folder))
             if settings.data_folder is not None
             else None,
+            lambda: self.table.digests,
         )
         self._service_versions = make_service_versions(
             self.table,
--- a/sesameford/gateway/origin_exchange.py
+++ b/sesameford/gateway/origin_exchange.py
@@ -16,6 +16,7 @@
 
 from xxhash import xxh64_intdigest
 
+from sesameford.discovery.heartbeat_table import TableDigests
 from sesameford.gateway.origin_files import OriginFiles
 from sesameford.gateway.stream_origins import StreamOrigin, StreamOrigins
 from sesameford.messages import (
@@ -39,11 +40,14 @@
 class OriginAnswer:
     """What the replicas know of a stream.
 
-    ``is_final`` says that all live replicas answered, so asking again later is useless.
+    ``is_final`` says that all live replicas answered, so asking again later is useless,
+    and ``has_same_table`` that all of them knew the same targets as the router when
+    they did.
     """
 
     origin: StreamOrigin | None
     is_final: bool
+    has_same_table: bool = False
 
 
 @dataclass(slots=True)
@@ -52,6 +56,7 @@
 
     unanswered: set[str]
     answer: "asyncio.Future[OriginAnswer]"
+    has_same_table: bool = True
 
 
 class OriginExchange:
@@ -63,6 +68,7 @@
         replicas: Returns the live replicas that read these messages.
         send: Sends a message.
         files: A replica's files of origins, None at a router.
+        digests: Returns the digests of the table of targets here.
     """
 
     def __init__(
@@ -72,9 +78,11 @@
         replicas: Callable[[float], Sequence[Peer]],
         send: Callable[[Outgoing], None],
         files: OriginFiles | None,
+        digests: Callable[[], TableDigests],
     ) -> None:
         self.origins = origins
         self._files = files
+        self._digests = digests
         self._data_centre = data_centre
         self._replicas = replicas
         self._send = send
@@ -105,7 +113,7 @@
         """Ask all replicas where a stream began.
 
         Args:
-            key: The stream's key.
+            key: The stream's key, empty if it has none.
             wait_seconds: How long to wait for their replies.
             now_seconds: The present time.
         """
@@ -165,7 +173,8 @@
         """Reply to a router's query, also if the stream is not known."""
         origin = self.origins.find(query.key, now_seconds)
         row = None if origin is None else _make_row(query.key, origin, 0.0)
-        reply = StreamOriginReply(query.number, row)
+        digests = self._digests()
+        reply = StreamOriginReply(query.number, row, digests.rows, digests.versions)
         self._send(Outgoing(sender_id, reply, urgent=True))
 
     def handle_reply(self, sender_id: str, reply: StreamOriginReply) -> None:
@@ -178,8 +187,11 @@
             question.answer.set_result(OriginAnswer(origin, is_final=True))
             return
         question.unanswered.discard(sender_id)
+        digests = TableDigests(reply.table_digest, reply.versions_digest)
+        question.has_same_table &= digests == self._digests()
         if not question.unanswered:
-            question.answer.set_result(OriginAnswer(None, is_final=True))
+            answer = OriginAnswer(None, True, question.has_same_table)
+            question.answer.set_result(answer)
 
     def handle_started_replica(self, replica_id: str, now_seconds: float) -> None:
         """Send a replica that has just started, and knows nothing, the newest rows."""
@@ -224,6 +236,7 @@
     replicas: Callable[[float], Sequence[Peer]],
     send: Callable[[Outgoing], None],
     files: OriginFiles | None,
+    digests: Callable[[], TableDigests] = TableDigests,
 ) -> OriginExchange:
     """Return the exchange of an instance; see ``OriginExchange``."""
-    return OriginExchange(origins, data_centre, replicas, send, files)
+    return OriginExchange(origins, data_centre, replicas, send, files, digests)
--- a/sesameford/gateway/placement.py
+++ b/sesameford/gateway/placement.py
@@ -316,7 +316,7 @@
     @property
     def table_digest(self) -> int:
         """Return the digest of the table of targets."""
-        return self._table.digest
+        return self._table.digests.rows
 
     def record_answer_head(
         self,
--- a/sesameford/gateway/stream_resumption.py
+++ b/sesameford/gateway/stream_resumption.py
@@ -69,7 +69,8 @@
         },
     )
     if origin is None:
-        retry_seconds = None if answer.is_final else RETRY_AFTER_SECONDS
+        is_certain = answer.is_final and answer.has_same_table
+        retry_seconds = None if is_certain else RETRY_AFTER_SECONDS
         raise Refusal(503, "unknown-stream", retry_seconds)
     if origin.service not in _services(context):
         raise Refusal(503, "stream-elsewhere", detail=origin.service)
@@ -80,10 +81,8 @@
 async def _find(deps: GatewayDeps, context: CallContext) -> OriginAnswer:
     """Return what this router or the replicas know of the stream's origin."""
     request_id = context.call.resumes_request_id
-    if not request_id:
-        return OriginAnswer(None, is_final=True)
     exchange = deps.origin_exchange
-    key = origin_key(context.customer, request_id)
+    key = origin_key(context.customer, request_id) if request_id else b""
     known = exchange.origins.find(key, deps.now())
     if known is not None:
         return OriginAnswer(known, is_final=True)
@@ -92,7 +91,7 @@
         MAX_LOOKUP_SECONDS,
     )
     answer = await exchange.ask(key, until_seconds - deps.loop_time(), deps.now())
-    if answer.origin is None and answer.is_final:
+    if key and answer.origin is None and answer.is_final:
         await asyncio.sleep(ASK_AGAIN_SECONDS)
         left_seconds = max(until_seconds - deps.loop_time(), 0.0)
         answer = await exchange.ask(key, left_seconds, deps.now())
@@ -105,8 +104,12 @@
 def _only_origin(
     deps: GatewayDeps, context: CallContext, answer: OriginAnswer
 ) -> StreamOrigin | None:
-    """Return the one origin that the stream can have, None if there are several."""
-    if not answer.is_final or len(_services(context)) != 1:
+    """Return the one origin that the stream can have, None if there are several.
+
+    The replicas must have known the same targets after the call came. A router that is
+    cut off may lack those of another version that have served since.
+    """
+    if not answer.has_same_table or len(_services(context)) != 1:
         return None
     version = deps.service_versions.only_version(
         context.service,
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -138,17 +138,25 @@
 
 
 class StreamOriginQuery(Struct, frozen=True, array_like=True, tag=True):
-    """Asks a replica for the origin of a stream; ``number`` names the reply."""
+    """Asks a replica for the origin of a stream; ``number`` names the reply.
+
+    Without a key it asks only what targets the replica knows.
+    """
 
     number: int
     key: bytes
 
 
 class StreamOriginReply(Struct, frozen=True, array_like=True, tag=True):
-    """A replica's reply to a query; ``row`` is None if it knows no such stream."""
+    """A replica's reply to a query; ``row`` is None if it knows no such stream.
+
+    ``table_digest`` and ``versions_digest`` are those of its table of targets.
+    """
 
     number: int
     row: StreamOriginRow | None
+    table_digest: int = 0
+    versions_digest: int = 0
 
 
 # --- membership ----------------------------------------------------------------
--- a/standins/engine_queue.py
+++ b/standins/engine_queue.py
@@ -62,7 +62,7 @@
         self._queue = queue
         table = make_heartbeat_table()
         self.lag = make_loop_lag()
-        self.table_digest = table.digest
+        self.table_digest = table.digests.rows
         self.candidates = make_candidates(table, {}, lambda _: None)
         self.reports = _ChangingLoads(table, {}, lambda _: TargetRecord())
 
