Acknowledge a leave only once another live replica has it

A replica that heard nothing of the others for 0.3 s acknowledged a drain alone. If it then stood still or was cut off, no other instance knew of the drain, and calls reached the target for seconds after it had been acknowledged. The target is now answered 503 and asks the next replica, as targets do; what it repeats here is sent to the others again. A replica without live others acknowledges alone as before. test_target_heartbeats failed before: there was nothing to raise, and a repeated drain was acknowledged without being sent.

--- a/sesameford/errors.py
+++ b/sesameford/errors.py
@@ -75,6 +75,10 @@
     """A message between instances could not be decoded, sent or authenticated."""
 
 
+class NotReplicatedError(SesamefordError):
+    """No other replica has acknowledged what a target stated."""
+
+
 class LogError(SesamefordError):
     """The replicated log refused a command or failed."""
 
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -156,7 +156,12 @@
             self._handle_started_peer,
         )
         self.target_heartbeats = make_target_heartbeats(
-            self.table, self._links, self._now
+            self.table,
+            self._links,
+            self._now,
+            lambda now_seconds: bool(
+                self._roster.live_replicas(now_seconds, INSTANCE_LIVE_SECONDS)
+            ),
         )
         self._tree = make_tree_holder(
             settings.instance_id,
