--- a/sesameford/discovery/heartbeat_table.py
+++ b/sesameford/discovery/heartbeat_table.py
@@ -66,7 +66,7 @@
     No target is cold after ``cold_until_seconds``. The digests of a replica equalled
     those of this table first and last at ``first_synchronised_at_seconds`` and
     ``synchronised_at_seconds``. ``has_all_rows`` says that an instance has sent all its
-    rows.
+    rows, and ``rows_asked_at_seconds`` when the last such rows were asked for.
 
     All targets that served after ``known_since_seconds`` have a row, for as long as
     rows of targets that left are kept.
@@ -83,11 +83,13 @@
     first_synchronised_at_seconds: float = float("inf")
     synchronised_at_seconds: float = float("-inf")
     has_all_rows: bool = False
+    rows_asked_at_seconds: float = float("-inf")
     _target_ids: dict[int, str] = field(default_factory=dict)
     _digest: int = 0
     _versions_digest: int = 0
     _received_names: set[int] = field(default_factory=set)
     _requested_at_seconds: dict[str, float] = field(default_factory=dict)
+    _unanswered_since_seconds: dict[str, float] = field(default_factory=dict)
     _heard_at_seconds: float = float("-inf")
 
     @property
@@ -134,6 +136,7 @@
                     self._merge_row(row, now_seconds)
                 if message.is_whole:
                     self.has_all_rows = True
+                    self._record_rows_of(sender_id)
                     self._record_known_since(message.known_milliseconds, now_seconds)
                 if message.token and self.has_disk:
                     ack = HeartbeatRowsAck(message.token)
@@ -283,6 +286,14 @@
             return ()
         return self._request_rows(replica_id, now_seconds)
 
+    def _record_rows_of(self, replica_id: str) -> None:
+        """Record that all rows of a replica are merged, as of the first request."""
+        asked_at_seconds = self._unanswered_since_seconds.pop(replica_id, None)
+        if asked_at_seconds is not None:
+            self.rows_asked_at_seconds = max(
+                self.rows_asked_at_seconds, asked_at_seconds
+            )
+
     def _record_known_since(self, known_milliseconds: int, now_seconds: float) -> None:
         """Record that all rows of an instance have arrived."""
         since_seconds = now_seconds - known_milliseconds / 1000
@@ -301,6 +312,7 @@
         ):
             return ()
         self._requested_at_seconds[replica_id] = now_seconds
+        self._unanswered_since_seconds.setdefault(replica_id, now_seconds)
         return [Outgoing(replica_id, HeartbeatRowsRequest(), urgent=True)]
 
 
--- a/sesameford/gateway/loop_lag.py
+++ b/sesameford/gateway/loop_lag.py
@@ -9,6 +9,9 @@
 # A request to a target is connected, written, its answer read and handled in a turn of
 # the loop each.
 EXCHANGE_TURNS = 4.0
+# A loop that is late by this may leave messages of peers unread for half a second and
+# more, as reading one takes some turns.
+STALL_SECONDS = 0.15
 # The part of a turn's lateness that remains at the next one: a loop that has caught up
 # counts as punctual again after two or three turns.
 REMAINING_LAG_PART = 0.5
@@ -22,6 +25,7 @@
     late_seconds: float = 0.0
     _longest_seconds: float = 0.0
     _last_lagging_at_seconds: float = float("-inf")
+    _last_stalled_at_seconds: float = float("-inf")
 
     def record_run(self, every_seconds: float, now_seconds: float) -> None:
         """Record that the task runs now.
@@ -35,6 +39,8 @@
         self._longest_seconds = max(late_seconds, self._longest_seconds)
         if late_seconds > MAX_LAG_SECONDS:
             self._last_lagging_at_seconds = now_seconds
+        if late_seconds > STALL_SECONDS:
+            self._last_stalled_at_seconds = now_seconds
         self.due_at_seconds = now_seconds + every_seconds
 
     def is_lagging(self, now_seconds: float) -> bool:
@@ -56,6 +62,13 @@
             now_seconds
         )
 
+    def was_stalled_since(self, since_seconds: float, now_seconds: float) -> bool:
+        """Return whether messages may have lain unread for long since a time."""
+        return (
+            self._last_stalled_at_seconds >= since_seconds
+            or self.lateness_seconds(now_seconds) > STALL_SECONDS
+        )
+
     def unseen_seconds(self, now_seconds: float) -> float:
         """Return by how much later than it should a target's answer may be seen."""
         return EXCHANGE_TURNS * self.lateness_seconds(now_seconds)
--- a/sesameford/gateway/table_proof.py
+++ b/sesameford/gateway/table_proof.py
@@ -5,10 +5,11 @@
 target for seconds after its leave was acknowledged.
 
 So a router states its own time in each report, and the replica answers with that time
-and the digest of its table. While the digests are equal, the router's table was right
-when it sent that report, however late it reads the answer. A late router with an older
-proof sends nothing. At a punctual one nothing lies unread: without answers it is cut
-off, and serves what it can by the table that it has.
+and the digest of its table. While the digests are equal, or once the router has asked
+for and merged all rows of a replica, its table was right when it sent that report or
+asked, however late it reads the answer. A late router with an older proof sends
+nothing. At a punctual one nothing lies unread: without answers it is cut off, and
+serves what it can by the table that it has.
 """
 
 from dataclasses import dataclass
@@ -54,6 +55,15 @@
             self.proven_at_seconds = sent_at_seconds
         self.proven_at_seconds = max(self.proven_at_seconds, sent_at_seconds)
 
+    def record_rows(self, asked_at_seconds: float) -> None:
+        """Record that the table has all rows of a replica as of a time.
+
+        After a restart of replicas the digests differ for seconds, as theirs lack
+        targets that they have not heard yet.
+        """
+        if self.proven_at_seconds < float("inf"):
+            self.proven_at_seconds = max(self.proven_at_seconds, asked_at_seconds)
+
     def allows_sending(self, lag: LoopLag, now_seconds: float) -> bool:
         """Return whether calls may be sent by the table.
 
@@ -66,7 +76,7 @@
             return True
         if now_seconds - self._heard_at_seconds > CUT_OFF_SECONDS:
             return True
-        return not lag.was_lagging_since(oldest_seconds, now_seconds)
+        return not lag.was_stalled_since(oldest_seconds, now_seconds)
 
 
 def make_table_proof() -> TableProof:
