Open the newest connections first and turn late ones away cheaply

The listener now accepts all that wait, opens the newest, and knows how long each one waited. Those that waited for over a quarter of a second, or beyond 128, get their 503 with a time to return by four system calls, without a protocol, a parser or a decision; one whose request has not come in whole is opened as before. The virtual loop passes on what calls waited, which it did not, and so never showed this.

--- a/sesameford/early_answers.py
+++ b/sesameford/early_answers.py
@@ -238,7 +238,7 @@
 
     def __call__(self) -> EarlyProtocol:  # type: ignore[override]
         """Return the protocol of a new connection."""
-        backlog_seconds = self._backlog.wait_seconds(self._loop.time())
+        backlog_seconds = self._backlog.opened_wait_seconds
         return EarlyProtocol(self, self._decide, backlog_seconds)
 
     def make_handler(self) -> EarlyHandler:
--- a/sesameford/gateway/calls.py
+++ b/sesameford/gateway/calls.py
@@ -155,6 +155,7 @@
             answer, None without one.
         generated_answer_headers: Returns the headers of an answer that the router
             generates itself.
+        request_id_header: The header with the request id, in both directions.
     """
 
     read_call: Callable[[str, str, Mapping[str, str], Headers], Call]
@@ -162,3 +163,4 @@
     read_answer: Callable[[int, Headers], AnswerHead]
     read_request_id: Callable[[Mapping[str, str]], str | None]
     generated_answer_headers: Callable[[Call | None], Headers]
+    request_id_header: str
--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -360,6 +360,9 @@
                 "lost": lost,
                 "late_seconds": round(late_seconds, 3),
                 "late_requests": late_requests,
+                "table_age_seconds": round(
+                    now_seconds - self.table_proof.proven_at_seconds, 2
+                ),
                 **self._engine_view(now_seconds),
             },
         )
--- a/sesameford/gateway/overload_checks.py
+++ b/sesameford/gateway/overload_checks.py
@@ -1,5 +1,7 @@
 """Refusals of calls that this router can't handle soon enough and another one can."""
 
+from random import Random
+
 from sesameford.effective import HttpRouteSettings
 from sesameford.gateway.call_context import GatewayDeps, Refusal
 from sesameford.gateway.calls import Call, Prompt
@@ -102,15 +104,20 @@
     raise _overloaded(deps, route, customer, f"loop late by {lateness_seconds:.3f} s")
 
 
+def other_instance_retry_seconds(objective_seconds: float, random: Random) -> float:
+    """Return the time to return of a call that another instance can serve at once."""
+    latest_seconds = OTHER_INSTANCE_RETRY_PART * objective_seconds
+    return spread_retry_seconds(
+        OTHER_INSTANCE_RETRY_SECONDS,
+        OTHER_INSTANCE_RETRY_SECONDS + latest_seconds,
+        random,
+    )
+
+
 def _overloaded(
     deps: GatewayDeps, route: HttpRouteSettings, customer: str, detail: str
 ) -> Refusal:
     """Return the refusal of a call that another instance can serve."""
     deps.gate.account.record_late_refusal()
-    latest_seconds = OTHER_INSTANCE_RETRY_PART * route.objective_seconds
-    retry_seconds = spread_retry_seconds(
-        OTHER_INSTANCE_RETRY_SECONDS,
-        OTHER_INSTANCE_RETRY_SECONDS + latest_seconds,
-        deps.random,
-    )
+    retry_seconds = other_instance_retry_seconds(route.objective_seconds, deps.random)
     return Refusal(503, "overloaded", retry_seconds, route.route_id, customer, detail)
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -19,6 +19,7 @@
 from sesameford.listener import (
     AcceptBacklog,
     Listener,
+    TurnAway,
     make_accept_backlog,
     make_listener,
 )
@@ -175,6 +176,7 @@
     limits: GuardLimits | None = None,
     counts: GuardCounts | None = None,
     decide: Decide | None = None,
+    turn_away: TurnAway | None = None,
 ) -> CallsPort:
     """Serve all paths of an address by one handler, without an application's routes.
 
@@ -185,6 +187,7 @@
         counts: The connection counts, updated by the listener.
         decide: Decides on a request once its head has arrived, before the handler;
             see ``early_answers``.
+        turn_away: Answers requests that can't be read in time, see ``listener``.
 
     Returns:
         The open port.
@@ -206,7 +209,7 @@
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=IDLE_TIMEOUT_SECONDS,
     )
-    server = _listen_guarded(calls, address, None, limits, counts, backlog)
+    server = _listen_guarded(calls, address, None, limits, counts, backlog, turn_away)
     return CallsPort(calls, server)
 
 
@@ -217,6 +220,7 @@
     limits: GuardLimits | None,
     counts: GuardCounts | None,
     backlog: AcceptBacklog | None = None,
+    turn_away: TurnAway | None = None,
 ) -> Listener:
     """Listen with the limits of ``connection_guard``."""
     make_guarded_protocol = make_guard(
@@ -224,5 +228,11 @@
     )
     host, port = split_address(address)
     return make_listener(
-        make_guarded_protocol, host, port, context, BACKLOG_CONNECTIONS, backlog
+        make_guarded_protocol,
+        host,
+        port,
+        context,
+        BACKLOG_CONNECTIONS,
+        backlog,
+        turn_away,
     )
--- a/sesameford/listener.py
+++ b/sesameford/listener.py
@@ -4,18 +4,32 @@
 import logging
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from ssl import SSLContext
 
 logger = logging.getLogger(__name__)
 
+TurnAway = Callable[[socket.socket], bool]
+
 # uvloop accepts one connection per turn of its loop. During a burst of new connections
 # a turn takes some ten milliseconds, so a hundred connections a second are accepted.
 # The others wait in the kernel's backlog until their callers time out, while the loop
 # itself shows hardly any lag. Accepting many per turn lets the admission code refuse
 # them. This value accepts some thousand connections a second.
-MAX_ACCEPTS_PER_TURN = 64
+MAX_ACCEPTS_PER_TURN = 256
+# Opening a connection and deciding on its first request takes most of a refusal's time.
+MAX_OPENED_PER_TURN = 64
+# Turning away takes a part of that time; a longer turn would delay all other work.
+MAX_TURNED_AWAY_PER_TURN = 64
+# Accepted connections that wait to be opened, of those the newest come first: a call
+# that has waited long is refused in any case, and if the oldest came first all would
+# have waited as long. Each takes a file descriptor.
+MAX_WAITING_CONNECTIONS = 256
+# Connections that have waited for longer, or beyond this number, are turned away.
+MAX_WAIT_SECONDS = 0.25
+MAX_KEPT_WAITING = 128
 # Without free file descriptors no connection can be accepted until others close.
 ACCEPT_RETRY_SECONDS = 0.1
 
@@ -25,9 +39,11 @@
     """For how long connections have waited to be accepted, as far as can be known.
 
     The kernel does not tell how long a connection waited. But all that wait now have
-    come since the backlog was last empty.
+    come since the backlog was last empty. ``opened_wait_seconds`` is the longest time
+    that the connection which is being opened can have waited, in all.
     """
 
+    opened_wait_seconds: float = 0.0
     _filled_since_seconds: float | None = None
 
     def record_turn(self, is_empty: bool, now_seconds: float) -> None:
@@ -44,6 +60,22 @@
         return now_seconds - self._filled_since_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class _AcceptedConnection:
+    """A connection that is accepted and not opened yet.
+
+    It was accepted at a time, and had waited at most so long before.
+    """
+
+    connection: socket.socket
+    accepted_at_seconds: float
+    waited_seconds: float
+
+    def wait_seconds(self, now_seconds: float) -> float:
+        """Return the longest time that it can have waited in all."""
+        return self.waited_seconds + now_seconds - self.accepted_at_seconds
+
+
 class Listener:
     """A listening socket that accepts connections until it is closed."""
 
@@ -53,9 +85,13 @@
         listening: socket.socket,
         context: SSLContext | None,
         backlog: AcceptBacklog,
+        turn_away: TurnAway | None,
     ) -> None:
         self._backlog = backlog
         self._make_protocol = make_protocol
+        self._turn_away = turn_away
+        self._waiting: deque[_AcceptedConnection] = deque()
+        self._is_opening = False
         self._listening = listening
         self._poll = select.poll()
         self._poll.register(listening.fileno(), select.POLLIN)
@@ -78,32 +114,79 @@
             self._resume_timer.cancel()
         self._loop.remove_reader(self._listening.fileno())
         self._listening.close()
+        # A caller whose connection was accepted is served before a planned stop.
+        for accepted in self._waiting:
+            self._open(accepted)
+        self._waiting.clear()
 
     def _accept_pending(self) -> None:
+        """Accept pending connections, and open some of those that wait."""
+        is_empty = False
         for _ in range(MAX_ACCEPTS_PER_TURN):
+            if len(self._waiting) >= MAX_WAITING_CONNECTIONS:
+                break
             try:
                 connection, _ = self._listening.accept()
             except BlockingIOError:
-                self._backlog.record_turn(True, self._loop.time())
-                return
+                is_empty = True
+                break
             except (InterruptedError, ConnectionAbortedError):
-                return
+                break
             except OSError as error:
                 logger.warning("can't accept: %s", error)
                 self._pause_accepting()
-                return
-            task = self._loop.create_task(self._open(connection))
-            self._handshake_tasks.add(task)
-            task.add_done_callback(self._handshake_tasks.discard)
-        is_empty = not self._poll.poll(0)
+                break
+            connection.setblocking(False)
+            now_seconds = self._loop.time()
+            waited_seconds = self._backlog.wait_seconds(now_seconds)
+            self._waiting.append(
+                _AcceptedConnection(connection, now_seconds, waited_seconds)
+            )
+        is_empty = is_empty or not self._poll.poll(0)
         self._backlog.record_turn(is_empty, self._loop.time())
-
-    async def _open(self, connection: socket.socket) -> None:
+        if not self._is_opening:
+            self._open_waiting()
+
+    def _open_waiting(self) -> None:
+        """Open the newest connections, and turn away those that waited for long."""
+        self._is_opening = False
+        for _ in range(min(len(self._waiting), MAX_OPENED_PER_TURN)):
+            self._open(self._waiting.pop())
+        now_seconds = self._loop.time()
+        for _ in range(MAX_TURNED_AWAY_PER_TURN):
+            if not self._waiting or not self._is_late(self._waiting[0], now_seconds):
+                break
+            self._refuse(self._waiting.popleft())
+        if self._waiting:
+            self._is_opening = True
+            self._loop.call_soon(self._open_waiting)
+
+    def _is_late(self, oldest: _AcceptedConnection, now_seconds: float) -> bool:
+        """Return whether the oldest connection is to be turned away."""
+        is_late = oldest.wait_seconds(now_seconds) > MAX_WAIT_SECONDS
+        return is_late or len(self._waiting) > MAX_KEPT_WAITING
+
+    def _refuse(self, accepted: _AcceptedConnection) -> None:
+        """Turn a connection away, or open it if its request has not come in whole."""
+        if self._turn_away is None or not self._turn_away(accepted.connection):
+            self._open(accepted)
+
+    def _open(self, accepted: _AcceptedConnection) -> None:
+        task = self._loop.create_task(self._connect(accepted))
+        self._handshake_tasks.add(task)
+        task.add_done_callback(self._handshake_tasks.discard)
+
+    async def _connect(self, accepted: _AcceptedConnection) -> None:
+        def make_protocol() -> asyncio.Protocol:
+            wait_seconds = accepted.wait_seconds(self._loop.time())
+            self._backlog.opened_wait_seconds = wait_seconds
+            return self._make_protocol()
+
+        connection = accepted.connection
         try:
-            connection.setblocking(False)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self._loop.connect_accepted_socket(
-                self._make_protocol, connection, ssl=self._context
+                make_protocol, connection, ssl=self._context
             )
         except OSError as error:
             # The caller has disconnected already, or its TLS handshake failed.
@@ -136,6 +219,7 @@
     context: SSLContext | None,
     max_backlog: int,
     backlog: AcceptBacklog | None = None,
+    turn_away: TurnAway | None = None,
 ) -> Listener:
     """Listen on an address; call this on the running event loop.
 
@@ -146,6 +230,8 @@
         context: The TLS context, or None.
         max_backlog: The number of connections that may wait to be accepted.
         backlog: Updated with how long they wait.
+        turn_away: Answers the request of a connection that is not opened; returns
+            whether that was possible. Without it all are opened.
 
     Raises:
         OSError: The address can't be listened on.
@@ -153,4 +239,10 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listening = socket.create_server((host, port), family=family, backlog=max_backlog)
     listening.setblocking(False)
-    return Listener(make_protocol, listening, context, backlog or make_accept_backlog())
+    return Listener(
+        make_protocol,
+        listening,
+        context,
+        backlog or make_accept_backlog(),
+        turn_away,
+    )
--- a/standins/virtual_loop.py
+++ b/standins/virtual_loop.py
@@ -28,9 +28,16 @@
 from sesameford.gateway.suspect_calls import SuspectCalls
 from sesameford.gateway.suspect_exchange import SuspectExchange, make_suspect_exchange
 from sesameford.http_ports import BACKLOG_CONNECTIONS
-from sesameford.listener import MAX_ACCEPTS_PER_TURN
+from sesameford.listener import (
+    MAX_KEPT_WAITING,
+    MAX_OPENED_PER_TURN,
+    MAX_TURNED_AWAY_PER_TURN,
+    MAX_WAIT_SECONDS,
+)
 from sesameford.settings import RetryBudgetSettings
 
+# A connection is turned away at this part of the cost of a refusal.
+TURNED_AWAY_PART = 0.2
 # Callers give up if their call is not read for this long.
 UNREAD_SECONDS = 1.0
 # Connections that callers keep open; each carries one call at a time.
@@ -122,14 +129,30 @@
         self.clock_seconds = max(next_seconds, self.clock_seconds)
 
     def _pop_readable_calls(self) -> list[WaitingCall]:
-        """Remove and return the calls that are read in one turn."""
-        accepted = self._arrived_calls(self.backlog)[:MAX_ACCEPTS_PER_TURN]
-        read = self._arrived_calls(self.readable)
-        for _ in accepted:
+        """Remove and return the calls that are read in one turn.
+
+        Of new connections the newest are opened, and late ones turned away.
+        """
+        waiting = self._arrived_calls(self.backlog)
+        for _ in waiting:
             self.backlog.popleft()
+        opened = waiting[-MAX_OPENED_PER_TURN:]
+        kept = waiting[: -len(opened)] if opened else []
+        for _ in range(MAX_TURNED_AWAY_PER_TURN):
+            if not kept or not self._is_turned_away(kept):
+                break
+            self.clock_seconds += TURNED_AWAY_PART * self.costs.refused_seconds
+            self.refuse(kept.pop(0))
+        self.backlog.extendleft(reversed(kept))
+        read = self._arrived_calls(self.readable)
         for _ in read:
             self.readable.popleft()
-        return accepted + read
+        return opened + read
+
+    def _is_turned_away(self, kept: list[WaitingCall]) -> bool:
+        """Return whether the oldest of the connections that wait is turned away."""
+        is_late = self.clock_seconds - kept[0].at_seconds > MAX_WAIT_SECONDS
+        return is_late or len(kept) > MAX_KEPT_WAITING
 
     def _arrived_calls(self, waiting: Iterable[WaitingCall]) -> list[WaitingCall]:
         """Return the waiting calls that have arrived by now."""
@@ -150,8 +173,15 @@
         gateway_call = Call(
             "id", "POST", call.host, call.path, (), call.customer, None, prompt
         )
+        # The last turn before a call is read is the loop's lateness.
+        lateness_seconds = self.load.lag.lateness_seconds(self.clock_seconds)
+        backlog_seconds = max(unread_seconds - lateness_seconds, 0.0)
+        if call.is_connected:
+            backlog_seconds = 0.0
         try:
-            admitted = admit_call(self.deps, gateway_call, self.clock_seconds)
+            admitted = admit_call(
+                self.deps, gateway_call, self.clock_seconds, backlog_seconds
+            )
         except Refusal:
             self.clock_seconds += self.costs.refused_seconds
             self.refuse(call)
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -26,6 +26,7 @@
 from sesameford.gateway.stream_origins import make_stream_origins
 from sesameford.gateway.suspect_calls import make_suspect_calls
 from sesameford.gateway.suspect_exchange import make_suspect_exchange
+from sesameford.gateway.turn_away import make_turn_away
 from sesameford.http_ports import listen_calls
 from sesameford.messages import HeartbeatRow
 from sesameford.operators_http import digest_of_key
@@ -172,6 +173,7 @@
         limits,
         counts,
         make_early_decision(deps),
+        make_turn_away(deps),
     )
     host, number = port.server.sockets[0].getsockname()[:2]
     ticking = create_task(run_regularly(0.1, lambda: suspect_calls.tick(monotonic())))
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -6,7 +6,11 @@
 import pytest
 import uvloop
 
-from sesameford.listener import make_accept_backlog, make_listener
+from sesameford.listener import (
+    MAX_ACCEPTS_PER_TURN,
+    make_accept_backlog,
+    make_listener,
+)
 
 CALLERS = 200
 
@@ -78,7 +82,8 @@
     async def run():
         listener = make_listener(CountingProtocol, "127.0.0.1", 0, None, 1024, backlog)
         address = listener.sockets[0].getsockname()
-        callers = [socket.create_connection(address) for _ in range(CALLERS)]
+        many = 2 * MAX_ACCEPTS_PER_TURN
+        callers = [socket.create_connection(address) for _ in range(many)]
         seen = []
         for _ in range(8):
             await asyncio.sleep(0.001)
