Bound the wait in the backlog by what it holds

With the newest connections first a flooded router still refused calls as unread for up to seconds: its own queue of accepted connections was full, so the kernel's was never empty, and the bound grew as before. No more connections than the backlog holds can have come since a connection that is accepted now, so the wait is bounded by the time in which so many were accepted.

--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -195,7 +195,7 @@
     Raises:
         OSError: The address can't be listened on.
     """
-    backlog = make_accept_backlog()
+    backlog = make_accept_backlog(BACKLOG_CONNECTIONS)
     make_server: Callable[..., web.Server] = web.Server
     if decide is not None:
         make_server = partial(EarlyServer, decide, backlog)
--- a/sesameford/listener.py
+++ b/sesameford/listener.py
@@ -6,7 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from ssl import SSLContext
 
 logger = logging.getLogger(__name__)
@@ -18,15 +18,15 @@
 # The others wait in the kernel's backlog until their callers time out, while the loop
 # itself shows hardly any lag. Accepting many per turn lets the admission code refuse
 # them. This value accepts some thousand connections a second.
-MAX_ACCEPTS_PER_TURN = 256
+MAX_ACCEPTS_PER_TURN = 512
 # Opening a connection and deciding on its first request takes most of a refusal's time.
 MAX_OPENED_PER_TURN = 64
 # Turning away takes a part of that time; a longer turn would delay all other work.
-MAX_TURNED_AWAY_PER_TURN = 64
+MAX_TURNED_AWAY_PER_TURN = 128
 # Accepted connections that wait to be opened, of those the newest come first: a call
 # that has waited long is refused in any case, and if the oldest came first all would
 # have waited as long. Each takes a file descriptor.
-MAX_WAITING_CONNECTIONS = 256
+MAX_WAITING_CONNECTIONS = 384
 # Connections that have waited for longer, or beyond this number, are turned away.
 MAX_WAIT_SECONDS = 0.25
 MAX_KEPT_WAITING = 128
@@ -39,15 +39,31 @@
     """For how long connections have waited to be accepted, as far as can be known.
 
     The kernel does not tell how long a connection waited. But all that wait now have
-    come since the backlog was last empty. ``opened_wait_seconds`` is the longest time
-    that the connection which is being opened can have waited, in all.
+    come since the backlog was last empty, and no more than ``max_connections`` were
+    accepted meanwhile. ``opened_wait_seconds`` is the longest time that the connection
+    which is being opened can have waited, in all.
     """
 
+    max_connections: int
     opened_wait_seconds: float = 0.0
     _filled_since_seconds: float | None = None
+    _accepted: int = 0
+    _turns: deque[tuple[int, float]] = field(default_factory=deque)
 
-    def record_turn(self, is_empty: bool, now_seconds: float) -> None:
-        """Record whether the backlog is empty after a turn of accepting."""
+    def record_turn(
+        self, is_empty: bool, now_seconds: float, accepted: int = 0
+    ) -> None:
+        """Record a turn of accepting.
+
+        Args:
+            is_empty: Whether the backlog is empty after it.
+            now_seconds: The present time.
+            accepted: How many connections were accepted.
+        """
+        self._accepted += accepted
+        self._turns.append((self._accepted, now_seconds))
+        while len(self._turns) > 1 and self._is_before_all(self._turns[1]):
+            self._turns.popleft()
         if is_empty:
             self._filled_since_seconds = None
         elif self._filled_since_seconds is None:
@@ -57,7 +73,14 @@
         """Return the longest time that a connection accepted now can have waited."""
         if self._filled_since_seconds is None:
             return 0.0
-        return now_seconds - self._filled_since_seconds
+        since_seconds = self._filled_since_seconds
+        if self._turns and self._is_before_all(self._turns[0]):
+            since_seconds = max(since_seconds, self._turns[0][1])
+        return now_seconds - since_seconds
+
+    def _is_before_all(self, turn: tuple[int, float]) -> bool:
+        """Return whether all that wait now have come after the end of a turn."""
+        return turn[0] <= self._accepted - self.max_connections
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +145,7 @@
     def _accept_pending(self) -> None:
         """Accept pending connections, and open some of those that wait."""
         is_empty = False
+        waiting_before = len(self._waiting)
         for _ in range(MAX_ACCEPTS_PER_TURN):
             if len(self._waiting) >= MAX_WAITING_CONNECTIONS:
                 break
@@ -143,7 +167,8 @@
                 _AcceptedConnection(connection, now_seconds, waited_seconds)
             )
         is_empty = is_empty or not self._poll.poll(0)
-        self._backlog.record_turn(is_empty, self._loop.time())
+        accepted = len(self._waiting) - waiting_before
+        self._backlog.record_turn(is_empty, self._loop.time(), accepted)
         if not self._is_opening:
             self._open_waiting()
 
@@ -207,9 +232,13 @@
         )
 
 
-def make_accept_backlog() -> AcceptBacklog:
-    """Return an empty backlog."""
-    return AcceptBacklog()
+def make_accept_backlog(max_connections: int) -> AcceptBacklog:
+    """Return an empty backlog.
+
+    Args:
+        max_connections: How many connections it holds.
+    """
+    return AcceptBacklog(max_connections)
 
 
 def make_listener(
@@ -243,6 +272,6 @@
         make_protocol,
         listening,
         context,
-        backlog or make_accept_backlog(),
+        backlog or make_accept_backlog(max_backlog),
         turn_away,
     )
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -66,18 +66,27 @@
 
     A flood fills the backlog for seconds while each turn of the loop is short.
     """
-    backlog = make_accept_backlog()
+    backlog = make_accept_backlog(1024)
     backlog.record_turn(True, 1.0)
     assert backlog.wait_seconds(9.0) == 0.0
     backlog.record_turn(False, 9.0)
     backlog.record_turn(False, 10.0)
     assert backlog.wait_seconds(10.5) == 1.5
+
+
+def test_connections_have_waited_for_no_more_than_the_backlog_holds():
+    """Guards against a wait that grows for as long as a flood lasts."""
+    backlog = make_accept_backlog(1024)
+    backlog.record_turn(True, 0.0)
+    for turn in range(1, 101):
+        backlog.record_turn(False, 0.1 * turn, 256)
+        assert backlog.wait_seconds(0.1 * turn) <= 0.4 + 1e-9
     backlog.record_turn(True, 11.0)
     assert backlog.wait_seconds(12.0) == 0.0
 
 
 def test_the_backlog_counts_as_empty_once_all_connections_are_accepted():
-    backlog = make_accept_backlog()
+    backlog = make_accept_backlog(1024)
 
     async def run():
         listener = make_listener(CountingProtocol, "127.0.0.1", 0, None, 1024, backlog)
--- a/tests/test_turn_away.py
+++ b/tests/test_turn_away.py
@@ -37,7 +37,7 @@
 
 async def test_a_flood_that_never_ends_is_not_taken_for_callers_that_waited_so_long():
     """Guards against a share that is refused as unread for as long as a flood lasts."""
-    backlog = make_accept_backlog()
+    backlog = make_accept_backlog(1024)
     waits = []
 
     class Waited(asyncio.Protocol):
