Read all messages of peers that have arrived in one turn of a late loop

The library holds one message of each peer and takes the next from the network once that one is read, by a thread of its own; a loop that asked again at once found none, so each turn of 0.15 s read one message of each peer, after some turns that the library's own wait took.

The test of the stop has a real socket too: there is no task to cancel any more.

--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from hashlib import sha256
+from time import sleep
 
 from pynng import Pull0, Push0
 from pynng.exceptions import NNGException, TryAgain
@@ -48,6 +49,11 @@
 # Messages read in one turn of the event loop: as many as the replica of 75 routers
 # receives in a tenth of a second.
 MAX_MESSAGES_PER_TURN = 64
+# The library's thread takes a peer's next message from the network once the one before
+# is read, within this time. A loop that was away for longer than a busy turn waits for
+# it: otherwise each turn would read one message of a peer, however many have come.
+NEXT_MESSAGE_SECONDS = 0.0002
+BUSY_TURN_SECONDS = 0.03
 # The network's overhead for one message: nng's length prefix, the headers of IP and of
 # TCP with time stamps, and the segment of the acknowledgement.
 WIRE_HEADER_BYTES = 8 + 52 + 52
@@ -109,9 +115,9 @@
         self._retired = RetiredSockets()
         self._pending: dict[str, list[Message]] = {peer: [] for peer in self._peers}
         self._listener: Pull0 | None = None
+        self._received_at_seconds = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._urgent: asyncio.TimerHandle | None = None
-        self._is_stopping = False
         self._start_redial_until_seconds = now() + START_REDIAL_PERIOD_SECONDS
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -214,24 +220,25 @@
         self._listener = self._listen()
         for peer in self._peers.values():
             self._dial(peer)
-        self._tasks = [
-            asyncio.create_task(self._receive()),
-            asyncio.create_task(self._flush_regularly()),
-        ]
+        self._tasks = [asyncio.create_task(self._flush_regularly())]
 
     async def stop(self) -> None:
         """Send pending messages and close all sockets."""
         self.flush()
         await asyncio.sleep(URGENT_FLUSH_SECONDS)
-        self._is_stopping = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for socket in self._sockets.values():
             self._retired.add(socket, self._now())
         await self._retired.close_all()
-        if self._listener is not None:
-            self._listener.close()
+        self._close_listener()
+
+    def _close_listener(self) -> None:
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            asyncio.get_running_loop().remove_reader(listener.recv_fd)
+            listener.close()
 
     def send(self, outgoing: Outgoing) -> None:
         """Add a message to the next batch, or send it at once if it is urgent."""
@@ -288,14 +295,13 @@
             listener.listen(address)
         except NNGException as error:
             raise PeerError(f"can't listen on {address}: {error}") from error
+        asyncio.get_running_loop().add_reader(listener.recv_fd, self._receive_pending)
         return listener
 
     def reload_tls(self, files: TlsFiles) -> None:
         """Listen and redial under a new identity; messages in between are lost."""
         self._tls = files
-        old, self._listener = self._listener, None
-        if old is not None:
-            old.close()
+        self._close_listener()
         self._listener = self._listen()
         for peer in self._peers.values():
             self._dial(peer)
@@ -329,39 +335,37 @@
         state = self._states[peer.instance_id]
         self._states[peer.instance_id] = replace(state, dialled_at_seconds=self._now())
 
-    async def _receive(self) -> None:
-        # If a message arrives in the same turn as the cancellation, the library returns
-        # it and drops the cancellation. Without the flag, the stop would wait for this
-        # task for ever, and an instance that has finished its work would never exit.
-        while not self._is_stopping:
-            assert self._listener is not None
-            try:
-                sealed = await self._listener.arecv()
-            except NNGException as error:
-                logger.warning("receiving from peers failed: %s", error)
-                await asyncio.sleep(URGENT_FLUSH_SECONDS)
-                continue
-            self._handle_sealed(sealed)
-            self._drain_received()
-
-    def _drain_received(self) -> None:
-        """Handle further received messages without a turn of the loop for each.
+    def _receive_pending(self) -> None:
+        """Handle the messages that have arrived, in the turn in which they are seen.
 
-        Waiting for a message takes some turns. At an overloaded instance a turn takes
-        tens of milliseconds, so messages would arrive faster than they are read, and
-        targets that leave would be noticed seconds too late.
+        The library's own wait for a message takes some turns. At an overloaded instance
+        a turn takes a tenth of a second and more, so messages would be read seconds
+        late, and targets that leave noticed as late.
         """
+        now_seconds = self._now()
+        is_late = now_seconds - self._received_at_seconds > BUSY_TURN_SECONDS
+        self._received_at_seconds = now_seconds
         for _ in range(MAX_MESSAGES_PER_TURN):
-            assert self._listener is not None
-            try:
-                sealed = self._listener.recv(block=False)
-            except TryAgain:
-                return
-            except NNGException as error:
-                logger.warning("receiving from peers failed: %s", error)
+            sealed = self._receive_one()
+            if sealed is None and is_late:
+                sleep(NEXT_MESSAGE_SECONDS)
+                sealed = self._receive_one()
+            if sealed is None:
                 return
             self._handle_sealed(sealed)
 
+    def _receive_one(self) -> bytes | None:
+        """Return the next message that has arrived, None without one."""
+        if self._listener is None:
+            return None
+        try:
+            return self._listener.recv(block=False)
+        except TryAgain:
+            return None
+        except NNGException as error:
+            logger.warning("receiving from peers failed: %s", error)
+            return None
+
     def _handle_sealed(self, sealed: bytes) -> None:
         self.received_bytes += len(sealed) + WIRE_HEADER_BYTES
         try:
--- a/tests/test_peers_stop.py
+++ b/tests/test_peers_stop.py
@@ -1,90 +1,57 @@
 """The links of an instance stop on request, and keep up with their peers."""
 
 import asyncio
+import time
+from contextlib import asynccontextmanager
 
-from pynng import TryAgain
+from pynng import Push0
 
 from sesameford.peers import PeerLinks
 from sesameford.settings import parse_settings
 
-TURNS_PER_MESSAGE = 3
-SETTINGS = """
+ADDRESS = "127.0.0.1:17983"
+SETTINGS = f"""
 instance_id: e1
 data_centre: a
-listen: {callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3"}
+listen: {{callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "{ADDRESS}"}}
 """
+MESSAGES = 50
+# A turn that sees the message, and the one in which the test goes on.
+TURNS = 2
 
 
-class _ListenerWithMessageAtCancel:
-    """A socket on which a message arrives in the turn of the first cancellation."""
-
-    def __init__(self) -> None:
-        self._has_message = True
-
-    async def arecv(self) -> bytes:
-        try:
-            await asyncio.Event().wait()
-        except asyncio.CancelledError:
-            if not self._has_message:
-                raise
-            self._has_message = False
-            return b"no envelope"
-        raise AssertionError("nothing sets the event")
-
-    def recv(self, block: bool) -> bytes:
-        raise TryAgain("nothing waits", 8)
-
-    def close(self) -> None:
-        pass
-
-
-class _ListenerWithWaitingMessages:
-    """A socket with waiting messages; an await for one takes some turns of the loop."""
-
-    def __init__(self, waiting: int) -> None:
-        self._waiting = waiting
-
-    async def arecv(self) -> bytes:
-        for _ in range(TURNS_PER_MESSAGE):
-            await asyncio.sleep(0)
-        return self.recv(block=False)
-
-    def recv(self, block: bool) -> bytes:
-        if not self._waiting:
-            raise TryAgain("nothing waits", 8)
-        self._waiting -= 1
-        return b"no envelope"
-
-
-async def test_a_message_during_the_cancellation_does_not_block_the_stop():
-    """An instance is stopped just as a peer's message arrives.
-
-    The library returns the message and drops the cancellation, so the receiving task
-    continues. The process has finished all its requests and never exits.
-    """
+@asynccontextmanager
+async def open_links():
+    """Start links, and a socket that sends to them."""
     links = PeerLinks(
-        parse_settings(SETTINGS, "e1.yaml"), 1, b"key", lambda *_: None, lambda: 0.0
+        parse_settings(SETTINGS, "e1.yaml"), 1, b"key", lambda *_: None, time.monotonic
     )
-    links._listener = _ListenerWithMessageAtCancel()
-    links._tasks = [asyncio.create_task(links._receive())]
-    await asyncio.sleep(0)
-    await asyncio.wait_for(links.stop(), timeout=2.0)
+    await links.start()
+    with Push0(dial=f"tcp://{ADDRESS}", send_buffer_size=MESSAGES) as sender:
+        sender.send(b"no envelope")
+        while not links.refused_messages:
+            await asyncio.sleep(0.01)
+        yield links, sender
+
+
+async def test_a_message_during_the_stop_does_not_block_it():
+    """Guards against a process that never exits, as messages come while it stops."""
+    async with open_links() as (links, sender):
+        stopping = asyncio.create_task(links.stop())
+        sender.send(b"no envelope")
+        await asyncio.sleep(0)
+        sender.send(b"no envelope")
+        await asyncio.wait_for(stopping, timeout=2.0)
+        await links.stop()
 
 
 async def test_waiting_messages_are_read_in_one_turn_of_the_loop():
-    """A caller overloads an instance, so that each turn of its loop takes long.
-
-    Read one at a time, with some turns for each, the messages of peers would wait for
-    seconds, and requests would be sent to targets that have already left.
-    """
-    links = PeerLinks(
-        parse_settings(SETTINGS, "e1.yaml"), 1, b"key", lambda *_: None, lambda: 0.0
-    )
-    links._listener = _ListenerWithWaitingMessages(50)
-    receiving = asyncio.create_task(links._receive())
-    for _ in range(TURNS_PER_MESSAGE + 2):
-        await asyncio.sleep(0)
-    receiving.cancel()
-    links._is_stopping = True
-    await asyncio.gather(receiving, return_exceptions=True)
-    assert links.refused_messages == 50
+    """Guards against work for targets that left, at a router whose turns take long."""
+    async with open_links() as (links, sender):
+        for _ in range(MESSAGES):
+            sender.send(b"no envelope")
+        time.sleep(0.3)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        assert links.refused_messages == MESSAGES + 1
+        await links.stop()
