Answer origin queries in the tests' desk, and ask whether a vanished row takes work

A stream is resumed without a name only after a replica has shown its table, so the desk has one. A target whose row has gone takes no work, which the state machine now asserts.

--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -28,10 +28,10 @@
 from sesameford.gateway.suspect_exchange import make_suspect_exchange
 from sesameford.gateway.turn_away import make_turn_away
 from sesameford.http_ports import listen_calls
-from sesameford.messages import HeartbeatRow
+from sesameford.messages import HeartbeatRow, StreamOriginQuery, StreamOriginReply
 from sesameford.operators_http import digest_of_key
 from sesameford.regular_run import run_regularly
-from sesameford.settings import RetryBudgetSettings
+from sesameford.settings import Peer, RetryBudgetSettings
 from sesameford.tables import TargetState
 from sesameford.tree import effective_tree, parse_tree
 from sesameford_platform.wire_adapter import make_wire_adapter
@@ -111,6 +111,18 @@
     table.handle_heartbeat(row, monotonic())
 
 
+REPLICA = Peer("p1", "a", "10.0.0.9:1", True)
+
+
+def reply_as_replica(exchange, table, outgoing):
+    """Answer a query at once, as a replica with the same table of targets does."""
+    if isinstance(outgoing.message, StreamOriginQuery):
+        reply = StreamOriginReply(
+            outgoing.message.number, None, table.digests.rows, table.digests.versions
+        )
+        get_running_loop().call_soon(exchange.handle_reply, REPLICA.instance_id, reply)
+
+
 @asynccontextmanager
 async def open_desk(
     *faults,
@@ -140,6 +152,14 @@
     table.known_since_seconds = float("-inf")
     table.first_synchronised_at_seconds = float("-inf")
     table.synchronised_at_seconds = float("inf")
+    origin_exchange = make_origin_exchange(
+        make_stream_origins(),
+        "a",
+        lambda now_seconds: (REPLICA,),
+        lambda outgoing: reply_as_replica(origin_exchange, table, outgoing),
+        None,
+        lambda: table.digests,
+    )
     versions = make_service_versions(table, lambda now_seconds: Contact.ALL, 1.0)
     deps = GatewayDeps(
         adapter,
@@ -158,13 +178,7 @@
         monotonic,
         get_running_loop().time,
         suspect_calls,
-        make_origin_exchange(
-            make_stream_origins(),
-            "a",
-            lambda now_seconds: (),
-            lambda outgoing: None,
-            None,
-        ),
+        origin_exchange,
         versions,
     )
     port = await listen_calls(
--- a/tests/test_target_notices_machine.py
+++ b/tests/test_target_notices_machine.py
@@ -106,11 +106,13 @@
         reservation = self.chosen.pop()
         number = int(reservation.target_id[1:])
         is_same_process = reservation.incarnation == self.incarnations[number]
+        takes_work = self.listed[number] and self.accepts(number)
         if not self.placement.may_send(reservation, self.now_seconds):
-            assert not is_same_process or not self.accepts(number)
+            assert not is_same_process or not takes_work
             self.placement.release(reservation, self.now_seconds)
             return
-        assert not is_same_process or self.accepts(number)
+        assert is_same_process
+        assert takes_work
         self.written.append(reservation)
 
     @rule(position=st.integers(0, 5), seconds=st.floats(0.0, 5.0))
