--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -50,9 +50,11 @@
 # receives in a tenth of a second.
 MAX_MESSAGES_PER_TURN = 64
 # The library's thread takes a peer's next message from the network once the one before
-# is read, within this time. A loop that was away for longer than a busy turn waits for
-# it: otherwise each turn would read one message of a peer, however many have come.
+# is read, within some tries of this interval. A loop that was away for longer than a
+# busy turn waits for it: otherwise each turn would read one message of a peer, however
+# many have come.
 NEXT_MESSAGE_SECONDS = 0.0002
+NEXT_MESSAGE_TRIES = 10
 BUSY_TURN_SECONDS = 0.03
 # The network's overhead for one message: nng's length prefix, the headers of IP and of
 # TCP with time stamps, and the segment of the acknowledgement.
@@ -346,14 +348,20 @@
         is_late = now_seconds - self._received_at_seconds > BUSY_TURN_SECONDS
         self._received_at_seconds = now_seconds
         for _ in range(MAX_MESSAGES_PER_TURN):
-            sealed = self._receive_one()
-            if sealed is None and is_late:
-                sleep(NEXT_MESSAGE_SECONDS)
-                sealed = self._receive_one()
+            sealed = self._receive_next() if is_late else self._receive_one()
             if sealed is None:
                 return
             self._handle_sealed(sealed)
 
+    def _receive_next(self) -> bytes | None:
+        """Return the next message, also one that is on its way from the network."""
+        for _ in range(NEXT_MESSAGE_TRIES):
+            sealed = self._receive_one()
+            if sealed is not None:
+                return sealed
+            sleep(NEXT_MESSAGE_SECONDS)
+        return None
+
     def _receive_one(self) -> bytes | None:
         """Return the next message that has arrived, None without one."""
         if self._listener is None:
--- a/tests/test_peers_stop.py
+++ b/tests/test_peers_stop.py
@@ -27,7 +27,7 @@
         parse_settings(SETTINGS, "e1.yaml"), 1, b"key", lambda *_: None, time.monotonic
     )
     await links.start()
-    with Push0(dial=f"tcp://{ADDRESS}", send_buffer_size=MESSAGES) as sender:
+    with Push0(dial=f"tcp://{ADDRESS}", send_buffer_size=2 * MESSAGES) as sender:
         sender.send(b"no envelope")
         while not links.refused_messages:
             await asyncio.sleep(0.01)
