--- a/sesameford/gateway/load_system.py
+++ b/sesameford/gateway/load_system.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable
 from random import Random
-from statistics import median
 
 from sesameford.gateway.aggregator_choice import make_aggregator_choice
 from sesameford.gateway.call_context import GatewayState
@@ -16,13 +15,18 @@
     TargetAvailability,
     make_fleet_sums,
 )
+from sesameford.gateway.load_log import (
+    ShareSource,
+    log_limited,
+    log_served,
+    log_targets,
+)
 from sesameford.gateway.load_report import (
     REPORT_SECONDS,
     REPORT_VALID_SECONDS,
     make_load_report,
 )
 from sesameford.gateway.placement import Placement
-from sesameford.gateway.share_account import format_unusual_parts
 from sesameford.gateway.share_gate import make_share_gate
 from sesameford.gateway.shares import ShareTable, make_share_table
 from sesameford.gateway.table_proof import make_table_proof
@@ -278,109 +282,38 @@
         is_isolated_router = not self.has_disk and self._was_isolated
         if is_aggregator or is_isolated_router:
             self._log_limited()
-        if is_aggregator and self._sums.failing:
-            self._log_failing()
-        if is_aggregator and self._sums.speeds:
-            self._log_speeds()
+        if is_aggregator:
+            log_targets(self._placement.reports, self._sums.failing, self._sums.speeds)
 
     def _log_limited(self) -> None:
-        """Log the shares computed here, and the figures that they follow from."""
-        shares = self.shares
-        was_limited, self._was_limited = self._was_limited, bool(shares.fractions)
-        if not was_limited and not shares.fractions:
-            return
-        logger.info(
-            "shares limited",
-            extra={
-                "customers": ",".join(
-                    f"{one}:{fraction:.2f}"
-                    for one, fraction in sorted(shares.fractions.items())
-                ),
-                "routers": shares.routers,
-                "capacity_tokens": round(shares.capacity_tokens),
-                "asked_tokens": round(sum(shares.requested_tokens.values())),
-                "wait_seconds": round(shares.wait_seconds, 4),
-                "wanted_seconds": round(shares.wait_setpoint_seconds, 4),
-                **self._router_waits(),
-                "in_time_answers": round(shares.in_time_answers, 1),
-                "late_answers": round(shares.late_answers, 1),
-                "paused_answers": round(shares.paused_answers, 1),
-                "handled_tokens": round(shares.handled_tokens),
-                "weights": format_unusual_parts(shares.weights),
-                "started_parts": format_unusual_parts(shares.lost_work.started_parts),
-                "worked_part": round(shares.lost_work.worked_part, 2),
-            },
-        )
-
-    def _router_waits(self) -> dict[str, float]:
-        """Return the usual and the longest wait that routers report here, to log."""
-        waits_seconds = self._sums.router_waits_seconds
-        if not waits_seconds:
-            return {}
-        return {
-            "usual_wait_seconds": round(median(waits_seconds), 4),
-            "longest_wait_seconds": round(max(waits_seconds), 4),
-        }
-
-    def _log_failing(self) -> None:
-        """Log the targets that fail a part of the whole fleet's requests."""
-        parts = self._placement.reports.failed_parts_by_id(self._sums.failing)
-        text = ",".join(f"{one}:{part:.2f}" for one, part in sorted(parts.items()))
-        logger.warning("targets fail in part", extra={"targets": text})
-
-    def _log_speeds(self) -> None:
-        """Log the targets whose speed differs from the usual one of their service."""
-        speeds = self._placement.reports.relative_speeds(self._sums.speeds)
-        if not speeds:
-            return
-        text = ",".join(f"{one}:{speed:.2f}" for one, speed in sorted(speeds.items()))
-        logger.info("targets differ in speed", extra={"targets": text})
+        """Log the shares computed here while anybody is limited, and once after."""
+        was_limited, self._was_limited = self._was_limited, bool(self.shares.fractions)
+        if was_limited or self.shares.fractions:
+            log_limited(self.shares, self._sums.router_waits_seconds)
 
     def _log_served(self, now_seconds: float) -> None:
-        """Log the source, age and effect of the shares that are applied here.
-
-        The refusals of an overloaded router are too many for a line each, so this line
-        has their number and the longest lateness of the loop.
-        """
-        account = self.gate.account
-        customers = account.format_sums(self.gate.fractions)
-        refused, lost = account.refused.format_sums(), account.lost.format_sums()
-        late_requests = account.pop_late_requests()
+        """Log the shares that are applied here, while anybody is limited or refused."""
+        sums = self.gate.account.pop_sums(self.gate.fractions)
         late_seconds = self.lag.pop_longest_seconds()
-        if not self.gate.fractions and not late_requests:
+        if not self.gate.fractions and not sums.late_requests:
             return
-        logger.info(
-            "shares served",
-            extra={
-                "replica": self._choice.chosen or "",
-                "age_seconds": round(self.report.age_seconds(now_seconds), 3),
-                "routers": self.report.routers,
-                "customers": customers,
-                "refused": refused,
-                "lost": lost,
-                "late_seconds": round(late_seconds, 3),
-                "late_requests": late_requests,
-                "table_age_seconds": round(
-                    now_seconds - self.table_proof.proven_at_seconds, 2
-                ),
-                **self._engine_view(now_seconds),
-            },
+        source = ShareSource(
+            self._choice.chosen or "",
+            self.report.age_seconds(now_seconds),
+            self.report.routers,
+            now_seconds - self.table_proof.proven_at_seconds,
         )
-
-    def _engine_view(self, now_seconds: float) -> dict[str, float]:
-        """Return what this router takes for the state of the engines, to log."""
         view = self._placement.reports.engine_view(now_seconds)
-        timeliness = self.gate.timeliness
-        return {
-            "wait_seconds": round(self._wait_seconds(now_seconds), 4),
-            "own_requests": view.own_requests,
-            "other_requests": view.other_requests,
-            "own_unread_tokens": view.own_unread_tokens,
-            "other_unread_tokens": view.other_unread_tokens,
-            "in_time_answers": round(timeliness.in_time_answers(now_seconds), 1),
-            "late_answers": round(timeliness.late_answers(now_seconds), 1),
-            "paused_answers": round(timeliness.paused_answers(now_seconds), 1),
-        }
+        wait_seconds = self._wait_seconds(now_seconds)
+        log_served(
+            source,
+            sums,
+            late_seconds,
+            view,
+            wait_seconds,
+            self.gate.timeliness,
+            now_seconds,
+        )
 
 
 def make_load_system(
--- a/sesameford/gateway/share_account.py
+++ b/sesameford/gateway/share_account.py
@@ -80,6 +80,16 @@
         return text
 
 
+@dataclass(frozen=True, slots=True)
+class AccountSums:
+    """The texts of one log line, and the requests that a late loop refused."""
+
+    customers: str
+    refused: str
+    lost: str
+    late_requests: int
+
+
 class ShareAccount:
     """Sums of one router: ``totals`` since its start, others since the last line.
 
@@ -108,6 +118,19 @@
         late_requests, self._late_requests = self._late_requests, 0
         return late_requests
 
+    def pop_sums(self, fractions: Mapping[str, float]) -> AccountSums:
+        """Return all sums since the last call, and reset them.
+
+        Args:
+            fractions: The part that each limited customer gets at present.
+        """
+        return AccountSums(
+            self.format_sums(fractions),
+            self.refused.format_sums(),
+            self.lost.format_sums(),
+            self.pop_late_requests(),
+        )
+
     def record_start(self, customer: str, tokens: int) -> None:
         """Count a request whose answer an engine has started."""
         self._by_customer[customer].started += tokens
