Wait for a peer's next message only while the loop is late

A router that idles for some hundredths of a second between messages is not late, and waited two milliseconds at the end of each turn that read one. The links ask the measure of lateness now.

--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -147,6 +147,7 @@
             self._handle_message,
             self._now,
             redial_after_seconds=REDIAL_SECONDS,
+            is_late=lambda now_seconds: self.load.lag.is_lagging(now_seconds),
         )
         self._introductions = make_introductions(
             self._own,
--- a/sesameford/peers.py
+++ b/sesameford/peers.py
@@ -50,12 +50,10 @@
 # receives in a tenth of a second.
 MAX_MESSAGES_PER_TURN = 64
 # The library's thread takes a peer's next message from the network once the one before
-# is read, within some tries of this interval. A loop that was away for longer than a
-# busy turn waits for it: otherwise each turn would read one message of a peer, however
-# many have come.
+# is read, within some tries of this interval. A late loop waits for it: otherwise each
+# of its turns would read one message of a peer, however many have come.
 NEXT_MESSAGE_SECONDS = 0.0002
 NEXT_MESSAGE_TRIES = 10
-BUSY_TURN_SECONDS = 0.03
 # The network's overhead for one message: nng's length prefix, the headers of IP and of
 # TCP with time stamps, and the segment of the acknowledgement.
 WIRE_HEADER_BYTES = 8 + 52 + 52
@@ -102,6 +100,7 @@
         now: Callable[[], float],
         tls: TlsFiles | None = None,
         redial_after_seconds: float = REDIAL_AFTER_SECONDS,
+        is_late: Callable[[float], bool] = lambda now_seconds: False,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -117,7 +116,7 @@
         self._retired = RetiredSockets()
         self._pending: dict[str, list[Message]] = {peer: [] for peer in self._peers}
         self._listener: Pull0 | None = None
-        self._received_at_seconds = float("-inf")
+        self._is_late = is_late
         self._tasks: list[asyncio.Task[None]] = []
         self._urgent: asyncio.TimerHandle | None = None
         self._start_redial_until_seconds = now() + START_REDIAL_PERIOD_SECONDS
@@ -344,9 +343,7 @@
         a turn takes a tenth of a second and more, so messages would be read seconds
         late, and targets that leave noticed as late.
         """
-        now_seconds = self._now()
-        is_late = now_seconds - self._received_at_seconds > BUSY_TURN_SECONDS
-        self._received_at_seconds = now_seconds
+        is_late = self._is_late(self._now())
         for _ in range(MAX_MESSAGES_PER_TURN):
             sealed = self._receive_next() if is_late else self._receive_one()
             if sealed is None:
