--- a/sesameford/gateway/turn_away.py
+++ b/sesameford/gateway/shed_calls.py
@@ -13,7 +13,7 @@
 from sesameford.gateway.call_context import GatewayDeps
 from sesameford.gateway.generated_answer import GeneratedAnswer
 from sesameford.gateway.overload_checks import other_instance_retry_seconds
-from sesameford.listener import TurnAway
+from sesameford.listener import Shedder
 
 logger = logging.getLogger(__name__)
 
@@ -26,15 +26,15 @@
 _OTHER_METHODS = (b"HEAD ", b"CONNECT ")
 
 
-def make_turn_away(deps: GatewayDeps) -> TurnAway:
-    """Return the function that turns an accepted connection away, see ``listener``."""
+def make_shedder(deps: GatewayDeps) -> Shedder:
+    """Return the function that sheds an accepted connection, see ``listener``."""
     id_header = re.compile(
         rb"\r\n%b:[ \t]*([^\r\n]*?)[ \t]*(?=\r\n)"
         % re.escape(deps.wire_adapter.request_id_header.encode()),
         re.IGNORECASE,
     )
 
-    def turn_away(connection: socket.socket) -> bool:
+    def shed(connection: socket.socket) -> bool:
         try:
             data = connection.recv(MAX_REQUEST_BYTES, socket.MSG_PEEK)
             if not _is_whole_request(data):
@@ -50,7 +50,7 @@
         connection.close()
         return True
 
-    return turn_away
+    return shed
 
 
 def _is_whole_request(data: bytes) -> bool:
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -19,7 +19,7 @@
 from sesameford.listener import (
     AcceptBacklog,
     Listener,
-    TurnAway,
+    Shedder,
     make_accept_backlog,
     make_listener,
 )
@@ -176,7 +176,7 @@
     limits: GuardLimits | None = None,
     counts: GuardCounts | None = None,
     decide: Decide | None = None,
-    turn_away: TurnAway | None = None,
+    shed: Shedder | None = None,
 ) -> CallsPort:
     """Serve all paths of an address by one handler, without an application's routes.
 
@@ -187,7 +187,7 @@
         counts: The connection counts, updated by the listener.
         decide: Decides on a request once its head has arrived, before the handler;
             see ``early_answers``.
-        turn_away: Answers requests that can't be read in time, see ``listener``.
+        shed: Answers requests that can't be read in time, see ``listener``.
 
     Returns:
         The open port.
@@ -209,7 +209,7 @@
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=IDLE_TIMEOUT_SECONDS,
     )
-    server = _listen_guarded(calls, address, None, limits, counts, backlog, turn_away)
+    server = _listen_guarded(calls, address, None, limits, counts, backlog, shed)
     return CallsPort(calls, server)
 
 
@@ -220,7 +220,7 @@
     limits: GuardLimits | None,
     counts: GuardCounts | None,
     backlog: AcceptBacklog | None = None,
-    turn_away: TurnAway | None = None,
+    shed: Shedder | None = None,
 ) -> Listener:
     """Listen with the limits of ``connection_guard``."""
     make_guarded_protocol = make_guard(
@@ -234,5 +234,5 @@
         context,
         BACKLOG_CONNECTIONS,
         backlog,
-        turn_away,
+        shed,
     )
--- a/sesameford/listener.py
+++ b/sesameford/listener.py
@@ -11,7 +11,7 @@
 
 logger = logging.getLogger(__name__)
 
-TurnAway = Callable[[socket.socket], bool]
+Shedder = Callable[[socket.socket], bool]
 
 # uvloop accepts one connection per turn of its loop. During a burst of new connections
 # a turn takes some ten milliseconds, so a hundred connections a second are accepted.
@@ -21,13 +21,13 @@
 MAX_ACCEPTS_PER_TURN = 512
 # Opening a connection and deciding on its first request takes most of a refusal's time.
 MAX_OPENED_PER_TURN = 64
-# Turning away takes a part of that time; a longer turn would delay all other work.
-MAX_TURNED_AWAY_PER_TURN = 128
+# Shedding takes a part of that time; a longer turn would delay all other work.
+MAX_SHED_PER_TURN = 128
 # Accepted connections that wait to be opened, of those the newest come first: a call
 # that has waited long is refused in any case, and if the oldest came first all would
 # have waited as long. Each takes a file descriptor.
 MAX_WAITING_CONNECTIONS = 384
-# Connections that have waited for longer, or beyond this number, are turned away.
+# Connections that have waited for longer, or beyond this number, are shed.
 MAX_WAIT_SECONDS = 0.25
 MAX_KEPT_WAITING = 128
 # Without free file descriptors no connection can be accepted until others close.
@@ -108,11 +108,11 @@
         listening: socket.socket,
         context: SSLContext | None,
         backlog: AcceptBacklog,
-        turn_away: TurnAway | None,
+        shed: Shedder | None,
     ) -> None:
         self._backlog = backlog
         self._make_protocol = make_protocol
-        self._turn_away = turn_away
+        self._shed = shed
         self._waiting: deque[_AcceptedConnection] = deque()
         self._is_opening = False
         self._listening = listening
@@ -178,7 +178,7 @@
         for _ in range(min(len(self._waiting), MAX_OPENED_PER_TURN)):
             self._open(self._waiting.pop())
         now_seconds = self._loop.time()
-        for _ in range(MAX_TURNED_AWAY_PER_TURN):
+        for _ in range(MAX_SHED_PER_TURN):
             if not self._waiting or not self._is_late(self._waiting[0], now_seconds):
                 break
             self._refuse(self._waiting.popleft())
@@ -187,13 +187,13 @@
             self._loop.call_soon(self._open_waiting)
 
     def _is_late(self, oldest: _AcceptedConnection, now_seconds: float) -> bool:
-        """Return whether the oldest connection is to be turned away."""
+        """Return whether the oldest connection is to be shed."""
         is_late = oldest.wait_seconds(now_seconds) > MAX_WAIT_SECONDS
         return is_late or len(self._waiting) > MAX_KEPT_WAITING
 
     def _refuse(self, accepted: _AcceptedConnection) -> None:
-        """Turn a connection away, or open it if its request has not come in whole."""
-        if self._turn_away is None or not self._turn_away(accepted.connection):
+        """Shed a connection, or open it if its request has not come in whole."""
+        if self._shed is None or not self._shed(accepted.connection):
             self._open(accepted)
 
     def _open(self, accepted: _AcceptedConnection) -> None:
@@ -248,7 +248,7 @@
     context: SSLContext | None,
     max_backlog: int,
     backlog: AcceptBacklog | None = None,
-    turn_away: TurnAway | None = None,
+    shed: Shedder | None = None,
 ) -> Listener:
     """Listen on an address; call this on the running event loop.
 
@@ -259,7 +259,7 @@
         context: The TLS context, or None.
         max_backlog: The number of connections that may wait to be accepted.
         backlog: Updated with how long they wait.
-        turn_away: Answers the request of a connection that is not opened; returns
+        shed: Answers the request of a connection that is not opened; returns
             whether that was possible. Without it all are opened.
 
     Raises:
@@ -273,5 +273,5 @@
         listening,
         context,
         backlog or make_accept_backlog(max_backlog),
-        turn_away,
+        shed,
     )
--- a/standins/virtual_loop.py
+++ b/standins/virtual_loop.py
@@ -31,13 +31,13 @@
 from sesameford.listener import (
     MAX_KEPT_WAITING,
     MAX_OPENED_PER_TURN,
-    MAX_TURNED_AWAY_PER_TURN,
+    MAX_SHED_PER_TURN,
     MAX_WAIT_SECONDS,
 )
 from sesameford.settings import RetryBudgetSettings
 
-# A connection is turned away at this part of the cost of a refusal.
-TURNED_AWAY_PART = 0.2
+# A connection is shed at this part of the cost of a refusal.
+SHED_COST_PART = 0.2
 # Callers give up if their call is not read for this long.
 UNREAD_SECONDS = 1.0
 # Connections that callers keep open; each carries one call at a time.
@@ -131,17 +131,17 @@
     def _pop_readable_calls(self) -> list[WaitingCall]:
         """Remove and return the calls that are read in one turn.
 
-        Of new connections the newest are opened, and late ones turned away.
+        Of new connections the newest are opened, and late ones shed.
         """
         waiting = self._arrived_calls(self.backlog)
         for _ in waiting:
             self.backlog.popleft()
         opened = waiting[-MAX_OPENED_PER_TURN:]
         kept = waiting[: -len(opened)] if opened else []
-        for _ in range(MAX_TURNED_AWAY_PER_TURN):
-            if not kept or not self._is_turned_away(kept):
+        for _ in range(MAX_SHED_PER_TURN):
+            if not kept or not self._is_shed(kept):
                 break
-            self.clock_seconds += TURNED_AWAY_PART * self.costs.refused_seconds
+            self.clock_seconds += SHED_COST_PART * self.costs.refused_seconds
             self.refuse(kept.pop(0))
         self.backlog.extendleft(reversed(kept))
         read = self._arrived_calls(self.readable)
@@ -149,8 +149,8 @@
             self.readable.popleft()
         return opened + read
 
-    def _is_turned_away(self, kept: list[WaitingCall]) -> bool:
-        """Return whether the oldest of the connections that wait is turned away."""
+    def _is_shed(self, kept: list[WaitingCall]) -> bool:
+        """Return whether the oldest of the connections that wait is shed."""
         is_late = self.clock_seconds - kept[0].at_seconds > MAX_WAIT_SECONDS
         return is_late or len(kept) > MAX_KEPT_WAITING
 
--- a/tests/gateway_fixture.py
+++ b/tests/gateway_fixture.py
@@ -23,10 +23,10 @@
 from sesameford.gateway.serve import serve_call
 from sesameford.gateway.service_versions import make_service_versions
 from sesameford.gateway.share_gate import make_share_gate
+from sesameford.gateway.shed_calls import make_shedder
 from sesameford.gateway.stream_origins import make_stream_origins
 from sesameford.gateway.suspect_calls import make_suspect_calls
 from sesameford.gateway.suspect_exchange import make_suspect_exchange
-from sesameford.gateway.turn_away import make_turn_away
 from sesameford.http_ports import listen_calls
 from sesameford.messages import HeartbeatRow, StreamOriginQuery, StreamOriginReply
 from sesameford.operators_http import digest_of_key
@@ -187,7 +187,7 @@
         limits,
         counts,
         make_early_decision(deps),
-        make_turn_away(deps),
+        make_shedder(deps),
     )
     host, number = port.server.sockets[0].getsockname()[:2]
     ticking = create_task(run_regularly(0.1, lambda: suspect_calls.tick(monotonic())))
--- a/tests/test_turn_away.py
+++ b/tests/test_shed_calls.py
@@ -75,16 +75,16 @@
 
 async def test_the_newest_callers_are_read_first_and_the_others_answered():
     """Guards against a late router that reads only callers who have left."""
-    seen, turned_away = [], []
+    seen, shed = [], []
 
-    def turn_away(connection):
-        turned_away.append(int(connection.recv(100)))
+    def shed_one(connection):
+        shed.append(int(connection.recv(100)))
         connection.send(ANSWER)
         connection.close()
         return True
 
     listener = make_listener(
-        lambda: Reader(seen), "127.0.0.1", 0, None, 1024, None, turn_away
+        lambda: Reader(seen), "127.0.0.1", 0, None, 1024, None, shed_one
     )
     address = listener.sockets[0].getsockname()
     callers = []
@@ -97,9 +97,9 @@
     listener.close()
     for caller in callers:
         caller.close()
-    assert sorted(seen + turned_away) == list(range(250))
-    assert len(turned_away) == 250 - MAX_OPENED_PER_TURN - MAX_KEPT_WAITING
-    assert max(turned_away) < min(set(range(250)) - set(turned_away))
+    assert sorted(seen + shed) == list(range(250))
+    assert len(shed) == 250 - MAX_OPENED_PER_TURN - MAX_KEPT_WAITING
+    assert max(shed) < min(set(range(250)) - set(shed))
     assert min(seen[:MAX_OPENED_PER_TURN]) >= 250 - MAX_OPENED_PER_TURN
 
 
@@ -120,7 +120,7 @@
 
 
 @pytest.mark.parametrize("case", REQUESTS, ids=str)
-async def test_only_a_whole_request_is_turned_away_with_a_whole_answer(case):
+async def test_only_a_whole_request_is_shed_with_a_whole_answer(case):
     """Guards against a call that is answered before its caller has sent it."""
     request, is_whole = REQUESTS[case]
     headers = b"X-Sesameford-Attempt-Id: id-7"
@@ -128,11 +128,11 @@
         length = 0 if case == "without a body" else len(BODY)
         headers += b"\r\ncontent-length: %d" % length
     async with open_desk(Fault.NONE) as desk:
-        turn_away = desk.port.server._turn_away
+        shed = desk.port.server._shed
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
         theirs.sendall(request.replace(b"%b", headers))
-        assert turn_away(ours) == is_whole
+        assert shed(ours) == is_whole
         if not is_whole:
             # Nothing of it is read, so the connection can be opened.
             assert case == "nothing" or ours.recv(10)
