Say once what the change said twice, after reading it as a whole

- A loop's lateness is worked out once for all prompts of an engine, not for each, on the way of each choice; once for a target's running requests.
- Turns without an accept add no entry to the listener's record, which grew by one for each turn while its queue was full and nothing was accepted.
- A request that was read from its socket to be refused is never handed on as if it were unread; the methods and the reason stand once.
- The two acknowledgements of a target's statements share their 503; the virtual engines' lateness is the routers' own; has_same_table implies that all answered.
- Names: requested, as elsewhere, for rows; a connector that tolerates lag; each router counts once.

Behaviour stays; no assertion is changed.

--- a/sesameford/discovery/heartbeat_table.py
+++ b/sesameford/discovery/heartbeat_table.py
@@ -66,7 +66,7 @@
     No target is cold after ``cold_until_seconds``. The digests of a replica equalled
     those of this table first and last at ``first_synchronised_at_seconds`` and
     ``synchronised_at_seconds``. ``has_all_rows`` says that an instance has sent all its
-    rows, and ``rows_asked_at_seconds`` when the last such rows were asked for.
+    rows, and ``rows_requested_at_seconds`` when the last such rows were requested.
 
     All targets that served after ``known_since_seconds`` have a row, for as long as
     rows of targets that left are kept.
@@ -83,7 +83,7 @@
     first_synchronised_at_seconds: float = float("inf")
     synchronised_at_seconds: float = float("-inf")
     has_all_rows: bool = False
-    rows_asked_at_seconds: float = float("-inf")
+    rows_requested_at_seconds: float = float("-inf")
     _target_ids: dict[int, str] = field(default_factory=dict)
     _digest: int = 0
     _versions_digest: int = 0
@@ -288,10 +288,10 @@
 
     def _record_rows_of(self, replica_id: str) -> None:
         """Record that all rows of a replica are merged, as of the first request."""
-        asked_at_seconds = self._unanswered_since_seconds.pop(replica_id, None)
-        if asked_at_seconds is not None:
-            self.rows_asked_at_seconds = max(
-                self.rows_asked_at_seconds, asked_at_seconds
+        requested_at_seconds = self._unanswered_since_seconds.pop(replica_id, None)
+        if requested_at_seconds is not None:
+            self.rows_requested_at_seconds = max(
+                self.rows_requested_at_seconds, requested_at_seconds
             )
 
     def _record_known_since(self, known_milliseconds: int, now_seconds: float) -> None:
--- a/sesameford/gateway/engine_backlog.py
+++ b/sesameford/gateway/engine_backlog.py
@@ -114,8 +114,9 @@
 
     def unread_tokens(self, now_seconds: float) -> int:
         """Return the unread tokens of this router's prompts."""
+        seen_until_seconds = now_seconds - self.lag.unseen_seconds(now_seconds)
         return sum(
-            self._tokens_left(prompt, now_seconds)
+            self._tokens_left(prompt, seen_until_seconds, now_seconds)
             for prompt in self._unread_prompts.values()
         )
 
@@ -151,9 +152,10 @@
         """Remove a prompt that is read or never will be; idempotent."""
         self._unread_prompts.pop(number, None)
 
-    def _tokens_left(self, prompt: _UnreadPrompt, now_seconds: float) -> int:
-        overdue_seconds = now_seconds - prompt.due_at_seconds
-        overdue_seconds -= self.lag.unseen_seconds(now_seconds)
+    def _tokens_left(
+        self, prompt: _UnreadPrompt, seen_until_seconds: float, now_seconds: float
+    ) -> int:
+        overdue_seconds = seen_until_seconds - prompt.due_at_seconds
         if overdue_seconds > LOST_ANSWER_SECONDS:
             return 0
         if overdue_seconds > OVERDUE_EVENT_SECONDS:
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -517,7 +517,7 @@
                 self._send_all(
                     self.table.handle_message(sender_id, message, now_seconds)
                 )
-                self.load.table_proof.record_rows(self.table.rows_asked_at_seconds)
+                self.load.table_proof.record_rows(self.table.rows_requested_at_seconds)
             case StreamOriginRows():
                 self.origin_exchange.handle_rows(message, now_seconds)
             case StreamOriginQuery():
--- a/sesameford/gateway/overload_checks.py
+++ b/sesameford/gateway/overload_checks.py
@@ -7,6 +7,7 @@
 from sesameford.gateway.calls import Call, Prompt
 from sesameford.gateway.retry_times import spread_retry_seconds
 
+OVERLOADED = "overloaded"
 # A caller refused because this instance is overloaded is served by the instance that
 # its retry reaches. The retries of a flood are spread over this part of the objective,
 # so that the others learn of the flood before most of them arrive.
@@ -120,4 +121,4 @@
     """Return the refusal of a call that another instance can serve."""
     deps.gate.account.record_late_refusal()
     retry_seconds = other_instance_retry_seconds(route.objective_seconds, deps.random)
-    return Refusal(503, "overloaded", retry_seconds, route.route_id, customer, detail)
+    return Refusal(503, OVERLOADED, retry_seconds, route.route_id, customer, detail)
--- a/sesameford/gateway/router_loads.py
+++ b/sesameford/gateway/router_loads.py
@@ -3,10 +3,9 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from itertools import chain
-from operator import add
-from typing import TypeVar
 
 from sesameford.gateway.load_report import REPORT_VALID_SECONDS
+from sesameford.gateway.named_sums import sum_by_name
 from sesameford.gateway.trimmed_sums import bin_answers, bin_waits
 from sesameford.load_messages import (
     CustomerRates,
@@ -18,9 +17,6 @@
     UsedParts,
 )
 
-# Sums are by the short name of a target or by the id of a customer.
-Name = TypeVar("Name", int, str)
-
 
 @dataclass(frozen=True, slots=True)
 class _RouterReport:
@@ -134,7 +130,7 @@
 ) -> tuple[TargetLoad, ...]:
     """Return the load at each target, summed over all tables."""
     rows = ((one.name, one.requests, one.unread_tokens) for one in chain(*tables))
-    return tuple(TargetLoad(name, *sums) for name, sums in _sum_by_name(rows))
+    return tuple(TargetLoad(name, *sums) for name, sums in sum_by_name(rows))
 
 
 def subtract_target_loads(
@@ -159,7 +155,7 @@
 def sum_outcomes(rows: Iterable[TargetOutcomes]) -> tuple[TargetOutcomes, ...]:
     """Return the outcomes of each target, summed into one row."""
     counts = ((one.name, one.answered, one.failed) for one in rows)
-    return tuple(TargetOutcomes(name, *sums) for name, sums in _sum_by_name(counts))
+    return tuple(TargetOutcomes(name, *sums) for name, sums in sum_by_name(counts))
 
 
 def sum_times(rows: Iterable[TargetTimes]) -> tuple[TargetTimes, ...]:
@@ -167,7 +163,7 @@
     times = (
         (one.name, one.expected_milliseconds, one.took_milliseconds) for one in rows
     )
-    return tuple(TargetTimes(name, *sums) for name, sums in _sum_by_name(times))
+    return tuple(TargetTimes(name, *sums) for name, sums in sum_by_name(times))
 
 
 def sum_customer_rates(
@@ -178,22 +174,7 @@
         (one.customer, one.requested_tokens, one.started_tokens, one.lost_tokens)
         for one in chain(*tables)
     )
-    return tuple(
-        CustomerRates(customer, *sums) for customer, sums in _sum_by_name(rows)
-    )
-
-
-def _sum_by_name(
-    rows: Iterable[tuple[Name, *tuple[int, ...]]],
-) -> Iterable[tuple[Name, tuple[int, ...]]]:
-    """Return the sums of each name, one for each column, in the order of first rows."""
-    sums: dict[Name, tuple[int, ...]] = {}
-    for name, *figures in rows:
-        before = sums.get(name)
-        sums[name] = (
-            tuple(figures) if before is None else tuple(map(add, before, figures))
-        )
-    return sums.items()
+    return tuple(CustomerRates(customer, *sums) for customer, sums in sum_by_name(rows))
 
 
 def make_router_loads() -> RouterLoads:
--- a/sesameford/gateway/shed_calls.py
+++ b/sesameford/gateway/shed_calls.py
@@ -10,20 +10,22 @@
 import re
 import socket
 
+from sesameford.early_answers import BODILESS_ANSWER_METHODS
 from sesameford.gateway.call_context import GatewayDeps
 from sesameford.gateway.generated_answer import GeneratedAnswer
-from sesameford.gateway.overload_checks import other_instance_retry_seconds
+from sesameford.gateway.overload_checks import (
+    OVERLOADED,
+    other_instance_retry_seconds,
+)
 from sesameford.listener import Shedder
 
 logger = logging.getLogger(__name__)
 
 MAX_REQUEST_BYTES = 65_536
 HEAD_END = b"\r\n\r\n"
-REASON = "overloaded"
 _LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)[ \t]*(?=\r\n)", re.IGNORECASE)
 _CHUNKED = re.compile(rb"\r\n(transfer-encoding|expect):", re.IGNORECASE)
-# Answers to these methods have no body, or no answer ends the exchange.
-_OTHER_METHODS = (b"HEAD ", b"CONNECT ")
+_BODILESS_METHODS = tuple(f"{method} ".encode() for method in BODILESS_ANSWER_METHODS)
 
 
 def make_shedder(deps: GatewayDeps) -> Shedder:
@@ -37,14 +39,19 @@
     def shed(connection: socket.socket) -> bool:
         try:
             data = connection.recv(MAX_REQUEST_BYTES, socket.MSG_PEEK)
-            if not _is_whole_request(data):
-                return False
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            logger.debug("the caller has left: %s", error)
+            connection.close()
+            return True
+        if not _is_whole_request(data):
+            return False
+        try:
             # Closed with unread bytes, the connection would be reset and the answer
             # lost.
             connection.recv(len(data))
             connection.send(_make_answer(deps, id_header.search(data)))
-        except BlockingIOError:
-            return False
         except OSError as error:
             logger.debug("the caller has left: %s", error)
         connection.close()
@@ -56,7 +63,7 @@
 def _is_whole_request(data: bytes) -> bool:
     """Return whether data are one request, with its whole body and nothing after it."""
     head_bytes = data.find(HEAD_END) + len(HEAD_END)
-    if head_bytes < len(HEAD_END) or data.startswith(_OTHER_METHODS):
+    if head_bytes < len(HEAD_END) or data.startswith(_BODILESS_METHODS):
         return False
     head = data[:head_bytes]
     if _CHUNKED.search(head):
@@ -68,7 +75,7 @@
 
 def _make_answer(deps: GatewayDeps, request_id: re.Match[bytes] | None) -> bytes:
     """Count a refusal and return its answer."""
-    deps.metrics.record_refusal(REASON)
+    deps.metrics.record_refusal(OVERLOADED)
     deps.gate.account.record_late_refusal()
     state = deps.state()
     objective_seconds = 1.0 if state is None else state.shortest_objective_seconds
@@ -77,5 +84,5 @@
     if request_id is not None:
         name = deps.wire_adapter.request_id_header
         headers[name] = request_id[1].decode("latin-1")
-    answer = GeneratedAnswer(503, headers, f"{REASON}\n", True)
+    answer = GeneratedAnswer(503, headers, f"{OVERLOADED}\n", True)
     return answer.to_early_answer().closing_bytes
--- a/sesameford/gateway/stream_resumption.py
+++ b/sesameford/gateway/stream_resumption.py
@@ -69,8 +69,7 @@
         },
     )
     if origin is None:
-        is_certain = answer.is_final and answer.has_same_table
-        retry_seconds = None if is_certain else RETRY_AFTER_SECONDS
+        retry_seconds = None if answer.has_same_table else RETRY_AFTER_SECONDS
         raise Refusal(503, "unknown-stream", retry_seconds)
     if origin.service not in _services(context):
         raise Refusal(503, "stream-elsewhere", detail=origin.service)
--- a/sesameford/gateway/table_proof.py
+++ b/sesameford/gateway/table_proof.py
@@ -5,9 +5,9 @@
 target for seconds after its leave was acknowledged.
 
 So a router states its own time in each report, and the replica answers with that time
-and the digest of its table. While the digests are equal, or once the router has asked
-for and merged all rows of a replica, its table was right when it sent that report or
-asked, however late it reads the answer. A late router with an older proof sends
+and the digest of its table. While the digests are equal, or once the router has
+requested and merged all rows of a replica, its table was right when it sent that report
+or request, however late it reads the answer. A late router with an older proof sends
 nothing. At a punctual one nothing lies unread: without answers it is cut off, and
 serves what it can by the table that it has.
 """
@@ -51,18 +51,18 @@
         if fleet.table_digest != table_digest:
             return
         sent_at_seconds = fleet.report_milliseconds / MILLISECONDS_PER_SECOND
-        if self.proven_at_seconds > now_seconds:
+        if self._needs_no_proof():
             self.proven_at_seconds = sent_at_seconds
         self.proven_at_seconds = max(self.proven_at_seconds, sent_at_seconds)
 
-    def record_rows(self, asked_at_seconds: float) -> None:
+    def record_rows(self, requested_at_seconds: float) -> None:
         """Record that the table has all rows of a replica as of a time.
 
         After a restart of replicas the digests differ for seconds, as theirs lack
         targets that they have not heard yet.
         """
-        if self.proven_at_seconds < float("inf"):
-            self.proven_at_seconds = max(self.proven_at_seconds, asked_at_seconds)
+        if not self._needs_no_proof():
+            self.proven_at_seconds = max(self.proven_at_seconds, requested_at_seconds)
 
     def allows_sending(self, lag: LoopLag, now_seconds: float) -> bool:
         """Return whether calls may be sent by the table.
@@ -78,6 +78,10 @@
             return True
         return not lag.was_stalled_since(oldest_seconds, now_seconds)
 
+    def _needs_no_proof(self) -> bool:
+        """Return whether no replica has proven anything, or one that can't."""
+        return self.proven_at_seconds == float("inf")
+
 
 def make_table_proof() -> TableProof:
     """Return the proof of a router that no replica has answered yet."""
--- a/sesameford/gateway/target_record.py
+++ b/sesameford/gateway/target_record.py
@@ -70,15 +70,14 @@
         A late router holds requests longer than the target: it has not written some
         yet, and has not seen the end of others.
         """
-        lost_before_seconds = self._seen_until_seconds(now_seconds)
-        lost_before_seconds -= LOST_ANSWER_SECONDS
+        unseen_seconds = self.backlog.lag.unseen_seconds(now_seconds)
+        lost_before_seconds = now_seconds - unseen_seconds - LOST_ANSWER_SECONDS
         lost_requests = sum(
             due_at_seconds < lost_before_seconds
             for _, due_at_seconds in self.unanswered.values()
         )
         held_requests = max(self.requests - lost_requests, 0)
         hold_seconds = self.hold_seconds()
-        unseen_seconds = self.backlog.lag.unseen_seconds(now_seconds)
         if not hold_seconds or not unseen_seconds:
             return held_requests
         return ceil(held_requests * hold_seconds / (hold_seconds + unseen_seconds))
--- a/sesameford/gateway/trimmed_sums.py
+++ b/sesameford/gateway/trimmed_sums.py
@@ -6,19 +6,20 @@
 all routers are refused while engines idle. The sign of that are ``shares limited``
 lines whose longest wait is far above the usual one.
 
-So each router has one voice, and only the middle third of all voices counts. Replicas
-exchange voices in bins, whose number does not grow with routers.
+So each router counts once, and only the middle third of them counts at all. Replicas
+exchange what routers report in bins, whose number does not grow with routers.
 """
 
 from collections.abc import Iterable
 
+from sesameford.gateway.named_sums import sum_by_name
 from sesameford.load_messages import MeasureBin, PartialLoad, RouterLoad
 
 # The part of the routers at each end that does not count: all of a data centre of three
 # may be wrong.
 TRIMMED_PART = 1 / 3
-# The width of a bin, of waits and of failed parts. What a bin's routers measured is
-# summed as it is, so only the order within a bin is lost.
+# The width of a bin, of waits and of failed parts. A bin has the sums of its routers'
+# reports, so only their order within it is lost.
 WAIT_BIN_SECONDS = 0.02
 FAILED_BIN_PART = 0.1
 # Longer waits are all the same bin.
@@ -27,39 +28,29 @@
 
 def bin_waits(loads: Iterable[RouterLoad]) -> tuple[MeasureBin, ...]:
     """Return the waits of prompts that routers report, in bins."""
-    waits_seconds = (min(load.wait_seconds, MAX_WAIT_SECONDS) for load in loads)
-    return merge_bins(
-        MeasureBin(int(wait / WAIT_BIN_SECONDS), 1, (wait,)) for wait in waits_seconds
-    )
+    return merge_bins(_wait_bin(load.wait_seconds, 1) for load in loads)
 
 
 def bin_answers(loads: Iterable[RouterLoad]) -> tuple[MeasureBin, ...]:
     """Return the answers that start in time, late and in time with pauses, in bins.
 
-    They are in order of the part that is late or pauses. Routers without answers have
-    no voice.
+    They are in order of the part that is late or pauses. Routers without answers don't
+    count.
     """
-    rows = (
-        (load.in_time_answers, load.late_answers, load.paused_answers) for load in loads
-    )
-    return merge_bins(
-        MeasureBin(int((late + paused) / (in_time + late) / FAILED_BIN_PART), 1, row)
-        for row in rows
-        for in_time, late, paused in (row,)
-        if in_time + late > 0.0
-    )
+    return merge_bins(_answers_bin(load, 1) for load in loads if _has_answers(load))
 
 
 def merge_bins(bins: Iterable[MeasureBin]) -> tuple[MeasureBin, ...]:
     """Return the sums of bins by position, in order."""
-    merged: dict[int, MeasureBin] = {}
-    for one in bins:
-        before = merged.get(one.position)
-        if before is not None:
-            totals = tuple(map(sum, zip(before.totals, one.totals, strict=True)))
-            one = MeasureBin(one.position, before.routers + one.routers, totals)
-        merged[one.position] = one
-    return tuple(merged[position] for position in sorted(merged))
+    return tuple(
+        MeasureBin(position, round(routers), tuple(totals))
+        for position, (routers, *totals) in sorted(sum_by_name(map(_bin_row, bins)))
+    )
+
+
+def _bin_row(one: MeasureBin) -> tuple[int, *tuple[float, ...]]:
+    figures: tuple[float, ...] = (one.routers, *one.totals)
+    return one.position, *figures
 
 
 def fleet_wait_seconds(loads: Iterable[PartialLoad]) -> float:
@@ -106,16 +97,30 @@
     """Return the bins of a replica's sums; an earlier release sends averages alone."""
     if load.waits or not load.routers:
         return load.waits
-    wait_seconds = min(load.wait_seconds, MAX_WAIT_SECONDS)
-    position = int(wait_seconds / WAIT_BIN_SECONDS)
-    return (MeasureBin(position, load.routers, (load.routers * wait_seconds,)),)
+    return (_wait_bin(load.wait_seconds, load.routers),)
 
 
 def _answers_of(load: PartialLoad) -> tuple[MeasureBin, ...]:
     """Return the bins of a replica's sums; an earlier release sends sums alone."""
-    answers = load.in_time_answers + load.late_answers
-    if load.answers or answers <= 0.0:
+    if load.answers or not _has_answers(load):
         return load.answers
+    return (_answers_bin(load, max(load.routers, 1)),)
+
+
+def _wait_bin(wait_seconds: float, routers: int) -> MeasureBin:
+    """Return the bin of some routers with the same wait."""
+    wait_seconds = min(wait_seconds, MAX_WAIT_SECONDS)
+    position = int(wait_seconds / WAIT_BIN_SECONDS)
+    return MeasureBin(position, routers, (routers * wait_seconds,))
+
+
+def _has_answers(load: RouterLoad | PartialLoad) -> bool:
+    return load.in_time_answers + load.late_answers > 0.0
+
+
+def _answers_bin(load: RouterLoad | PartialLoad, routers: int) -> MeasureBin:
+    """Return the bin of some routers by the sums of their answers."""
+    answers = load.in_time_answers + load.late_answers
     failed_part = (load.late_answers + load.paused_answers) / answers
-    row = (load.in_time_answers, load.late_answers, load.paused_answers)
-    return (MeasureBin(int(failed_part / FAILED_BIN_PART), max(load.routers, 1), row),)
+    totals = (load.in_time_answers, load.late_answers, load.paused_answers)
+    return MeasureBin(int(failed_part / FAILED_BIN_PART), routers, totals)
--- a/sesameford/listener.py
+++ b/sesameford/listener.py
@@ -17,7 +17,7 @@
 # a turn takes some ten milliseconds, so a hundred connections a second are accepted.
 # The others wait in the kernel's backlog until their callers time out, while the loop
 # itself shows hardly any lag. Accepting many per turn lets the admission code refuse
-# them. This value accepts some thousand connections a second.
+# them.
 MAX_ACCEPTS_PER_TURN = 512
 # Opening a connection and deciding on its first request takes most of a refusal's time.
 MAX_OPENED_PER_TURN = 64
@@ -60,8 +60,9 @@
             now_seconds: The present time.
             accepted: How many connections were accepted.
         """
-        self._accepted += accepted
-        self._turns.append((self._accepted, now_seconds))
+        if accepted:
+            self._accepted += accepted
+            self._turns.append((self._accepted, now_seconds))
         while len(self._turns) > 1 and self._is_before_all(self._turns[1]):
             self._turns.popleft()
         if is_empty:
--- a/sesameford/target_connections.py
+++ b/sesameford/target_connections.py
@@ -19,7 +19,7 @@
     from aiohttp.tracing import Trace
 
 
-class PatientConnector(TCPConnector):
+class LagTolerantConnector(TCPConnector):
     """Gives up connections only after a time in which the loop could see them."""
 
     async def _wrap_create_connection(
@@ -35,7 +35,7 @@
             )
 
 
-class CleanConnector(PatientConnector):
+class CleanConnector(LagTolerantConnector):
     """Reuses connections only if no bytes have arrived since the last answer.
 
     A target may send a second answer after a complete one. Its bytes would be read as
@@ -87,7 +87,9 @@
     """
     owners = SINGLE_EXCHANGE
     if pool is None:
-        connector: TCPConnector = PatientConnector(limit=0, ssl=ssl, force_close=True)
+        connector: TCPConnector = LagTolerantConnector(
+            limit=0, ssl=ssl, force_close=True
+        )
     else:
         owners = pool.owners
         connector = CleanConnector(
--- a/standins/virtual_engines.py
+++ b/standins/virtual_engines.py
@@ -148,8 +148,7 @@
     ``rejections`` are the times and engines of rejected requests, by router. With
     ``ignores_backoff`` routers don't read what engines request, without
     ``shares_speeds`` each one knows only the speeds that it has seen itself.
-    ``late_seconds`` is by how much the loop of a router is late: it writes requests and
-    reads answers so much later.
+    A router whose ``lag`` says so writes requests and reads answers later.
     """
 
     routers: list[Placement]
@@ -163,7 +162,6 @@
     rejections: list[tuple[float, str, int]] = field(default_factory=list)
     ignores_backoff: bool = False
     shares_speeds: bool = True
-    late_seconds: dict[int, float] = field(default_factory=dict)
     random: Random = field(default_factory=lambda: Random(1))
     outcomes: list[Outcome] = field(default_factory=list)
     _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
@@ -192,7 +190,6 @@
             router: Its number.
             late_seconds: By how much it writes requests and reads answers later.
         """
-        self.late_seconds[router] = late_seconds
         self.routers[router].lag.late_seconds = late_seconds
 
     def watch(
@@ -274,7 +271,8 @@
 
     def _late_seconds_of(self, outcome: Outcome) -> float:
         """Return by how much the loop of a request's router is late."""
-        return self.late_seconds.get(outcome.arrival.router, 0.0)
+        router = self.routers[outcome.arrival.router]
+        return router.lag.lateness_seconds(self.now_seconds)
 
     def _add_waiting(
         self, engine: _Engine, outcome: Outcome, reservation: Reservation
--- a/tests/test_table_proofs.py
+++ b/tests/test_table_proofs.py
@@ -96,7 +96,7 @@
     table.handle_message("p1", rows, 12.4)
     table.handle_message("p1", rows, 20.0)
     proof.record_answer(make_answer(12.5, digest=78), DIGEST, 12.6)
-    proof.record_rows(table.rows_asked_at_seconds)
+    proof.record_rows(table.rows_requested_at_seconds)
     asked_seconds = 12.0 + MAX_TABLE_AGE_SECONDS
     lag = make_lagging(0.6, asked_seconds)
     assert proof.allows_sending(lag, asked_seconds - 0.1)
