Log whose calls are quarantined, what clears them and why suspects are sent

The lines could not tell an incident's hypotheses apart: a quarantined name without its customer may be one customer's at several instances or several customers', a cleared one may have been answered by a failure, and nothing said why a suspect went out.

A quarantine now has its customer, the crashes under trials and what else was in flight at all of them; a cleared suspect its customer and the status of the answer; each send of a suspect has a line with its reason.

--- a/sesameford/gateway/attempt_watch.py
+++ b/sesameford/gateway/attempt_watch.py
@@ -32,7 +32,9 @@
         if context.framing is Framing.CONNECTION:
             suspect_calls.record_unconfirmed_completion(reservation)
         else:
-            suspect_calls.record_completion(reservation, context.digests)
+            suspect_calls.record_completion(
+                reservation, context.digests, context.status
+            )
     finally:
         suspect_calls.crashes.record_unanswered(reservation, deps.now())
 
@@ -55,4 +57,6 @@
         context.has_lost_connection = True
         deps.suspect_calls.probe(*target, reservation.address)
     elif error.outcome is SendOutcome.BROKEN and error.head is not None:
-        deps.suspect_calls.record_completion(reservation, context.digests)
+        deps.suspect_calls.record_completion(
+            reservation, context.digests, error.head.status
+        )
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -145,8 +145,9 @@
     this answer or in an earlier one that the call resumes. ``written_at_seconds`` is
     when the last send attempt was written to its connection, None if it was not, and
     ``framing`` how its answer is framed, None if none came. ``is_trial`` says that the
-    call was a suspect when it was sent, ``trial_digests`` are the suspects that it has,
-    and ``has_lost_connection`` says that a connection to a target broke under it.
+    call was a suspect when it was sent, for ``trial_reason``, ``trial_digests`` are the
+    suspects that it has, and ``has_lost_connection`` says that a connection to a target
+    broke under it.
     """
 
     call: Call
@@ -176,6 +177,7 @@
     written_at_seconds: float | None = None
     framing: Framing | None = None
     is_trial: bool = False
+    trial_reason: str = ""
     trial_digests: frozenset[bytes] = frozenset()
     has_lost_connection: bool = False
 
--- a/sesameford/gateway/call_log.py
+++ b/sesameford/gateway/call_log.py
@@ -37,6 +37,21 @@
     )
 
 
+def log_trial(context: CallContext, reservation: Reservation) -> None:
+    """Log that a call with suspects is written to a target, and why it may be."""
+    logger.warning(
+        "suspect sent",
+        extra={
+            "request": context.call.request_id,
+            "customer": context.customer or "",
+            "digest": logged_digest(context.digest),
+            "suspected": format_digests(sorted(context.trial_digests)),
+            "target": reservation.target_id,
+            "reason": context.trial_reason,
+        },
+    )
+
+
 def log_failure(
     deps: GatewayDeps,
     context: CallContext,
--- a/sesameford/gateway/call_turn.py
+++ b/sesameford/gateway/call_turn.py
@@ -33,11 +33,12 @@
     try:
         async with deps.suspect_calls.turn(
             context.digest, wait_until_seconds, context.shared_digests
-        ) as is_trial:
+        ) as trial_reason:
             # A second send after a broken connection is a trial even if the crash of
             # the first target is not proven yet.
-            context.is_trial = is_trial or context.has_lost_connection
+            context.is_trial = bool(trial_reason) or context.has_lost_connection
             context.trial_digests = _trial_digests(deps, context)
+            context.trial_reason = trial_reason or "after a broken connection"
             yield
     except SuspectRefusedError as error:
         raise _final_error(context, error) from error
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -395,7 +395,7 @@
     def _configure(self, tree: EffectiveTree) -> None:
         self._state = make_gateway_state(tree)
         self.placement.configure(tree, self._now())
-        self.suspect_exchange.configure(tree.fleet)
+        self.suspect_exchange.configure(tree)
         for act in self._on_configured:
             act(tree)
         self.metrics.set_level("tree_revision", tree.revision)
--- a/sesameford/gateway/quarantine_status.py
+++ b/sesameford/gateway/quarantine_status.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from sesameford.request_digest import customer_part, digest_request, logged_digest
+from sesameford.request_digest import customer_part, digest_customer, logged_digest
 from sesameford.suspects import Suspects
 
 
@@ -34,10 +34,7 @@
     quarantined = suspects.list_quarantined(now_seconds)
     if not quarantined:
         return []
-    names = {
-        customer_part(digest_request(customer, "", "", "", b"")): customer
-        for customer in customers
-    }
+    names = {digest_customer(customer): customer for customer in customers}
     return [
         QuarantineRow(
             logged_digest(row.request_digest),
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -13,7 +13,7 @@
     GatewayDeps,
     Refusal,
 )
-from sesameford.gateway.call_log import log_end, log_failure
+from sesameford.gateway.call_log import log_end, log_failure, log_trial
 from sesameford.gateway.call_turn import choose_target, take_turn
 from sesameford.gateway.calls import SendAttempt
 from sesameford.gateway.early_decision import EarlyCall, read_call
@@ -156,6 +156,8 @@
             context.shared_digests,
             context.trial_digests.intersection(context.shared_digests),
         )
+        if context.is_trial:
+            log_trial(context, reservation)
 
     context.written_at_seconds = None
     context.framing = None
--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -62,10 +62,10 @@
     """A call that may be sent now.
 
     Until its attempt ends, no other call with the suspect ``excluded`` is tried; None
-    if others may be.
+    if others may be. ``reason`` says why it may be sent.
     """
 
-    is_trial: bool
+    reason: str = ""
     excluded: bytes | None = None
 
 
@@ -118,7 +118,7 @@
     @asynccontextmanager
     async def turn(
         self, digest: bytes, wait_until_seconds: float, parts: Sequence[bytes] = ()
-    ) -> AsyncIterator[bool]:
+    ) -> AsyncIterator[str]:
         """Run one attempt of a call, as a trial if it is a suspect.
 
         Args:
@@ -128,18 +128,18 @@
             parts: The digests of its prompt's parts that others may share.
 
         Yields:
-            Whether the attempt is a trial.
+            Why it may be sent as a trial, empty if it is no suspect.
 
         Raises:
             SuspectRefusedError: The call is quarantined, or another trial of it lasts.
         """
         turn = await self._wait_for_turn(digest, wait_until_seconds, parts)
         if turn.excluded is None:
-            yield turn.is_trial
+            yield turn.reason
             return
         self._trials[turn.excluded] = ""
         try:
-            yield True
+            yield turn.reason
         finally:
             del self._trials[turn.excluded]
             self.notify_waiting()
@@ -167,13 +167,14 @@
         return frozenset(ordered[(len(ordered) + 1) // 2 :])
 
     def record_completion(
-        self, reservation: Reservation, digests: Iterable[bytes]
+        self, reservation: Reservation, digests: Iterable[bytes], status: int
     ) -> None:
         """Record that a target answered a call with some digests completely."""
         self.crashes.record_end(reservation)
         now_seconds = self._now()
         for digest in digests:
-            self.exchange.record_completion(digest, now_seconds)
+            reason = f"completed with {status}"
+            self.exchange.record_completion(digest, now_seconds, reason)
 
     def record_unconfirmed_completion(self, reservation: Reservation) -> None:
         """Record an answer whose end was marked by the end of its connection alone.
@@ -238,21 +239,20 @@
                 left_seconds = suspects.refusal_seconds(digest, now_seconds, parts)
                 raise SuspectRefusedError("quarantined", left_seconds)
             if treatment is SuspectTreatment.CLEAR:
-                return _Turn(is_trial=False)
+                return _Turn()
             excluded = self._excluded_trials(digest, parts)
             if excluded is None:
-                return _Turn(is_trial=True)
-            turn = _Turn(is_trial=True, excluded=excluded)
+                return _Turn("not the only suspect")
             until_seconds = wait_until_seconds
             if not self._is_on_trial(excluded, now_seconds):
                 if not self._needs_grant(excluded, now_seconds):
-                    return turn
+                    return _Turn("granted or first", excluded)
                 if grant_until_seconds is None:
                     if not self.exchange.grants.request(excluded, now_seconds):
-                        return turn
+                        return _Turn("no replica to ask", excluded)
                     grant_until_seconds = loop.time() + MAX_GRANT_WAIT_SECONDS
                 if loop.time() >= grant_until_seconds:
-                    return turn
+                    return _Turn("no reply of a replica", excluded)
                 until_seconds = min(wait_until_seconds, grant_until_seconds)
             if loop.time() >= wait_until_seconds:
                 raise self._on_trial_error()
--- a/sesameford/gateway/suspect_exchange.py
+++ b/sesameford/gateway/suspect_exchange.py
@@ -9,11 +9,15 @@
 
 from collections.abc import Callable, Sequence
 
-from sesameford.effective import FleetSettings
+from sesameford.effective import EffectiveTree
 from sesameford.gateway.target_crashes import ObservedCrash
 from sesameford.gateway.trial_grants import TrialGrants, make_trial_grants
 from sesameford.messages import Outgoing, SuspectUpdate
-from sesameford.request_digest import logged_digest
+from sesameford.request_digest import (
+    customer_part,
+    digest_customer,
+    logged_digest,
+)
 from sesameford.suspect_log import log_cleared, log_quarantine
 from sesameford.suspect_rows import UPDATE_REPEATS, make_crash_id, make_updates
 from sesameford.suspects import Suspects
@@ -50,11 +54,17 @@
         self._replicas = replicas
         self._send = send
         self._heard_at_seconds: dict[str, tuple[int, float]] = {}
+        self._customers: dict[bytes, str] = {}
 
-    def configure(self, settings: FleetSettings) -> None:
+    def configure(self, tree: EffectiveTree) -> None:
         """Apply the settings of the whole deployment."""
-        lifted = [bytes.fromhex(digest) for digest in settings.lifted_digests]
-        self.suspects.configure(settings.quarantine_seconds, lifted)
+        lifted = [bytes.fromhex(digest) for digest in tree.fleet.lifted_digests]
+        self.suspects.configure(tree.fleet.quarantine_seconds, lifted)
+        self._customers = {digest_customer(one): one for one in tree.customers}
+
+    def customer_of(self, digest: bytes) -> str:
+        """Return the customer of a digest, empty if the settings have none."""
+        return self._customers.get(customer_part(digest), "")
 
     def record_crash(self, observed: ObservedCrash, now_seconds: float) -> None:
         """Add a crash that this router observed, and send it to the others."""
@@ -69,11 +79,13 @@
             self.grants.end(digest)
         self.tick(now_seconds)
 
-    def record_completion(self, digest: bytes, now_seconds: float) -> None:
+    def record_completion(
+        self, digest: bytes, now_seconds: float, reason: str = "completed"
+    ) -> None:
         """Clear a request that completed, and send that to the others."""
         row = self.suspects.get(digest)
         if row is not None and self.suspects.record_completion(digest, now_seconds):
-            log_cleared(row, "completed")
+            log_cleared(row, reason, self.customer_of(digest))
 
     def lift(self, name: str, now_seconds: float) -> bool:
         """Clear a quarantined request as an operator ordered.
@@ -93,7 +105,7 @@
         for digest in digests:
             row = self.suspects.get(digest)
             if row is not None and self.suspects.clear(digest, now_seconds):
-                log_cleared(row, "lifted")
+                log_cleared(row, "lifted", self.customer_of(digest))
         self.tick(now_seconds)
         return bool(digests)
 
@@ -143,7 +155,8 @@
         self.suspects.tick(now_seconds)
         self.grants.forget(now_seconds)
         for row in self.suspects.pop_newly_quarantined():
-            log_quarantine(self.suspects, row, now_seconds)
+            customer = self.customer_of(row.request_digest)
+            log_quarantine(self.suspects, row, now_seconds, customer)
 
     def _first_receiver(self, now_seconds: float) -> str | None:
         """Return the replica that a router sends to first, None to send to all."""
--- a/sesameford/request_digest.py
+++ b/sesameford/request_digest.py
@@ -38,7 +38,7 @@
         content.update(len(encoded).to_bytes(LENGTH_BYTES))
         content.update(encoded)
     content.update(body)
-    return _digest_customer(customer) + content.digest()[CUSTOMER_BYTES:]
+    return digest_customer(customer) + content.digest()[CUSTOMER_BYTES:]
 
 
 @lru_cache(CACHED_PART_DIGESTS)
@@ -50,7 +50,7 @@
         part_id: The part's id.
     """
     part = sha256(b"part %x" % part_id).digest()
-    return (_digest_customer(customer) + part)[:PART_DIGEST_BYTES]
+    return (digest_customer(customer) + part)[:PART_DIGEST_BYTES]
 
 
 @lru_cache(CACHED_PART_DIGESTS)
@@ -75,6 +75,11 @@
     return digest[CUSTOMER_BYTES:]
 
 
+def digest_customer(customer: str | None) -> bytes:
+    """Return the digest of a customer's id, with which all of its digests begin."""
+    return sha256(_encode(customer or "")).digest()[:CUSTOMER_BYTES]
+
+
 def customer_part(digest: bytes) -> bytes:
     """Return the part of a digest that is equal for all requests of a customer."""
     return digest[:CUSTOMER_BYTES]
@@ -85,9 +90,5 @@
     return digest[CUSTOMER_BYTES:].hex()[:LOGGED_DIGITS]
 
 
-def _digest_customer(customer: str | None) -> bytes:
-    return sha256(_encode(customer or "")).digest()[:CUSTOMER_BYTES]
-
-
 def _encode(text: str) -> bytes:
     return text.encode("utf-8", "surrogateescape")
--- a/sesameford/suspect_log.py
+++ b/sesameford/suspect_log.py
@@ -21,27 +21,36 @@
     return f"{text},+{left_out}" if left_out > 0 else text
 
 
-def log_quarantine(suspects: Suspects, row: Suspect, now_seconds: float) -> None:
+def log_quarantine(
+    suspects: Suspects, row: Suspect, now_seconds: float, customer: str = ""
+) -> None:
     """Log that a request is quarantined, and the crashes that are the reason."""
     left_seconds = suspects.quarantine_left_seconds(row.request_digest, now_seconds)
     logger.warning(
         "request quarantined",
         extra={
             "digest": logged_digest(row.request_digest),
-            "crashes": ",".join(sorted(row.uncleared_crashes)[:MAX_LOGGED_DIGESTS]),
-            "trials": len(row.uncleared_trial_crashes),
+            "customer": customer,
+            "crashes": _format_crashes(row.uncleared_crashes),
+            "trial_crashes": _format_crashes(row.uncleared_trial_crashes),
+            "in_common": format_digests(sorted(suspects.common_suspects(row))),
             "seconds": round(left_seconds, 1),
         },
     )
 
 
-def log_cleared(row: Suspect, reason: str) -> None:
+def log_cleared(row: Suspect, reason: str, customer: str = "") -> None:
     """Log that a request is no suspect any more."""
     logger.info(
         "suspect cleared",
         extra={
             "digest": logged_digest(row.request_digest),
-            "crashes": len(row.uncleared_crashes),
+            "customer": customer,
+            "crashes": _format_crashes(row.uncleared_crashes),
             "reason": reason,
         },
     )
+
+
+def _format_crashes(crashes: Iterable[str]) -> str:
+    return ",".join(sorted(crashes)[:MAX_LOGGED_DIGESTS])
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -264,6 +264,11 @@
         ]
         return min(found, default=None)
 
+    def common_suspects(self, row: Suspect) -> set[bytes]:
+        """Return what was in flight at all crashes that decide on a suspect."""
+        crashes = decisive_crashes(row)
+        return self._attribution.common_suspects(crashes) if crashes else set()
+
     def get(self, digest: bytes) -> Suspect | None:
         """Return the row of a request, None if it has none."""
         return self._rows.get(digest)
--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -38,8 +38,8 @@
 
 
 async def run_turn(calls, ran, until=None):
-    async with calls.turn(DIGEST, until or soon()) as is_trial:
-        ran.append(is_trial)
+    async with calls.turn(DIGEST, until or soon()) as trial_reason:
+        ran.append(bool(trial_reason))
         await asyncio.sleep(0.02)
 
 
