--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -102,7 +102,8 @@
     """Processes, servers and the operator of one deployment.
 
     ``unplanned_exits`` lists the processes that ended without a request to do so.
-    ``bounds`` are those of the processes' settings that differ from the defaults.
+    ``bounds`` are those of the processes' settings that differ from the defaults, and
+    ``keys`` is each customer's key.
     """
 
     folder: Path
@@ -113,6 +114,7 @@
     servers: list[HeartbeatServer] = field(default_factory=list)
     unplanned_exits: list[str] = field(default_factory=list)
     bounds: dict[str, float] = field(default_factory=dict)
+    keys: dict[str, str] = field(default_factory=lambda: {"club": KEY})
     is_new: bool = True
     _heartbeat_tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _watch_tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -302,7 +304,7 @@
 
     async def declare(self, replica: Program, version: int, added: bool) -> int:
         """Send a configuration; return the status, 0 if no answer arrived."""
-        body = _configuration(version, added)
+        body = _configuration(version, added, self.keys)
         status, _ = await self.call(replica.control, "PUT", "/v1/config", body)
         return status
 
@@ -378,7 +380,7 @@
     }
 
 
-def _configuration(version: int, added: bool) -> dict[str, Any]:
+def _configuration(version: int, added: bool, keys: dict[str, str]) -> dict[str, Any]:
     route: dict[str, Any] = {
         "host": HOST,
         "timeout_ms": 4000,
@@ -409,7 +411,9 @@
         ],
         "services": [{"name": "pool", "health_path": "/health"}],
         "limits": {},
-        "tenants": [{"name": "club", "api_keys": [KEY]}],
+        "tenants": [
+            {"name": customer, "api_keys": [key]} for customer, key in keys.items()
+        ],
     }
 
 
