Give the files of stream origins a mechanism that other rows can use

What else all instances must know after they started at once needs the same two files, flushes and bounds; a new file can now begin with the present rows, for rows that must not be lost with the file before.

--- a/tests/test_origin_files.py
+++ b/tests/test_origin_files.py
@@ -2,19 +2,17 @@
 
 import os
 from itertools import count
+from pathlib import Path
 
 import pytest
 
-from sesameford.gateway.origin_files import (
-    CURRENT_FILE,
-    FLUSH_SECONDS,
-    PREVIOUS_FILE,
-    RETRY_SECONDS,
-    make_origin_files,
-)
+from sesameford.gateway.origin_files import ORIGIN_FORMAT, make_origin_files
+from sesameford.gateway.row_files import FLUSH_SECONDS, RETRY_SECONDS
 from sesameford.messages import StreamOriginRow
 
 KEEP_SECONDS = 14.0
+CURRENT_FILE = ORIGIN_FORMAT.current_file(Path()).name
+PREVIOUS_FILE = ORIGIN_FORMAT.previous_file(Path()).name
 
 
 def make_rows(*numbers, keep_seconds=KEEP_SECONDS):
--- a/tests/test_stream_versions_processes.py
+++ b/tests/test_stream_versions_processes.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import ClientSession, TCPConnector
 
-from sesameford.gateway.origin_files import FLUSH_SECONDS
+from sesameford.gateway.row_files import FLUSH_SECONDS
 from standins.platform_fleet import HOST, KEY, make_platform_fleet
 from tests.test_stream_versions import mixed, went_on
 from tests.versions_fixture import Callers
