Try a suspected part once for all customers, and refuse it for all after two

What callers saw: calls with a part of prompts that crashes servers were sent long after its fifth crash, and servers fell for as long as new customers sent it.

Cause: what crashes show was kept by customer, and one customer's quarantine held nobody else back until a quarantine of their own. Evidence: the log of the failing test shows one part's name quarantined for c0, c1, c2 and c3 one after the other.

Now the crashes of one customer make the part a suspect for all. Trials of a part are one at a time over all customers; a completion anywhere clears the part for those who crashed nothing themselves; crashes under trials of two customers, cleared by nobody, refuse it for all. One customer alone still can't have another's sound calls refused: the other's next call is a trial, and completes. Pairs of parts have one name for all customers for the same reason.

The table of rows is a module of its own.

Two tests asked for the fault itself and are replaced: that another customer's equal part is no suspect (now: it is never refused by one customer's crashes, however many, and one completion clears it), and that a second customer's crash under a trial changes nothing (now: a crash beside other parts and under no trial refuses nobody else).

--- a/sesameford/crash_attribution.py
+++ b/sesameford/crash_attribution.py
@@ -8,12 +8,19 @@
 the same prompts. Nothing tells these apart then, so a request is refused only if its
 prompt has all of them; one that has a part of them is a trial, and its completion
 clears those.
+
+Crashes of several customers are compared by the common digests of parts. A request of
+a customer has no equal at another one.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from sesameford.request_digest import customer_part, is_part_digest
+from sesameford.request_digest import (
+    common_digest,
+    customer_part,
+    is_part_digest,
+)
 from sesameford.suspect_rows import Suspect
 
 CRASHES_TO_QUARANTINE = 2
@@ -22,13 +29,56 @@
 CRASHES_REGARDLESS_OF_OTHERS = 3
 TRIAL_CRASHES_REGARDLESS_OF_OTHERS = 2
 
+# The customers that had something in flight at a crash, by its common digest.
+_InFlight = dict[bytes, set[bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """Crashes that no completion cleared, at which something was in flight.
+
+    ``suspect`` is the common digest of a part, and a request's own one.
+    ``trial_crashes`` are those under its trials.
+    """
+
+    suspect: bytes
+    crashes: frozenset[str]
+    trial_crashes: frozenset[str]
+
+    @property
+    def is_of_part(self) -> bool:
+        """Whether these are crashes of a part of prompts."""
+        return is_part_digest(self.suspect)
+
+    @property
+    def decisive_crashes(self) -> frozenset[str]:
+        """The crashes that tell whether it is their reason.
+
+        For a part of prompts only those under its trials: it may have been in flight at
+        another crash by chance, and then stand in one prompt with a part that crashes
+        targets. A whole request on trial is alone.
+        """
+        return self.trial_crashes if self.is_of_part else self.crashes
+
+    @property
+    def is_regardless_of_others(self) -> bool:
+        """Whether there are so many crashes that others at them don't matter.
+
+        Not for a part of prompts: its neighbours would be refused with it.
+        """
+        return (
+            not self.is_of_part
+            and len(self.crashes) >= CRASHES_REGARDLESS_OF_OTHERS
+            and len(self.trial_crashes) >= TRIAL_CRASHES_REGARDLESS_OF_OTHERS
+        )
+
 
 @dataclass(slots=True)
 class CrashAttribution:
-    """The suspects at each crash; made by ``make_crash_attribution``."""
+    """What was in flight at each crash; made by ``make_crash_attribution``."""
 
-    _by_crash: dict[str, set[bytes]] = field(default_factory=dict)
-    _trials_by_crash: dict[str, set[bytes]] = field(default_factory=dict)
+    _by_crash: dict[str, _InFlight] = field(default_factory=dict)
+    _trials_by_crash: dict[str, _InFlight] = field(default_factory=dict)
 
     @property
     def has_crashes(self) -> bool:
@@ -48,90 +98,126 @@
         _remove_from(self._trials_by_crash, row.uncleared_trial_crashes, digest)
 
     def common_suspects(self, crashes: Iterable[str]) -> set[bytes]:
-        """Return what was in flight at all of some crashes."""
-        return set.intersection(*(self._by_crash[crash_id] for crash_id in crashes))
+        """Return what was in flight at all of some crashes, by common digests."""
+        first, *others = (self._by_crash[crash_id] for crash_id in crashes)
+        return set(first).intersection(*others)
 
-    def is_due(self, row: Suspect) -> bool:
-        """Return whether crashes are attributed to a suspect alone.
+    def is_due(self, evidence: Evidence) -> bool:
+        """Return whether crashes are attributed to one suspect alone.
 
         Two suspects may run on one target from two routers. Both then have two
         crashes, and one of them did not cause them: each may run once more, alone.
         They may be suspects of the same crash or of different ones. Parts of one prompt
         can't run apart, and are refused together.
         """
-        crashes = decisive_crashes(row)
-        trials = row.uncleared_trial_crashes
-        if len(crashes) < CRASHES_TO_QUARANTINE or not trials:
+        crashes = evidence.decisive_crashes
+        if len(crashes) < CRASHES_TO_QUARANTINE or not evidence.trial_crashes:
             return False
-        if _is_regardless_of_others(row):
+        if evidence.is_regardless_of_others:
             return True
-        digest = row.request_digest
-        customer = customer_part(digest)
         common = self.common_suspects(crashes)
         is_alone = all(
-            one == digest or (is_part_digest(one) and customer_part(one) == customer)
-            for one in common
+            self._comes_along(one, evidence.suspect, crash_id)
+            for one in common - {evidence.suspect}
+            for crash_id in crashes
         )
         return is_alone and any(
-            self._trials_by_crash[crash_id] <= common for crash_id in trials
+            self._trials_by_crash[crash_id].keys() <= common
+            for crash_id in evidence.trial_crashes
         )
 
-    def is_caused_by(self, row: Suspect, own: set[bytes]) -> bool:
+    def is_caused_by(self, evidence: Evidence, own: set[bytes]) -> bool:
         """Return whether crashes are attributed to what a request has itself.
 
         Args:
-            row: One of the request's suspects.
-            own: The digests of the request and of its prompt's parts.
+            evidence: The crashes of one of the request's suspects, which are due.
+            own: The common digests of the request and of its prompt's parts.
         """
-        if not self.is_due(row):
-            return False
-        if _is_regardless_of_others(row):
+        if evidence.is_regardless_of_others:
             return True
-        return self.common_suspects(decisive_crashes(row)) <= own
-
-
-def decisive_crashes(row: Suspect) -> frozenset[str]:
-    """Return the crashes that tell whether a suspect is their reason.
-
-    For a part of prompts only those under its trials: it may have been in flight at
-    another crash by chance, and then stand in one prompt with a part that crashes
-    targets. A whole request on trial is alone.
-    """
-    if is_part_digest(row.request_digest):
-        return row.uncleared_trial_crashes
-    return row.uncleared_crashes
+        return self.common_suspects(evidence.decisive_crashes) <= own
 
-
-def _is_regardless_of_others(row: Suspect) -> bool:
-    """Return whether a request has so many crashes that others at them don't matter.
-
-    Not a part of prompts: its neighbours would be refused with it.
-    """
-    return (
-        not is_part_digest(row.request_digest)
-        and len(row.uncleared_crashes) >= CRASHES_REGARDLESS_OF_OTHERS
-        and len(row.uncleared_trial_crashes) >= TRIAL_CRASHES_REGARDLESS_OF_OTHERS
-    )
+    def _comes_along(self, other: bytes, suspect: bytes, crash_id: str) -> bool:
+        """Return whether a part came from a customer who sent the suspect as well."""
+        in_flight = self._by_crash[crash_id]
+        return is_part_digest(other) and not in_flight[other].isdisjoint(
+            in_flight[suspect]
+        )
 
 
 def _add_to(
-    index: dict[str, set[bytes]], crash_ids: Iterable[str], digest: bytes
+    index: dict[str, _InFlight], crash_ids: Iterable[str], digest: bytes
 ) -> None:
     """Add a suspect to an index by crash."""
     for crash_id in crash_ids:
-        index.setdefault(crash_id, set()).add(digest)
+        in_flight = index.setdefault(crash_id, {})
+        in_flight.setdefault(common_digest(digest), set()).add(customer_part(digest))
 
 
 def _remove_from(
-    index: dict[str, set[bytes]], crash_ids: Iterable[str], digest: bytes
+    index: dict[str, _InFlight], crash_ids: Iterable[str], digest: bytes
 ) -> None:
     """Remove a suspect from an index by crash."""
+    common = common_digest(digest)
     for crash_id in crash_ids:
-        index[crash_id].discard(digest)
-        if not index[crash_id]:
+        in_flight = index[crash_id]
+        in_flight[common].discard(customer_part(digest))
+        if not in_flight[common]:
+            del in_flight[common]
+        if not in_flight:
             del index[crash_id]
 
 
+def evidence_against(row: Suspect) -> Evidence:
+    """Return the crashes in one row."""
+    return Evidence(
+        common_digest(row.request_digest),
+        row.uncleared_crashes,
+        row.uncleared_trial_crashes,
+    )
+
+
+def shared_evidence(rows: Iterable[Suspect]) -> Evidence | None:
+    """Return what the rows of all customers show against a part.
+
+    A crash that a completion of any customer cleared shows nothing to the others, and
+    so does a single one under no trial: most parts that were in flight then are
+    innocent.
+
+    Args:
+        rows: The rows of one part.
+    """
+    listed = list(rows)
+    counted = [
+        row
+        for row in listed
+        if row.uncleared_trial_crashes
+        or len(row.uncleared_crashes) >= CRASHES_TO_QUARANTINE
+    ]
+    if not counted:
+        return None
+    cleared = frozenset[str]().union(*(row.cleared_crashes for row in listed))
+    crashes = frozenset[str]().union(*(row.uncleared_crashes for row in counted))
+    trials = frozenset[str]().union(*(row.uncleared_trial_crashes for row in counted))
+    if not crashes - cleared:
+        return None
+    suspect = common_digest(listed[0].request_digest)
+    return Evidence(suspect, crashes - cleared, trials - cleared)
+
+
+def is_of_several_customers(evidence: Evidence, rows: Iterable[Suspect]) -> bool:
+    """Return whether trials of more than one customer crashed targets.
+
+    Args:
+        evidence: What the rows show together.
+        rows: The rows of one part, one for each customer.
+    """
+    crashed = [
+        row for row in rows if row.uncleared_trial_crashes & evidence.trial_crashes
+    ]
+    return len(crashed) > 1
+
+
 def make_crash_attribution() -> CrashAttribution:
     """Return the state without crashes."""
     return CrashAttribution()
--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -28,6 +28,7 @@
 from sesameford.gateway.target_record import Reservation
 from sesameford.messages import SuspectUpdate
 from sesameford.probes import refuses_connections
+from sesameford.request_digest import common_digest
 from sesameford.suspect_log import format_digests
 from sesameford.suspects import SuspectTreatment
 
@@ -49,12 +50,16 @@
     Args:
         reason: A short, stable code.
         retry_after_seconds: The delay after which a retry makes sense.
+        status: The status of the answer to its caller.
     """
 
-    def __init__(self, reason: str, retry_after_seconds: float) -> None:
+    def __init__(
+        self, reason: str, retry_after_seconds: float, status: int = 429
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_seconds = retry_after_seconds
+        self.status = status
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,8 +152,9 @@
     def record_trial_target(self, digests: Iterable[bytes], target_id: str) -> None:
         """Record to which target the trial of a call with some digests goes."""
         for digest in digests:
-            if digest in self._trials:
-                self._trials[digest] = target_id
+            for key in (digest, common_digest(digest)):
+                if key in self._trials:
+                    self._trials[key] = target_id
 
     def targets_to_avoid(
         self, digest: bytes, target_ids: Iterable[str]
@@ -240,12 +246,13 @@
                 raise SuspectRefusedError("quarantined", left_seconds)
             if treatment is SuspectTreatment.CLEAR:
                 return _Turn()
-            excluded = self._excluded_trials(digest, parts)
-            if excluded is None:
+            suspect = self._suspect_to_try(digest, parts)
+            if suspect is None:
                 return _Turn("not the only suspect")
+            excluded = suspects.trial_key(suspect)
             until_seconds = wait_until_seconds
             if not self._is_on_trial(excluded, now_seconds):
-                if not self._needs_grant(excluded, now_seconds):
+                if not self._needs_grant(suspect, excluded, now_seconds):
                     return _Turn("granted or first", excluded)
                 if grant_until_seconds is None:
                     if not self.exchange.grants.request(excluded, now_seconds):
@@ -256,11 +263,14 @@
                 until_seconds = min(wait_until_seconds, grant_until_seconds)
             if loop.time() >= wait_until_seconds:
                 raise self._on_trial_error()
-            with suppress(TimeoutError):
-                async with asyncio.timeout_at(until_seconds):
-                    await self._changed.wait()
+            await self._wait_for_change(until_seconds)
+
+    async def _wait_for_change(self, until_seconds: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(until_seconds):
+                await self._changed.wait()
 
-    def _excluded_trials(self, digest: bytes, parts: Sequence[bytes]) -> bytes | None:
+    def _suspect_to_try(self, digest: bytes, parts: Sequence[bytes]) -> bytes | None:
         """Return the suspect of a call of which only one call may be on trial.
 
         Most parts in flight at a crash are innocent, and many calls have them. Their
@@ -276,22 +286,22 @@
         is_elsewhere = self.exchange.grants.is_elsewhere(digest, now_seconds)
         return digest in self._trials or is_elsewhere
 
-    def _needs_grant(self, digest: bytes, now_seconds: float) -> bool:
+    def _needs_grant(self, suspect: bytes, key: bytes, now_seconds: float) -> bool:
         """Return whether a trial needs a replica's grant, and has none yet.
 
         After the first crash each call that was in flight is tried once, most of them
         at one router alone.
         """
-        row = self.exchange.suspects.get(digest)
-        if row is None or len(row.uncleared_crashes) < CRASHES_TO_QUARANTINE:
+        crashes = self.exchange.suspects.uncleared_crashes(suspect)
+        if len(crashes) < CRASHES_TO_QUARANTINE:
             return False
-        return not self.exchange.grants.is_granted(digest, now_seconds)
+        return not self.exchange.grants.is_granted(key, now_seconds)
 
     def _on_trial_error(self) -> SuspectRefusedError:
-        retry_seconds = spread_retry_seconds(
-            MIN_RETRY_SECONDS, MAX_RETRY_SECONDS, self._random
-        )
-        return SuspectRefusedError("on-trial", retry_seconds)
+        return SuspectRefusedError("on-trial", self._retry_seconds())
+
+    def _retry_seconds(self) -> float:
+        return spread_retry_seconds(MIN_RETRY_SECONDS, MAX_RETRY_SECONDS, self._random)
 
     def _record_crash(self, observed: ObservedCrash, now_seconds: float) -> None:
         crash = observed.crash
--- a/sesameford/gateway/suspect_exchange.py
+++ b/sesameford/gateway/suspect_exchange.py
@@ -7,13 +7,14 @@
 sides of a cut do so when it heals.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from sesameford.effective import EffectiveTree
 from sesameford.gateway.target_crashes import ObservedCrash
 from sesameford.gateway.trial_grants import TrialGrants, make_trial_grants
 from sesameford.messages import Outgoing, SuspectUpdate
 from sesameford.request_digest import (
+    common_digest,
     customer_part,
     digest_customer,
     logged_digest,
@@ -75,17 +76,16 @@
             now_seconds,
             crash.trials,
         )
-        for digest in crash.digests:
-            self.grants.end(digest)
+        self._end_grants(crash.digests)
         self.tick(now_seconds)
 
     def record_completion(
         self, digest: bytes, now_seconds: float, reason: str = "completed"
     ) -> None:
         """Clear a request that completed, and send that to the others."""
-        row = self.suspects.get(digest)
-        if row is not None and self.suspects.record_completion(digest, now_seconds):
-            log_cleared(row, reason, self.customer_of(digest))
+        crashes = self.suspects.uncleared_crashes(digest)
+        if crashes and self.suspects.record_completion(digest, now_seconds):
+            log_cleared(digest, crashes, reason, self.customer_of(digest))
 
     def lift(self, name: str, now_seconds: float) -> bool:
         """Clear a quarantined request as an operator ordered.
@@ -103,9 +103,9 @@
             if logged_digest(row.request_digest) == name
         ]
         for digest in digests:
-            row = self.suspects.get(digest)
-            if row is not None and self.suspects.clear(digest, now_seconds):
-                log_cleared(row, "lifted", self.customer_of(digest))
+            crashes = self.suspects.uncleared_crashes(digest)
+            if self.suspects.clear(digest, now_seconds):
+                log_cleared(digest, crashes, "lifted", self.customer_of(digest))
         self.tick(now_seconds)
         return bool(digests)
 
@@ -124,7 +124,7 @@
         repeats = RELAYED_REPEATS if is_relayed else 0
         is_changed = self.suspects.merge_update(update, now_seconds, repeats)
         if is_changed:
-            self.grants.end(update.request_digest)
+            self._end_grants([update.request_digest])
         return is_changed
 
     def handle_heartbeat(
@@ -158,6 +158,12 @@
             customer = self.customer_of(row.request_digest)
             log_quarantine(self.suspects, row, now_seconds, customer)
 
+    def _end_grants(self, digests: Iterable[bytes]) -> None:
+        """End the trials of suspects whose crashes or completions changed."""
+        for digest in digests:
+            self.grants.end(digest)
+            self.grants.end(common_digest(digest))
+
     def _first_receiver(self, now_seconds: float) -> str | None:
         """Return the replica that a router sends to first, None to send to all."""
         if self._is_relay:
--- a/sesameford/request_digest.py
+++ b/sesameford/request_digest.py
@@ -13,6 +13,7 @@
 CUSTOMER_BYTES = 8
 LENGTH_BYTES = 4
 LOGGED_DIGITS = 16
+NO_CUSTOMER = bytes(CUSTOMER_BYTES)
 # The digest of a part is shorter than that of a request, which tells them apart.
 PART_DIGEST_BYTES = 24
 # Customers share a few parts among most of their prompts.
@@ -61,7 +62,7 @@
         part: The digest of one of them.
         other: The digest of the other one, of the same customer.
     """
-    pair = sha256(min(part, other) + max(part, other)).digest()
+    pair = sha256(b"".join(sorted((part_name(part), part_name(other))))).digest()
     return (customer_part(part) + pair)[:PART_DIGEST_BYTES]
 
 
@@ -75,6 +76,14 @@
     return digest[CUSTOMER_BYTES:]
 
 
+def common_digest(digest: bytes) -> bytes:
+    """Return a part's digest of no customer, and a request's own digest.
+
+    No other customer has an equal request.
+    """
+    return NO_CUSTOMER + part_name(digest) if is_part_digest(digest) else digest
+
+
 def digest_customer(customer: str | None) -> bytes:
     """Return the digest of a customer's id, with which all of its digests begin."""
     return sha256(_encode(customer or "")).digest()[:CUSTOMER_BYTES]
--- a/sesameford/suspect_log.py
+++ b/sesameford/suspect_log.py
@@ -39,14 +39,23 @@
     )
 
 
-def log_cleared(row: Suspect, reason: str, customer: str = "") -> None:
-    """Log that a request is no suspect any more."""
+def log_cleared(
+    digest: bytes, crashes: Iterable[str], reason: str, customer: str
+) -> None:
+    """Log that a request is no suspect any more.
+
+    Args:
+        digest: The request's digest, or that of a part.
+        crashes: The crashes that no longer count.
+        reason: What cleared it.
+        customer: The customer's id.
+    """
     logger.info(
         "suspect cleared",
         extra={
-            "digest": logged_digest(row.request_digest),
+            "digest": logged_digest(digest),
             "customer": customer,
-            "crashes": _format_crashes(row.uncleared_crashes),
+            "crashes": _format_crashes(crashes),
             "reason": reason,
         },
     )
--- /dev/null
+++ b/sesameford/suspect_table.py
@@ -0,0 +1,209 @@
+"""The rows of one instance's table of suspects, with their indices and bounds."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import replace
+
+from sesameford.crash_attribution import CRASHES_TO_QUARANTINE, make_crash_attribution
+from sesameford.messages import SuspectUpdate
+from sesameford.request_digest import customer_part, is_part_digest, part_name
+from sesameford.suspect_rows import Suspect, make_updates
+
+MAX_SUSPECTS = 4096
+# A customer that sends many variants of a crashing request displaces only its own rows.
+MAX_SUSPECTS_PER_CUSTOMER = 192
+SUSPECT_RETENTION_SECONDS = 86_400.0
+
+
+class SuspectTable:
+    """Rows by digest, in the order of their last change.
+
+    ``repeated`` are the digests of the few suspects that may be quarantined. Only these
+    are compared with each other, as a crash may add hundreds of suspects at once.
+
+    Args:
+        max_suspects: Bound on the rows; the least recently updated is dropped first.
+    """
+
+    def __init__(self, max_suspects: int = MAX_SUSPECTS) -> None:
+        self.attribution = make_crash_attribution()
+        self.repeated: set[bytes] = set()
+        self._max_suspects = max_suspects
+        self._rows: dict[bytes, Suspect] = {}
+        self._by_customer: dict[bytes, dict[bytes, None]] = {}
+        self._by_part: dict[bytes, set[bytes]] = {}
+        self._with_updates: dict[bytes, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __iter__(self) -> Iterator[Suspect]:
+        return iter(self._rows.values())
+
+    def get(self, digest: bytes) -> Suspect | None:
+        """Return the row of a request or part, None if it has none."""
+        return self._rows.get(digest)
+
+    def rows_of_part(self, name: bytes) -> list[Suspect]:
+        """Return the rows that a part has, one for each customer."""
+        return [self._rows[digest] for digest in self._by_part.get(name, ())]
+
+    def merge(
+        self,
+        digest: bytes,
+        crashes: frozenset[str],
+        cleared: frozenset[str],
+        trials: frozenset[str],
+        now_seconds: float,
+        repeats: int,
+    ) -> Sequence[bytes] | None:
+        """Add crashes to a row.
+
+        Args:
+            digest: The request or part.
+            crashes: Crashes at which it was in flight.
+            cleared: Crashes that a completion cleared.
+            trials: Those under its trials.
+            now_seconds: The present time.
+            repeats: How often a change is sent on.
+
+        Returns:
+            The digests of the rows that were dropped for it, None if nothing changed.
+        """
+        row = self._rows.get(digest)
+        if row is None:
+            row = Suspect(digest, frozenset(), frozenset(), now_seconds, updates_left=0)
+        elif (
+            crashes <= row.crashes
+            and cleared <= row.cleared_crashes
+            and trials <= row.trial_crashes
+        ):
+            return None
+        self.drop(digest)
+        row = Suspect(
+            request_digest=digest,
+            crashes=row.crashes | crashes | cleared,
+            cleared_crashes=row.cleared_crashes | cleared,
+            last_seen_at_seconds=now_seconds,
+            trial_crashes=row.trial_crashes | trials,
+            updates_left=max(repeats, row.updates_left),
+            next_update_at_seconds=0.0 if repeats else row.next_update_at_seconds,
+        )
+        self._add(row)
+        return self._drop_surplus(customer_part(digest))
+
+    def put(self, row: Suspect) -> None:
+        """Store a row whose crashes have not changed."""
+        digest = row.request_digest
+        self._rows[digest] = row
+        if row.updates_left:
+            self._with_updates[digest] = None
+        else:
+            self._with_updates.pop(digest, None)
+
+    def rows_to_send(self) -> list[Suspect]:
+        """Return the rows of which other instances are not yet sent all updates."""
+        return [self._rows[digest] for digest in self._with_updates]
+
+    def newest_updates(self, max_rows: int) -> Sequence[SuspectUpdate]:
+        """Return updates for an instance that may know nothing: the newest rows.
+
+        Those that may be quarantined come first.
+        """
+        repeated = [self._rows[digest] for digest in self.repeated]
+        others = [
+            row
+            for digest, row in reversed(self._rows.items())
+            if digest not in self.repeated
+        ]
+        return [
+            update
+            for row in (*repeated, *others)[:max_rows]
+            for update in make_updates(row)
+        ]
+
+    def drop_old(self, now_seconds: float) -> Sequence[bytes]:
+        """Drop and return the rows that have not changed for the retention time."""
+        dropped = []
+        while self._rows:
+            row = next(iter(self))
+            if now_seconds - row.last_seen_at_seconds <= SUSPECT_RETENTION_SECONDS:
+                break
+            self.drop(row.request_digest)
+            dropped.append(row.request_digest)
+        return dropped
+
+    def drop(self, digest: bytes) -> None:
+        """Remove a row."""
+        row = self._rows.pop(digest, None)
+        if row is None:
+            return
+        self.repeated.discard(digest)
+        self._with_updates.pop(digest, None)
+        customer = customer_part(digest)
+        self._by_customer[customer].pop(digest)
+        if not self._by_customer[customer]:
+            del self._by_customer[customer]
+        if is_part_digest(digest):
+            name = part_name(digest)
+            self._by_part[name].discard(digest)
+            if not self._by_part[name]:
+                del self._by_part[name]
+        self.attribution.remove(row)
+
+    def _add(self, row: Suspect) -> None:
+        """Store a row as the most recently changed one."""
+        digest = row.request_digest
+        self.put(row)
+        self._by_customer.setdefault(customer_part(digest), {})[digest] = None
+        self.attribution.add(row)
+        if len(row.uncleared_crashes) >= CRASHES_TO_QUARANTINE:
+            self.repeated.add(digest)
+        if not is_part_digest(digest):
+            return
+        of_part = self._by_part.setdefault(part_name(digest), set())
+        of_part.add(digest)
+        tried = [one for one in of_part if self._rows[one].uncleared_trial_crashes]
+        if len(tried) > 1:
+            self.repeated.update(tried)
+
+    def _drop_surplus(self, customer: bytes) -> Sequence[bytes]:
+        """Keep the table within its bounds after a row of a customer changed.
+
+        Returns:
+            The digests of the rows that were dropped.
+        """
+        dropped = []
+        of_customer = self._by_customer[customer]
+        if len(of_customer) > MAX_SUSPECTS_PER_CUSTOMER:
+            # The first of equals, which is the one that changed least recently. Each
+            # crash adds many requests that never come again, and few parts.
+            least = min(
+                of_customer,
+                key=lambda one: (
+                    len(self._rows[one].uncleared_crashes),
+                    is_part_digest(one),
+                ),
+            )
+            self.drop(least)
+            dropped.append(least)
+        if len(self._rows) > self._max_suspects:
+            oldest = next(iter(self._rows))
+            single = (one for one in self._rows if one not in self.repeated)
+            digest = next(single, oldest)
+            self.drop(digest)
+            dropped.append(digest)
+        return dropped
+
+
+def make_suspect_table(max_suspects: int = MAX_SUSPECTS) -> SuspectTable:
+    """Return a table without rows; see ``SuspectTable``."""
+    return SuspectTable(max_suspects)
+
+
+def count_update(row: Suspect, now_seconds: float, interval_seconds: float) -> Suspect:
+    """Return a row after one of its updates was sent."""
+    return replace(
+        row,
+        updates_left=row.updates_left - 1,
+        next_update_at_seconds=now_seconds + interval_seconds,
+    )
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -10,6 +10,12 @@
 trial, and it completes. The routers' tables merge as sets, so updates may arrive late,
 twice and in any order.
 
+Each customer has rows of its own, so that none can have another's sound calls refused
+by sending the same parts. What crashes show against a part for one customer makes it a
+suspect for all: their next calls with it are trials, one at a time for all of them. A
+completion clears it for the others too. Crashes under trials of two customers, which no
+completion has cleared, quarantine it for all.
+
 A crashing request that is resent one at a time costs at most two targets in the whole
 fleet before it is quarantined, or three if another suspect was in flight at both
 crashes, or on trial at the second one. After that it costs one target per quarantine,
@@ -25,23 +31,22 @@
 
 from sesameford.crash_attribution import (
     CRASHES_TO_QUARANTINE,
-    decisive_crashes,
-    make_crash_attribution,
+    Evidence,
+    evidence_against,
+    is_of_several_customers,
+    shared_evidence,
 )
 from sesameford.doubling import doubled_seconds
 from sesameford.messages import SuspectUpdate
 from sesameford.request_digest import (
-    customer_part,
+    common_digest,
     digest_pair,
     is_part_digest,
     part_name,
 )
 from sesameford.suspect_rows import UPDATE_REPEATS, Suspect, make_updates
+from sesameford.suspect_table import MAX_SUSPECTS, count_update, make_suspect_table
 
-MAX_SUSPECTS = 4096
-# A customer that sends many variants of a crashing request displaces only its own rows.
-MAX_SUSPECTS_PER_CUSTOMER = 192
-SUSPECT_RETENTION_SECONDS = 86_400.0
 MAX_QUARANTINE_SECONDS = 86_400.0
 UPDATE_INTERVAL_SECONDS = 1.0
 # A router that saw a part crash targets clears it after as many completions, but after
@@ -74,15 +79,8 @@
         self, quarantine_seconds: float, max_suspects: int = MAX_SUSPECTS
     ) -> None:
         self._quarantine_seconds = quarantine_seconds
-        self._max_suspects = max_suspects
-        self._rows: dict[bytes, Suspect] = {}
-        self._by_customer: dict[bytes, dict[bytes, None]] = {}
-        self._by_part: dict[bytes, set[bytes]] = {}
-        self._attribution = make_crash_attribution()
-        # The few suspects with enough crashes for a quarantine. Only these are
-        # compared with each other, as a crash may add hundreds of suspects at once.
-        self._repeated: set[bytes] = set()
-        self._with_updates: dict[bytes, None] = {}
+        self._table = make_suspect_table(max_suspects)
+        self._attribution = self._table.attribution
         self._lifted: frozenset[bytes] = frozenset()
         self._newly_quarantined: list[bytes] = []
         self._completions: Counter[bytes] = Counter()
@@ -96,7 +94,7 @@
     @property
     def has_rows(self) -> bool:
         """Whether anything was in flight at a crash that is still known."""
-        return bool(self._rows)
+        return len(self._table) > 0
 
     def record_crash(
         self,
@@ -136,8 +134,7 @@
         Returns:
             Whether it was a suspect, and is cleared.
         """
-        row = self._rows.get(digest)
-        if row is None or not row.uncleared_crashes:
+        if not self.uncleared_crashes(digest):
             return False
         if is_part_digest(digest):
             self._completions[digest] += 1
@@ -148,12 +145,12 @@
 
     def clear(self, digest: bytes, now_seconds: float) -> bool:
         """Clear a suspect of all its crashes so far; return whether it was one."""
-        row = self._rows.get(digest)
-        if row is None or not row.uncleared_crashes:
+        crashes = self.uncleared_crashes(digest)
+        if not crashes:
             return False
         self._completions.pop(digest, None)
         nothing: frozenset[str] = frozenset()
-        self._merge(digest, nothing, row.crashes, nothing, now_seconds, UPDATE_REPEATS)
+        self._merge(digest, nothing, crashes, nothing, now_seconds, UPDATE_REPEATS)
         self._mark_quarantines(now_seconds)
         return True
 
@@ -163,28 +160,50 @@
         now_seconds: float,
         repeats: int = UPDATE_REPEATS,
     ) -> bool:
-        """Merge another router's row of a suspect.
+        """Merge another router's row of a suspect; return whether it changed one."""
+        return bool(self.merge_updates([update], now_seconds, repeats))
+
+    def merge_updates(
+        self,
+        updates: Iterable[SuspectUpdate],
+        now_seconds: float,
+        repeats: int = UPDATE_REPEATS,
+    ) -> Sequence[bytes]:
+        """Merge rows of another router, all of them before anything is decided.
 
         Args:
-            update: The row.
+            updates: The rows.
             now_seconds: The present time.
             repeats: How often a change is sent on.
 
         Returns:
-            Whether it changed this router's row.
+            The digests of this router's rows that changed.
         """
-        crashes = frozenset(update.deaths)
-        is_changed = self._merge(
-            update.request_digest,
-            crashes,
-            crashes if update.cleared else frozenset(),
-            crashes if update.trial_deaths is None else frozenset(update.trial_deaths),
-            now_seconds,
-            repeats,
-        )
-        if is_changed:
+        changed = [
+            update.request_digest
+            for update in updates
+            if self._merge_one(update, now_seconds, repeats)
+        ]
+        if changed:
             self._mark_quarantines(now_seconds)
-        return is_changed
+        return changed
+
+    def restore(
+        self, updates: Iterable[tuple[SuspectUpdate, float]], now_seconds: float
+    ) -> None:
+        """Merge rows that an earlier process stored.
+
+        Args:
+            updates: The rows, each with the time of its last change.
+            now_seconds: The present time, at which their quarantines start anew.
+        """
+        for update, changed_at_seconds in updates:
+            self._merge_one(update, changed_at_seconds, repeats=0)
+        self._mark_quarantines(now_seconds)
+
+    def list_rows(self) -> Sequence[Suspect]:
+        """Return all rows, the one that changed last at the end."""
+        return list(self._table)
 
     def treatment(
         self, digest: bytes, now_seconds: float, parts: Sequence[bytes] = ()
@@ -205,24 +224,34 @@
 
     def suspected(self, digests: Iterable[bytes]) -> frozenset[bytes]:
         """Return those of some digests that are suspects."""
-        if not self._attribution.has_crashes:
-            return frozenset()
         return frozenset(
             digest
             for digest in digests
-            if digest not in self._lifted
-            and (row := self._rows.get(digest)) is not None
-            and row.uncleared_crashes
+            if digest not in self._lifted and self.uncleared_crashes(digest)
         )
 
+    def uncleared_crashes(self, digest: bytes) -> frozenset[str]:
+        """Return the crashes that make a request, or a customer's part, a suspect."""
+        if not self._attribution.has_crashes:
+            return frozenset()
+        row = self._table.get(digest)
+        own = row.uncleared_crashes if row is not None else frozenset()
+        if not is_part_digest(digest):
+            return own
+        shared = shared_evidence(self._table.rows_of_part(part_name(digest)))
+        if shared is None:
+            return own
+        return own | shared.crashes
+
     def pairs_of(self, parts: Sequence[bytes]) -> tuple[bytes, ...]:
         """Return the digests of pairs of parts that were both in flight at crashes.
 
         Two parts may crash targets only where they stand in one prompt. Each of them
         completes in other prompts then, and the pair alone tells which ones crash.
         """
-        known = [part for part in parts if part in self._rows][:MAX_PAIRED_PARTS]
-        return tuple(digest_pair(*pair) for pair in combinations(known, 2))
+        known = [part for part in parts if self._table.rows_of_part(part_name(part))]
+        pairs = combinations(known[:MAX_PAIRED_PARTS], 2)
+        return tuple(digest_pair(*pair) for pair in pairs)
 
     def refusal_seconds(
         self, digest: bytes, now_seconds: float, parts: Sequence[bytes] = ()
@@ -234,13 +263,15 @@
             now_seconds: The present time.
             parts: The digests of its prompt's parts that others may share.
         """
-        own = {digest, *parts}
-        rows = [self._rows[one] for one in own & self._repeated]
+        digests = (digest, *parts)
+        own = {common_digest(one) for one in digests}
         return max(
             (
-                self.quarantine_left_seconds(row.request_digest, now_seconds)
-                for row in rows
-                if self._attribution.is_caused_by(row, own)
+                self._left_seconds(one, now_seconds)
+                for one in digests
+                if one not in self._lifted
+                and (evidence := self._due_evidence(one)) is not None
+                and self._attribution.is_caused_by(evidence, own)
             ),
             default=0.0,
         )
@@ -255,85 +286,71 @@
             digest: The request's digest.
             parts: The digests of its prompt's parts that others may share.
         """
-        own = {digest, *parts}
+        own = {common_digest(one) for one in (digest, *parts)}
         found = [
             part
-            for part in self.suspected(parts) & self._repeated
-            if self._attribution.common_suspects(self._rows[part].uncleared_crashes)
-            <= own
+            for part in self.suspected(parts)
+            if len(crashes := self.uncleared_crashes(part)) >= CRASHES_TO_QUARANTINE
+            and self._attribution.common_suspects(crashes) <= own
         ]
         return min(found, default=None)
 
+    def trial_key(self, digest: bytes) -> bytes:
+        """Return what trials of a suspect have in common that run one at a time.
+
+        The trials of a part are kept apart over all customers, unless a completion has
+        shown that it crashes no targets for one of them.
+        """
+        if not is_part_digest(digest):
+            return digest
+        shared = shared_evidence(self._table.rows_of_part(part_name(digest)))
+        return digest if shared is None else common_digest(digest)
+
     def common_suspects(self, row: Suspect) -> set[bytes]:
         """Return what was in flight at all crashes that decide on a suspect."""
-        crashes = decisive_crashes(row)
+        crashes = evidence_against(row).decisive_crashes
         return self._attribution.common_suspects(crashes) if crashes else set()
 
     def get(self, digest: bytes) -> Suspect | None:
         """Return the row of a request, None if it has none."""
-        return self._rows.get(digest)
+        return self._table.get(digest)
 
     def quarantine_left_seconds(self, digest: bytes, now_seconds: float) -> float:
-        """Return the seconds until a suspect's quarantine ends, 0 without one.
-
-        A part that is quarantined for several customers is tried again for one of them
-        at a time, or each of them would cost a target for each quarantine.
-        """
-        row = self._rows.get(digest)
-        if row is None or digest in self._lifted or not self._attribution.is_due(row):
+        """Return the seconds until a suspect's quarantine ends, 0 without one."""
+        if digest in self._lifted or self._due_evidence(digest) is None:
             return 0.0
-        rows = [row]
-        if is_part_digest(digest):
-            of_others = self._by_part[part_name(digest)] - {digest}
-            others = [self._rows[one] for one in of_others]
-            rows += [one for one in others if self._attribution.is_due(one)]
-        return max(self._left_seconds(one, now_seconds) for one in rows)
-
-    def _left_seconds(self, row: Suspect, now_seconds: float) -> float:
-        """Return the seconds until the quarantine ends that a row is due."""
-        since = row.quarantined_at_seconds
-        start_seconds = now_seconds if since is None else since
-        # Copies that crashed at once are one reason for a quarantine, not several.
-        doublings = min(
-            len(decisive_crashes(row)) - CRASHES_TO_QUARANTINE,
-            len(row.uncleared_trial_crashes) - 1,
-        )
-        lasts_seconds = MAX_QUARANTINE_SECONDS
-        if doublings <= MAX_DOUBLINGS:
-            lasts_seconds = doubled_seconds(
-                self._quarantine_seconds, doublings, MAX_QUARANTINE_SECONDS
-            )
-        return max(0.0, start_seconds + lasts_seconds - now_seconds)
+        return self._left_seconds(digest, now_seconds)
 
     def list_quarantined(self, now_seconds: float) -> Sequence[tuple[Suspect, float]]:
         """Return the quarantined requests and the seconds left, for the status."""
+        rows = [self._table.get(digest) for digest in self._table.repeated]
         left = (
-            (self._rows[digest], self.quarantine_left_seconds(digest, now_seconds))
-            for digest in self._repeated
+            (row, self.quarantine_left_seconds(row.request_digest, now_seconds))
+            for row in rows
+            if row is not None and row.uncleared_crashes
         )
         return [(row, seconds) for row, seconds in left if seconds > 0.0]
 
     def pop_newly_quarantined(self) -> Sequence[Suspect]:
         """Return the requests whose quarantine started since the last call.
 
-        Those are left out that another update has made suspects again: what routers
-        observed of one crash arrives request by request.
+        Those are left out that another update has made suspects again.
         """
         digests, self._newly_quarantined = self._newly_quarantined, []
         started = []
         for digest in digests:
-            row = self._rows.get(digest)
+            row = self._table.get(digest)
             if row is None:
                 continue
-            if self._attribution.is_due(row):
+            if self._is_due(row):
                 started.append(row)
             else:
-                self._put(replace(row, quarantined_at_seconds=None))
+                self._table.put(replace(row, quarantined_at_seconds=None))
         return started
 
     def count_suspects(self) -> int:
         """Return how many requests have crashes that no completion cleared."""
-        return sum(1 for row in self._rows.values() if row.uncleared_crashes)
+        return sum(1 for row in self._table if row.uncleared_crashes)
 
     def make_due_updates(self, now_seconds: float) -> Sequence[SuspectUpdate]:
         """Return the updates to send to other routers now, and count the repeats."""
@@ -342,53 +359,107 @@
 
     def pop_due_rows(self, now_seconds: float) -> Sequence[Suspect]:
         """Return the rows to send to other routers now, and count the repeats."""
-        rows = []
-        for digest in list(self._with_updates):
-            row = self._rows[digest]
-            if now_seconds < row.next_update_at_seconds:
-                continue
-            rows.append(row)
-            self._put(
-                replace(
-                    row,
-                    updates_left=row.updates_left - 1,
-                    next_update_at_seconds=now_seconds + UPDATE_INTERVAL_SECONDS,
-                )
-            )
+        rows = [
+            row
+            for row in self._table.rows_to_send()
+            if now_seconds >= row.next_update_at_seconds
+        ]
+        for row in rows:
+            self._table.put(count_update(row, now_seconds, UPDATE_INTERVAL_SECONDS))
         return rows
 
     def newest_updates(self, max_rows: int) -> Sequence[SuspectUpdate]:
         """Return updates for an instance that may know nothing: the newest rows.
 
-        Those with enough crashes for a quarantine come first.
+        Those that may be quarantined come first.
         """
-        repeated = [self._rows[digest] for digest in self._repeated]
-        others = [
-            row
-            for digest, row in reversed(self._rows.items())
-            if digest not in self._repeated
-        ]
-        return [
-            update
-            for row in (*repeated, *others)[:max_rows]
-            for update in make_updates(row)
-        ]
+        return self._table.newest_updates(max_rows)
 
     def schedule_all_updates(self) -> None:
         """Send all rows again, for an instance that is new or was isolated."""
-        for row in list(self._rows.values()):
-            self._put(
+        for row in list(self._table):
+            self._table.put(
                 replace(row, updates_left=UPDATE_REPEATS, next_update_at_seconds=0.0)
             )
 
     def tick(self, now_seconds: float) -> None:
         """Drop the rows that have not changed for the retention time."""
-        while self._rows:
-            # Rows are in the order of their last change.
-            row = next(iter(self._rows.values()))
-            if now_seconds - row.last_seen_at_seconds <= SUSPECT_RETENTION_SECONDS:
-                return
-            self._drop(row.request_digest)
+        self._forget_counts(self._table.drop_old(now_seconds))
+
+    def _due_evidence(self, digest: bytes) -> Evidence | None:
+        """Return the crashes that are reason enough to refuse a suspect, or None."""
+        row = self._table.get(digest)
+        if row is not None and self._is_due_alone(row):
+            return evidence_against(row)
+        return self._due_shared_evidence(digest)
+
+    def _due_shared_evidence(self, digest: bytes) -> Evidence | None:
+        """Return the crashes that refuse a part for all customers, or None."""
+        if not is_part_digest(digest):
+            return None
+        rows = self._table.rows_of_part(part_name(digest))
+        shared = shared_evidence(rows)
+        if shared is None or not is_of_several_customers(shared, rows):
+            return None
+        return shared if self._attribution.is_due(shared) else None
+
+    def _is_due_alone(self, row: Suspect) -> bool:
+        return self._attribution.is_due(evidence_against(row))
+
+    def _is_due(self, row: Suspect) -> bool:
+        """Return whether a row is a reason for a quarantine, by itself or with others.
+
+        Args:
+            row: The row.
+        """
+        if self._is_due_alone(row):
+            return True
+        shared = self._due_shared_evidence(row.request_digest)
+        return shared is not None and bool(
+            row.uncleared_trial_crashes & shared.trial_crashes
+        )
+
+    def _left_seconds(self, digest: bytes, now_seconds: float) -> float:
+        """Return the seconds until the quarantine ends that a suspect is due.
+
+        A part that is quarantined for several customers is tried again for one of them
+        at a time, or each of them would cost a target for each quarantine.
+        """
+        rows = [self._table.get(digest)]
+        if is_part_digest(digest):
+            rows += self._table.rows_of_part(part_name(digest))
+        due = [row for row in rows if row is not None and self._is_due(row)]
+        evidence = [evidence_against(row) for row in due]
+        crashes = frozenset[str]().union(*(one.decisive_crashes for one in evidence))
+        trials = frozenset[str]().union(*(one.trial_crashes for one in evidence))
+        # Copies that crashed at once are one reason for a quarantine, not several.
+        doublings = min(len(crashes) - CRASHES_TO_QUARANTINE, len(trials) - 1)
+        lasts_seconds = MAX_QUARANTINE_SECONDS
+        if doublings <= MAX_DOUBLINGS:
+            lasts_seconds = doubled_seconds(
+                self._quarantine_seconds, doublings, MAX_QUARANTINE_SECONDS
+            )
+        since_seconds = max(
+            now_seconds
+            if row.quarantined_at_seconds is None
+            else row.quarantined_at_seconds
+            for row in due
+        )
+        return max(0.0, since_seconds + lasts_seconds - now_seconds)
+
+    def _merge_one(
+        self, update: SuspectUpdate, now_seconds: float, repeats: int
+    ) -> bool:
+        crashes = frozenset(update.deaths)
+        trials = crashes if update.trial_deaths is None else update.trial_deaths
+        return self._merge(
+            update.request_digest,
+            crashes,
+            crashes if update.cleared else frozenset(),
+            frozenset(trials),
+            now_seconds,
+            repeats,
+        )
 
     def _merge(
         self,
@@ -399,95 +470,26 @@
         now_seconds: float,
         repeats: int,
     ) -> bool:
-        row = self._rows.get(digest)
-        if row is None:
-            row = Suspect(digest, frozenset(), frozenset(), now_seconds, updates_left=0)
-        elif (
-            crashes <= row.crashes
-            and cleared <= row.cleared_crashes
-            and trials <= row.trial_crashes
-        ):
-            return False
-        self._forget(digest)
-        row = Suspect(
-            request_digest=digest,
-            crashes=row.crashes | crashes | cleared,
-            cleared_crashes=row.cleared_crashes | cleared,
-            last_seen_at_seconds=now_seconds,
-            trial_crashes=row.trial_crashes | trials,
-            updates_left=max(repeats, row.updates_left),
-            next_update_at_seconds=0.0 if repeats else row.next_update_at_seconds,
+        dropped = self._table.merge(
+            digest, crashes, cleared, trials, now_seconds, repeats
         )
-        self._add(row)
-        self._drop_surplus(customer_part(digest))
+        if dropped is None:
+            return False
+        self._forget_counts(dropped)
         return True
 
-    def _put(self, row: Suspect) -> None:
-        """Store a row whose crashes have not changed."""
-        digest = row.request_digest
-        self._rows[digest] = row
-        if row.updates_left:
-            self._with_updates[digest] = None
-        else:
-            self._with_updates.pop(digest, None)
-
-    def _add(self, row: Suspect) -> None:
-        """Store a row as the most recently changed one."""
-        digest = row.request_digest
-        self._put(row)
-        self._by_customer.setdefault(customer_part(digest), {})[digest] = None
-        if is_part_digest(digest):
-            self._by_part.setdefault(part_name(digest), set()).add(digest)
-        self._attribution.add(row)
-        if len(row.uncleared_crashes) >= CRASHES_TO_QUARANTINE:
-            self._repeated.add(digest)
-
-    def _drop(self, digest: bytes) -> None:
-        """Forget a suspect, and what this router counted of it."""
-        self._forget(digest)
-        self._completions.pop(digest, None)
-        self._observed_crashes.pop(digest, None)
-
-    def _forget(self, digest: bytes) -> None:
-        row = self._rows.pop(digest, None)
-        if row is None:
-            return
-        self._repeated.discard(digest)
-        self._with_updates.pop(digest, None)
-        customer = customer_part(digest)
-        self._by_customer[customer].pop(digest)
-        if not self._by_customer[customer]:
-            del self._by_customer[customer]
-        if is_part_digest(digest):
-            name = part_name(digest)
-            self._by_part[name].discard(digest)
-            if not self._by_part[name]:
-                del self._by_part[name]
-        self._attribution.remove(row)
-
-    def _drop_surplus(self, customer: bytes) -> None:
-        """Keep the table within its bounds after a row of a customer changed."""
-        of_customer = self._by_customer[customer]
-        if len(of_customer) > MAX_SUSPECTS_PER_CUSTOMER:
-            # The first of equals, which is the one that changed least recently. Each
-            # crash adds many requests that never come again, and few parts.
-            least = min(
-                of_customer,
-                key=lambda one: (
-                    len(self._rows[one].uncleared_crashes),
-                    is_part_digest(one),
-                ),
-            )
-            self._drop(least)
-        if len(self._rows) > self._max_suspects:
-            oldest = next(iter(self._rows))
-            single = (one for one in self._rows if one not in self._repeated)
-            self._drop(next(single, oldest))
+    def _forget_counts(self, digests: Iterable[bytes]) -> None:
+        """Forget what this router counted of suspects whose rows were dropped."""
+        for digest in digests:
+            self._completions.pop(digest, None)
+            self._observed_crashes.pop(digest, None)
 
     def _mark_quarantines(self, now_seconds: float) -> None:
         """Set the start of each quarantine that is due and has none."""
-        for digest in self._repeated:
-            row = self._rows[digest]
-            if row.quarantined_at_seconds is None and self._attribution.is_due(row):
-                self._put(replace(row, quarantined_at_seconds=now_seconds))
+        for digest in self._table.repeated:
+            row = self._table.get(digest)
+            if row is None or row.quarantined_at_seconds is not None:
+                continue
+            if self._is_due(row):
+                self._table.put(replace(row, quarantined_at_seconds=now_seconds))
                 self._newly_quarantined.append(digest)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -7,9 +7,9 @@
 
 from sesameford.request_digest import digest_part, digest_request
 from sesameford.suspect_rows import make_crash_id
+from sesameford.suspect_table import MAX_SUSPECTS_PER_CUSTOMER
 from sesameford.suspects import (
     MAX_COMPLETIONS_TO_CLEAR,
-    MAX_SUSPECTS_PER_CUSTOMER,
     Suspects,
     SuspectTreatment,
 )
@@ -232,12 +232,61 @@
     assert treatment is SuspectTreatment.SUSPECT
 
 
-def test_another_customers_equal_part_is_no_suspect():
+def test_one_customers_crashes_refuse_no_other_customer_and_a_completion_clears_it():
+    """One customer could have another's calls refused by sending their parts."""
     suspects = Suspects(300.0)
+    theirs = digest_part("rival", 2)
+    for number in range(20):
+        suspects.record_crash(f"t/{number}", [CULPRIT], float(number), [CULPRIT])
+        treatment = suspects.treatment(b"new", float(number), (theirs,))
+        assert treatment is SuspectTreatment.SUSPECT
+        assert suspects.record_completion(theirs, float(number))
+        treatment = suspects.treatment(b"new", float(number), (theirs,))
+        assert treatment is SuspectTreatment.CLEAR
+    treatment = suspects.treatment(b"new", 20.0, (CULPRIT,))
+    assert treatment is SuspectTreatment.QUARANTINED
+
+
+def test_a_completion_of_one_customer_clears_a_part_for_those_without_crashes():
+    """Each of many customers had to wait for a trial of its own."""
+    suspects = Suspects(300.0)
+    for number in range(3):
+        crash_under(suspects, f"t/{number}", number, (CULPRIT,), float(number))
+    assert suspects.record_completion(digest_part("rival", 2), 3.0)
+    others = digest_part("third", 2)
+    assert suspects.treatment(b"new", 3.0, (others,)) is SuspectTreatment.CLEAR
+
+
+def test_trials_of_one_part_are_one_at_a_time_for_all_customers():
+    suspects = Suspects(300.0)
+    theirs = digest_part("rival", 2)
     for number in range(3):
         crash_under(suspects, f"t/{number}", number, (CULPRIT,), float(number))
+    assert suspects.trial_key(CULPRIT) == suspects.trial_key(theirs)
+    suspects.record_completion(theirs, 3.0)
+    assert suspects.trial_key(CULPRIT) != suspects.trial_key(theirs)
+
+
+def test_customers_in_turn_cost_one_more_target_together():
+    """Each of twelve customers that sent a crashing part cost three targets or more."""
+    suspects = Suspects(300.0)
+    crashed = 0
+    for customer in range(12):
+        for _ in range(5):
+            part = digest_part(f"customer-{customer}", 2)
+            treatment = suspects.treatment(b"new", float(crashed), (part,))
+            if treatment is not SuspectTreatment.QUARANTINED:
+                crash_under(suspects, f"t/{crashed}", crashed, (part,), float(crashed))
+                crashed += 1
+    assert crashed <= 3 + 1
+
+
+def test_a_single_crash_under_no_trial_makes_no_other_customers_part_a_suspect():
+    """A target ended by itself while a popular part was in flight for one of many."""
+    suspects = Suspects(300.0)
+    suspects.record_crash("t/0", [CULPRIT], 0.0, trials=[])
     theirs = digest_part("rival", 2)
-    assert suspects.treatment(b"new", 3.0, (theirs,)) is SuspectTreatment.CLEAR
+    assert suspects.treatment(b"new", 1.0, (theirs,)) is SuspectTreatment.CLEAR
 
 
 def test_parts_stay_when_a_crash_adds_many_requests():
@@ -286,11 +335,12 @@
     assert sends <= 3 + 3 + 3
 
 
-def test_one_customers_crashes_hold_no_other_customers_part_back():
+def test_a_crash_beside_other_parts_refuses_no_other_customers_part():
+    """A customer's crashes are not those of a part that another one has without it."""
     suspects = Suspects(300.0)
-    theirs = digest_part("rival", 2)
+    theirs = digest_part("rival", 1)
     for number in range(3):
-        crash_under(suspects, f"t/{number}", number, (CULPRIT,), float(number))
-    crash_under(suspects, "t/3", 3, (theirs,), 4.0)
+        crash_under(suspects, f"t/{number}", number, (FIRST, CULPRIT), float(number))
+    suspects.record_crash("t/3", [theirs], 4.0, trials=[])
     treatment = suspects.treatment(b"new", 5.0, (theirs,))
     assert treatment is SuspectTreatment.SUSPECT
--- a/tests/test_suspects_machine.py
+++ b/tests/test_suspects_machine.py
@@ -239,19 +239,20 @@
         grants = node.exchange.grants
         if kind == CULPRIT and node.trial:
             return False
-        part = node.exchange.suspects.common_part(digest, parts)
+        suspects = node.exchange.suspects
+        part = suspects.common_part(digest, parts)
         if part is not None:
             digest = part
-        elif not node.exchange.suspects.suspected((digest,)):
+        elif not suspects.suspected((digest,)):
             return True
-        if grants.is_elsewhere(digest, self.now):
+        key = suspects.trial_key(digest)
+        if grants.is_elsewhere(key, self.now):
             return False
-        row = node.exchange.suspects.get(digest)
-        if len(row.uncleared_crashes) < CRASHES_TO_QUARANTINE:
+        if len(suspects.uncleared_crashes(digest)) < CRASHES_TO_QUARANTINE:
             return True
-        if grants.is_granted(digest, self.now):
+        if grants.is_granted(key, self.now):
             return True
-        if since == self.now and grants.request(digest, self.now):
+        if since == self.now and grants.request(key, self.now):
             return False
         return self.now - since >= MAX_GRANT_WAIT_SECONDS
 
