Run one trial of a suspect at a time, and refresh what links have lost

What callers saw: nothing that is known from the record; the state machine, with several customers, kills of all and lost disks, found up to five late sends of 3 allowed.

Causes, each of which a test or the machine shows: a copy that had waited for another router's trial ran without a grant once that ended, as all others did; so did a router whose request for a grant was lost; a late update of an earlier crash ended the grant of a trial that still ran; a router tried again before it was known whether the last trial's target had crashed; a router or replica that missed one relayed row never got it; a router whose replicas' rows were lost on the link served without them; many crashes at once, before anything was suspected, still took two more.

A router now asks again, and refuses the call if no replica replies; one that is cut off from all replicas tries alone as before. Rows are relayed twice, replicas send theirs to one peer after another, once a second, and a router that starts asks for those that have not come. From five crashes on all of them count against a part, and one trial is enough if it brought no other part.

Trials that are skipped cost a caller a 429 with 0.5 to 1 s where it was tried without a grant before.

--- a/sesameford/crash_attribution.py
+++ b/sesameford/crash_attribution.py
@@ -19,6 +19,7 @@
 from sesameford.request_digest import (
     common_digest,
     customer_part,
+    is_pair_digest,
     is_part_digest,
 )
 from sesameford.suspect_rows import Suspect
@@ -28,6 +29,9 @@
 # them, if so many of them were under its trials.
 CRASHES_REGARDLESS_OF_OTHERS = 3
 TRIAL_CRASHES_REGARDLESS_OF_OTHERS = 2
+# From so many crashes on, those under no trial count against a part of prompts as well,
+# and one trial is enough.
+CRASHES_THAT_ALL_COUNT = 5
 
 # The customers that had something in flight at a crash, by its common digest.
 _InFlight = dict[bytes, set[bytes]]
@@ -56,9 +60,14 @@
 
         For a part of prompts only those under its trials: it may have been in flight at
         another crash by chance, and then stand in one prompt with a part that crashes
-        targets. A whole request on trial is alone.
+        targets. Many crashes at once, before anything was suspected, are no chance. A
+        whole request on trial is alone.
         """
-        return self.trial_crashes if self.is_of_part else self.crashes
+        if len(self.trial_crashes) >= CRASHES_TO_QUARANTINE:
+            return self.trial_crashes if self.is_of_part else self.crashes
+        if self.is_of_part and len(self.crashes) < CRASHES_THAT_ALL_COUNT:
+            return self.trial_crashes
+        return self.crashes
 
     @property
     def is_regardless_of_others(self) -> bool:
@@ -122,7 +131,7 @@
             for crash_id in crashes
         )
         return is_alone and any(
-            self._trials_by_crash[crash_id].keys() <= common
+            self._tried(evidence, crash_id) <= common
             for crash_id in evidence.trial_crashes
         )
 
@@ -137,6 +146,18 @@
             return True
         return self.common_suspects(evidence.decisive_crashes) <= own
 
+    def _tried(self, evidence: Evidence, crash_id: str) -> set[bytes]:
+        """Return what a trial of a suspect tried that may be the reason of its crash.
+
+        A call may bring parts that were never seen before. Where one trial decides,
+        they are other possible reasons.
+        """
+        if evidence.is_of_part and len(evidence.trial_crashes) == 1:
+            in_flight = self._by_crash[crash_id]
+            parts = {one for one in in_flight if is_part_digest(one)}
+            return {one for one in parts if not is_pair_digest(one)}
+        return set(self._trials_by_crash[crash_id])
+
     def _comes_along(self, other: bytes, suspect: bytes, crash_id: str) -> bool:
         """Return whether a part came from a customer who sent the suspect as well."""
         in_flight = self._by_crash[crash_id]
@@ -206,15 +227,13 @@
 
 
 def is_of_several_customers(evidence: Evidence, rows: Iterable[Suspect]) -> bool:
-    """Return whether trials of more than one customer crashed targets.
+    """Return whether calls of more than one customer crashed targets.
 
     Args:
         evidence: What the rows show together.
         rows: The rows of one part, one for each customer.
     """
-    crashed = [
-        row for row in rows if row.uncleared_trial_crashes & evidence.trial_crashes
-    ]
+    crashed = [row for row in rows if row.uncleared_crashes & evidence.decisive_crashes]
     return len(crashed) > 1
 
 
--- a/sesameford/gateway/call_turn.py
+++ b/sesameford/gateway/call_turn.py
@@ -71,9 +71,7 @@
         reservation = _choose(deps, context, _targets_to_avoid(deps, context))
     reservation = reservation or _choose(deps, context, frozenset())
     if reservation is not None:
-        deps.suspect_calls.record_trial_target(
-            context.trial_digests, reservation.target_id
-        )
+        deps.suspect_calls.record_trial_target(context.trial_digests, reservation)
         return reservation
     if context.response is not None:
         raise CutError(context, "no target is left")
--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -40,8 +40,8 @@
 # When a copy that waited in vain should return.
 MIN_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 1.0
-# How long a router waits for a replica's grant before it tries a call without one.
-MAX_GRANT_WAIT_SECONDS = 0.3
+# How long a router waits for a replica's grant before it asks again.
+GRANT_REPLY_SECONDS = 0.3
 
 
 class SuspectRefusedError(SesamefordError):
@@ -104,7 +104,10 @@
         self._is_silent = placement.is_silent
         self._now = now
         self._random = random
-        self._trials: dict[bytes, str] = {}
+        self._trials: dict[bytes, Reservation | None] = {}
+        # The last trial of a suspect if its exchange broke, and its target may prove to
+        # have crashed.
+        self._undecided: dict[bytes, Reservation] = {}
         self._changed = asyncio.Event()
 
     def is_quarantined(
@@ -142,19 +145,29 @@
         if turn.excluded is None:
             yield turn.reason
             return
-        self._trials[turn.excluded] = ""
+        self._trials[turn.excluded] = None
         try:
             yield turn.reason
         finally:
-            del self._trials[turn.excluded]
-            self.notify_waiting()
+            self._end_trial(turn.excluded)
+
+    def _end_trial(self, key: bytes) -> None:
+        """Let others try a suspect, unless its target may prove to have crashed."""
+        reservation = self._trials.pop(key)
+        if reservation is not None and self.crashes.is_undecided(reservation):
+            self._undecided[key] = reservation
+        else:
+            self.exchange.grants.release(key, self._now())
+        self.notify_waiting()
 
-    def record_trial_target(self, digests: Iterable[bytes], target_id: str) -> None:
+    def record_trial_target(
+        self, digests: Iterable[bytes], reservation: Reservation
+    ) -> None:
         """Record to which target the trial of a call with some digests goes."""
         for digest in digests:
             for key in (digest, common_digest(digest)):
                 if key in self._trials:
-                    self._trials[key] = target_id
+                    self._trials[key] = reservation
 
     def targets_to_avoid(
         self, digest: bytes, target_ids: Iterable[str]
@@ -165,7 +178,7 @@
         differs from call to call, so that suspects which were in flight at one crash
         rarely are at the next one too, and the crashes tell them apart.
         """
-        running = set(self._trials.values())
+        running = {one.target_id for one in self._trials.values() if one is not None}
         ordered = sorted(
             target_ids,
             key=lambda one: (one in running, xxh64_intdigest(digest + one.encode())),
@@ -219,6 +232,7 @@
         for target_id, incarnation, address in self.crashes.list_addresses():
             if self._is_silent(target_id, now_seconds):
                 self._probes.start(target_id, incarnation, address, now_seconds)
+        self._forget_decided()
         self.exchange.tick(now_seconds)
         self._probes.tick(now_seconds)
 
@@ -236,7 +250,7 @@
             SuspectRefusedError: It may not be sent.
         """
         loop = asyncio.get_running_loop()
-        grant_until_seconds: float | None = None
+        ask_again_at_seconds = float("-inf")
         suspects = self.exchange.suspects
         while True:
             now_seconds = self._now()
@@ -254,16 +268,15 @@
                 return _Turn("not the only suspect")
             excluded = suspects.trial_key(suspect)
             until_seconds = wait_until_seconds
-            if not self._is_on_trial(excluded, now_seconds):
-                if not self._needs_grant(suspect, excluded, now_seconds):
-                    return _Turn("granted or first", excluded)
-                if grant_until_seconds is None:
-                    if not self.exchange.grants.request(excluded, now_seconds):
-                        return _Turn("no replica to ask", excluded)
-                    grant_until_seconds = loop.time() + MAX_GRANT_WAIT_SECONDS
-                if loop.time() >= grant_until_seconds:
-                    return _Turn("no reply of a replica", excluded)
-                until_seconds = min(wait_until_seconds, grant_until_seconds)
+            if self._is_on_trial(excluded, now_seconds):
+                ask_again_at_seconds = float("-inf")
+            elif not self._needs_grant(suspect, excluded, now_seconds):
+                return _Turn("granted or first", excluded)
+            elif loop.time() >= ask_again_at_seconds:
+                if not self.exchange.grants.request(excluded, now_seconds):
+                    return _Turn("no replica to ask", excluded)
+                ask_again_at_seconds = loop.time() + GRANT_REPLY_SECONDS
+                until_seconds = min(wait_until_seconds, ask_again_at_seconds)
             if loop.time() >= wait_until_seconds:
                 raise self._on_trial_error()
             await self._wait_for_change(until_seconds)
@@ -279,10 +292,10 @@
         Raises:
             SuspectRefusedError: They have not.
         """
-        await self._wait_for_change(wait_until_seconds)
         if asyncio.get_running_loop().time() >= wait_until_seconds:
             retry_seconds = self._retry_seconds()
             raise SuspectRefusedError("suspects-not-known", retry_seconds, status=503)
+        await self._wait_for_change(wait_until_seconds)
 
     def _suspect_to_try(self, digest: bytes, parts: Sequence[bytes]) -> bytes | None:
         """Return the suspect of a call of which only one call may be on trial.
@@ -296,9 +309,18 @@
             return part
         return digest if suspects.suspected((digest,)) else None
 
-    def _is_on_trial(self, digest: bytes, now_seconds: float) -> bool:
-        is_elsewhere = self.exchange.grants.is_elsewhere(digest, now_seconds)
-        return digest in self._trials or is_elsewhere
+    def _is_on_trial(self, key: bytes, now_seconds: float) -> bool:
+        self._forget_decided()
+        is_here = key in self._trials or key in self._undecided
+        return is_here or self.exchange.grants.is_elsewhere(key, now_seconds)
+
+    def _forget_decided(self) -> None:
+        """Forget trials of which it is known whether their targets crashed."""
+        self._undecided = {
+            key: reservation
+            for key, reservation in self._undecided.items()
+            if self.crashes.is_undecided(reservation)
+        }
 
     def _needs_grant(self, suspect: bytes, key: bytes, now_seconds: float) -> bool:
         """Return whether a trial needs a replica's grant, and has none yet.
--- a/sesameford/gateway/suspect_exchange.py
+++ b/sesameford/gateway/suspect_exchange.py
@@ -6,9 +6,10 @@
 all of one crash do, are one message: what a part of them shows may be wrong.
 
 An instance that starts, or was out of touch, is sent the newest rows by each instance
-that hears from it again; both sides of a cut do so when it heals. Replicas also keep
-the rows on their disks. A router that has just started sends no calls until most
-replicas have sent it their rows, for a bounded time.
+that hears from it again; both sides of a cut do so when it heals. Replicas also send
+them to all others in turn, for updates that links have lost, and keep the rows on their
+disks. A router that has just started asks for them, and sends no calls until most
+replicas have sent it theirs, for a bounded time.
 """
 
 import logging
@@ -35,12 +36,16 @@
 
 # Several heartbeats of a peer were lost, and updates with them.
 OUT_OF_TOUCH_SECONDS = 1.6
-RELAYED_REPEATS = 1
+RELAYED_REPEATS = 2
 # The rows sent to a peer that may know nothing. Many instances send to a new replica.
 MAX_ROWS_TO_PEER = 512
+# How often a replica sends its rows to the next of its peers.
+REFRESH_SECONDS = 1.0
 # How long a router that has just started waits for replicas' rows, from when it first
 # hears of a replica.
 MAX_TABLE_WAIT_SECONDS = 2.0
+# How often it asks the replicas whose rows have not come.
+ASK_SECONDS = 0.4
 
 
 class SuspectExchange:
@@ -75,6 +80,8 @@
         self._tables_from: set[str] = set()
         self._first_contact_seconds: float | None = None
         self._files: SuspectFiles | None = None
+        self._refresh_at_seconds = float("-inf")
+        self._ask_at_seconds = float("-inf")
 
     def configure(self, tree: EffectiveTree) -> None:
         """Apply the settings of the whole deployment."""
@@ -117,8 +124,9 @@
             now_seconds,
             crash.trials,
         )
-        self._end_grants(crash.digests)
         self.tick(now_seconds)
+        for digest in crash.trials:
+            self._end_trial(digest, now_seconds)
 
     def record_completion(
         self, digest: bytes, now_seconds: float, reason: str = "completed"
@@ -127,6 +135,7 @@
         crashes = self.suspects.uncleared_crashes(digest)
         if crashes and self.suspects.record_completion(digest, now_seconds):
             log_cleared(digest, crashes, reason, self.customer_of(digest))
+            self._end_trial(digest, now_seconds)
 
     def lift(self, name: str, now_seconds: float) -> bool:
         """Clear a quarantined request as an operator ordered.
@@ -159,6 +168,9 @@
         Returns:
             Whether a call that waits for a trial should check again.
         """
+        if update.wants_table:
+            self._send_table(sender_id)
+            return False
         if update.trial_router:
             self.grants.handle(sender_id, update, now_seconds)
             return True
@@ -166,12 +178,12 @@
         repeats = RELAYED_REPEATS if is_relayed else 0
         rows = [one for one in (update, *update.others) if one.request_digest]
         changed = self.suspects.merge_updates(rows, now_seconds, repeats)
-        self._end_grants(changed)
         self._write(changed)
-        if update.is_table:
+        is_first_table = update.is_table and sender_id not in self._tables_from
+        if is_first_table:
             self._tables_from.add(sender_id)
             logger.info("suspects received", extra={"of": sender_id, "rows": len(rows)})
-        return update.is_table or bool(changed)
+        return is_first_table or bool(changed)
 
     def handle_heartbeat(
         self, sender_id: str, incarnation: int, now_seconds: float
@@ -186,8 +198,7 @@
             is_same = known_incarnation == incarnation
             if is_same and now_seconds - at_seconds < OUT_OF_TOUCH_SECONDS:
                 return
-        newest = self.suspects.newest_updates(MAX_ROWS_TO_PEER)
-        self._send(Outgoing(sender_id, _make_message(newest, is_table=True)))
+        self._send_table(sender_id)
 
     def forget_peer(self, peer_id: str) -> None:
         """Forget when a peer that is gone was heard."""
@@ -205,6 +216,10 @@
             updates = [update for row in rows for update in make_updates(row)]
             if updates:
                 self._send(Outgoing(receiver, _make_message(updates), urgent=True))
+        if self._is_relay:
+            self._refresh_next_peer(now_seconds)
+        if not self.has_table(now_seconds):
+            self._ask_for_tables(now_seconds)
         if self._files is not None:
             self._files.tick(now_seconds)
         self.suspects.tick(now_seconds)
@@ -213,11 +228,34 @@
             customer = self.customer_of(row.request_digest)
             log_quarantine(self.suspects, row, now_seconds, customer)
 
-    def _end_grants(self, digests: Iterable[bytes]) -> None:
-        """End the trials of suspects whose crashes or completions changed."""
-        for digest in digests:
-            self.grants.end(digest)
-            self.grants.end(common_digest(digest))
+    def _ask_for_tables(self, now_seconds: float) -> None:
+        """Ask the replicas whose rows have not come, as a link may have lost them."""
+        if now_seconds < self._ask_at_seconds:
+            return
+        self._ask_at_seconds = now_seconds + ASK_SECONDS
+        for replica in self._replicas(now_seconds):
+            if replica not in self._tables_from:
+                wanted = SuspectUpdate(b"", (), False, wants_table=True)
+                self._send(Outgoing(replica, wanted, urgent=True))
+
+    def _refresh_next_peer(self, now_seconds: float) -> None:
+        """Send the rows to the peer that waits the longest for them."""
+        if now_seconds < self._refresh_at_seconds or not self.suspects.has_rows:
+            return
+        self._refresh_at_seconds = now_seconds + REFRESH_SECONDS
+        peer_id = next(iter(self._heard_at_seconds), None)
+        if peer_id is not None:
+            self._heard_at_seconds[peer_id] = self._heard_at_seconds.pop(peer_id)
+            self._send_table(peer_id)
+
+    def _send_table(self, receiver_id: str) -> None:
+        newest = self.suspects.newest_updates(MAX_ROWS_TO_PEER)
+        self._send(Outgoing(receiver_id, _make_message(newest, is_table=True)))
+
+    def _end_trial(self, digest: bytes, now_seconds: float) -> None:
+        """Let others try a suspect after this router's trial of it."""
+        self.grants.release(digest, now_seconds)
+        self.grants.release(common_digest(digest), now_seconds)
 
     def _write(self, digests: Iterable[bytes]) -> None:
         """Write rows that changed to the disk, on a replica."""
--- a/sesameford/gateway/target_crashes.py
+++ b/sesameford/gateway/target_crashes.py
@@ -105,6 +105,10 @@
         """Remove a call that its target answered or did not run."""
         self._in_flight.record_end(reservation.number)
 
+    def is_undecided(self, reservation: Reservation) -> bool:
+        """Return whether a call may yet prove to have crashed its target."""
+        return self._in_flight.is_unanswered(reservation.number)
+
     def record_unanswered(self, reservation: Reservation, now_seconds: float) -> None:
         """Mark a call that ended without an answer, if it is not removed yet."""
         self._in_flight.record_broken(reservation.number, now_seconds)
--- a/sesameford/in_flight_attempts.py
+++ b/sesameford/in_flight_attempts.py
@@ -96,6 +96,11 @@
         if request.broken_at_seconds is not None:
             _remove_from(self._broken_at, target, attempt_id)
 
+    def is_unanswered(self, attempt_id: Hashable) -> bool:
+        """Return whether an attempt runs, or broke and its target may have crashed."""
+        request = self._attempts.get(attempt_id)
+        return request is not None and not request.is_unconfirmed
+
     def record_broken(self, attempt_id: Hashable, now_seconds: float) -> None:
         """Mark an attempt whose exchange broke."""
         request = self._attempts.get(attempt_id)
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -372,10 +372,12 @@
     A request counts whether it was in flight alone or with others. ``deaths`` is the
     set of target incarnations that died; sets merge by union. At ``trial_deaths`` it
     was already a suspect when it was sent, None for all deaths. With a ``trial_router``
-    the message is that router's request to try it, or from a replica the grant.
+    the message is that router's request to try it, or from a replica the grant, until
+    the same with ``is_trial_over``.
     ``others`` are rows that changed with this one, such as all of one crash: what a
     part of them shows may be wrong. ``is_table`` says that these are all rows of the
-    sender; the message has no digest if it has no row.
+    sender; the message has no digest if it has no row. ``wants_table`` asks for all
+    rows of the receiver.
     """
 
     request_digest: bytes
@@ -385,6 +387,8 @@
     trial_router: str = ""
     others: tuple["SuspectUpdate", ...] = ()
     is_table: bool = False
+    wants_table: bool = False
+    is_trial_over: bool = False
 
 
 class StoredAnswerQuery(Struct, frozen=True, array_like=True, tag="KeptAnswerWanted"):
--- a/sesameford/request_digest.py
+++ b/sesameford/request_digest.py
@@ -14,8 +14,9 @@
 LENGTH_BYTES = 4
 LOGGED_DIGITS = 16
 NO_CUSTOMER = bytes(CUSTOMER_BYTES)
-# The digest of a part is shorter than that of a request, which tells them apart.
+# The lengths of digests tell requests, parts and pairs of parts apart.
 PART_DIGEST_BYTES = 24
+PAIR_DIGEST_BYTES = 25
 # Customers share a few parts among most of their prompts.
 CACHED_PART_DIGESTS = 16_384
 
@@ -63,12 +64,17 @@
         other: The digest of the other one, of the same customer.
     """
     pair = sha256(b"".join(sorted((part_name(part), part_name(other))))).digest()
-    return (customer_part(part) + pair)[:PART_DIGEST_BYTES]
+    return (customer_part(part) + pair)[:PAIR_DIGEST_BYTES]
 
 
 def is_part_digest(digest: bytes) -> bool:
     """Return whether a digest is that of a part of prompts, or of two parts."""
-    return len(digest) == PART_DIGEST_BYTES
+    return len(digest) in (PART_DIGEST_BYTES, PAIR_DIGEST_BYTES)
+
+
+def is_pair_digest(digest: bytes) -> bool:
+    """Return whether a digest is that of two parts of prompts."""
+    return len(digest) == PAIR_DIGEST_BYTES
 
 
 def part_name(digest: bytes) -> bytes:
--- a/sesameford/suspect_table.py
+++ b/sesameford/suspect_table.py
@@ -162,9 +162,9 @@
             return
         of_part = self._by_part.setdefault(part_name(digest), set())
         of_part.add(digest)
-        tried = [one for one in of_part if self._rows[one].uncleared_trial_crashes]
-        if len(tried) > 1:
-            self.repeated.update(tried)
+        crashed = [one for one in of_part if self._rows[one].uncleared_crashes]
+        if len(crashed) > 1:
+            self.repeated.update(crashed)
 
     def _drop_surplus(self, customer: bytes) -> Sequence[bytes]:
         """Keep the table within its bounds after a row of a customer changed.
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -416,7 +416,7 @@
             return True
         shared = self._due_shared_evidence(row.request_digest)
         return shared is not None and bool(
-            row.uncleared_trial_crashes & shared.trial_crashes
+            row.uncleared_crashes & shared.decisive_crashes
         )
 
     def _left_seconds(self, digest: bytes, now_seconds: float) -> float:
