Keep what rows show, instead of working it out for each call

What a row shows, and the rows of a part together, is worked out once after a change, and only suspects under trials are looked through for quarantines.

--- a/sesameford/crash_attribution.py
+++ b/sesameford/crash_attribution.py
@@ -14,7 +14,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from sesameford.request_digest import (
     common_digest,
@@ -42,12 +42,14 @@
     """Crashes that no completion cleared, at which something was in flight.
 
     ``suspect`` is the common digest of a part, and a request's own one.
-    ``trial_crashes`` are those under its trials.
+    ``trial_crashes`` are those under its trials. ``customers`` is how many customers
+    had it in flight at those that decide.
     """
 
     suspect: bytes
     crashes: frozenset[str]
     trial_crashes: frozenset[str]
+    customers: int = 1
 
     @property
     def is_of_part(self) -> bool:
@@ -198,7 +200,7 @@
     )
 
 
-def shared_evidence(rows: Iterable[Suspect]) -> Evidence | None:
+def make_shared_evidence(rows: Iterable[Suspect]) -> Evidence | None:
     """Return what the rows of all customers show against a part.
 
     A crash that a completion of any customer cleared shows nothing to the others, and
@@ -223,18 +225,10 @@
     if not crashes - cleared:
         return None
     suspect = common_digest(listed[0].request_digest)
-    return Evidence(suspect, crashes - cleared, trials - cleared)
-
-
-def is_of_several_customers(evidence: Evidence, rows: Iterable[Suspect]) -> bool:
-    """Return whether calls of more than one customer crashed targets.
-
-    Args:
-        evidence: What the rows show together.
-        rows: The rows of one part, one for each customer.
-    """
-    crashed = [row for row in rows if row.uncleared_crashes & evidence.decisive_crashes]
-    return len(crashed) > 1
+    evidence = Evidence(suspect, crashes - cleared, trials - cleared)
+    decisive = evidence.decisive_crashes
+    customers = sum(not decisive.isdisjoint(row.uncleared_crashes) for row in listed)
+    return replace(evidence, customers=customers)
 
 
 def make_crash_attribution() -> CrashAttribution:
--- a/sesameford/suspect_table.py
+++ b/sesameford/suspect_table.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import replace
 
-from sesameford.crash_attribution import CRASHES_TO_QUARANTINE, make_crash_attribution
+from sesameford.crash_attribution import (
+    CRASHES_TO_QUARANTINE,
+    Evidence,
+    evidence_against,
+    make_crash_attribution,
+    make_shared_evidence,
+)
 from sesameford.messages import SuspectUpdate
 from sesameford.request_digest import customer_part, is_part_digest, part_name
 from sesameford.suspect_rows import Suspect, make_updates
@@ -17,8 +23,9 @@
 class SuspectTable:
     """Rows by digest, in the order of their last change.
 
-    ``repeated`` are the digests of the few suspects that may be quarantined. Only these
-    are compared with each other, as a crash may add hundreds of suspects at once.
+    ``repeated`` are the digests of the suspects with several crashes, and ``tried`` of
+    the few that may be quarantined as trials crashed. Only these are compared with each
+    other, as a crash may add hundreds of suspects at once.
 
     Args:
         max_suspects: Bound on the rows; the least recently updated is dropped first.
@@ -27,11 +34,15 @@
     def __init__(self, max_suspects: int = MAX_SUSPECTS) -> None:
         self.attribution = make_crash_attribution()
         self.repeated: set[bytes] = set()
+        self.tried: set[bytes] = set()
         self._max_suspects = max_suspects
         self._rows: dict[bytes, Suspect] = {}
         self._by_customer: dict[bytes, dict[bytes, None]] = {}
         self._by_part: dict[bytes, set[bytes]] = {}
         self._with_updates: dict[bytes, None] = {}
+        self._evidence: dict[bytes, Evidence] = {}
+        # By the names of parts; absent until it is asked for after a change.
+        self._shared_evidence: dict[bytes, Evidence | None] = {}
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -47,6 +58,22 @@
         """Return the rows that a part has, one for each customer."""
         return [self._rows[digest] for digest in self._by_part.get(name, ())]
 
+    def evidence(self, digest: bytes) -> Evidence | None:
+        """Return what its own row shows against a request or part."""
+        return self._evidence.get(digest)
+
+    def shared_evidence(self, digest: bytes) -> Evidence | None:
+        """Return what the rows of all customers show against a part."""
+        if not is_part_digest(digest):
+            return None
+        name = part_name(digest)
+        if name not in self._by_part:
+            return None
+        if name not in self._shared_evidence:
+            rows = self.rows_of_part(name)
+            self._shared_evidence[name] = make_shared_evidence(rows)
+        return self._shared_evidence[name]
+
     def merge(
         self,
         digest: bytes,
@@ -138,6 +165,8 @@
         if row is None:
             return
         self.repeated.discard(digest)
+        self.tried.discard(digest)
+        del self._evidence[digest]
         self._with_updates.pop(digest, None)
         customer = customer_part(digest)
         self._by_customer[customer].pop(digest)
@@ -145,6 +174,7 @@
             del self._by_customer[customer]
         if is_part_digest(digest):
             name = part_name(digest)
+            self._shared_evidence.pop(name, None)
             self._by_part[name].discard(digest)
             if not self._by_part[name]:
                 del self._by_part[name]
@@ -156,15 +186,25 @@
         self.put(row)
         self._by_customer.setdefault(customer_part(digest), {})[digest] = None
         self.attribution.add(row)
-        if len(row.uncleared_crashes) >= CRASHES_TO_QUARANTINE:
+        evidence = self._evidence[digest] = evidence_against(row)
+        if len(evidence.crashes) >= CRASHES_TO_QUARANTINE:
             self.repeated.add(digest)
-        if not is_part_digest(digest):
-            return
-        of_part = self._by_part.setdefault(part_name(digest), set())
+        if evidence.trial_crashes:
+            self.tried.add(digest)
+        if is_part_digest(digest):
+            self._add_part(digest)
+
+    def _add_part(self, digest: bytes) -> None:
+        """Add the row of a part to those that it has for all customers."""
+        name = part_name(digest)
+        self._shared_evidence.pop(name, None)
+        of_part = self._by_part.setdefault(name, set())
         of_part.add(digest)
-        crashed = [one for one in of_part if self._rows[one].uncleared_crashes]
+        crashed = [one for one in of_part if self._evidence[one].crashes]
         if len(crashed) > 1:
             self.repeated.update(crashed)
+            if not self.tried.isdisjoint(of_part):
+                self.tried.update(crashed)
 
     def _drop_surplus(self, customer: bytes) -> Sequence[bytes]:
         """Keep the table within its bounds after a row of a customer changed.
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -33,8 +33,6 @@
     CRASHES_TO_QUARANTINE,
     Evidence,
     evidence_against,
-    is_of_several_customers,
-    shared_evidence,
 )
 from sesameford.doubling import doubled_seconds
 from sesameford.messages import SuspectUpdate
@@ -48,6 +46,8 @@
 from sesameford.suspect_table import MAX_SUSPECTS, count_update, make_suspect_table
 
 MAX_QUARANTINE_SECONDS = 86_400.0
+# One customer alone could have the sound calls of all others refused.
+CUSTOMERS_TO_QUARANTINE_FOR_ALL = 2
 UPDATE_INTERVAL_SECONDS = 1.0
 # A router that saw a part crash targets clears it after as many completions, but after
 # no more than these: one that crashes some targets alone completes on the others. Other
@@ -234,14 +234,11 @@
         """Return the crashes that make a request, or a customer's part, a suspect."""
         if not self._attribution.has_crashes:
             return frozenset()
-        row = self._table.get(digest)
-        own = row.uncleared_crashes if row is not None else frozenset()
-        if not is_part_digest(digest):
-            return own
-        shared = shared_evidence(self._table.rows_of_part(part_name(digest)))
-        if shared is None:
-            return own
-        return own | shared.crashes
+        own = self._table.evidence(digest)
+        shared = self._table.shared_evidence(digest)
+        if own is None:
+            return frozenset() if shared is None else shared.crashes
+        return own.crashes if shared is None else own.crashes | shared.crashes
 
     def pairs_of(self, parts: Sequence[bytes]) -> tuple[bytes, ...]:
         """Return the digests of pairs of parts that were both in flight at crashes.
@@ -301,15 +298,15 @@
         The trials of a part are kept apart over all customers, unless a completion has
         shown that it crashes no targets for one of them.
         """
-        if not is_part_digest(digest):
-            return digest
-        shared = shared_evidence(self._table.rows_of_part(part_name(digest)))
+        shared = self._table.shared_evidence(digest)
         return digest if shared is None else common_digest(digest)
 
     def common_suspects(self, row: Suspect) -> set[bytes]:
         """Return what was in flight at all crashes that decide on a suspect."""
-        crashes = evidence_against(row).decisive_crashes
-        return self._attribution.common_suspects(crashes) if crashes else set()
+        evidence = self._table.evidence(row.request_digest)
+        if evidence is None or not evidence.decisive_crashes:
+            return set()
+        return self._attribution.common_suspects(evidence.decisive_crashes)
 
     def get(self, digest: bytes) -> Suspect | None:
         """Return the row of a request, None if it has none."""
@@ -323,7 +320,7 @@
 
     def list_quarantined(self, now_seconds: float) -> Sequence[tuple[Suspect, float]]:
         """Return the quarantined requests and the seconds left, for the status."""
-        rows = [self._table.get(digest) for digest in self._table.repeated]
+        rows = [self._table.get(digest) for digest in self._table.tried]
         left = (
             (row, self.quarantine_left_seconds(row.request_digest, now_seconds))
             for row in rows
@@ -388,31 +385,26 @@
 
     def _due_evidence(self, digest: bytes) -> Evidence | None:
         """Return the crashes that are reason enough to refuse a suspect, or None."""
-        row = self._table.get(digest)
-        if row is not None and self._is_due_alone(row):
-            return evidence_against(row)
+        evidence = self._table.evidence(digest)
+        if evidence is not None and self._attribution.is_due(evidence):
+            return evidence
         return self._due_shared_evidence(digest)
 
     def _due_shared_evidence(self, digest: bytes) -> Evidence | None:
         """Return the crashes that refuse a part for all customers, or None."""
-        if not is_part_digest(digest):
-            return None
-        rows = self._table.rows_of_part(part_name(digest))
-        shared = shared_evidence(rows)
-        if shared is None or not is_of_several_customers(shared, rows):
+        shared = self._table.shared_evidence(digest)
+        if shared is None or shared.customers < CUSTOMERS_TO_QUARANTINE_FOR_ALL:
             return None
         return shared if self._attribution.is_due(shared) else None
 
-    def _is_due_alone(self, row: Suspect) -> bool:
-        return self._attribution.is_due(evidence_against(row))
-
     def _is_due(self, row: Suspect) -> bool:
         """Return whether a row is a reason for a quarantine, by itself or with others.
 
         Args:
             row: The row.
         """
-        if self._is_due_alone(row):
+        evidence = self._table.evidence(row.request_digest)
+        if evidence is not None and self._attribution.is_due(evidence):
             return True
         shared = self._due_shared_evidence(row.request_digest)
         return shared is not None and bool(
@@ -486,7 +478,7 @@
 
     def _mark_quarantines(self, now_seconds: float) -> None:
         """Set the start of each quarantine that is due and has none."""
-        for digest in self._table.repeated:
+        for digest in self._table.tried:
             row = self._table.get(digest)
             if row is None or row.quarantined_at_seconds is not None:
                 continue
