--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -240,6 +240,26 @@
         check(desk, play, is_crashing)
 
 
+@pytest.mark.parametrize("begin_seconds", [0.0, 4.0])
+async def test_a_customer_cannot_have_anothers_calls_refused_by_sending_their_parts(
+    begin_seconds,
+):
+    """Calls crash servers by their bodies, under parts that another customer has."""
+
+    def is_crashing(call):
+        return call.headers.get("x-sesameford-tenant") == "club"
+
+    async with open_crashing_desk(SERVERS, None, is_crashing, TWO_CUSTOMERS) as desk:
+        caller, rival = PartCaller(desk), PartCaller(desk, key=RIVAL_KEY)
+        parts = (FIRST_PART, LAST_SHARED_PART)
+        sound = (rival.sending(*parts), "other", INNOCENT_SECONDS, begin_seconds)
+        attack = crashing_sender(caller, *parts, interval_seconds=0.1)
+        play = await play_parts([attack, sound])
+        check(desk, play, is_crashing, spare_crashes=1)
+        statuses = [status for _, status in play.others]
+        assert statuses.count(429) <= 0.02 * len(statuses)
+
+
 async def test_a_part_that_all_calls_share_is_served_while_servers_end():
     """Servers end one after another for reasons of their own."""
     async with open_crashing_desk(SERVERS, None, lambda call: False) as desk:
--- a/tests/test_suspects_machine.py
+++ b/tests/test_suspects_machine.py
@@ -4,7 +4,6 @@
 from itertools import count
 from random import Random
 
-import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -408,7 +407,7 @@
 TestCrashingCalls.settings = settings(
     derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
 )
-TestCrashingParts = pytest.mark.known_red(CrashingParts.TestCase)
+TestCrashingParts = CrashingParts.TestCase
 TestCrashingParts.settings = settings(
     derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
 )
