--- a/sesameford/suspect_table.py
+++ b/sesameford/suspect_table.py
@@ -1,6 +1,6 @@
 """The rows of one instance's table of suspects, with their indices and bounds."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 
 from sesameford.crash_attribution import (
@@ -29,9 +29,11 @@
 
     Args:
         max_suspects: Bound on the rows; the least recently updated is dropped first.
+        on_dropped: Called with the digest of a row that is dropped.
     """
 
-    def __init__(self, max_suspects: int = MAX_SUSPECTS) -> None:
+    def __init__(self, max_suspects: int, on_dropped: Callable[[bytes], None]) -> None:
+        self._on_dropped = on_dropped
         self.attribution = make_crash_attribution()
         self.repeated: set[bytes] = set()
         self.tried: set[bytes] = set()
@@ -82,8 +84,8 @@
         trials: frozenset[str],
         now_seconds: float,
         repeats: int,
-    ) -> Sequence[bytes] | None:
-        """Add crashes to a row.
+    ) -> bool:
+        """Add crashes to a row; return whether that changed it.
 
         Args:
             digest: The request or part.
@@ -92,9 +94,6 @@
             trials: Those under its trials.
             now_seconds: The present time.
             repeats: How often a change is sent on.
-
-        Returns:
-            The digests of the rows that were dropped for it, None if nothing changed.
         """
         row = self._rows.get(digest)
         if row is None:
@@ -104,8 +103,8 @@
             and cleared <= row.cleared_crashes
             and trials <= row.trial_crashes
         ):
-            return None
-        self.drop(digest)
+            return False
+        self._remove(digest)
         row = Suspect(
             request_digest=digest,
             crashes=row.crashes | crashes | cleared,
@@ -116,7 +115,8 @@
             next_update_at_seconds=0.0 if repeats else row.next_update_at_seconds,
         )
         self._add(row)
-        return self._drop_surplus(customer_part(digest))
+        self._drop_surplus(customer_part(digest))
+        return True
 
     def put(self, row: Suspect) -> None:
         """Store a row whose crashes have not changed."""
@@ -148,19 +148,19 @@
             for update in make_updates(row)
         ]
 
-    def drop_old(self, now_seconds: float) -> Sequence[bytes]:
-        """Drop and return the rows that have not changed for the retention time."""
-        dropped = []
+    def drop_old(self, now_seconds: float) -> None:
+        """Drop the rows that have not changed for the retention time."""
         while self._rows:
             row = next(iter(self))
             if now_seconds - row.last_seen_at_seconds <= SUSPECT_RETENTION_SECONDS:
-                break
-            self.drop(row.request_digest)
-            dropped.append(row.request_digest)
-        return dropped
+                return
+            self._drop(row.request_digest)
+
+    def _drop(self, digest: bytes) -> None:
+        self._remove(digest)
+        self._on_dropped(digest)
 
-    def drop(self, digest: bytes) -> None:
-        """Remove a row."""
+    def _remove(self, digest: bytes) -> None:
         row = self._rows.pop(digest, None)
         if row is None:
             return
@@ -206,13 +206,8 @@
             if not self.tried.isdisjoint(of_part):
                 self.tried.update(crashed)
 
-    def _drop_surplus(self, customer: bytes) -> Sequence[bytes]:
-        """Keep the table within its bounds after a row of a customer changed.
-
-        Returns:
-            The digests of the rows that were dropped.
-        """
-        dropped = []
+    def _drop_surplus(self, customer: bytes) -> None:
+        """Keep the table within its bounds after a row of a customer changed."""
         of_customer = self._by_customer[customer]
         if len(of_customer) > MAX_SUSPECTS_PER_CUSTOMER:
             # The first of equals, which is the one that changed least recently. Each
@@ -224,20 +219,18 @@
                     is_part_digest(one),
                 ),
             )
-            self.drop(least)
-            dropped.append(least)
+            self._drop(least)
         if len(self._rows) > self._max_suspects:
             oldest = next(iter(self._rows))
             single = (one for one in self._rows if one not in self.repeated)
-            digest = next(single, oldest)
-            self.drop(digest)
-            dropped.append(digest)
-        return dropped
+            self._drop(next(single, oldest))
 
 
-def make_suspect_table(max_suspects: int = MAX_SUSPECTS) -> SuspectTable:
+def make_suspect_table(
+    max_suspects: int, on_dropped: Callable[[bytes], None]
+) -> SuspectTable:
     """Return a table without rows; see ``SuspectTable``."""
-    return SuspectTable(max_suspects)
+    return SuspectTable(max_suspects, on_dropped)
 
 
 def count_update(row: Suspect, now_seconds: float, interval_seconds: float) -> Suspect:
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -79,7 +79,7 @@
         self, quarantine_seconds: float, max_suspects: int = MAX_SUSPECTS
     ) -> None:
         self._quarantine_seconds = quarantine_seconds
-        self._table = make_suspect_table(max_suspects)
+        self._table = make_suspect_table(max_suspects, self._forget_counts)
         self._attribution = self._table.attribution
         self._lifted: frozenset[bytes] = frozenset()
         self._newly_quarantined: list[bytes] = []
@@ -118,7 +118,7 @@
             if is_part_digest(digest):
                 self._observed_crashes[digest] += 1
             is_trial = trials is None or digest in trials
-            self._merge(
+            self._table.merge(
                 digest,
                 crashes,
                 frozenset(),
@@ -150,7 +150,9 @@
             return False
         self._completions.pop(digest, None)
         nothing: frozenset[str] = frozenset()
-        self._merge(digest, nothing, crashes, nothing, now_seconds, UPDATE_REPEATS)
+        self._table.merge(
+            digest, nothing, crashes, nothing, now_seconds, UPDATE_REPEATS
+        )
         self._mark_quarantines(now_seconds)
         return True
 
@@ -381,7 +383,7 @@
 
     def tick(self, now_seconds: float) -> None:
         """Drop the rows that have not changed for the retention time."""
-        self._forget_counts(self._table.drop_old(now_seconds))
+        self._table.drop_old(now_seconds)
 
     def _due_evidence(self, digest: bytes) -> Evidence | None:
         """Return the crashes that are reason enough to refuse a suspect, or None."""
@@ -444,7 +446,7 @@
     ) -> bool:
         crashes = frozenset(update.deaths)
         trials = crashes if update.trial_deaths is None else update.trial_deaths
-        return self._merge(
+        return self._table.merge(
             update.request_digest,
             crashes,
             crashes if update.cleared else frozenset(),
@@ -453,28 +455,10 @@
             repeats,
         )
 
-    def _merge(
-        self,
-        digest: bytes,
-        crashes: frozenset[str],
-        cleared: frozenset[str],
-        trials: frozenset[str],
-        now_seconds: float,
-        repeats: int,
-    ) -> bool:
-        dropped = self._table.merge(
-            digest, crashes, cleared, trials, now_seconds, repeats
-        )
-        if dropped is None:
-            return False
-        self._forget_counts(dropped)
-        return True
-
-    def _forget_counts(self, digests: Iterable[bytes]) -> None:
-        """Forget what this router counted of suspects whose rows were dropped."""
-        for digest in digests:
-            self._completions.pop(digest, None)
-            self._observed_crashes.pop(digest, None)
+    def _forget_counts(self, digest: bytes) -> None:
+        """Forget what this router counted of a suspect whose row was dropped."""
+        self._completions.pop(digest, None)
+        self._observed_crashes.pop(digest, None)
 
     def _mark_quarantines(self, now_seconds: float) -> None:
         """Set the start of each quarantine that is due and has none."""
--- a/tests/crashing_fixture.py
+++ b/tests/crashing_fixture.py
@@ -65,6 +65,18 @@
     )
 
 
+def make_heartbeat(row):
+    """Return the body of a server's heartbeat."""
+    return {
+        "service": row.service,
+        "address": row.address,
+        "zone": row.data_centre,
+        "slots": row.slots,
+        "state": row.state.value,
+        "sequence": row.sequence,
+    }
+
+
 class Keeper:
     """Sends the servers' heartbeats, and starts them again after a crash."""
 
--- a/tests/test_crashing_parts_processes.py
+++ b/tests/test_crashing_parts_processes.py
@@ -23,6 +23,7 @@
     crashes_by_body,
     has_part,
     late_sends,
+    make_heartbeat,
 )
 from tests.test_crashing_parts import (
     ALLOWED_CRASHES,
@@ -82,18 +83,12 @@
 
 async def put_heartbeat(fleet, row):
     """Send a server's heartbeat to the first replica that takes it."""
-    body = {
-        "service": row.service,
-        "address": row.address,
-        "zone": row.data_centre,
-        "slots": row.slots,
-        "state": row.state.value,
-        "sequence": row.sequence,
-    }
     first = row.sequence % len(fleet.replicas)
     for replica in fleet.replicas[first:] + fleet.replicas[:first]:
         path = f"/v1/instances/{row.target_id}"
-        if (await fleet.call(replica.control, "PUT", path, body))[0] == 200:
+        if (await fleet.call(replica.control, "PUT", path, make_heartbeat(row)))[
+            0
+        ] == 200:
             return
 
 
--- a/tests/test_crashing_requests_fleet.py
+++ b/tests/test_crashing_requests_fleet.py
@@ -14,6 +14,7 @@
     crashes,
     crashes_by_body,
     late_sends,
+    make_heartbeat,
     play_crashing_request,
 )
 from tests.test_crashing_requests import MAX_CRASHES, MAX_LATE_SENDS, MIN_SERVED_PART
@@ -27,15 +28,7 @@
 
 async def put_heartbeat(fleet, row):
     """Send a server's heartbeat to one of the replicas."""
-    heartbeat = {
-        "service": row.service,
-        "address": row.address,
-        "zone": row.data_centre,
-        "slots": row.slots,
-        "state": row.state.value,
-        "sequence": row.sequence,
-    }
-    body = json.dumps(heartbeat).encode()
+    body = json.dumps(make_heartbeat(row)).encode()
     replica = 1 + row.sequence % 3
     await fleet.control(replica, "PUT", f"/v1/instances/{row.target_id}", body)
 
