--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -355,13 +355,15 @@
             await heartbeat_server.server.stop()
 
 
-def request_headers(request_id: str, deadline_seconds: float) -> dict[str, str]:
+def request_headers(
+    request_id: str, deadline_seconds: float, key: str = KEY
+) -> dict[str, str]:
     """Return the headers of a caller's request."""
     return {
         "Host": HOST,
         "X-Sesameford-Attempt-Id": request_id,
         "X-Sesameford-Deadline-Ms": f"{deadline_seconds * 1000:.0f}",
-        "Authorization": f"Bearer {KEY}",
+        "Authorization": f"Bearer {key}",
     }
 
 
--- a/tests/test_crashing_parts_processes.py
+++ b/tests/test_crashing_parts_processes.py
@@ -106,8 +106,8 @@
     async def ask():
         number = next(numbers)
         path = f"{next(paths)}{number}" if body is None else "/safe/x"
-        headers = request_headers(f"{customer}-{parts}-{number}", 4.0)
-        headers["Authorization"] = f"Bearer {fleet.keys[f'c{customer}']}"
+        request_id = f"{customer}-{parts}-{number}"
+        headers = request_headers(request_id, 4.0, fleet.keys[f"c{customer}"])
         if parts:
             headers |= prompt_headers(parts, number)
         try:
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -38,7 +38,7 @@
     make_platform_fleet,
 )
 from standins.platform_server import CrashManner, Fault, crashes_its_server
-from tools.platform_soak_callers import Callers, make_callers
+from tools.platform_soak_callers import CUSTOMERS, Callers, make_callers
 from tools.platform_soak_records import Records, Span
 from tools.platform_soak_verdict import findings
 
@@ -429,6 +429,7 @@
     shutil.rmtree(folder, ignore_errors=True)
     async with ClientSession(connector=TCPConnector(force_close=True)) as session:
         fleet = make_platform_fleet(folder, net, session)
+        fleet.keys = CUSTOMERS
         soak = PlatformSoak(fleet, seed, seconds)
         try:
             found = await soak.run()
--- a/tools/platform_soak_callers.py
+++ b/tools/platform_soak_callers.py
@@ -15,6 +15,7 @@
 )
 
 from standins.platform_fleet import (
+    KEY,
     PlatformFleet,
     Program,
     prompt_headers,
@@ -32,6 +33,8 @@
 MAX_CRASHING_PAUSE_SECONDS = 1.5
 MAX_CRASHING_COPIES = 3
 CRASHING_KINDS = ("safe", "unsafe", "stream", "stream/resumed")
+# The customers who send prompts that crash servers, the one of all others first.
+CUSTOMERS = {"club": KEY, "rival": "the-rivals-key", "third": "the-thirds-key"}
 # The parts that innocent prompts share with those that crash servers.
 FIRST_PART, NEXT_PART = "f1", "f2"
 CRASHING_PROMPTS = (
@@ -134,14 +137,19 @@
     async def _run_crashing_prompts(self) -> None:
         """Send requests of which no two are alike, with one part that crashes servers.
 
-        They come over all routers and routes, some at once.
+        They come over all routers and routes, some at once, from one customer or more.
         """
         random = Random(self.seed + 1)
         parts = random.choice(CRASHING_PROMPTS)
+        keys = list(CUSTOMERS.values())[: random.randint(1, len(CUSTOMERS))]
         await self._send_in_bursts(
             random,
             lambda session, router: self._send(
-                session, router, random.choice(CRASHING_KINDS), parts=parts
+                session,
+                router,
+                random.choice(CRASHING_KINDS),
+                parts=parts,
+                key=random.choice(keys),
             ),
         )
 
@@ -172,6 +180,7 @@
         leaves_after: int | None = None,
         resumes: str = "",
         parts: Sequence[str] = (),
+        key: str = KEY,
     ) -> SentRequest:
         self._number += 1
         request_id = f"{self.seed}-{self._number}"
@@ -185,7 +194,7 @@
         )
         sent.settled_version = self.records.settled_version(sent.at_seconds)
         url = f"http://{router.front}/{kind}/x"
-        headers = request_headers(request_id, DEADLINE_SECONDS)
+        headers = request_headers(request_id, DEADLINE_SECONDS, key)
         if parts:
             headers |= prompt_headers(parts, self._number)
         if resumes:
