Send the target of a call byte for byte, with an empty query

What callers saw: a call of /proof/a? was run as /proof/a, and what followed a # was dropped. Cause: the HTTP library's URL takes the spellings for one. The target goes to the request class in a header that is always set here and never sent, as the library's requests take nothing else along.

--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -32,6 +32,7 @@
     ForeignAnswerError,
 )
 from sesameford.target_connections import PoolOptions
+from sesameford.verbatim_request import VERBATIM_TARGET_HEADER, VerbatimRequest
 
 # A target in another data centre accepts within some hundredths of a second; one that
 # is unreachable would delay each call. TCP resends a lost first packet only after a
@@ -231,6 +232,7 @@
     ) -> ClientResponse:
         url = URL(f"http://{address}{call.target}", encoded=True)
         headers = CIMultiDict(self.wire_adapter.sent_headers(call, attempt))
+        headers[VERBATIM_TARGET_HEADER] = call.target
         try:
             async with timeout_at(until_seconds):
                 return await self.session.request(
@@ -321,7 +323,7 @@
     trace.on_request_headers_sent.append(_call_before_write)
     owners = AnswerOwners(wire_adapter.read_request_id, metrics.record_skipped_answer)
     pool = PoolOptions(idle_seconds, owners)
-    return make_session(None, pool, connect_seconds, trace)
+    return make_session(None, pool, connect_seconds, trace, VerbatimRequest)
 
 
 def make_sender(session: ClientSession, wire_adapter: WireAdapter) -> Sender:
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -7,6 +7,7 @@
 from ssl import SSLContext
 
 from aiohttp import (
+    ClientRequest,
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
@@ -39,6 +40,7 @@
     pool: PoolOptions | None = None,
     connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
     trace: TraceConfig | None = None,
+    request_class: type[ClientRequest] = ClientRequest,
 ) -> ClientSession:
     """Return the client session for targets, with a timeout only for connecting.
 
@@ -49,6 +51,7 @@
         pool: How connections are used again, or None.
         connect_seconds: The connect timeout.
         trace: Callbacks for the steps of each request, or None.
+        request_class: How requests are written.
 
     Without ``pool`` each exchange has its own connection. On a pooled one a late answer
     to an abandoned exchange would be read as the answer to the next, and a connection
@@ -63,6 +66,7 @@
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
         cookie_jar=DummyCookieJar(),
+        request_class=request_class,
         trace_configs=None if trace is None else [trace],
     )
     # By default aiohttp resends GET, PUT and DELETE when a connection breaks, whatever
