--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -272,10 +272,11 @@
                 ask_again_at_seconds = float("-inf")
             elif not self._needs_grant(suspect, excluded, now_seconds):
                 return _Turn("granted or first", excluded)
-            elif loop.time() >= ask_again_at_seconds:
-                if not self.exchange.grants.request(excluded, now_seconds):
-                    return _Turn("no replica to ask", excluded)
-                ask_again_at_seconds = loop.time() + GRANT_REPLY_SECONDS
+            else:
+                if loop.time() >= ask_again_at_seconds:
+                    if not self.exchange.grants.request(excluded, now_seconds):
+                        return _Turn("no replica to ask", excluded)
+                    ask_again_at_seconds = loop.time() + GRANT_REPLY_SECONDS
                 until_seconds = min(wait_until_seconds, ask_again_at_seconds)
             if loop.time() >= wait_until_seconds:
                 raise self._on_trial_error()
--- a/sesameford/suspect_rows.py
+++ b/sesameford/suspect_rows.py
@@ -1,6 +1,6 @@
 """Rows of the table of suspects, and the updates that tell other routers of them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sesameford.messages import SuspectUpdate
 
@@ -54,3 +54,12 @@
             trials = tuple(sorted(crashes & row.trial_crashes))
             messages.append(SuspectUpdate(row.request_digest, deaths, cleared, trials))
     return messages
+
+
+def count_update(row: Suspect, now_seconds: float, interval_seconds: float) -> Suspect:
+    """Return a row after one of its updates was sent."""
+    return replace(
+        row,
+        updates_left=row.updates_left - 1,
+        next_update_at_seconds=now_seconds + interval_seconds,
+    )
--- a/sesameford/suspect_table.py
+++ b/sesameford/suspect_table.py
@@ -1,7 +1,6 @@
 """The rows of one instance's table of suspects, with their indices and bounds."""
 
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import replace
 
 from sesameford.crash_attribution import (
     CRASHES_TO_QUARANTINE,
@@ -231,12 +230,3 @@
 ) -> SuspectTable:
     """Return a table without rows; see ``SuspectTable``."""
     return SuspectTable(max_suspects, on_dropped)
-
-
-def count_update(row: Suspect, now_seconds: float, interval_seconds: float) -> Suspect:
-    """Return a row after one of its updates was sent."""
-    return replace(
-        row,
-        updates_left=row.updates_left - 1,
-        next_update_at_seconds=now_seconds + interval_seconds,
-    )
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -42,8 +42,13 @@
     is_part_digest,
     part_name,
 )
-from sesameford.suspect_rows import UPDATE_REPEATS, Suspect, make_updates
-from sesameford.suspect_table import MAX_SUSPECTS, count_update, make_suspect_table
+from sesameford.suspect_rows import (
+    UPDATE_REPEATS,
+    Suspect,
+    count_update,
+    make_updates,
+)
+from sesameford.suspect_table import MAX_SUSPECTS, make_suspect_table
 
 MAX_QUARANTINE_SECONDS = 86_400.0
 # One customer alone could have the sound calls of all others refused.
@@ -400,11 +405,7 @@
         return shared if self._attribution.is_due(shared) else None
 
     def _is_due(self, row: Suspect) -> bool:
-        """Return whether a row is a reason for a quarantine, by itself or with others.
-
-        Args:
-            row: The row.
-        """
+        """Return whether a row is a reason for a quarantine, by itself or with others."""
         evidence = self._table.evidence(row.request_digest)
         if evidence is not None and self._attribution.is_due(evidence):
             return True
