--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -405,7 +405,7 @@
         return shared if self._attribution.is_due(shared) else None
 
     def _is_due(self, row: Suspect) -> bool:
-        """Return whether a row is a reason for a quarantine, by itself or with others."""
+        """Return whether a row is a reason for a quarantine, alone or with others."""
         evidence = self._table.evidence(row.request_digest)
         if evidence is not None and self._attribution.is_due(evidence):
             return True
