Work out customers' names, rows' evidence and undecided trials once; start fleets one way

Read as a newcomer after landing: the names of customers by digest were built by the exchange and again for each status; the time left of a quarantine worked out evidence that the table keeps; all undecided trials were looked through for each call on trial, where one is asked for; and replicas, routers and the first configuration of a deployment of programs were started by the same lines in four places. No behaviour changes; the test of the status now configures its replica, its assertions are the same.

--- a/sesameford/crash_attribution.py
+++ b/sesameford/crash_attribution.py
@@ -155,9 +155,11 @@
         they are other possible reasons.
         """
         if evidence.is_of_part and len(evidence.trial_crashes) == 1:
-            in_flight = self._by_crash[crash_id]
-            parts = {one for one in in_flight if is_part_digest(one)}
-            return {one for one in parts if not is_pair_digest(one)}
+            return {
+                one
+                for one in self._by_crash[crash_id]
+                if is_part_digest(one) and not is_pair_digest(one)
+            }
         return set(self._trials_by_crash[crash_id])
 
     def _comes_along(self, other: bytes, suspect: bytes, crash_id: str) -> bool:
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -224,7 +224,7 @@
                 now_seconds, INSTANCE_LIVE_SECONDS
             ),
             self._links.send,
-            0 if self._own.has_disk else len(settings.seeds) // 2 + 1,
+            needed_tables=0 if self._own.has_disk else len(settings.seeds) // 2 + 1,
         )
         self._suspect_calls = make_suspect_calls(
             self.suspect_exchange,
@@ -375,9 +375,8 @@
 
     def list_quarantines(self) -> Sequence[QuarantineRow]:
         """Return the calls that all routers refuse because targets crashed."""
-        customers = self._state.tree.customers if self._state is not None else ()
-        suspects = self.suspect_exchange.suspects
-        return list_quarantines(suspects, customers, self._now())
+        exchange = self.suspect_exchange
+        return list_quarantines(exchange.suspects, exchange.customer_of, self._now())
 
     def lift_quarantine(self, digest: str) -> bool:
         """End a quarantine; return whether there was one of this digest.
--- a/sesameford/gateway/quarantine_status.py
+++ b/sesameford/gateway/quarantine_status.py
@@ -1,10 +1,10 @@
 """The quarantined requests of a deployment, as operators read them."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from msgspec import Struct
 
-from sesameford.request_digest import customer_part, digest_customer, logged_digest
+from sesameford.request_digest import logged_digest
 from sesameford.suspects import Suspects
 
 
@@ -22,25 +22,21 @@
 
 
 def list_quarantines(
-    suspects: Suspects, customers: Iterable[str], now_seconds: float
+    suspects: Suspects, customer_of: Callable[[bytes], str], now_seconds: float
 ) -> Sequence[QuarantineRow]:
     """Return the quarantined requests.
 
     Args:
         suspects: The instance's table.
-        customers: The ids of all customers.
+        customer_of: Returns the customer of a digest, empty if there is none.
         now_seconds: The present time.
     """
-    quarantined = suspects.list_quarantined(now_seconds)
-    if not quarantined:
-        return []
-    names = {digest_customer(customer): customer for customer in customers}
     return [
         QuarantineRow(
             logged_digest(row.request_digest),
-            names.get(customer_part(row.request_digest), ""),
+            customer_of(row.request_digest),
             tuple(sorted(row.uncleared_crashes)),
             round(seconds_left, 1),
         )
-        for row, seconds_left in quarantined
+        for row, seconds_left in suspects.list_quarantined(now_seconds)
     ]
--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -311,8 +311,9 @@
         return digest if suspects.suspected((digest,)) else None
 
     def _is_on_trial(self, key: bytes, now_seconds: float) -> bool:
-        self._forget_decided()
-        is_here = key in self._trials or key in self._undecided
+        last = self._undecided.get(key)
+        is_undecided = last is not None and self.crashes.is_undecided(last)
+        is_here = key in self._trials or is_undecided
         return is_here or self.exchange.grants.is_elsewhere(key, now_seconds)
 
     def _forget_decided(self) -> None:
--- a/sesameford/suspect_table.py
+++ b/sesameford/suspect_table.py
@@ -55,9 +55,13 @@
         """Return the row of a request or part, None if it has none."""
         return self._rows.get(digest)
 
-    def rows_of_part(self, name: bytes) -> list[Suspect]:
-        """Return the rows that a part has, one for each customer."""
-        return [self._rows[digest] for digest in self._by_part.get(name, ())]
+    def rows_alike(self, digest: bytes) -> list[Suspect]:
+        """Return the rows of a part for all customers, or the one of a request."""
+        if is_part_digest(digest):
+            alike = self._by_part.get(part_name(digest), set())
+        else:
+            alike = {digest} & self._rows.keys()
+        return [self._rows[one] for one in alike]
 
     def evidence(self, digest: bytes) -> Evidence | None:
         """Return what its own row shows against a request or part."""
@@ -71,7 +75,7 @@
         if name not in self._by_part:
             return None
         if name not in self._shared_evidence:
-            rows = self.rows_of_part(name)
+            rows = self.rows_alike(digest)
             self._shared_evidence[name] = make_shared_evidence(rows)
         return self._shared_evidence[name]
 
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -32,7 +32,6 @@
 from sesameford.crash_attribution import (
     CRASHES_TO_QUARANTINE,
     Evidence,
-    evidence_against,
 )
 from sesameford.doubling import doubled_seconds
 from sesameford.messages import SuspectUpdate
@@ -40,7 +39,6 @@
     common_digest,
     digest_pair,
     is_part_digest,
-    part_name,
 )
 from sesameford.suspect_rows import (
     UPDATE_REPEATS,
@@ -253,7 +251,7 @@
         Two parts may crash targets only where they stand in one prompt. Each of them
         completes in other prompts then, and the pair alone tells which ones crash.
         """
-        known = [part for part in parts if self._table.rows_of_part(part_name(part))]
+        known = [part for part in parts if self._table.rows_alike(part)]
         pairs = combinations(known[:MAX_PAIRED_PARTS], 2)
         return tuple(digest_pair(*pair) for pair in pairs)
 
@@ -420,11 +418,9 @@
         A part that is quarantined for several customers is tried again for one of them
         at a time, or each of them would cost a target for each quarantine.
         """
-        rows = [self._table.get(digest)]
-        if is_part_digest(digest):
-            rows += self._table.rows_of_part(part_name(digest))
-        due = [row for row in rows if row is not None and self._is_due(row)]
-        evidence = [evidence_against(row) for row in due]
+        due = [row for row in self._table.rows_alike(digest) if self._is_due(row)]
+        found = [self._table.evidence(row.request_digest) for row in due]
+        evidence = [one for one in found if one is not None]
         crashes = frozenset[str]().union(*(one.decisive_crashes for one in evidence))
         trials = frozenset[str]().union(*(one.trial_crashes for one in evidence))
         # Copies that crashed at once are one reason for a quarantine, not several.
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -133,6 +133,31 @@
         (self.replicas if role == "replica" else self.routers).append(program)
         return program
 
+    def add_programs(self, routers: int) -> None:
+        """Add the replicas and some routers, none of them started yet."""
+        for number in range(1, REPLICAS + 1):
+            self.add("replica", number)
+        for number in range(1, routers + 1):
+            self.add("router", number)
+
+    async def found(self, programs: Sequence[Program]) -> None:
+        """Start the processes of a deployment that is new, in the given order."""
+        for program in programs:
+            await self.start(program)
+        self.is_new = False
+
+    async def declare_first(self) -> None:
+        """Send the first configuration until a replica accepts it."""
+        while await self.declare(self.replicas[0], 2, False) != 200:
+            await asyncio.sleep(0.1)
+
+    async def wait_until_ready(self) -> None:
+        """Send the first configuration, and wait until all routers serve."""
+        await self.declare_first()
+        for router in self.routers:
+            while not await self.is_ready(router):
+                await asyncio.sleep(0.05)
+
     def set_retry_budget(self, budget: RetryBudgetSettings) -> None:
         """Set the retry budget of processes that start from now on."""
         self.bounds |= {
--- a/tests/test_crashing_parts_processes.py
+++ b/tests/test_crashing_parts_processes.py
@@ -53,26 +53,17 @@
     async with ClientSession(connector=TCPConnector(limit=0)) as session:
         fleet = make_platform_fleet(folder, net, session)
         fleet.keys = {f"c{number}": f"{KEY}-{number}" for number in range(CUSTOMERS)}
-        for number in (1, 2, 3):
-            fleet.add("replica", number)
-        for number in range(1, ROUTERS + 1):
-            fleet.add("router", number)
+        fleet.add_programs(ROUTERS)
         servers = [make_platform_server(f"s{number}") for number in range(SERVERS)]
         for server, manner in zip(servers, cycle(CrashManner), strict=False):
             server.crash_manner = manner
             await server.start()
         keeper = Keeper(servers, lambda row: put_heartbeat(fleet, row))
         try:
-            for program in fleet.programs:
-                await fleet.start(program)
-            fleet.is_new = False
+            await fleet.found(fleet.programs)
             keeper.start(crashes_on=crashes_on)
             async with asyncio.timeout(START_SECONDS):
-                while await fleet.declare(fleet.replicas[0], 2, False) != 200:
-                    await asyncio.sleep(0.1)
-                for router in fleet.routers:
-                    while not await fleet.is_ready(router):
-                        await asyncio.sleep(0.05)
+                await fleet.wait_until_ready()
             yield fleet, servers
         finally:
             keeper.stop()
--- a/tests/test_retry_budget_processes.py
+++ b/tests/test_retry_budget_processes.py
@@ -36,22 +36,13 @@
     async with ClientSession(connector=TCPConnector(limit=0)) as session:
         fleet = make_platform_fleet(folder, net, session)
         fleet.set_retry_budget(BUDGET)
-        for number in (1, 2, 3):
-            fleet.add("replica", number)
-        for number in range(1, ROUTERS + 1):
-            fleet.add("router", number)
+        fleet.add_programs(ROUTERS)
         try:
-            for program in fleet.programs:
-                await fleet.start(program)
-            fleet.is_new = False
+            await fleet.found(fleet.programs)
             for _ in range(SERVERS):
                 await fleet.add_server()
             async with asyncio.timeout(START_SECONDS):
-                while await fleet.declare(fleet.replicas[0], 2, False) != 200:
-                    await asyncio.sleep(0.1)
-                for router in fleet.routers:
-                    while not await fleet.is_ready(router):
-                        await asyncio.sleep(0.05)
+                await fleet.wait_until_ready()
             yield fleet
         finally:
             await fleet.close()
--- a/tests/test_stream_versions_processes.py
+++ b/tests/test_stream_versions_processes.py
@@ -24,21 +24,15 @@
     """Start replicas and routers as processes, and a server for each version."""
     async with ClientSession(connector=TCPConnector(limit=0)) as session:
         fleet = make_platform_fleet(folder, net, session)
-        for number in (1, 2, 3):
-            fleet.add("replica", number)
-        for number in range(1, ROUTERS + 1):
-            fleet.add("router", number)
+        fleet.add_programs(ROUTERS)
         callers = Callers(lambda router: router.front, HOST, KEY, "/stream/resumed/")
         try:
-            for program in fleet.programs:
-                await fleet.start(program)
-            fleet.is_new = False
+            await fleet.found(fleet.programs)
             for version in versions:
                 server = await fleet.add_server(version)
                 server.server.pause_seconds = 0.02
             async with asyncio.timeout(START_SECONDS):
-                while await fleet.declare(fleet.replicas[0], 2, False) != 200:
-                    await asyncio.sleep(0.1)
+                await fleet.declare_first()
                 for router in fleet.routers:
                     await wait_until_served(fleet, callers, router)
             yield fleet, callers
--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from msgspec.structs import replace
 
 from sesameford.discovery.heartbeat_table import make_heartbeat_table
+from sesameford.effective import FleetSettings
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.quarantine_status import list_quarantines
 from sesameford.gateway.suspect_calls import (
@@ -282,7 +284,9 @@
     replica, _ = make_replica()
     for crash_id in ("t/1", "t/2"):
         replica.suspects.record_crash(crash_id, [DIGEST], 0.0)
-    (row,) = list_quarantines(replica.suspects, ["rival", "club"], 100.0)
+    tree = SimpleNamespace(fleet=FleetSettings(), customers=("rival", "club"))
+    replica.configure(tree)
+    (row,) = list_quarantines(replica.suspects, replica.customer_of, 100.0)
     assert (row.customer, row.crashes, row.seconds_left) == (
         "club",
         ("t/1", "t/2"),
@@ -291,7 +295,7 @@
     assert row.digest == logged_digest(DIGEST)
     assert replica.lift(row.digest, 100.0)
     assert not replica.lift(row.digest, 100.0)
-    assert list_quarantines(replica.suspects, ["club"], 100.0) == []
+    assert list_quarantines(replica.suspects, replica.customer_of, 100.0) == []
 
 
 def test_a_log_line_lists_a_bounded_number_of_digests():
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -30,7 +30,6 @@
 from sesameford.settings import RetryBudgetSettings
 from standins.platform_fleet import (
     DATA_CENTRES,
-    REPLICAS,
     ROOT,
     HeartbeatServer,
     PlatformFleet,
@@ -103,15 +102,10 @@
         return found + findings(self.records, self.fleet)
 
     async def _start(self) -> None:
-        for number in range(1, REPLICAS + 1):
-            self.fleet.add("replica", number)
-        for number in range(1, ROUTERS + 1):
-            self.fleet.add("router", number)
+        self.fleet.add_programs(ROUTERS)
         programs = list(self.fleet.programs)
         self._random.shuffle(programs)
-        for program in programs:
-            await self.fleet.start(program)
-        self.fleet.is_new = False
+        await self.fleet.found(programs)
         for _ in range(SERVERS):
             await self._add_server()
         async with asyncio.timeout(START_LIMIT_SECONDS):
