Log what tells apart why repeats pile up

One content of a request has one logged name for all customers, so that quarantines of the same request for several customers can be seen; rows are still one for each customer. A target that crashed after whole answers is logged, also with nothing in flight, with what no target has survived recently. A failed send tells the time that was left.

--- a/sesameford/gateway/attempt_watch.py
+++ b/sesameford/gateway/attempt_watch.py
@@ -34,7 +34,7 @@
         if context.status >= FIRST_FAILURE_STATUS:
             # A target may fail a call before it reads the prompt.
             if context.framing is not Framing.CONNECTION:
-                suspect_calls.crashes.record_end(reservation)
+                suspect_calls.crashes.record_not_run(reservation)
         elif context.framing is Framing.CONNECTION:
             suspect_calls.record_unconfirmed_completion(reservation)
         else:
@@ -54,7 +54,7 @@
     crashes = deps.suspect_calls.crashes
     target = (reservation.target_id, reservation.incarnation)
     if error.outcome in NOT_RUN_OUTCOMES:
-        crashes.record_end(reservation)
+        crashes.record_not_run(reservation)
     if error.outcome is SendOutcome.WRONG_TARGET:
         crashes.record_other_target(*target, deps.now())
     elif error.is_refused:
--- a/sesameford/gateway/call_log.py
+++ b/sesameford/gateway/call_log.py
@@ -83,6 +83,7 @@
             "resumes": context.call.resumes_request_id or "",
             "resumed_after": _resumed_after(context),
             "sendings": context.send_attempts,
+            "left_seconds": round(context.until_seconds - deps.loop_time(), 3),
             "chosen_seconds_ago": round(now_seconds - reservation.sent_at_seconds, 3),
             "written_seconds_ago": ""
             if written_at_seconds is None
--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -189,8 +189,8 @@
         self, reservation: Reservation, digests: Iterable[bytes], status: int
     ) -> None:
         """Record that a target answered a call with some digests completely."""
-        self.crashes.record_end(reservation)
         now_seconds = self._now()
+        self.crashes.record_answer(reservation, now_seconds)
         for digest in digests:
             reason = f"completed with {status}"
             self.exchange.record_completion(digest, now_seconds, reason)
@@ -212,7 +212,9 @@
             written_at_seconds: When it was written.
         """
         now_seconds = self._now()
-        for digest in self.crashes.record_alive(reservation, written_at_seconds):
+        for digest in self.crashes.record_alive(
+            reservation, written_at_seconds, now_seconds
+        ):
             self.exchange.record_completion(digest, now_seconds)
 
     def probe(self, target_id: str, incarnation: int, address: str) -> None:
--- a/sesameford/gateway/target_crashes.py
+++ b/sesameford/gateway/target_crashes.py
@@ -7,12 +7,14 @@
 callers have left or whose time has run out since the target last answered.
 """
 
+import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
 from sesameford.discovery.heartbeat_table import HeartbeatEntry, HeartbeatTable
 from sesameford.gateway.ended_targets import EndedTargets
+from sesameford.gateway.recent_answers import RecentAnswer, make_recent_answers
 from sesameford.gateway.target_notices import TargetNotices
 from sesameford.gateway.target_record import Reservation
 from sesameford.in_flight_attempts import (
@@ -20,8 +22,11 @@
     InFlightRequest,
     TargetCrash,
 )
+from sesameford.suspect_log import format_digests
 from sesameford.tables import TargetState
 
+logger = logging.getLogger(__name__)
+
 # A crash is proven within seconds: a target that starts again has a new incarnation.
 BROKEN_RETENTION_SECONDS = 10.0
 # A target without heartbeats for so many intervals has ended, if the heartbeats of
@@ -72,6 +77,7 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._on_crash = on_crash
         self._in_flight = InFlightAttempts(BROKEN_RETENTION_SECONDS)
+        self._answers = make_recent_answers()
         self._checked_changes = -1
 
     def record_sent(
@@ -101,10 +107,18 @@
         )
         self._in_flight.record_start(reservation.number, request)
 
-    def record_end(self, reservation: Reservation) -> None:
-        """Remove a call that its target answered or did not run."""
+    def record_not_run(self, reservation: Reservation) -> None:
+        """Remove a call that its target did not run."""
         self._in_flight.record_end(reservation.number)
 
+    def record_answer(self, reservation: Reservation, now_seconds: float) -> None:
+        """Remove a call that its target answered completely."""
+        request = self._in_flight.record_end(reservation.number)
+        if request is not None:
+            target = (request.target_id, request.incarnation)
+            answer = RecentAnswer(request.digests, request.trials, now_seconds)
+            self._answers.record(target, answer)
+
     def is_undecided(self, reservation: Reservation) -> bool:
         """Return whether a call may yet prove to have crashed its target."""
         return self._in_flight.is_unanswered(reservation.number)
@@ -118,20 +132,21 @@
         self._in_flight.record_unconfirmed(reservation.number, now_seconds)
 
     def record_alive(
-        self, reservation: Reservation, written_at_seconds: float
+        self, reservation: Reservation, written_at_seconds: float, now_seconds: float
     ) -> Sequence[bytes]:
         """Remove the calls that ended before one that the target answers now.
 
         Args:
             reservation: The slot of the answered call.
             written_at_seconds: When it was written.
+            now_seconds: The present time.
 
         Returns:
             The digests of those whose answers are thereby confirmed, and their parts'.
         """
-        removed = self._in_flight.remove_broken(
-            reservation.target_id, reservation.incarnation, written_at_seconds
-        )
+        target = (reservation.target_id, reservation.incarnation)
+        self._answers.record_alive(target, written_at_seconds, now_seconds)
+        removed = self._in_flight.remove_broken(*target, written_at_seconds)
         confirmed = [one for one in removed if one.is_unconfirmed]
         return [digest for one in confirmed for digest in one.digests]
 
@@ -159,7 +174,8 @@
     def tick(self, now_seconds: float) -> None:
         """Look for successors and missing heartbeats of targets with calls."""
         self._in_flight.tick(now_seconds)
-        targets = self._in_flight.targets
+        self._answers.tick(now_seconds)
+        targets = list({*self._in_flight.targets, *self._answers.targets})
         if not targets:
             return
         has_changes = self._checked_changes != self._table.changes
@@ -193,10 +209,33 @@
         self._ended.record(target_id, incarnation, now_seconds)
         broken_at = self._in_flight.list_broken(target_id, incarnation)
         crash = self._in_flight.remove_crashed(target_id, incarnation)
+        self._log_answers(target_id, incarnation, len(crash.digests), now_seconds)
         if crash.digests:
             age_seconds = now_seconds - min(broken_at, default=now_seconds)
             self._on_crash(ObservedCrash(crash, evidence, age_seconds), now_seconds)
 
+    def _log_answers(
+        self, target_id: str, incarnation: int, in_flight: int, now_seconds: float
+    ) -> None:
+        """Log what a target that crashed had answered just before."""
+        answers = self._answers.remove_crashed((target_id, incarnation))
+        if not answers:
+            return
+        digests = {digest for one in answers for digest in one.digests}
+        suspicious = self._answers.not_survived(digests, now_seconds)
+        last_at_seconds = max(one.ended_at_seconds for one in answers)
+        logger.warning(
+            "target crashed after answers",
+            extra={
+                "target": target_id,
+                "incarnation": incarnation,
+                "answers": len(answers),
+                "in_flight": in_flight,
+                "last_seconds_ago": round(now_seconds - last_at_seconds, 3),
+                "not_survived": format_digests(sorted(suspicious)),
+            },
+        )
+
     def _newest_by_address(self) -> dict[str, HeartbeatEntry]:
         """Return the target that was seen first most recently, by address."""
         newest: dict[str, HeartbeatEntry] = {}
--- a/sesameford/in_flight_attempts.py
+++ b/sesameford/in_flight_attempts.py
@@ -86,15 +86,16 @@
         target = (request.target_id, request.incarnation)
         self._by_target.setdefault(target, {})[attempt_id] = None
 
-    def record_end(self, attempt_id: Hashable) -> None:
-        """Remove an attempt that was answered, or that the target did not start."""
+    def record_end(self, attempt_id: Hashable) -> InFlightRequest | None:
+        """Remove and return an attempt that was answered, or that did not start."""
         request = self._attempts.pop(attempt_id, None)
         if request is None:
-            return
+            return None
         target = (request.target_id, request.incarnation)
         _remove_from(self._by_target, target, attempt_id)
         if request.broken_at_seconds is not None:
             _remove_from(self._broken_at, target, attempt_id)
+        return request
 
     def is_unanswered(self, attempt_id: Hashable) -> bool:
         """Return whether an attempt runs, or broke and its target may have crashed."""
--- a/sesameford/request_digest.py
+++ b/sesameford/request_digest.py
@@ -3,7 +3,8 @@
 Two requests have the same digest if the same customer sends the same method, host, path
 with query, and body. Ids, deadlines and the point at which a stream resumes are no part
 of it, as they change when a caller sends a request again. A part of a prompt has the
-same digest in all prompts of a customer.
+same digest in all prompts of a customer. Digests of the same request, or part, of
+several customers differ in their first bytes alone, and log lines leave these out.
 """
 
 from functools import lru_cache
@@ -34,7 +35,7 @@
         body: The whole body.
     """
     content = sha256()
-    for part in (customer or "", method, host, target):
+    for part in (method, host, target):
         encoded = _encode(part)
         # The length keeps the parts apart: no other parts yield the same bytes.
         content.update(len(encoded).to_bytes(LENGTH_BYTES))
