--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -53,6 +53,7 @@
     SILENT = "closes its port and leaves all connections without a word"
     PART_OF_EVENT = "sends a part of an event without a length, then ends in order"
     PART_OF_BODY = "sends a part of an answer without a length, then ends in order"
+    AFTER_ANSWER = "answers completely, then resets all connections"
 
 
 # These close all connections in order, as if the answers on them were complete.
@@ -94,7 +95,8 @@
     ``peer_disconnects`` counts connections that the other side closed. Each 503 of its
     own has ``retry_after``, if set, and while ``is_draining`` all answers say so. A
     call for which ``crashes`` returns true ends the server in its ``crash_manner``, and
-    ``on_crash`` is called; ``restart`` starts another incarnation at its address.
+    ``on_crash`` is called; ``restart`` starts another incarnation at its address. After
+    an answer it lives on for ``crash_delay_seconds``.
     ``crashing_calls`` are the calls that crashed it. A stream has so many ``events``,
     which tell its ``software_version``.
     """
@@ -115,6 +117,7 @@
     address: str = ""
     crashes: Callable[[ReceivedCall], bool] | None = None
     crash_manner: CrashManner = CrashManner.AT_ONCE
+    crash_delay_seconds: float = 0.0
     on_crash: Callable[[], None] = lambda: None
     crashes_seconds: list[float] = field(default_factory=list)
     crashing_calls: list[ReceivedCall] = field(default_factory=list)
@@ -207,9 +210,22 @@
         self.runs[request_id] += 1
         self.last_arrival_seconds = monotonic()
         self.arrivals_seconds.append(self.last_arrival_seconds)
-        if self.crashes is not None and self.crashes(call):
+        is_crashing = self.crashes is not None and self.crashes(call)
+        if is_crashing and self.crash_manner is not CrashManner.AFTER_ANSWER:
             await self._crash_under(call, writer)
             return False
+        keeps_connection = await self._respond(call, reader, writer)
+        if is_crashing:
+            self._crash_later(call)
+        return keeps_connection
+
+    async def _respond(
+        self,
+        call: ReceivedCall,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer a call that is run; return False to close the connection."""
         if self.fault is Fault.SILENT:
             await reader.read()
             self.peer_disconnects += 1
@@ -240,6 +256,17 @@
             self.crashing_calls.append(call)
         self.crash()
 
+    def _crash_later(self, call: ReceivedCall) -> None:
+        """Crash some time after a call's answer."""
+        target_id = self.target_id
+
+        def crash() -> None:
+            if self.is_running and self.target_id == target_id:
+                self.crashing_calls.append(call)
+                self.crash()
+
+        asyncio.get_running_loop().call_later(self.crash_delay_seconds, crash)
+
     def _reject(self, call: ReceivedCall) -> bytes:
         """Return an answer to a call that is not run."""
         extra = {"Content-Length": "0"}
