Hold a call responsible for a crash that follows its whole answer

Servers that answered a call completely and crashed 0, 20 or 300 ms later were lost again and again: nothing was in flight any more, so no crash was recorded, or whatever else ran then was blamed; and each answer cleared its call.

A router now remembers answers until their target has lived on for a second, as a later answer or a heartbeat shows. What a target answered just before its crash is involved, unless some target survived the same within ten seconds; where others answered it too, that is decided 1.5 s later, as it may be popular. Crashes after answers are cleared only by a completion that its target survived, and a trial lasts until then. Rows, messages and files carry which crashes these are; a release before ignores the new field.

--- a/sesameford/gateway/attempt_watch.py
+++ b/sesameford/gateway/attempt_watch.py
@@ -34,7 +34,9 @@
         if context.status >= FIRST_FAILURE_STATUS:
             # A target may fail a call before it reads the prompt.
             if context.framing is not Framing.CONNECTION:
-                suspect_calls.crashes.record_not_run(reservation)
+                suspect_calls.crashes.record_answer(
+                    reservation, deps.now(), is_failure=True
+                )
         elif context.framing is Framing.CONNECTION:
             suspect_calls.record_unconfirmed_completion(reservation)
         else:
--- a/sesameford/gateway/recent_answers.py
+++ b/sesameford/gateway/recent_answers.py
@@ -20,11 +20,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RecentAnswer:
-    """A complete answer; ``trials`` are the digests that were suspects when sent."""
+    """A complete answer.
 
+    ``number`` is that of the call's slot, ``trials`` are the digests that were suspects
+    when it was sent. An answer that ``is_failure`` clears nothing: a target may fail a
+    call before it reads the prompt.
+    """
+
+    number: int
     digests: tuple[bytes, ...]
     trials: frozenset[bytes]
     ended_at_seconds: float
+    is_failure: bool = False
 
 
 class RecentAnswers:
@@ -40,26 +47,35 @@
         """The ids and incarnations of targets with such answers."""
         return list(self._by_target)
 
+    def has(self, target: tuple[str, int], number: int) -> bool:
+        """Return whether an answer is among them, by the number of its call's slot."""
+        return any(one.number == number for one in self._by_target.get(target, ()))
+
     def record(self, target: tuple[str, int], answer: RecentAnswer) -> None:
         """Add an answer that has just ended."""
         self._by_target.setdefault(target, deque()).append(answer)
 
     def record_alive(
-        self, target: tuple[str, int], written_at_seconds: float, now_seconds: float
-    ) -> Sequence[RecentAnswer]:
-        """Remove and return the answers that a target has survived.
+        self, target: tuple[str, int], alive_at_seconds: float, now_seconds: float
+    ) -> Sequence[bytes]:
+        """Remove the answers that a target has survived.
 
         Args:
-            target: The id and incarnation of a target that answers a call now.
-            written_at_seconds: When that call was written.
+            target: The id and incarnation of the target.
+            alive_at_seconds: When it was alive, such as when a call that it answers was
+                written.
             now_seconds: The present time.
+
+        Returns:
+            The digests that have thereby been shown to crash no target.
         """
-        survived = self._pop_before(target, written_at_seconds - SURVIVAL_SECONDS)
-        for answer in survived:
-            for digest in answer.digests:
-                self._survived_at_seconds.pop(digest, None)
-                self._survived_at_seconds[digest] = now_seconds
-        return survived
+        survived = self._pop_before(target, alive_at_seconds - SURVIVAL_SECONDS)
+        answered = [one for one in survived if not one.is_failure]
+        digests = list(dict.fromkeys(d for one in answered for d in one.digests))
+        for digest in digests:
+            self._survived_at_seconds.pop(digest, None)
+            self._survived_at_seconds[digest] = now_seconds
+        return digests
 
     def remove_crashed(self, target: tuple[str, int]) -> Sequence[RecentAnswer]:
         """Remove and return the answers that a target gave just before its crash."""
@@ -76,6 +92,16 @@
             if self._survived_at_seconds.get(digest, float("-inf")) < since_seconds
         )
 
+    def elsewhere(self, digests: Iterable[bytes]) -> frozenset[bytes]:
+        """Return those of some digests of which other targets gave answers too."""
+        pending = {
+            digest
+            for answers in self._by_target.values()
+            for one in answers
+            for digest in one.digests
+        }
+        return frozenset(pending.intersection(digests))
+
     def tick(self, now_seconds: float) -> None:
         """Drop what is too old to be of use."""
         for target in list(self._by_target):
--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -154,12 +154,20 @@
     def _end_trial(self, key: bytes) -> None:
         """Let others try a suspect, unless its target may prove to have crashed."""
         reservation = self._trials.pop(key)
-        if reservation is not None and self.crashes.is_undecided(reservation):
+        if reservation is not None and self._is_undecided(key, reservation):
             self._undecided[key] = reservation
         else:
             self.exchange.grants.release(key, self._now())
         self.notify_waiting()
 
+    def _is_undecided(self, key: bytes, reservation: Reservation) -> bool:
+        """Return whether the target of a suspect's trial may prove to have crashed."""
+        if self.crashes.is_undecided(reservation):
+            return True
+        return self.crashes.is_not_survived(
+            reservation
+        ) and self.exchange.suspects.has_answered_crashes(key)
+
     def record_trial_target(
         self, digests: Iterable[bytes], reservation: Reservation
     ) -> None:
@@ -212,10 +220,17 @@
             written_at_seconds: When it was written.
         """
         now_seconds = self._now()
-        for digest in self.crashes.record_alive(
-            reservation, written_at_seconds, now_seconds
-        ):
+        shown = self.crashes.record_alive(reservation, written_at_seconds, now_seconds)
+        for digest in shown.completed:
             self.exchange.record_completion(digest, now_seconds)
+        self._record_survived(shown.survived, now_seconds)
+
+    def _record_survived(self, digests: Iterable[bytes], now_seconds: float) -> None:
+        """Record that targets lived on for a time after they answered calls."""
+        for digest in digests:
+            self.exchange.record_completion(
+                digest, now_seconds, "survived", has_survived=True
+            )
 
     def probe(self, target_id: str, incarnation: int, address: str) -> None:
         """Find out whether a target crashed, since an exchange with it broke."""
@@ -230,11 +245,11 @@
 
     def tick(self, now_seconds: float) -> None:
         """Look for crashes, and send what is due."""
-        self.crashes.tick(now_seconds)
+        self._record_survived(self.crashes.tick(now_seconds), now_seconds)
         for target_id, incarnation, address in self.crashes.list_addresses():
             if self._is_silent(target_id, now_seconds):
                 self._probes.start(target_id, incarnation, address, now_seconds)
-        self._forget_decided()
+        self._forget_decided(now_seconds)
         self.exchange.tick(now_seconds)
         self._probes.tick(now_seconds)
 
@@ -314,17 +329,22 @@
 
     def _is_on_trial(self, key: bytes, now_seconds: float) -> bool:
         last = self._undecided.get(key)
-        is_undecided = last is not None and self.crashes.is_undecided(last)
+        is_undecided = last is not None and self._is_undecided(key, last)
         is_here = key in self._trials or is_undecided
         return is_here or self.exchange.grants.is_elsewhere(key, now_seconds)
 
-    def _forget_decided(self) -> None:
+    def _forget_decided(self, now_seconds: float) -> None:
         """Forget trials of which it is known whether their targets crashed."""
-        self._undecided = {
-            key: reservation
+        decided = [
+            key
             for key, reservation in self._undecided.items()
-            if self.crashes.is_undecided(reservation)
-        }
+            if not self._is_undecided(key, reservation)
+        ]
+        for key in decided:
+            del self._undecided[key]
+            self.exchange.grants.release(key, now_seconds)
+        if decided:
+            self.notify_waiting()
 
     def _needs_grant(self, suspect: bytes, key: bytes, now_seconds: float) -> bool:
         """Return whether a trial needs a replica's grant, and has none yet.
--- a/sesameford/gateway/suspect_exchange.py
+++ b/sesameford/gateway/suspect_exchange.py
@@ -123,18 +123,33 @@
             crash.digests,
             now_seconds,
             crash.trials,
+            crash.answered,
         )
         self.tick(now_seconds)
         for digest in crash.trials:
             self._end_trial(digest, now_seconds)
 
     def record_completion(
-        self, digest: bytes, now_seconds: float, reason: str = "completed"
+        self,
+        digest: bytes,
+        now_seconds: float,
+        reason: str = "completed",
+        has_survived: bool = False,
     ) -> None:
-        """Clear a request that completed, and send that to the others."""
-        crashes = self.suspects.uncleared_crashes(digest)
-        if crashes and self.suspects.record_completion(digest, now_seconds):
-            log_cleared(digest, crashes, reason, self.customer_of(digest))
+        """Clear a request that completed, and send that to the others.
+
+        Args:
+            digest: Its digest, or that of a part of its prompt.
+            now_seconds: The present time.
+            reason: What is logged.
+            has_survived: Whether its target has lived on for a time.
+        """
+        before = self.suspects.uncleared_crashes(digest)
+        if before and self.suspects.record_completion(
+            digest, now_seconds, has_survived
+        ):
+            cleared = before - self.suspects.uncleared_crashes(digest)
+            log_cleared(digest, cleared, reason, self.customer_of(digest))
             self._end_trial(digest, now_seconds)
 
     def lift(self, name: str, now_seconds: float) -> bool:
--- a/sesameford/gateway/target_crashes.py
+++ b/sesameford/gateway/target_crashes.py
@@ -4,17 +4,23 @@
 reasons. A crash is proven when a fresh connection is refused, when another target has
 the address or the target another incarnation, or when its heartbeats have ended while
 others of its data centre go on. All calls in flight there are involved, those too whose
-callers have left or whose time has run out since the target last answered.
+callers have left or whose time has run out since the target last answered, and what it
+had answered just before and no target has survived recently.
 """
 
 import logging
+from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from sesameford.discovery.heartbeat_table import HeartbeatEntry, HeartbeatTable
 from sesameford.gateway.ended_targets import EndedTargets
-from sesameford.gateway.recent_answers import RecentAnswer, make_recent_answers
+from sesameford.gateway.recent_answers import (
+    SURVIVAL_SECONDS,
+    RecentAnswer,
+    make_recent_answers,
+)
 from sesameford.gateway.target_notices import TargetNotices
 from sesameford.gateway.target_record import Reservation
 from sesameford.in_flight_attempts import (
@@ -33,6 +39,8 @@
 # others of its data centre have arrived within the recent ones.
 MISSED_HEARTBEATS = 5.0
 RECENT_HEARTBEATS = 2.0
+# Within this time it is known of most answers whether their targets survive them.
+POSTPONED_SECONDS = SURVIVAL_SECONDS + 0.5
 
 
 class CrashEvidence(StrEnum):
@@ -52,6 +60,18 @@
     age_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class Survivals:
+    """What the answer of a target shows of calls that had ended there before.
+
+    ``completed`` are the digests of those whose answers are confirmed, ``survived`` of
+    those after whose answers it has lived on.
+    """
+
+    completed: Sequence[bytes]
+    survived: Sequence[bytes]
+
+
 class TargetCrashes:
     """The calls in flight at one router, and the crashes that it observes.
 
@@ -79,6 +99,7 @@
         self._in_flight = InFlightAttempts(BROKEN_RETENTION_SECONDS)
         self._answers = make_recent_answers()
         self._checked_changes = -1
+        self._postponed: deque[tuple[float, ObservedCrash]] = deque()
 
     def record_sent(
         self,
@@ -111,18 +132,35 @@
         """Remove a call that its target did not run."""
         self._in_flight.record_end(reservation.number)
 
-    def record_answer(self, reservation: Reservation, now_seconds: float) -> None:
+    def record_answer(
+        self, reservation: Reservation, now_seconds: float, is_failure: bool = False
+    ) -> None:
         """Remove a call that its target answered completely."""
         request = self._in_flight.record_end(reservation.number)
         if request is not None:
-            target = (request.target_id, request.incarnation)
-            answer = RecentAnswer(request.digests, request.trials, now_seconds)
-            self._answers.record(target, answer)
+            self._record_recent(reservation.number, request, now_seconds, is_failure)
+
+    def _record_recent(
+        self,
+        number: int,
+        request: InFlightRequest,
+        ended_at_seconds: float,
+        is_failure: bool = False,
+    ) -> None:
+        answer = RecentAnswer(
+            number, request.digests, request.trials, ended_at_seconds, is_failure
+        )
+        self._answers.record((request.target_id, request.incarnation), answer)
 
     def is_undecided(self, reservation: Reservation) -> bool:
         """Return whether a call may yet prove to have crashed its target."""
         return self._in_flight.is_unanswered(reservation.number)
 
+    def is_not_survived(self, reservation: Reservation) -> bool:
+        """Return whether a call was answered, and its target may yet crash of it."""
+        target = (reservation.target_id, reservation.incarnation)
+        return self._answers.has(target, reservation.number)
+
     def record_unanswered(self, reservation: Reservation, now_seconds: float) -> None:
         """Mark a call that ended without an answer, if it is not removed yet."""
         self._in_flight.record_broken(reservation.number, now_seconds)
@@ -133,22 +171,23 @@
 
     def record_alive(
         self, reservation: Reservation, written_at_seconds: float, now_seconds: float
-    ) -> Sequence[bytes]:
+    ) -> Survivals:
         """Remove the calls that ended before one that the target answers now.
 
         Args:
             reservation: The slot of the answered call.
             written_at_seconds: When it was written.
             now_seconds: The present time.
-
-        Returns:
-            The digests of those whose answers are thereby confirmed, and their parts'.
         """
         target = (reservation.target_id, reservation.incarnation)
-        self._answers.record_alive(target, written_at_seconds, now_seconds)
+        survived = self._answers.record_alive(target, written_at_seconds, now_seconds)
         removed = self._in_flight.remove_broken(*target, written_at_seconds)
         confirmed = [one for one in removed if one.is_unconfirmed]
-        return [digest for one in confirmed for digest in one.digests]
+        for one in confirmed:
+            # Its number is not needed any more: it was on no trial.
+            self._record_recent(0, one, one.broken_at_seconds or written_at_seconds)
+        completed = [digest for one in confirmed for digest in one.digests]
+        return Survivals(completed, survived)
 
     def record_refused(
         self, target_id: str, incarnation: int, now_seconds: float
@@ -171,13 +210,18 @@
             if target_id in entries
         ]
 
-    def tick(self, now_seconds: float) -> None:
-        """Look for successors and missing heartbeats of targets with calls."""
+    def tick(self, now_seconds: float) -> Sequence[bytes]:
+        """Look for successors and missing heartbeats of targets with calls.
+
+        Returns:
+            The digests of answers that targets have survived, as their heartbeats show.
+        """
         self._in_flight.tick(now_seconds)
         self._answers.tick(now_seconds)
+        self._record_postponed(now_seconds)
         targets = list({*self._in_flight.targets, *self._answers.targets})
         if not targets:
-            return
+            return ()
         has_changes = self._checked_changes != self._table.changes
         self._checked_changes = self._table.changes
         if has_changes:
@@ -192,6 +236,22 @@
                 self._record(
                     target_id, incarnation, CrashEvidence.NO_HEARTBEATS, now_seconds
                 )
+        return self._list_survived(now_seconds)
+
+    def _list_survived(self, now_seconds: float) -> Sequence[bytes]:
+        """Return the digests of answers after which heartbeats have come.
+
+        A heartbeat may have been sent an interval before it is known here.
+        """
+        survived: list[bytes] = []
+        for target_id, incarnation in self._answers.targets:
+            entry = self._table.entries.get(target_id)
+            if entry is not None and entry.row.incarnation == incarnation:
+                sent_at_seconds = entry.last_seen_at_seconds - self._heartbeat_seconds
+                survived += self._answers.record_alive(
+                    (target_id, incarnation), sent_at_seconds, now_seconds
+                )
+        return survived
 
     def _record(
         self,
@@ -208,33 +268,63 @@
             return
         self._ended.record(target_id, incarnation, now_seconds)
         broken_at = self._in_flight.list_broken(target_id, incarnation)
-        crash = self._in_flight.remove_crashed(target_id, incarnation)
-        self._log_answers(target_id, incarnation, len(crash.digests), now_seconds)
+        in_flight = self._in_flight.remove_crashed(target_id, incarnation)
+        crash = self._add_answers(in_flight, evidence, now_seconds)
         if crash.digests:
             age_seconds = now_seconds - min(broken_at, default=now_seconds)
             self._on_crash(ObservedCrash(crash, evidence, age_seconds), now_seconds)
 
-    def _log_answers(
-        self, target_id: str, incarnation: int, in_flight: int, now_seconds: float
-    ) -> None:
-        """Log what a target that crashed had answered just before."""
-        answers = self._answers.remove_crashed((target_id, incarnation))
+    def _add_answers(
+        self, crash: TargetCrash, evidence: CrashEvidence, now_seconds: float
+    ) -> TargetCrash:
+        """Add to a crash what its target had answered just before.
+
+        What other targets have answered too may be popular and innocent. Whether they
+        survive it is known soon, so it is added then, unless it was on trial.
+        """
+        answers = self._answers.remove_crashed((crash.target_id, crash.incarnation))
         if not answers:
-            return
+            return crash
         digests = {digest for one in answers for digest in one.digests}
-        suspicious = self._answers.not_survived(digests, now_seconds)
+        not_survived = self._answers.not_survived(digests, now_seconds)
+        not_survived -= set(crash.digests)
+        trials = {digest for one in answers for digest in one.trials} & not_survived
+        postponed = self._answers.elsewhere(not_survived - trials)
+        answered = not_survived - postponed
         last_at_seconds = max(one.ended_at_seconds for one in answers)
         logger.warning(
             "target crashed after answers",
             extra={
-                "target": target_id,
-                "incarnation": incarnation,
+                "target": crash.target_id,
+                "incarnation": crash.incarnation,
                 "answers": len(answers),
-                "in_flight": in_flight,
+                "in_flight": len(crash.digests),
                 "last_seconds_ago": round(now_seconds - last_at_seconds, 3),
-                "not_survived": format_digests(sorted(suspicious)),
+                "not_survived": format_digests(sorted(answered)),
+                "postponed": format_digests(sorted(postponed)),
             },
         )
+        if postponed:
+            later = replace(crash, digests=tuple(sorted(postponed)), trials=frozenset())
+            observed = ObservedCrash(later, evidence, now_seconds - last_at_seconds)
+            self._postponed.append((now_seconds + POSTPONED_SECONDS, observed))
+        return replace(
+            crash,
+            digests=tuple(sorted(answered.union(crash.digests))),
+            trials=crash.trials | trials,
+            answered=answered,
+        )
+
+    def _record_postponed(self, now_seconds: float) -> None:
+        """Add answers to crashes that no target has survived meanwhile."""
+        while self._postponed and self._postponed[0][0] <= now_seconds:
+            _, observed = self._postponed.popleft()
+            crash = observed.crash
+            answered = self._answers.not_survived(crash.digests, now_seconds)
+            if answered:
+                listed = tuple(sorted(answered))
+                crash = replace(crash, digests=listed, answered=answered)
+                self._on_crash(replace(observed, crash=crash), now_seconds)
 
     def _newest_by_address(self) -> dict[str, HeartbeatEntry]:
         """Return the target that was seen first most recently, by address."""
--- a/sesameford/in_flight_attempts.py
+++ b/sesameford/in_flight_attempts.py
@@ -47,13 +47,15 @@
     """A crashed incarnation of a target, and what was in flight on it.
 
     ``digests`` are those of this router's requests and of the parts of their prompts,
-    ``trials`` those that were suspects when they were sent.
+    ``trials`` those that were suspects when they were sent. ``answered`` are those that
+    it had answered completely just before.
     """
 
     target_id: str
     incarnation: int
     digests: tuple[bytes, ...]
     trials: frozenset[bytes] = frozenset()
+    answered: frozenset[bytes] = frozenset()
 
 
 class InFlightAttempts:
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -377,7 +377,7 @@
     ``others`` are rows that changed with this one, such as all of one crash: what a
     part of them shows may be wrong. ``is_table`` says that these are all rows of the
     sender; the message has no digest if it has no row. ``wants_table`` asks for all
-    rows of the receiver.
+    rows of the receiver. Before ``answered_deaths`` the target had answered it.
     """
 
     request_digest: bytes
@@ -389,6 +389,7 @@
     is_table: bool = False
     wants_table: bool = False
     is_trial_over: bool = False
+    answered_deaths: tuple[str, ...] = ()
 
 
 class StoredAnswerQuery(Struct, frozen=True, array_like=True, tag="KeptAnswerWanted"):
--- a/sesameford/suspect_rows.py
+++ b/sesameford/suspect_rows.py
@@ -7,11 +7,22 @@
 UPDATE_REPEATS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """Crashes to add to a row, and what is known of them; see ``Suspect``."""
+
+    crashes: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
+    trials: frozenset[str] = frozenset()
+    answered: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class Suspect:
     """A request, or a part of prompts, that was in flight when a target crashed.
 
-    At ``trial_crashes`` it was already a suspect when it was sent.
+    At ``trial_crashes`` it was already a suspect when it was sent. At
+    ``answered_crashes`` it had been answered just before.
     ``quarantined_at_seconds`` is when this router first found that the present
     number of crashes requires a quarantine. ``updates_left`` counts the updates
     still to be sent to other routers: each is repeated, because links lose messages.
@@ -22,6 +33,7 @@
     cleared_crashes: frozenset[str]
     last_seen_at_seconds: float
     trial_crashes: frozenset[str] = frozenset()
+    answered_crashes: frozenset[str] = frozenset()
     quarantined_at_seconds: float | None = None
     updates_left: int = UPDATE_REPEATS
     next_update_at_seconds: float = 0.0
@@ -31,6 +43,15 @@
         """The crashes that no completion has cleared."""
         return self.crashes - self.cleared_crashes
 
+    def includes(self, record: CrashRecord) -> bool:
+        """Return whether the row has all of a record already."""
+        return (
+            record.crashes <= self.crashes
+            and record.cleared <= self.cleared_crashes
+            and record.trials <= self.trial_crashes
+            and record.answered <= self.answered_crashes
+        )
+
     @property
     def uncleared_trial_crashes(self) -> frozenset[str]:
         """The crashes under a trial that no completion has cleared."""
@@ -51,8 +72,15 @@
     ):
         if crashes:
             deaths = tuple(sorted(crashes))
-            trials = tuple(sorted(crashes & row.trial_crashes))
-            messages.append(SuspectUpdate(row.request_digest, deaths, cleared, trials))
+            messages.append(
+                SuspectUpdate(
+                    row.request_digest,
+                    deaths,
+                    cleared,
+                    tuple(sorted(crashes & row.trial_crashes)),
+                    answered_deaths=tuple(sorted(crashes & row.answered_crashes)),
+                )
+            )
     return messages
 
 
--- a/sesameford/suspect_table.py
+++ b/sesameford/suspect_table.py
@@ -11,7 +11,7 @@
 )
 from sesameford.messages import SuspectUpdate
 from sesameford.request_digest import content_name, customer_part, is_part_digest
-from sesameford.suspect_rows import Suspect, make_updates
+from sesameford.suspect_rows import CrashRecord, Suspect, make_updates
 
 MAX_SUSPECTS = 4096
 # A customer that sends many variants of a crashing request displaces only its own rows.
@@ -75,40 +75,29 @@
         return self._shared_evidence[name]
 
     def merge(
-        self,
-        digest: bytes,
-        crashes: frozenset[str],
-        cleared: frozenset[str],
-        trials: frozenset[str],
-        now_seconds: float,
-        repeats: int,
+        self, digest: bytes, record: CrashRecord, now_seconds: float, repeats: int
     ) -> bool:
         """Add crashes to a row; return whether that changed it.
 
         Args:
             digest: The request or part.
-            crashes: Crashes at which it was in flight.
-            cleared: Crashes that a completion cleared.
-            trials: Those under its trials.
+            record: The crashes.
             now_seconds: The present time.
             repeats: How often a change is sent on.
         """
         row = self._rows.get(digest)
         if row is None:
             row = Suspect(digest, frozenset(), frozenset(), now_seconds, updates_left=0)
-        elif (
-            crashes <= row.crashes
-            and cleared <= row.cleared_crashes
-            and trials <= row.trial_crashes
-        ):
+        elif row.includes(record):
             return False
         self._remove(digest)
         row = Suspect(
             request_digest=digest,
-            crashes=row.crashes | crashes | cleared,
-            cleared_crashes=row.cleared_crashes | cleared,
+            crashes=row.crashes | record.crashes | record.cleared,
+            cleared_crashes=row.cleared_crashes | record.cleared,
             last_seen_at_seconds=now_seconds,
-            trial_crashes=row.trial_crashes | trials,
+            trial_crashes=row.trial_crashes | record.trials,
+            answered_crashes=row.answered_crashes | record.answered,
             updates_left=max(repeats, row.updates_left),
             next_update_at_seconds=0.0 if repeats else row.next_update_at_seconds,
         )
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -17,6 +17,9 @@
 customers, which no completion has cleared, quarantine it for all. Callers without a key
 are one customer.
 
+A target may also crash just after it has answered a request. Such crashes are cleared
+only by a completion that its target has survived for a time.
+
 A crashing request that is resent one at a time costs at most two targets in the whole
 fleet before it is quarantined, or three if another suspect was in flight at both
 crashes, or on trial at the second one. After that it costs one target per quarantine,
@@ -43,6 +46,7 @@
 )
 from sesameford.suspect_rows import (
     UPDATE_REPEATS,
+    CrashRecord,
     Suspect,
     count_update,
     make_updates,
@@ -88,6 +92,7 @@
         self._lifted: frozenset[bytes] = frozenset()
         self._newly_quarantined: list[bytes] = []
         self._completions: Counter[bytes] = Counter()
+        self._survivals: Counter[bytes] = Counter()
         self._observed_crashes: Counter[bytes] = Counter()
 
     def configure(self, quarantine_seconds: float, lifted: Iterable[bytes]) -> None:
@@ -106,6 +111,7 @@
         in_flight: Collection[bytes],
         now_seconds: float,
         trials: Collection[bytes] | None = None,
+        answered: Collection[bytes] = frozenset(),
     ) -> None:
         """Add a crash to everything that was in flight on the target.
 
@@ -115,37 +121,52 @@
                 parts of their prompts.
             now_seconds: The present time.
             trials: Those that were suspects when they were sent; None for all.
+            answered: Those that the target had answered just before.
         """
         crashes = frozenset({crash_id})
+        nothing = frozenset[str]()
         for digest in in_flight:
             self._completions.pop(digest, None)
+            self._survivals.pop(digest, None)
             if is_part_digest(digest):
                 self._observed_crashes[digest] += 1
             is_trial = trials is None or digest in trials
-            self._table.merge(
-                digest,
+            record = CrashRecord(
                 crashes,
-                frozenset(),
-                crashes if is_trial else frozenset(),
-                now_seconds,
-                UPDATE_REPEATS,
+                trials=crashes if is_trial else nothing,
+                answered=crashes if digest in answered else nothing,
             )
+            self._table.merge(digest, record, now_seconds, UPDATE_REPEATS)
         self._mark_quarantines(now_seconds)
 
-    def record_completion(self, digest: bytes, now_seconds: float) -> bool:
+    def record_completion(
+        self, digest: bytes, now_seconds: float, has_survived: bool = False
+    ) -> bool:
         """Clear a request that a target ran to completion, or a part of its prompt.
 
+        Args:
+            digest: Its digest.
+            now_seconds: The present time.
+            has_survived: Whether the target has lived on for a time. Without that, the
+                completion shows nothing of crashes that came just after answers.
+
         Returns:
-            Whether it was a suspect, and is cleared.
+            Whether it was a suspect, and crashes of it are cleared.
         """
-        if not self.uncleared_crashes(digest):
+        crashes = self.uncleared_crashes(digest)
+        if not has_survived:
+            crashes -= self._answered_crashes(digest)
+        if not crashes:
             return False
         if is_part_digest(digest):
-            self._completions[digest] += 1
+            counts = self._survivals if has_survived else self._completions
+            counts[digest] += 1
             needed = min(self._observed_crashes[digest], MAX_COMPLETIONS_TO_CLEAR)
-            if self._completions[digest] < needed:
+            if counts[digest] < needed:
                 return False
-        return self.clear(digest, now_seconds)
+            del counts[digest]
+        self._clear(digest, crashes, now_seconds)
+        return True
 
     def clear(self, digest: bytes, now_seconds: float) -> bool:
         """Clear a suspect of all its crashes so far; return whether it was one."""
@@ -153,13 +174,27 @@
         if not crashes:
             return False
         self._completions.pop(digest, None)
-        nothing: frozenset[str] = frozenset()
-        self._table.merge(
-            digest, nothing, crashes, nothing, now_seconds, UPDATE_REPEATS
-        )
-        self._mark_quarantines(now_seconds)
+        self._survivals.pop(digest, None)
+        self._clear(digest, crashes, now_seconds)
         return True
 
+    def _clear(
+        self, digest: bytes, crashes: frozenset[str], now_seconds: float
+    ) -> None:
+        record = CrashRecord(cleared=crashes)
+        self._table.merge(digest, record, now_seconds, UPDATE_REPEATS)
+        self._mark_quarantines(now_seconds)
+
+    def has_answered_crashes(self, digest: bytes) -> bool:
+        """Return whether targets crashed just after they had answered a suspect."""
+        return not self._answered_crashes(digest).isdisjoint(
+            self.uncleared_crashes(digest)
+        )
+
+    def _answered_crashes(self, digest: bytes) -> frozenset[str]:
+        rows = self._table.rows_alike(digest)
+        return frozenset[str]().union(*(row.answered_crashes for row in rows))
+
     def merge_update(
         self,
         update: SuspectUpdate,
@@ -444,18 +479,18 @@
     ) -> bool:
         crashes = frozenset(update.deaths)
         trials = crashes if update.trial_deaths is None else update.trial_deaths
-        return self._table.merge(
-            update.request_digest,
+        record = CrashRecord(
             crashes,
             crashes if update.cleared else frozenset(),
             frozenset(trials),
-            now_seconds,
-            repeats,
+            frozenset(update.answered_deaths),
         )
+        return self._table.merge(update.request_digest, record, now_seconds, repeats)
 
     def _forget_counts(self, digest: bytes) -> None:
         """Forget what this router counted of a suspect whose row was dropped."""
         self._completions.pop(digest, None)
+        self._survivals.pop(digest, None)
         self._observed_crashes.pop(digest, None)
 
     def _mark_quarantines(self, now_seconds: float) -> None:
--- a/tests/test_crashes_after_answers.py
+++ b/tests/test_crashes_after_answers.py
@@ -30,8 +30,6 @@
     open_crashing_desk,
 )
 
-pytestmark = pytest.mark.known_red
-
 DELAYS_SECONDS = (0.0, 0.02, 0.3)
 
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -2,6 +2,7 @@
 
 from itertools import count
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -346,3 +347,27 @@
     suspects.record_crash("t/3", [theirs], 4.0, trials=[])
     treatment = suspects.treatment(b"new", 5.0, (theirs,))
     assert treatment is SuspectTreatment.SUSPECT
+
+
+@pytest.mark.parametrize("digest", [POISON, CULPRIT])
+def test_a_crash_after_an_answer_is_cleared_only_by_a_target_that_lived_on(digest):
+    """Guards against answers that clear a request whose targets crash of it later."""
+    suspects, peer = Suspects(300.0), Suspects(300.0)
+    suspects.record_crash("t/1", [digest], 0.0, trials=[], answered=[digest])
+    for update in suspects.make_due_updates(0.0):
+        peer.merge_update(update, 0.0)
+    for instance in (suspects, peer):
+        assert not instance.record_completion(digest, 1.0)
+        assert instance.has_answered_crashes(digest)
+    suspects.record_crash("t/2", [digest], 2.0, trials=[digest], answered=[digest])
+    parts = (digest,) if digest == CULPRIT else ()
+    for update in suspects.make_due_updates(2.0):
+        peer.merge_update(update, 2.0)
+    for instance in (suspects, peer):
+        cleared = [
+            instance.record_completion(digest, 3.0, has_survived=True)
+            for _ in range(MAX_COMPLETIONS_TO_CLEAR)
+        ]
+        assert any(cleared)
+        treatment = instance.treatment(POISON, 4.0, parts)
+        assert treatment is SuspectTreatment.CLEAR
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -12,8 +12,10 @@
     MAX_EXCLUSION_SECONDS,
     make_ended_targets,
 )
+from sesameford.gateway.recent_answers import SURVIVAL_SECONDS
 from sesameford.gateway.target_crashes import (
     BROKEN_RETENTION_SECONDS,
+    POSTPONED_SECONDS,
     CrashEvidence,
     make_target_crashes,
 )
@@ -117,9 +119,9 @@
     first = world.send("t1", 1, ONE)
     world.crashes.record_unconfirmed(first, 1.0)
     earlier = world.send("t1", 2, TWO)
-    assert world.crashes.record_alive(earlier, 0.9, 1.2) == []
-    assert world.crashes.record_alive(earlier, 1.1, 1.2) == [ONE]
-    assert world.crashes.record_alive(earlier, 1.1, 1.2) == []
+    assert world.crashes.record_alive(earlier, 0.9, 1.2).completed == []
+    assert world.crashes.record_alive(earlier, 1.1, 1.2).completed == [ONE]
+    assert world.crashes.record_alive(earlier, 1.1, 1.2).completed == []
 
 
 def test_a_target_that_answers_without_lengths_is_not_silent():
@@ -303,3 +305,58 @@
         probes.tick(now_seconds)
         await asyncio.sleep(0)
     assert found == [("t1", 7)]
+
+
+def test_an_answer_just_before_a_crash_is_involved_until_a_target_survives_it():
+    """Guards against a target that answers a call, crashes of it, and shows nothing."""
+    world = World("t1", "t2")
+    answered = world.send("t1", 1, ONE)
+    world.crashes.record_answer(answered, 1.0)
+    assert world.crashes.is_not_survived(answered)
+    world.crashes.record_refused("t1", 0, 1.2)
+    (observed,) = world.observed
+    assert observed.crash.digests == (ONE,)
+    assert observed.crash.answered == {ONE}
+    world.crashes.record_answer(world.send("t2", 2, TWO), 2.0)
+    later = world.send("t2", 3, TWO)
+    shown = world.crashes.record_alive(later, 2.0 + 2 * SURVIVAL_SECONDS, 4.1)
+    assert shown.survived == [TWO]
+    world.crashes.record_answer(later, 4.1)
+    world.crashes.record_refused("t2", 0, 4.2)
+    assert len(world.observed) == 1
+
+
+def test_heartbeats_show_that_a_target_has_survived_its_answers():
+    """Guards against a suspect that stays one as its target gets no more calls."""
+    world = World("t1")
+    world.crashes.record_answer(world.send("t1", 1, ONE), 1.0)
+    world.beat("t1", 2.5)
+    assert world.crashes.tick(2.6) == []
+    world.beat("t1", 1.0 + SURVIVAL_SECONDS + HEARTBEAT_SECONDS + 0.1)
+    assert world.crashes.tick(3.2) == [ONE]
+
+
+@pytest.mark.parametrize("is_survived", [True, False])
+def test_what_other_targets_answered_too_is_involved_if_none_survives_it(is_survived):
+    """Guards against a popular call that is blamed for a crash after its answer."""
+    world = World("t1", "t2")
+    for number, target_id in enumerate(("t1", "t2")):
+        world.crashes.record_answer(world.send(target_id, number, ONE), 1.0)
+    world.crashes.record_refused("t1", 0, 1.2)
+    assert world.observed == []
+    if is_survived:
+        world.crashes.record_alive(world.send("t2", 9, TWO), 2.5, 2.6)
+    world.crashes.tick(1.2 + POSTPONED_SECONDS)
+    assert world.digests() == ([] if is_survived else [(ONE,)])
+
+
+def test_a_failure_that_a_target_survives_shows_nothing():
+    """Guards against a target that fails a call before it reads what crashes others."""
+    world = World("t1", "t2")
+    failed = world.send("t1", 1, ONE)
+    world.crashes.record_answer(failed, 1.0, is_failure=True)
+    shown = world.crashes.record_alive(world.send("t1", 2, TWO), 3.0, 3.1)
+    assert shown.survived == []
+    world.crashes.record_answer(world.send("t2", 3, ONE), 3.2)
+    world.crashes.record_refused("t2", 0, 3.3)
+    assert world.digests() == [(ONE,)]
