--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -102,8 +102,8 @@
     """Processes, servers and the operator of one deployment.
 
     ``unplanned_exits`` lists the processes that ended without a request to do so.
-    ``bounds`` are those of the processes' settings that differ from the defaults, and
-    ``keys`` is each customer's key.
+    ``bounds`` are those of the processes' settings that differ from the defaults,
+    ``keys`` is each customer's key, and ``route_timeout_seconds`` that of all routes.
     """
 
     folder: Path
@@ -115,6 +115,7 @@
     unplanned_exits: list[str] = field(default_factory=list)
     bounds: dict[str, float] = field(default_factory=dict)
     keys: dict[str, str] = field(default_factory=lambda: {"club": KEY})
+    route_timeout_seconds: float = 4.0
     is_new: bool = True
     _heartbeat_tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _watch_tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -329,7 +330,7 @@
 
     async def declare(self, replica: Program, version: int, added: bool) -> int:
         """Send a configuration; return the status, 0 if no answer arrived."""
-        body = _configuration(version, added, self.keys)
+        body = _configuration(version, added, self.keys, self.route_timeout_seconds)
         status, _ = await self.call(replica.control, "PUT", "/v1/config", body)
         return status
 
@@ -407,10 +408,12 @@
     }
 
 
-def _configuration(version: int, added: bool, keys: dict[str, str]) -> dict[str, Any]:
+def _configuration(
+    version: int, added: bool, keys: dict[str, str], timeout_seconds: float
+) -> dict[str, Any]:
     route: dict[str, Any] = {
         "host": HOST,
-        "timeout_ms": 4000,
+        "timeout_ms": round(timeout_seconds * 1000),
         "target_latency_ms": 400,
         "service": "pool",
         "max_attempts": 1,
