Take in a planned stop only what can end before the kill, and answer the rest truly

Callers whose calls came up to 2.6 s after SIGTERM were cut without an answer at SIGKILL, 8 s after it, among them calls that may not be repeated: a router took each call, however long it might last, and then waited without a bound; nothing knew the grace.

The grace is read from the settings, also from changed ones. In a stop a call is taken if the longest of the recent calls of its route, half as much again, would end before the last eighth of the grace; with too few calls, if its deadline and its route's timeout would. Others are refused as not run, and their callers turn to another router at once. Calls that are open at the last eighth get an answer: 503 if no target was sent them, 502 if one was, and a stream ends without its end mark. The process is gone before the kill: it waited one more second for idle connections of the readiness port, which are closed first now.

--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -95,6 +95,13 @@
     if route is None:
         raise Refusal(404, "no-route")
     customer = _customer_of(state.tree, route, call)
+    longest_seconds = _longest_seconds(route, call)
+    if not deps.stop_bound.may_take(
+        route.route_id, longest_seconds, arrived_at_seconds
+    ):
+        raise Refusal(
+            503, "stopping", STOPPING_RETRY_SECONDS, route.route_id, customer or ""
+        )
     _check_quarantine(deps, route, customer, call.prompt)
     homes = _home_regions_of(state.tree, route, customer)
     service = choose_service(route, deps.random.random())
@@ -148,11 +155,6 @@
     """
     body = await _read_body(http, admitted.state.tree.fleet.body_limit_bytes)
     route = admitted.route
-    caller_timeout_seconds = route.timeout_seconds
-    if call.caller_timeout_seconds is not None:
-        caller_timeout_seconds = min(
-            caller_timeout_seconds, call.caller_timeout_seconds
-        )
     # A caller waits from when it sent the call, not from when it was read. Without this
     # a late router sends calls on after their callers have left.
     spent_seconds = admitted.unread_seconds + deps.now() - arrived_at_seconds
@@ -164,13 +166,20 @@
         admitted.service,
         admitted.homes,
         arrived_at_seconds,
-        deps.loop_time() + caller_timeout_seconds - spent_seconds,
+        deps.loop_time() + _longest_seconds(route, call) - spent_seconds,
         admitted.waited_seconds,
         digest_request(admitted.customer, call.method, call.host, call.target, body),
         digest_parts(admitted.customer, call.prompt),
     )
 
 
+def _longest_seconds(route: HttpRouteSettings, call: Call) -> float:
+    """Return how long a call's route and its caller allow it to last."""
+    if call.caller_timeout_seconds is None:
+        return route.timeout_seconds
+    return min(route.timeout_seconds, call.caller_timeout_seconds)
+
+
 def digest_parts(customer: str | None, prompt: Prompt | None) -> tuple[bytes, ...]:
     """Return the digests of the parts of a prompt that other prompts may share."""
     if prompt is None:
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -23,6 +23,7 @@
 from sesameford.gateway.second_sends import SecondSends
 from sesameford.gateway.service_versions import ServiceVersions
 from sesameford.gateway.share_gate import ShareGate
+from sesameford.gateway.stop_bound import StopBound, make_stop_bound
 from sesameford.gateway.stream_origins import StreamOrigin
 from sesameford.gateway.suspect_calls import SuspectCalls
 from sesameford.gateway.table_proof import TableProof, make_table_proof
@@ -99,6 +100,7 @@
     dispatch_limit: DispatchLimit = field(default_factory=make_dispatch_limit)
     returning_calls: ReturningCalls = field(default_factory=make_returning_calls)
     table_proof: TableProof = field(default_factory=make_table_proof)
+    stop_bound: StopBound = field(default_factory=make_stop_bound)
 
 
 class Refusal(SesamefordError):
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -53,6 +53,7 @@
     MIN_KNOWN_HEARTBEATS,
     make_service_versions,
 )
+from sesameford.gateway.stop_bound import make_stop_bound
 from sesameford.gateway.stream_origins import make_stream_origins
 from sesameford.gateway.suspect_calls import make_suspect_calls
 from sesameford.gateway.suspect_exchange import make_suspect_exchange
@@ -254,6 +255,7 @@
         self._second_sends = make_second_sends(settings.retry_budget)
         self._census = make_router_census(settings.retry_budget.window_seconds)
         self._dispatch_limit = make_dispatch_limit()
+        self._stop_bound = make_stop_bound(settings.stop_grace_seconds)
         self._state: GatewayState | None = None
         self._session: ClientSession | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -318,6 +320,7 @@
             self._service_versions,
             dispatch_limit=self._dispatch_limit,
             table_proof=self.load.table_proof,
+            stop_bound=self._stop_bound,
         )
 
     def is_ready(self) -> bool:
@@ -344,16 +347,25 @@
     def reload(self, settings: DaemonSettings) -> None:
         """Apply settings that changed while the process runs.
 
-        Only the seeds can change: an instance that lost all its peers finds the others
-        by the new ones.
+        The seeds can change, since an instance that lost all its peers finds the others
+        by the new ones, and the grace of a stop.
         """
+        self._stop_bound.configure(settings.stop_grace_seconds)
         self._introductions.add_new_seeds(settings.seeds)
-        logger.info("settings reloaded", extra={"seeds": settings.seeds})
+        logger.info(
+            "settings reloaded",
+            extra={
+                "seeds": settings.seeds,
+                "stop_grace_seconds": settings.stop_grace_seconds,
+            },
+        )
         self._introductions.broadcast_hello(self._now())
 
     def request_stop(self) -> None:
         """Start a planned stop; a repeated call does not shorten it."""
-        self._stop.request(self._now())
+        now_seconds = self._now()
+        self._stop.request(now_seconds)
+        self._stop_bound.start(now_seconds, asyncio.get_running_loop().time())
         self._send_heartbeats()
 
     async def close(self) -> None:
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -5,7 +5,11 @@
 from aiohttp import web
 
 from sesameford.early_answers import pop_decision
-from sesameford.gateway.admit import admit_call, make_call_context
+from sesameford.gateway.admit import (
+    STOPPING_RETRY_SECONDS,
+    admit_call,
+    make_call_context,
+)
 from sesameford.gateway.attempt_watch import watch_attempt
 from sesameford.gateway.call_context import (
     CallContext,
@@ -32,6 +36,7 @@
     record_failed_attempt,
     record_failed_request,
 )
+from sesameford.gateway.stop_bound import StopEndedError
 from sesameford.gateway.stream_resumption import restrict_to_origin
 from sesameford.gateway.target_record import Reservation
 from sesameford.gateway.unserved_calls import record_unserved_call
@@ -58,12 +63,18 @@
         # A planned stop waits for it while its body is on the way, too.
         deps.metrics.record_call_start()
         try:
-            context = await make_call_context(
-                deps, request, call, admitted, arrived_at_seconds
-            )
-            response = await _send_until_answered(deps, request, context)
+            async with deps.stop_bound.limit():
+                context = await make_call_context(
+                    deps, request, call, admitted, arrived_at_seconds
+                )
+                response = await _send_until_answered(deps, request, context)
+        except StopEndedError as error:
+            raise _ended_by_stop(context) from error
         finally:
             deps.metrics.record_call_end()
+            deps.stop_bound.record_duration(
+                admitted.route.route_id, deps.now() - arrived_at_seconds
+            )
         log_end(deps, context, "answered", "")
         if context.status >= 500:
             record_unserved_call(deps, context, f"status-{context.status}")
@@ -81,6 +92,17 @@
         raise
 
 
+def _ended_by_stop(context: CallContext | None) -> Exception:
+    """Return the error that ends a call as the process is about to be killed."""
+    if context is None:
+        return Refusal(503, "stopping", STOPPING_RETRY_SECONDS)
+    if context.response is not None:
+        return CutError(context, "stopping")
+    if context.may_have_run or context.written_at_seconds is not None:
+        return Refusal(502, "stopping")
+    return Refusal(503, "stopping", STOPPING_RETRY_SECONDS)
+
+
 async def _send_until_answered(
     deps: GatewayDeps, request: web.BaseRequest, context: CallContext
 ) -> web.StreamResponse:
--- /dev/null
+++ b/sesameford/gateway/stop_bound.py
@@ -0,0 +1,124 @@
+"""How a planned stop bounds a router's calls: the process is killed after a grace.
+
+A call that can't be expected to end before that is refused as not run, at once, so that
+its caller turns to another router. Calls that are still open shortly before the end get
+an answer that says what is known of them, as a killed process answers nothing.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from sesameford.errors import SesamefordError
+
+# The last part of the grace, in which answers are written and connections closed.
+RESERVED_PART = 0.125
+# Calls of a route last as long as the longest of so many recent ones, times a factor.
+RECENT_CALLS = 64
+DURATION_FACTOR = 1.5
+# Fewer calls show too little: each may last as long as its route and caller allow.
+MIN_RECENT_CALLS = 8
+
+
+class StopEndedError(SesamefordError):
+    """A call is still open shortly before the process is killed."""
+
+
+class StopBound:
+    """The time that a planned stop leaves to the calls of a router.
+
+    Args:
+        grace_seconds: The time from the request to stop until the process is killed,
+            None if nothing kills it.
+    """
+
+    def __init__(self, grace_seconds: float | None) -> None:
+        self._grace_seconds = grace_seconds
+        self._stopping_since: tuple[float, float] | None = None
+        self._durations_seconds: dict[str, deque[float]] = {}
+        self._open: set[asyncio.Timeout] = set()
+
+    def configure(self, grace_seconds: float | None) -> None:
+        """Change the grace, also of a stop that has begun."""
+        self._grace_seconds = grace_seconds
+        self._reschedule()
+
+    def start(self, now_seconds: float, loop_seconds: float) -> None:
+        """Begin a planned stop; a repeated call changes nothing.
+
+        Args:
+            now_seconds: The present time.
+            loop_seconds: The same on the loop's clock.
+        """
+        if self._stopping_since is None:
+            self._stopping_since = (now_seconds, loop_seconds)
+            self._reschedule()
+
+    def record_duration(self, route_id: str, seconds: float) -> None:
+        """Record how long a call of a route lasted."""
+        recent = self._durations_seconds.get(route_id)
+        if recent is None:
+            recent = self._durations_seconds[route_id] = deque(maxlen=RECENT_CALLS)
+        recent.append(seconds)
+
+    def may_take(
+        self, route_id: str, longest_seconds: float, now_seconds: float
+    ) -> bool:
+        """Return whether a call is expected to end before the stop does.
+
+        Args:
+            route_id: The call's route.
+            longest_seconds: How long its route and its caller allow it to last.
+            now_seconds: The present time.
+        """
+        if self._stopping_since is None or self._grace_seconds is None:
+            return True
+        end_seconds = self._stopping_since[0] + _usable_seconds(self._grace_seconds)
+        expected_seconds = self._expected_seconds(route_id, longest_seconds)
+        return now_seconds + expected_seconds <= end_seconds
+
+    @asynccontextmanager
+    async def limit(self) -> AsyncIterator[None]:
+        """Run a call until the stop leaves no time for it.
+
+        Raises:
+            StopEndedError: The call is not over by then.
+        """
+        timeout = asyncio.timeout_at(self._end_at_loop_seconds())
+        try:
+            async with timeout:
+                self._open.add(timeout)
+                try:
+                    yield
+                finally:
+                    self._open.discard(timeout)
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            raise StopEndedError("the stop leaves no time") from error
+
+    def _expected_seconds(self, route_id: str, longest_seconds: float) -> float:
+        recent = self._durations_seconds.get(route_id, ())
+        if len(recent) < MIN_RECENT_CALLS:
+            return longest_seconds
+        return min(longest_seconds, DURATION_FACTOR * max(recent))
+
+    def _end_at_loop_seconds(self) -> float | None:
+        if self._stopping_since is None or self._grace_seconds is None:
+            return None
+        return self._stopping_since[1] + _usable_seconds(self._grace_seconds)
+
+    def _reschedule(self) -> None:
+        end_at_seconds = self._end_at_loop_seconds()
+        for timeout in self._open:
+            timeout.reschedule(end_at_seconds)
+
+
+def _usable_seconds(grace_seconds: float) -> float:
+    return (1.0 - RESERVED_PART) * grace_seconds
+
+
+def make_stop_bound(grace_seconds: float | None = None) -> StopBound:
+    """Return the bound of a router that is not stopping; see ``StopBound``."""
+    return StopBound(grace_seconds)
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -155,7 +155,8 @@
 
     async def stop(self) -> None:
         """Stop serving."""
-        self.server.close()
+        # The library waits the whole timeout for idle connections that aren't closed.
+        self.stop_accepting()
         await self.calls.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
 
 
--- a/sesameford/settings.py
+++ b/sesameford/settings.py
@@ -94,7 +94,8 @@
     ``seeds`` are the link addresses of a few instances with disks, used to discover
     all others if ``peers`` is empty. ``founds`` states that the deployment starts for
     the first time, so that the seeds may found its log. ``regions`` maps each data
-    centre of the deployment to its region.
+    centre of the deployment to its region. ``stop_grace_seconds`` is the time from a
+    request to stop until the process is killed, None if nothing kills it.
     """
 
     instance_id: str
@@ -113,6 +114,7 @@
     target_beat_seconds: float = 1.0
     cold_bound: ColdBoundSettings = field(default_factory=ColdBoundSettings)
     regions: dict[str, str] = {}
+    stop_grace_seconds: float | None = None
     logging: Logging = field(default_factory=Logging)
     tracing: Tracing = field(default_factory=Tracing)
 
--- a/tests/test_stop_grace_processes.py
+++ b/tests/test_stop_grace_processes.py
@@ -166,7 +166,6 @@
 ]
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("number", range(len(CASES)))
 async def test_a_planned_stop_cuts_no_call_that_it_took(tmp_path, number):
     """Guards against calls that are taken in a stop and cut as it ends."""
@@ -184,3 +183,26 @@
     early = [one for one in play.calls if 0.0 < one.sent_at_seconds < 2.0]
     assert len(early) >= 10
     assert all(one.status == 200 for one in early)
+
+
+async def test_a_stop_goes_by_the_grace_that_was_set_last(tmp_path):
+    """Guards against a stop that outlasts a grace which was made shorter before it."""
+    grace_seconds = 5.0
+
+    async def stop(router):
+        fleet.bounds = {"grace_s": grace_seconds}
+        fleet.write_settings(router)
+        router.signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        router.signal(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        router.signal(signal.SIGTERM)
+
+    async with open_fleet(tmp_path, 200, 9.0) as fleet:
+        play = await play_stop(fleet, "/unsafe/", stop)
+    assert play.exit_code == 0
+    assert play.ended_after_seconds < 0.5 + grace_seconds
+    assert all(one.status is not None for one in play.cut(play.calls))
+    for one in play.calls:
+        if one.status in NOT_RUN_STATUSES:
+            assert one.request_id not in play.ran
