Bound what any peer may send to a port, and what bodies at the control port hold

Forty heartbeats without end, or heads of which the fields or the first line never end, made a program grow by 220 to 1,300 MB in two seconds, where it is killed at 296 or 150, with all calls that are open there. A heartbeat could be as long as a configuration, and the library bounds each field of a head alone.

A connection is closed once a request has brought 32 KB that are no body, a heartbeat may have 64 KB, and the bodies at the control port have 40 MB together.

--- a/sesameford/early_answers.py
+++ b/sesameford/early_answers.py
@@ -18,6 +18,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 
+from sesameford.bounded_requests import BoundedHandler
 from sesameford.listener import AcceptBacklog
 
 logger = logging.getLogger(__name__)
@@ -46,7 +47,7 @@
 Decide = Callable[[RawRequestMessage, float], EarlyAnswer | Any]
 
 
-class EarlyHandler(web.RequestHandler):
+class EarlyHandler(BoundedHandler):
     """aiohttp's handler of a connection, with a decision before each request."""
 
     __slots__ = ("_decide", "_decision", "_is_answered", "_is_head_incomplete")
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -15,8 +15,14 @@
     web,
 )
 
+from sesameford.bounded_requests import BoundedServer, bound_requests
 from sesameford.connection_guard import GuardCounts, GuardLimits, make_guard
-from sesameford.early_answers import MAX_HEADER_BYTES, Decide, EarlyServer
+from sesameford.early_answers import (
+    LINGER_SECONDS,
+    MAX_HEADER_BYTES,
+    Decide,
+    EarlyServer,
+)
 from sesameford.listener import (
     AcceptBacklog,
     Listener,
@@ -106,10 +112,12 @@
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=IDLE_TIMEOUT_SECONDS,
         shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+        lingering_time=LINGER_SECONDS,
     )
     await runner.setup()
     assert runner.server is not None
-    server = _listen_guarded(runner.server, address, context, limits, counts)
+    make_protocol = bound_requests(runner.server)
+    server = _listen_guarded(make_protocol, address, context, limits, counts)
 
     async def stop() -> None:
         server.close()
@@ -201,7 +209,7 @@
         OSError: The address can't be listened on.
     """
     backlog = make_accept_backlog(BACKLOG_CONNECTIONS)
-    make_server: Callable[..., web.Server] = web.Server
+    make_server: Callable[..., web.Server] = BoundedServer
     if decide is not None:
         make_server = partial(EarlyServer, decide, backlog)
     calls = make_server(
