Let the soak see calls beyond attempts, with too much time, and cut by a stop

Stops now end by a kill after a grace that slow servers' calls outlast, the request has up to three customers, and servers crash up to 0.3 s after answers. An answer to the crashing request is compared with that request's body.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -245,11 +245,14 @@
             await self.start(program)
 
     async def stop(self, program: Program) -> int | None:
-        """Stop a process gracefully; return its exit code, None if it was killed."""
+        """Stop a process gracefully; return its exit code, None if it was killed.
+
+        It is killed after the grace of its settings.
+        """
         program.is_end_requested = True
         program.signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(STOP_SECONDS):
+            async with asyncio.timeout(self.bounds.get("grace_s", STOP_SECONDS)):
                 return await self._wait_for_exit(program)
         except TimeoutError:
             await self.kill(program)
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -7,10 +7,11 @@
 changed settings, disks are lost, data centres of servers are evacuated and restored,
 servers crash, drain, request backoff and answer wrongly, one request and one part of
 prompts crash the servers that run them, connections are delayed, reset and silenced.
-Callers keep their connections until the process has ended. Seeds with an odd number
-have a small retry budget. What callers, servers and the operator observe is checked
-against the promises; each line of findings names its seed, and the logs of that seed
-are kept.
+Some servers are slow, so that calls outlast the grace of a stop, at whose end a process
+is killed. Callers keep their connections until the process has ended. Seeds with an odd
+number have a small retry budget. What callers, servers and the operator observe is
+checked against the promises; each line of findings names its seed, and the logs of that
+seed are kept.
 """
 
 import argparse
@@ -52,7 +53,11 @@
 # After the last fault every router has to serve again within this time.
 RECOVERY_LIMIT_SECONDS = 12.0
 # The time that a server works before an answer and before each event.
-SERVICE_SECONDS = 0.05
+SERVICE_SECONDS = (0.05, 0.05, 0.05, 1.2)
+# Shorter than the deadlines of calls, and than the streams of a slow server.
+GRACE_SECONDS = 3.4
+# How long servers that crash after an answer do so later.
+CRASH_DELAYS_SECONDS = (0.0, 0.02, 0.3)
 WRONG_ANSWERS = (
     Fault.TWICE,
     Fault.UNFRAMED,
@@ -72,6 +77,7 @@
     def __init__(self, fleet: PlatformFleet, seed: int, seconds: float) -> None:
         self.fleet = fleet
         self.records = Records()
+        fleet.bounds["grace_s"] = GRACE_SECONDS
         if seed % 2:
             self.records.retry_budget = SMALL_RETRY_BUDGET
             fleet.set_retry_budget(SMALL_RETRY_BUDGET)
@@ -116,9 +122,10 @@
 
     async def _add_server(self) -> None:
         server = await self.fleet.add_server(self._random.choice(SOFTWARE_VERSIONS))
-        server.server.pause_seconds = SERVICE_SECONDS
+        server.server.pause_seconds = self._random.choice(SERVICE_SECONDS)
         server.server.crashes = crashes_its_server
         server.server.crash_manner = self._random.choice(list(CrashManner))
+        server.server.crash_delay_seconds = self._random.choice(CRASH_DELAYS_SECONDS)
         server.server.on_crash = lambda: self._replace_crashed(server)
         self.records.servers.append(server)
 
--- a/tools/platform_soak_callers.py
+++ b/tools/platform_soak_callers.py
@@ -24,7 +24,6 @@
 from standins.platform_server import CRASHING_BODY_PREFIX, CRASHING_PART
 from tools.platform_soak_records import Records, SentRequest
 
-DEADLINE_SECONDS = 4.0
 # A caller waits longer than the deadline it sends, to receive an answer that arrives at
 # the deadline.
 CALLER_GRACE_SECONDS = 0.5
@@ -124,14 +123,17 @@
     async def _run_crashing_callers(self) -> None:
         """Send one request that crashes its servers again and again, over all routers.
 
-        It comes with copies at once, and from several callers.
+        It comes with copies at once, and from one customer or more.
         """
         random = Random(self.seed)
+        keys = list(CUSTOMERS.values())[: random.randint(1, len(CUSTOMERS))]
         kind = random.choice(CRASHING_KINDS)
         body = CRASHING_BODY_PREFIX + b"%d" % self.seed
         await self._send_in_bursts(
             random,
-            lambda session, router: self._send(session, router, kind, body),
+            lambda session, router: self._send(
+                session, router, kind, body, key=random.choice(keys)
+            ),
         )
 
     async def _run_crashing_prompts(self) -> None:
@@ -191,22 +193,25 @@
             monotonic(),
             resumes=resumes,
             is_crashing=body is not None or CRASHING_PART in parts,
+            left_early=leaves_after is not None,
         )
         sent.settled_version = self.records.settled_version(sent.at_seconds)
         url = f"http://{router.front}/{kind}/x"
-        headers = request_headers(request_id, DEADLINE_SECONDS, key)
+        deadline_seconds = self.records.deadline_seconds
+        headers = request_headers(request_id, deadline_seconds, key)
         if parts:
             headers |= prompt_headers(parts, self._number)
         if resumes:
             headers |= {"Last-Event-Id": "1", "Resumes": resumes}
+        sent_body = request_id.encode() if body is None else body
         try:
             async with session.post(
                 url,
-                data=request_id.encode() if body is None else body,
+                data=sent_body,
                 headers=headers,
-                timeout=ClientTimeout(total=DEADLINE_SECONDS + CALLER_GRACE_SECONDS),
+                timeout=ClientTimeout(total=deadline_seconds + CALLER_GRACE_SECONDS),
             ) as answer:
-                await _record_answer(answer, sent, leaves_after)
+                await _record_answer(answer, sent, sent_body, leaves_after)
         except TimeoutError:
             sent.failure = "timeout"
         except (ClientError, OSError) as error:
@@ -217,7 +222,10 @@
 
 
 async def _record_answer(
-    answer: ClientResponse, sent: SentRequest, leaves_after: int | None
+    answer: ClientResponse,
+    sent: SentRequest,
+    sent_body: bytes,
+    leaves_after: int | None,
 ) -> None:
     sent.status = answer.status
     if answer.status != 200 or not sent.kind.startswith("stream"):
@@ -226,7 +234,7 @@
         if answer.status != 200:
             sent.reason = body.decode("latin-1").strip()
         if answer.status == 200:
-            sent.is_own_answer = body == b"answer to " + sent.request_id.encode()
+            sent.is_own_answer = body == b"answer to " + sent_body
         return
     text = b""
     async for chunk in answer.content.iter_any():
--- a/tools/platform_soak_records.py
+++ b/tools/platform_soak_records.py
@@ -22,7 +22,8 @@
 
     ``resumes`` is the request that brought the first event of the stream that it
     resumes, and ``event_versions`` are the software versions of the events that it got.
-    ``reason`` is why a router refused it; ``is_crashing`` says that it crashes servers.
+    ``reason`` is why a router refused it; ``is_crashing`` says that it crashes servers,
+    and ``left_early`` that its caller did not wait for the whole answer.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     event_versions: frozenset[str] = frozenset()
     reason: str = ""
     is_crashing: bool = False
+    left_early: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -79,6 +81,7 @@
     changes_in_progress: int = 0
     is_outcome_unknown: bool = False
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
+    deadline_seconds: float = 4.0
     _acknowledged: list[tuple[float, int]] = field(default_factory=list)
 
     @contextmanager
--- a/tools/platform_soak_verdict.py
+++ b/tools/platform_soak_verdict.py
@@ -24,6 +24,11 @@
     is_fault_near,
 )
 from tools.retry_checks import retries_beyond_budget
+from tools.send_checks import (
+    calls_beyond_attempts,
+    calls_cut_in_a_stop,
+    calls_with_too_much_time,
+)
 
 # The servers of an evacuated data centre get no request later than this after the
 # acknowledgement.
@@ -54,6 +59,9 @@
     found.extend(refused_innocent_requests(records))
     found.extend(_mixed_streams(records))
     found.extend(retries_beyond_budget(records))
+    found.extend(calls_beyond_attempts(records))
+    found.extend(calls_with_too_much_time(records))
+    found.extend(calls_cut_in_a_stop(records))
     return found
 
 
