--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -13,6 +13,7 @@
 from tools.platform_soak import run_seed
 from tools.platform_soak_records import Records, SentRequest, Span
 from tools.platform_soak_verdict import findings
+from tools.send_checks import DEADLINE_HEADER
 
 SEEDS = (3,)
 # Seeds that failed before, with their duration and cause. `make platform-soak` with
@@ -98,6 +99,10 @@
     unplanned_exits: tuple[str, ...] = ()
 
 
+# What a router hands on, in milliseconds.
+LEFT_TIME = {DEADLINE_HEADER: "100"}
+
+
 class FakeServer:
     def __init__(self, runs):
         self.target_id = "i-1"
@@ -179,7 +184,13 @@
     server = FakeHeartbeatServer({})
     times = (10.0, 11.0, 12.0, 15.5, 16.0, 17.0, 18.0)
     calls = [
-        ReceivedCall("GET", "/safe/x", {"x-sesameford-attempt-id": f"id-{n}"}, b"c", at)
+        ReceivedCall(
+            "GET",
+            "/safe/x",
+            {**LEFT_TIME, "x-sesameford-attempt-id": f"id-{n}"},
+            b"c",
+            at,
+        )
         for n, at in enumerate(times)
     ]
     server.server.received_calls = server.server.crashing_calls = calls
@@ -197,7 +208,7 @@
     """Return records of a part that crashed five servers and came four times later."""
     server = FakeHeartbeatServer({})
     times = (10.0, 10.5, 11.0, 11.5, 12.0, 15.5, 16.0, 17.0, 18.0)
-    headers = {"x-sesameford-prompt-prefix": "f1:9,dead:9,77:9"}
+    headers = {**LEFT_TIME, "x-sesameford-prompt-prefix": "f1:9,dead:9,77:9"}
     calls = [
         ReceivedCall(
             "GET",
@@ -235,7 +246,7 @@
 
 
 def received(at_seconds, number, **notices):
-    headers = {"x-sesameford-attempt-id": f"id-{number}"}
+    headers = {**LEFT_TIME, "x-sesameford-attempt-id": f"id-{number}"}
     return ReceivedCall(
         "GET", "/safe/x", headers, b"", at_seconds, at_seconds, **notices
     )
@@ -298,3 +309,40 @@
     assert "21 retries in a window that allows 20.9" in findings(records, FakeFleet())
     records.sent = sent * 2
     assert findings(records, FakeFleet()) == []
+
+
+def test_the_check_finds_a_call_that_ran_on_more_servers_than_allowed():
+    records = Records(servers=[FakeHeartbeatServer({"1": 1}) for _ in range(3)])
+    assert findings(records, FakeFleet()) == ["1 ran on 3 servers"]
+    records.servers.pop()
+    assert findings(records, FakeFleet()) == []
+
+
+@pytest.mark.parametrize(
+    ("milliseconds", "is_found"), [("4000", False), ("5400", False), ("5600", True)]
+)
+def test_the_check_finds_a_server_that_is_handed_too_much_time(milliseconds, is_found):
+    """The caller waits for 6 s and sent its call a second before it arrived there."""
+    server = FakeHeartbeatServer({})
+    call = received(11.0, 1)
+    call.headers[DEADLINE_HEADER] = milliseconds
+    server.server.received_calls = [call]
+    sent = [SentRequest("id-1", "safe", "r", 10.0, status=502)]
+    records = Records(sent=sent, servers=[server], deadline_seconds=6.0)
+    found = findings(records, FakeFleet())
+    assert found == ["id-1 of r was handed too much time"] * is_found
+
+
+@pytest.mark.parametrize(
+    ("sent_at_seconds", "left_early", "is_found"),
+    [(9.0, False, False), (10.5, False, True), (10.5, True, False)],
+)
+def test_the_check_finds_a_call_that_a_stop_took_and_cut(
+    sent_at_seconds, left_early, is_found
+):
+    sent = SentRequest("1", "stream", "r", sent_at_seconds, 2.0, status=200)
+    sent.left_early = left_early
+    records = Records(sent=[sent], servers=[FakeHeartbeatServer({"1": 1})])
+    records.stops.append(Span("r", 10.0, 13.0))
+    found = findings(records, FakeFleet())
+    assert found == ["stream 1 at r was cut by a stop"] * is_found
