--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -227,6 +227,8 @@
 
     def _record_survived(self, digests: Iterable[bytes], now_seconds: float) -> None:
         """Record that targets lived on for a time after they answered calls."""
+        if not self.exchange.suspects.has_rows:
+            return
         for digest in digests:
             self.exchange.record_completion(
                 digest, now_seconds, "survived", has_survived=True
--- a/sesameford/gateway/suspect_exchange.py
+++ b/sesameford/gateway/suspect_exchange.py
@@ -3,7 +3,8 @@
 A router sends what it observed to one replica, which sends on to all instances what it
 did not know before. The router repeats it to all replicas, in case the first one ended
 or was cut off; those that know it already stay silent. Rows that changed together, as
-all of one crash do, are one message: what a part of them shows may be wrong.
+all of one crash do, are one message, with others that have several of their crashes:
+what a part of them shows may be wrong.
 
 An instance that starts, or was out of touch, is sent the newest rows by each instance
 that hears from it again; both sides of a cut do so when it heals. Replicas also send
@@ -228,7 +229,8 @@
             (first, self._first_receiver(now_seconds)),
             (repeated, None),
         ):
-            updates = [update for row in rows for update in make_updates(row)]
+            listed = [*rows, *self.suspects.companions(rows)]
+            updates = [update for row in listed for update in make_updates(row)]
             if updates:
                 self._send(Outgoing(receiver, _make_message(updates), urgent=True))
         if self._is_relay:
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -406,6 +406,21 @@
             self._table.put(count_update(row, now_seconds, UPDATE_INTERVAL_SECONDS))
         return rows
 
+    def companions(self, rows: Collection[Suspect]) -> Sequence[Suspect]:
+        """Return other rows with several crashes, of which some rows have one too.
+
+        Without them, an instance that was not sent one of them before would attribute
+        the crashes to what it knows alone.
+        """
+        sent = {row.request_digest for row in rows}
+        crashes = frozenset[str]().union(*(row.uncleared_crashes for row in rows))
+        found = (self._table.get(digest) for digest in self._table.repeated - sent)
+        return [
+            row
+            for row in found
+            if row is not None and not crashes.isdisjoint(row.uncleared_crashes)
+        ]
+
     def newest_updates(self, max_rows: int) -> Sequence[SuspectUpdate]:
         """Return updates for an instance that may know nothing: the newest rows.
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -371,3 +371,32 @@
         assert any(cleared)
         treatment = instance.treatment(POISON, 4.0, parts)
         assert treatment is SuspectTreatment.CLEAR
+
+
+def test_callers_without_a_key_are_one_customer():
+    """Guards against anonymous callers who have a customer's sound calls refused."""
+    suspects = Suspects(300.0)
+    anonymous, of_club = (
+        digest_request(one, "POST", "h", "/x", b"") for one in (None, "club")
+    )
+    for number in range(4):
+        suspects.record_crash(f"t/{number}", [anonymous], float(number))
+    assert suspects.treatment(anonymous, 5.0) is SuspectTreatment.QUARANTINED
+    assert suspects.treatment(of_club, 5.0) is SuspectTreatment.SUSPECT
+    suspects.record_crash("t/5", [of_club], 6.0)
+    of_rival = digest_request("rival", "POST", "h", "/x", b"")
+    assert suspects.treatment(of_rival, 7.0) is SuspectTreatment.QUARANTINED
+
+
+def test_rows_of_the_same_crashes_are_sent_together():
+    """Guards against a part that is blamed where its neighbour's row was lost."""
+    suspects = Suspects(300.0)
+    for number in range(2):
+        crash_under(suspects, f"t/{number}", number, (FIRST, CULPRIT), float(number))
+    for at_seconds in range(10):
+        suspects.make_due_updates(2.0 + at_seconds)
+    suspects.record_crash("t/9", [FIRST], 20.0, trials=[])
+    (due,) = suspects.pop_due_rows(20.0)
+    assert due.request_digest == FIRST
+    companions = suspects.companions([due])
+    assert [row.request_digest for row in companions] == [CULPRIT]
