--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -94,7 +94,7 @@
 from sesameford.regular_run import run_regularly
 from sesameford.settings import DaemonSettings, Peer
 from sesameford.state_machine import StateMachine
-from sesameford.stops import StopLoad
+from sesameford.stops import StopLoad, StopStep
 from sesameford.tables import InstanceState
 from sesameford.tree_changes import TreeMachine
 from sesameford.tree_holder import TreeHolderDeps, make_tree_holder
@@ -459,8 +459,11 @@
         self.origin_exchange.tick(now_seconds)
         load = StopLoad(self.metrics.open_calls, 0, 0)
         delay_seconds = 0.0 if self._own.has_disk else UNREADY_SECONDS
+        delay_seconds = self._stop_bound.shorten(delay_seconds)
         was_serving = self._stop.accepts_requests
-        self._stop.advance(load, delay_seconds, now_seconds)
+        # A step that holds already takes no time.
+        for _ in StopStep:
+            self._stop.advance(load, delay_seconds, now_seconds)
         if was_serving and not self._stop.accepts_requests:
             for act in self._on_finishing:
                 act()
--- a/sesameford/gateway/stop_bound.py
+++ b/sesameford/gateway/stop_bound.py
@@ -12,8 +12,10 @@
 
 from sesameford.errors import SesamefordError
 
-# The last part of the grace, in which answers are written and connections closed.
+# The last part of the grace, in which answers are written and connections closed. That
+# takes a busy process some time, however short the grace is.
 RESERVED_PART = 0.125
+MIN_RESERVED_SECONDS = 0.8
 # Calls of a route last as long as the longest of so many recent ones, times a factor.
 RECENT_CALLS = 64
 DURATION_FACTOR = 1.5
@@ -98,6 +100,12 @@
                 raise
             raise StopEndedError("the stop leaves no time") from error
 
+    def shorten(self, seconds: float) -> float:
+        """Return a time from the begin of a stop, at most what it leaves to calls."""
+        if self._grace_seconds is None:
+            return seconds
+        return min(seconds, _usable_seconds(self._grace_seconds))
+
     def _expected_seconds(self, route_id: str, longest_seconds: float) -> float:
         recent = self._durations_seconds.get(route_id, ())
         if len(recent) < MIN_RECENT_CALLS:
@@ -116,7 +124,8 @@
 
 
 def _usable_seconds(grace_seconds: float) -> float:
-    return (1.0 - RESERVED_PART) * grace_seconds
+    reserved_seconds = max(RESERVED_PART * grace_seconds, MIN_RESERVED_SECONDS)
+    return max(0.0, grace_seconds - reserved_seconds)
 
 
 def make_stop_bound(grace_seconds: float | None = None) -> StopBound:
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -55,7 +55,7 @@
 # The time that a server works before an answer and before each event.
 SERVICE_SECONDS = (0.05, 0.05, 0.05, 1.2)
 # Shorter than the deadlines of calls, and than the streams of a slow server.
-GRACE_SECONDS = 3.4
+GRACE_SECONDS = 4.0
 # How long servers that crash after an answer do so later.
 CRASH_DELAYS_SECONDS = (0.0, 0.02, 0.3)
 WRONG_ANSWERS = (
