--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -28,7 +28,7 @@
 from sesameford.gateway.suspect_calls import SuspectCalls
 from sesameford.gateway.table_proof import TableProof, make_table_proof
 from sesameford.gateway.target_record import Reservation
-from sesameford.held_answers import HeldAnswers, make_held_answers
+from sesameford.held_answers import HeldBytes, make_held_bytes
 
 # Default Retry-After: about the time after which a target in backoff is tried again.
 RETRY_AFTER_SECONDS = 0.5
@@ -95,7 +95,7 @@
     suspect_calls: SuspectCalls
     origin_exchange: OriginExchange
     service_versions: ServiceVersions
-    held_answers: HeldAnswers = field(default_factory=make_held_answers)
+    held_answers: HeldBytes = field(default_factory=make_held_bytes)
     queue_limits: dict[str, QueueLimit] = field(default_factory=dict)
     dispatch_limit: DispatchLimit = field(default_factory=make_dispatch_limit)
     returning_calls: ReturningCalls = field(default_factory=make_returning_calls)
--- a/sesameford/gateway/target_crashes.py
+++ b/sesameford/gateway/target_crashes.py
@@ -184,7 +184,7 @@
         removed = self._in_flight.remove_broken(*target, written_at_seconds)
         confirmed = [one for one in removed if one.is_unconfirmed]
         for one in confirmed:
-            # Its number is not needed any more: it was on no trial.
+            # Its number is not needed: a trial with such an answer is over already.
             self._record_recent(0, one, one.broken_at_seconds or written_at_seconds)
         completed = [digest for one in confirmed for digest in one.digests]
         return Survivals(completed, survived)
--- a/sesameford/held_answers.py
+++ b/sesameford/held_answers.py
@@ -1,4 +1,4 @@
-"""How much a router holds of the answers that it forwards.
+"""How much an instance holds of the answers that it forwards, or of bodies it reads.
 
 An answer that is held to its end can be sent to another target if it breaks, and its
 caller learns of the failure from a status. But a server may send without end, and
@@ -17,30 +17,30 @@
 MAX_HELD_BYTES = 1_000_000
 
 
-class HeldAnswers:
-    """The bytes of answers that one router holds, over all calls."""
+class HeldBytes:
+    """The bytes that one instance holds, over all answers or bodies."""
 
     def __init__(self) -> None:
         self.held_bytes = 0
 
     @contextmanager
-    def hold(self, limit_bytes: int) -> Iterator["HeldAnswer"]:
-        """Account for one answer as long as the context lasts.
+    def hold(self, limit_bytes: int) -> Iterator["HeldPart"]:
+        """Account for one answer or body as long as the context lasts.
 
         Args:
-            limit_bytes: What all answers may hold together.
+            limit_bytes: What all may hold together.
         """
-        held = HeldAnswer(self, limit_bytes)
+        held = HeldPart(self, limit_bytes)
         try:
             yield held
         finally:
             held.release()
 
 
-class HeldAnswer:
-    """What a router holds of one answer."""
+class HeldPart:
+    """What an instance holds of one answer or body."""
 
-    def __init__(self, answers: HeldAnswers, limit_bytes: int) -> None:
+    def __init__(self, answers: HeldBytes, limit_bytes: int) -> None:
         self._answers = answers
         self._limit_bytes = limit_bytes
         self._held_bytes = 0
@@ -82,6 +82,6 @@
     return b"".join(collected)
 
 
-def make_held_answers() -> HeldAnswers:
+def make_held_bytes() -> HeldBytes:
     """Return the account of a router that holds nothing."""
-    return HeldAnswers()
+    return HeldBytes()
--- a/sesameford/relay_deps.py
+++ b/sesameford/relay_deps.py
@@ -14,7 +14,7 @@
 from sesameford.answers_http import OUTCOME_HEADER, outcome_headers
 from sesameford.costs import cost_of_usage
 from sesameford.errors import TargetError, TargetLostError
-from sesameford.held_answers import HeldAnswers, make_held_answers
+from sesameford.held_answers import HeldBytes, make_held_bytes
 from sesameford.outcomes import Outcomes, make_outcomes
 from sesameford.probes import ProbeConnection, probe_target
 from sesameford.retries import PROVEN_NOT_STARTED, Failure
@@ -48,7 +48,7 @@
     tracer: Tracer
     now: Callable[[], float]
     outcomes: Outcomes = field(default_factory=make_outcomes)
-    held_answers: HeldAnswers = field(default_factory=make_held_answers)
+    held_answers: HeldBytes = field(default_factory=make_held_bytes)
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
     @contextmanager
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,7 +7,7 @@
 from sesameford.held_answers import (
     MAX_HELD_BYTES,
     MIN_HELD_BYTES,
-    make_held_answers,
+    make_held_bytes,
 )
 from sesameford.tree import effective_tree, parse_tree
 from tests.endless_fixture import (
@@ -142,7 +142,7 @@
 
 def test_answers_hold_no_more_than_the_limit_together():
     """Guards against a bound for one answer that many answers pass together."""
-    account = make_held_answers()
+    account = make_held_bytes()
     with account.hold(2_000_000) as first, account.hold(2_000_000) as second:
         assert first.resize(900_000)
         assert not first.resize(MAX_HELD_BYTES + 1)
