--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -18,7 +18,8 @@
 are one customer.
 
 A target may also crash just after it has answered a request. Such crashes are cleared
-only by a completion that its target has survived for a time.
+only by a completion that its target has survived for a time, or by many more
+completions than crashes.
 
 A crashing request that is resent one at a time costs at most two targets in the whole
 fleet before it is quarantined, or three if another suspect was in flight at both
@@ -61,6 +62,11 @@
 # no more than these: one that crashes some targets alone completes on the others. Other
 # routers clear it at once, so that popular parts are clear soon.
 MAX_COMPLETIONS_TO_CLEAR = 3
+# What completes at a router so often, and so many times as often as targets crash, has
+# not crashed them just after its answers: a popular part completes all the time, and
+# where all targets end one after the other, none survives it for long.
+MIN_COMPLETIONS_FOR_ANSWERED = 4
+COMPLETIONS_PER_ANSWERED_CRASH = 2
 # A prompt has at most the pairs of so many of its parts.
 MAX_PAIRED_PARTS = 6
 # After so many trials that crashed, a quarantine has its longest time at once.
@@ -93,6 +99,9 @@
         self._newly_quarantined: list[bytes] = []
         self._completions: Counter[bytes] = Counter()
         self._survivals: Counter[bytes] = Counter()
+        # ``_completions`` are those since the last crash that was observed here, these all
+        # that came since the first one.
+        self._all_completions: Counter[bytes] = Counter()
         self._observed_crashes: Counter[bytes] = Counter()
 
     def configure(self, quarantine_seconds: float, lifted: Iterable[bytes]) -> None:
@@ -128,8 +137,7 @@
         for digest in in_flight:
             self._completions.pop(digest, None)
             self._survivals.pop(digest, None)
-            if is_part_digest(digest):
-                self._observed_crashes[digest] += 1
+            self._observed_crashes[digest] += 1
             is_trial = trials is None or digest in trials
             record = CrashRecord(
                 crashes,
@@ -147,15 +155,19 @@
         Args:
             digest: Its digest.
             now_seconds: The present time.
-            has_survived: Whether the target has lived on for a time. Without that, the
+            has_survived: Whether the target has lived on for a time. Without that, one
                 completion shows nothing of crashes that came just after answers.
 
         Returns:
             Whether it was a suspect, and crashes of it are cleared.
         """
         crashes = self.uncleared_crashes(digest)
+        if not crashes:
+            return False
         if not has_survived:
-            crashes -= self._answered_crashes(digest)
+            self._all_completions[digest] += 1
+            if not self._completes_often(digest):
+                crashes -= self._answered_crashes(digest)
         if not crashes:
             return False
         if is_part_digest(digest):
@@ -185,6 +197,14 @@
         self._table.merge(digest, record, now_seconds, UPDATE_REPEATS)
         self._mark_quarantines(now_seconds)
 
+    def _completes_often(self, digest: bytes) -> bool:
+        """Return whether a suspect completes far more often here than targets crash."""
+        crashes = self._observed_crashes[digest]
+        needed = COMPLETIONS_PER_ANSWERED_CRASH * crashes
+        return self._all_completions[digest] >= max(
+            needed, MIN_COMPLETIONS_FOR_ANSWERED
+        )
+
     def has_answered_crashes(self, digest: bytes) -> bool:
         """Return whether targets crashed just after they had answered a suspect."""
         return not self._answered_crashes(digest).isdisjoint(
@@ -506,6 +526,7 @@
         """Forget what this router counted of a suspect whose row was dropped."""
         self._completions.pop(digest, None)
         self._survivals.pop(digest, None)
+        self._all_completions.pop(digest, None)
         self._observed_crashes.pop(digest, None)
 
     def _mark_quarantines(self, now_seconds: float) -> None:
--- a/tests/test_endless_requests_processes.py
+++ b/tests/test_endless_requests_processes.py
@@ -7,6 +7,14 @@
 import pytest
 from aiohttp import ClientSession, TCPConnector
 
+from sesameford.held_answers import make_held_bytes
+from sesameford_platform.control import (
+    BODY_LIMIT_BYTES,
+    HEARTBEAT_LIMIT_BYTES,
+    HELD_BODIES_LIMIT_BYTES,
+    BodyRefusedError,
+    read_body,
+)
 from standins.platform_fleet import METRICS_PORT, make_platform_fleet
 
 pytestmark = pytest.mark.heavy
@@ -118,3 +126,39 @@
     for name, (growth, status, seconds) in seen.items():
         assert growth < MAX_GROWTH_MB, name
         assert (status, seconds < ANSWER_SECONDS) == (200, True), name
+
+
+class FakeRequest:
+    """A call whose body arrives in pieces, and who waits at its end."""
+
+    def __init__(self, pieces, waits=None):
+        self._pieces = pieces
+        self._waits = waits
+        self.content = self
+
+    async def iter_any(self):
+        for piece in self._pieces:
+            yield piece
+        if self._waits is not None:
+            await self._waits.wait()
+
+
+async def test_a_configuration_that_finds_no_room_may_come_again():
+    """Guards against a valid configuration that is refused for good beside a flood."""
+    held_bodies, waits = make_held_bytes(), asyncio.Event()
+    large = FakeRequest([bytes(BODY_LIMIT_BYTES)], waits)
+    first = asyncio.create_task(read_body(large, held_bodies, BODY_LIMIT_BYTES))
+    await asyncio.sleep(0)
+    small = [b"x" * (HELD_BODIES_LIMIT_BYTES - BODY_LIMIT_BYTES + 1)]
+    with pytest.raises(BodyRefusedError) as refused:
+        await read_body(FakeRequest(small), held_bodies, BODY_LIMIT_BYTES)
+    assert refused.value.status == 503
+    heartbeat = [b"x" * HEARTBEAT_LIMIT_BYTES]
+    body = await read_body(FakeRequest(heartbeat), held_bodies, HEARTBEAT_LIMIT_BYTES)
+    assert len(body) == HEARTBEAT_LIMIT_BYTES
+    with pytest.raises(BodyRefusedError) as refused:
+        await read_body(FakeRequest([*heartbeat, b"x"]), held_bodies, len(body))
+    assert refused.value.status == 413
+    waits.set()
+    assert len(await first) == BODY_LIMIT_BYTES
+    await read_body(FakeRequest(small), held_bodies, BODY_LIMIT_BYTES)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -11,6 +11,7 @@
 from sesameford.suspect_table import MAX_SUSPECTS_PER_CUSTOMER
 from sesameford.suspects import (
     MAX_COMPLETIONS_TO_CLEAR,
+    MIN_COMPLETIONS_FOR_ANSWERED,
     Suspects,
     SuspectTreatment,
 )
@@ -400,3 +401,34 @@
     assert due.request_digest == FIRST
     companions = suspects.companions([due])
     assert [row.request_digest for row in companions] == [CULPRIT]
+
+
+@pytest.mark.parametrize("digest", [POISON, FIRST])
+def test_what_completes_far_more_often_than_targets_crash_is_cleared(digest):
+    """Guards against a popular part that is refused while all targets end in turn."""
+    suspects = Suspects(300.0)
+    parts = (digest,) if digest == FIRST else ()
+    for number in range(6):
+        trials = [digest] * bool(number)
+        suspects.record_crash(
+            f"t/{number}", [digest], float(number), trials, answered=[digest]
+        )
+        for _ in range(MIN_COMPLETIONS_FOR_ANSWERED):
+            suspects.record_completion(digest, number + 0.5)
+        treatment = suspects.treatment(POISON, number + 0.6, parts)
+        assert treatment is SuspectTreatment.CLEAR
+
+
+@pytest.mark.parametrize("digest", [POISON, CULPRIT])
+def test_what_completes_once_before_each_crash_is_refused(digest):
+    """Guards against answers that outweigh the crashes which follow each of them."""
+    suspects = Suspects(300.0)
+    parts = (digest,) if digest == CULPRIT else ()
+    for number in range(6):
+        suspects.record_completion(digest, number + 0.4)
+        trials = [digest] * bool(number)
+        suspects.record_crash(
+            f"t/{number}", [digest], number + 0.5, trials, answered=[digest]
+        )
+    treatment = suspects.treatment(POISON, 6.0, parts)
+    assert treatment is SuspectTreatment.QUARANTINED
