--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -99,8 +99,8 @@
         self._newly_quarantined: list[bytes] = []
         self._completions: Counter[bytes] = Counter()
         self._survivals: Counter[bytes] = Counter()
-        # ``_completions`` are those since the last crash that was observed here, these all
-        # that came since the first one.
+        # ``_completions`` are those since the last crash that was observed here, these
+        # all that came since the first one.
         self._all_completions: Counter[bytes] = Counter()
         self._observed_crashes: Counter[bytes] = Counter()
 
