--- a/tools/count.py
+++ b/tools/count.py
@@ -22,8 +22,8 @@
     "retries": "retries suspects in_flight_attempts silence outcomes claims keyed"
     " answers completion_run service_run caller_stream probes second_sends"
     " send_failures target_notices doubling retry_after crash_ suspect_ trial_"
-    " ended_targets request_run unconfirmed_",
-    "membership": "members target election owner_queries peer_state stops voters"
+    " ended_targets request_run unconfirmed_ recent_answers",
+    "membership": "members target election owner_queries peer_state stop voters"
     " heartbeat_table roster founding",
     "state and recovery": "log_ tree state_machine fencing proposals effective",
 }
