--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -163,8 +163,7 @@
 
     async def stop(self) -> None:
         """Stop serving."""
-        # The library waits the whole timeout for idle connections that aren't closed.
-        self.stop_accepting()
+        self.server.close()
         await self.calls.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
 
 
