Read bodies, bound framing and time a stop each in one way

The control port read bodies by a second loop beside collect_held, which admission of calls now uses as well; bounds of framing had a second copy of two constants; connections were bounded by a server class beside the factory; and a stop held its begin on two clocks, of which the loop's is enough. An answer without a call's number has none in place of 0.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -13,15 +13,12 @@
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from sesameford.framing import MAX_PART_BYTES, RECEIVED_BYTES_PER_BODY_BYTE
+
 logger = logging.getLogger(__name__)
 
 # What a request may have beside its body: its head, and the framing of chunks.
 MAX_OVERHEAD_BYTES = 32_768
-# So many bytes are parsed before they are counted: short fields take many times as
-# much memory as bytes.
-MAX_PART_BYTES = 16_384
-# Each byte of a body pays for itself and one of framing, as in chunks of five bytes.
-RECEIVED_BYTES_PER_BODY_BYTE = 2
 
 
 class BoundedHandler(web.RequestHandler):
@@ -75,14 +72,6 @@
         return False
 
 
-class BoundedServer(web.Server):
-    """The library's server, with bounds on each connection."""
-
-    def __call__(self) -> web.RequestHandler:
-        """Return the protocol of a new connection."""
-        return BoundedHandler(self, loop=self._loop, **self._kwargs)
-
-
 def bound_requests(server: web.Server) -> Callable[[], web.RequestHandler]:
-    """Return the protocol factory of a server that an application made, with bounds."""
+    """Return the protocol factory of a server, with bounds on each connection."""
     return lambda: BoundedHandler(server, loop=server._loop, **server._kwargs)
--- a/sesameford/framing.py
+++ b/sesameford/framing.py
@@ -1,4 +1,4 @@
-"""How the end of an HTTP answer's body is marked.
+"""How the end of an HTTP answer's body is marked, and what framing a message may have.
 
 Only a length or a last chunk is stated by the target. The end of a connection is not:
 a target that crashes may also close its connections in order.
@@ -9,6 +9,11 @@
 from aiohttp import ClientResponse
 
 BODILESS_STATUSES = frozenset({204, 304})
+# So many bytes of heads and framing are parsed before they are counted: short fields
+# take many times as much memory as bytes.
+MAX_PART_BYTES = 16_384
+# Each byte of a body pays for itself and one of framing, as in chunks of five bytes.
+RECEIVED_BYTES_PER_BODY_BYTE = 2
 
 
 class Framing(StrEnum):
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -23,6 +23,7 @@
 from sesameford.gateway.queue_limit import make_queue_limit
 from sesameford.gateway.retry_times import spread_retry_seconds
 from sesameford.gateway.route_table import choose_service
+from sesameford.held_answers import collect_held
 from sesameford.operators_http import digest_of_key
 from sesameford.request_digest import digest_part, digest_request
 from sesameford.suspect_log import format_digests
@@ -96,9 +97,7 @@
         raise Refusal(404, "no-route")
     customer = _customer_of(state.tree, route, call)
     longest_seconds = _longest_seconds(route, call)
-    if not deps.stop_bound.may_take(
-        route.route_id, longest_seconds, arrived_at_seconds
-    ):
+    if not deps.stop_bound.may_take(route.route_id, longest_seconds, deps.loop_time()):
         raise Refusal(
             503, "stopping", STOPPING_RETRY_SECONDS, route.route_id, customer or ""
         )
@@ -358,9 +357,9 @@
 async def _read_body(http: web.BaseRequest, limit_bytes: int) -> bytes:
     if not http.body_exists:
         return b""
-    body = bytearray()
-    async for chunk in http.content.iter_any():
-        body += chunk
-        if len(body) > limit_bytes:
+
+    def check(held_bytes: int) -> None:
+        if held_bytes > limit_bytes:
             raise Refusal(413, "body-too-large")
-    return bytes(body)
+
+    return await collect_held(http.content.iter_any(), check)
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -363,9 +363,8 @@
 
     def request_stop(self) -> None:
         """Start a planned stop; a repeated call does not shorten it."""
-        now_seconds = self._now()
-        self._stop.request(now_seconds)
-        self._stop_bound.start(now_seconds, asyncio.get_running_loop().time())
+        self._stop.request(self._now())
+        self._stop_bound.start(asyncio.get_running_loop().time())
         self._send_heartbeats()
 
     async def close(self) -> None:
--- a/sesameford/gateway/recent_answers.py
+++ b/sesameford/gateway/recent_answers.py
@@ -22,12 +22,12 @@
 class RecentAnswer:
     """A complete answer.
 
-    ``number`` is that of the call's slot, ``trials`` are the digests that were suspects
-    when it was sent. An answer that ``is_failure`` clears nothing: a target may fail a
-    call before it reads the prompt.
+    ``number`` is that of the call's slot, None once no trial can need it. ``trials``
+    are the digests that were suspects when it was sent. An answer that ``is_failure``
+    clears nothing: a target may fail a call before it reads the prompt.
     """
 
-    number: int
+    number: int | None
     digests: tuple[bytes, ...]
     trials: frozenset[bytes]
     ended_at_seconds: float
@@ -70,6 +70,8 @@
             The digests that have thereby been shown to crash no target.
         """
         survived = self._pop_before(target, alive_at_seconds - SURVIVAL_SECONDS)
+        if not survived:
+            return []
         answered = [one for one in survived if not one.is_failure]
         digests = list(dict.fromkeys(d for one in answered for d in one.digests))
         for digest in digests:
--- a/sesameford/gateway/stop_bound.py
+++ b/sesameford/gateway/stop_bound.py
@@ -30,6 +30,8 @@
 class StopBound:
     """The time that a planned stop leaves to the calls of a router.
 
+    All times are of the loop's clock, which ends the calls.
+
     Args:
         grace_seconds: The time from the request to stop until the process is killed,
             None if nothing kills it.
@@ -37,7 +39,7 @@
 
     def __init__(self, grace_seconds: float | None) -> None:
         self._grace_seconds = grace_seconds
-        self._stopping_since: tuple[float, float] | None = None
+        self._stopping_since_seconds: float | None = None
         self._durations_seconds: dict[str, deque[float]] = {}
         self._open: set[asyncio.Timeout] = set()
 
@@ -46,15 +48,10 @@
         self._grace_seconds = grace_seconds
         self._reschedule()
 
-    def start(self, now_seconds: float, loop_seconds: float) -> None:
-        """Begin a planned stop; a repeated call changes nothing.
-
-        Args:
-            now_seconds: The present time.
-            loop_seconds: The same on the loop's clock.
-        """
-        if self._stopping_since is None:
-            self._stopping_since = (now_seconds, loop_seconds)
+    def start(self, now_seconds: float) -> None:
+        """Begin a planned stop; a repeated call changes nothing."""
+        if self._stopping_since_seconds is None:
+            self._stopping_since_seconds = now_seconds
             self._reschedule()
 
     def record_duration(self, route_id: str, seconds: float) -> None:
@@ -74,11 +71,11 @@
             longest_seconds: How long its route and its caller allow it to last.
             now_seconds: The present time.
         """
-        if self._stopping_since is None or self._grace_seconds is None:
+        end_at_seconds = self._end_at_seconds()
+        if end_at_seconds is None:
             return True
-        end_seconds = self._stopping_since[0] + _usable_seconds(self._grace_seconds)
         expected_seconds = self._expected_seconds(route_id, longest_seconds)
-        return now_seconds + expected_seconds <= end_seconds
+        return now_seconds + expected_seconds <= end_at_seconds
 
     @asynccontextmanager
     async def limit(self) -> AsyncIterator[None]:
@@ -87,7 +84,7 @@
         Raises:
             StopEndedError: The call is not over by then.
         """
-        timeout = asyncio.timeout_at(self._end_at_loop_seconds())
+        timeout = asyncio.timeout_at(self._end_at_seconds())
         try:
             async with timeout:
                 self._open.add(timeout)
@@ -112,13 +109,14 @@
             return longest_seconds
         return min(longest_seconds, DURATION_FACTOR * max(recent))
 
-    def _end_at_loop_seconds(self) -> float | None:
-        if self._stopping_since is None or self._grace_seconds is None:
+    def _end_at_seconds(self) -> float | None:
+        """Return when open calls end, None if no stop ends them."""
+        if self._stopping_since_seconds is None or self._grace_seconds is None:
             return None
-        return self._stopping_since[1] + _usable_seconds(self._grace_seconds)
+        return self._stopping_since_seconds + _usable_seconds(self._grace_seconds)
 
     def _reschedule(self) -> None:
-        end_at_seconds = self._end_at_loop_seconds()
+        end_at_seconds = self._end_at_seconds()
         for timeout in self._open:
             timeout.reschedule(end_at_seconds)
 
--- a/sesameford/gateway/target_crashes.py
+++ b/sesameford/gateway/target_crashes.py
@@ -142,7 +142,7 @@
 
     def _record_recent(
         self,
-        number: int,
+        number: int | None,
         request: InFlightRequest,
         ended_at_seconds: float,
         is_failure: bool = False,
@@ -184,8 +184,8 @@
         removed = self._in_flight.remove_broken(*target, written_at_seconds)
         confirmed = [one for one in removed if one.is_unconfirmed]
         for one in confirmed:
-            # Its number is not needed: a trial with such an answer is over already.
-            self._record_recent(0, one, one.broken_at_seconds or written_at_seconds)
+            # A trial with such an answer is over already.
+            self._record_recent(None, one, one.broken_at_seconds or written_at_seconds)
         completed = [digest for one in confirmed for digest in one.digests]
         return Survivals(completed, survived)
 
--- a/sesameford/held_answers.py
+++ b/sesameford/held_answers.py
@@ -67,7 +67,7 @@
 async def collect_held(
     parts: AsyncIterator[bytes], hold: Callable[[int], None]
 ) -> bytes:
-    """Return all parts of an answer that is read to its end.
+    """Return all parts of an answer or body that is read to its end.
 
     Args:
         parts: The parts as they arrive.
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -15,7 +15,7 @@
     web,
 )
 
-from sesameford.bounded_requests import BoundedServer, bound_requests
+from sesameford.bounded_requests import bound_requests
 from sesameford.connection_guard import GuardCounts, GuardLimits, make_guard
 from sesameford.early_answers import (
     LINGER_SECONDS,
@@ -208,7 +208,7 @@
         OSError: The address can't be listened on.
     """
     backlog = make_accept_backlog(BACKLOG_CONNECTIONS)
-    make_server: Callable[..., web.Server] = BoundedServer
+    make_server: Callable[..., web.Server] = web.Server
     if decide is not None:
         make_server = partial(EarlyServer, decide, backlog)
     calls = make_server(
@@ -221,7 +221,11 @@
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=IDLE_TIMEOUT_SECONDS,
     )
-    server = _listen_guarded(calls, address, None, limits, counts, backlog, shed)
+    # The early server's own connections have the bounds already.
+    make_protocol = bound_requests(calls) if decide is None else calls
+    server = _listen_guarded(
+        make_protocol, address, None, limits, counts, backlog, shed
+    )
     return CallsPort(calls, server)
 
 
--- a/sesameford/target_answers.py
+++ b/sesameford/target_answers.py
@@ -17,6 +17,8 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from sesameford.framing import MAX_PART_BYTES, RECEIVED_BYTES_PER_BODY_BYTE
+
 if TYPE_CHECKING:
     from asyncio import AbstractEventLoop
 
@@ -30,12 +32,8 @@
 _EMPTY_LINE = b"\r\n\r\n"
 # Interim answers, answers to other requests and empty lines before one answer.
 MAX_HEADS = 32
-# So many bytes are parsed before heads and framing are counted.
-MAX_PART_BYTES = 16_384
 # What an answer may have beside its body: its head, and the framing of chunks.
 MAX_FRAMING_BYTES = 131_072
-# Each byte of a body pays for itself and one of framing, as in chunks of five bytes.
-RECEIVED_BYTES_PER_BODY_BYTE = 2
 # An answer that is late by more requests than this is not expected.
 REMEMBERED_REQUESTS = 64
 
--- a/tests/test_stop_bound.py
+++ b/tests/test_stop_bound.py
@@ -22,7 +22,7 @@
     bound = make_stop_bound(grace_seconds)
     for seconds in durations_seconds:
         bound.record_duration("r", seconds)
-    bound.start(100.0, 0.0)
+    bound.start(100.0)
     return bound
 
 
@@ -73,9 +73,9 @@
     bound = make_stop_bound(MIN_RESERVED_SECONDS + 0.4)
     before = asyncio.create_task(run_until_ended(bound))
     await asyncio.sleep(0.1)
-    bound.start(100.0, loop.time())
+    bound.start(loop.time())
     await asyncio.sleep(0.3)
-    bound.start(100.3, loop.time())
+    bound.start(loop.time())
     during = asyncio.create_task(run_until_ended(bound))
     assert 0.4 < await before < 0.7
     assert await during < 0.3
@@ -86,15 +86,17 @@
     bound = make_stop_bound(60.0)
     call = asyncio.create_task(run_until_ended(bound))
     await asyncio.sleep(0)
-    bound.start(100.0, asyncio.get_running_loop().time())
+    bound.start(asyncio.get_running_loop().time())
     bound.configure(MIN_RESERVED_SECONDS + 0.2)
     assert await call < 0.4
 
 
 async def test_a_timeout_of_the_call_itself_is_no_end_of_the_stop():
     """Guards against an answer that blames a stop for a target's silence."""
+    bound = make_stop_bound(GRACE_SECONDS)
+    bound.start(asyncio.get_running_loop().time())
     with pytest.raises(TimeoutError):
-        async with make_stopping().limit():
+        async with bound.limit():
             raise TimeoutError
 
 
