Send whole heads in the test of requests that never end, and stop at a closed connection

A whole run of the tests failed once: the test wrote to a connection that had been closed between two turns of its loop, and the loop's library raises there. The heads also lacked the field Host, so that the HTTP library rejected two of the four requests by itself, and the bound was not what closed their connections.

--- a/tests/test_bounded_requests.py
+++ b/tests/test_bounded_requests.py
@@ -15,6 +15,7 @@
 LARGE_BYTES = 3_000_000
 ANSWER_SECONDS = 5.0
 FIELDS = b"".join(b"X-%d: y\r\n" % number for number in range(1_000))
+CHUNKED = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 @asynccontextmanager
@@ -53,7 +54,7 @@
     closed = asyncio.ensure_future(reader.read())
     sent_bytes = 0
     async with asyncio.timeout(ANSWER_SECONDS):
-        while not closed.done():
+        while not (closed.done() or writer.is_closing()):
             writer.write(piece)
             sent_bytes += len(piece)
             await asyncio.sleep(0.001)
@@ -66,8 +67,8 @@
     [
         (b"GET / HTTP/1.1\r\n", FIELDS),
         (b"", b"\r\n" * 1_000),
-        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", b"0" * 1_000),
-        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"a" * 1_000),
+        (CHUNKED, b"0" * 1_000),
+        (CHUNKED + b"1;", b"a" * 1_000),
     ],
 )
 async def test_a_request_that_never_ends_closes_its_connection(head, piece):
