Keep a crashing part refused when its neighbour completes for one customer

The part was refused to all customers after four crashes under trials. Its neighbour, which sound calls of one customer have as well, completed for that customer, and its crashes were cleared there. So it was no longer in common at all crashes, but still stood among what the other customers' trials had tried, and in the one trial without it the whole request had crashed for another customer before. No trial was left that had tried the part alone, its refusal ended for all, and five calls went out within 20 ms.

A part that a completion of any customer has cleared of one of the crashes is no other reason for them now. Whole requests still are: their own completion says nothing of the part.

Hypotheses that were ruled out: rows lost on links (each router had logged all crashes), grants of trials (no second trial was sent before the refusal ended).

The new test fails before.

--- a/sesameford/crash_attribution.py
+++ b/sesameford/crash_attribution.py
@@ -89,6 +89,7 @@
 
     _by_crash: dict[str, _InFlight] = field(default_factory=dict)
     _trials_by_crash: dict[str, _InFlight] = field(default_factory=dict)
+    _cleared_by_crash: dict[str, _InFlight] = field(default_factory=dict)
 
     @property
     def has_crashes(self) -> bool:
@@ -96,14 +97,16 @@
         return bool(self._by_crash)
 
     def add(self, row: Suspect) -> None:
-        """Add the crashes of a suspect that are not cleared."""
+        """Add the crashes of a suspect."""
         digest = row.request_digest
+        _add_to(self._cleared_by_crash, row.cleared_crashes, digest)
         _add_to(self._by_crash, row.uncleared_crashes, digest)
         _add_to(self._trials_by_crash, row.uncleared_trial_crashes, digest)
 
     def remove(self, row: Suspect) -> None:
         """Remove the crashes of a suspect that was added."""
         digest = row.request_digest
+        _remove_from(self._cleared_by_crash, row.cleared_crashes, digest)
         _remove_from(self._by_crash, row.uncleared_crashes, digest)
         _remove_from(self._trials_by_crash, row.uncleared_trial_crashes, digest)
 
@@ -126,13 +129,14 @@
         if evidence.is_regardless_of_others:
             return True
         common = self.common_suspects(crashes)
+        cleared = self._cleared_parts(crashes)
         is_alone = all(
             self._comes_along(one, evidence.suspect, crash_id)
             for one in common - {evidence.suspect}
             for crash_id in crashes
         )
         return is_alone and any(
-            self._tried(evidence, crash_id) <= common
+            self._tried(evidence, crash_id) - cleared <= common
             for crash_id in evidence.trial_crashes
         )
 
@@ -161,6 +165,16 @@
             }
         return set(self._trials_by_crash[crash_id])
 
+    def _cleared_parts(self, crashes: Iterable[str]) -> set[bytes]:
+        """Return the parts that a customer's completion has cleared of some crashes.
+
+        A neighbour that completes for one customer is no other reason for crashes of
+        the same part under other customers' calls.
+        """
+        cleared = (self._cleared_by_crash.get(crash_id, {}) for crash_id in crashes)
+        names = set[bytes]().union(*cleared)
+        return {name for name in names if is_part_digest(name)}
+
     def _comes_along(self, other: bytes, suspect: bytes, crash_id: str) -> bool:
         """Return whether a part came from a customer who sent the suspect as well."""
         in_flight = self._by_crash[crash_id]
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -19,6 +19,10 @@
 POISON = b"customerpoison"
 
 
+def digest_poison(customer, number):
+    return digest_request(customer, "POST", "h", f"/{number}", b"")
+
+
 def send_updates(routers, now_seconds):
     for sender in routers:
         for update in sender.make_due_updates(now_seconds):
@@ -374,6 +378,26 @@
         assert treatment is SuspectTreatment.CLEAR
 
 
+def test_a_neighbour_that_completes_for_one_customer_is_no_other_reason():
+    """Guards against a crashing part whose quarantine ends as its neighbour's does."""
+    suspects = Suspects(300.0)
+    customers = ("club", "rival", "third", "fourth")
+    for number, customer in enumerate(customers):
+        parts = [digest_part(customer, one) for one in (1, 2)]
+        trials = [] if number == 0 else parts
+        suspects.record_crash(f"t/{number}", parts, 0.0, trials)
+    # The same request of another customer crashed a target just before.
+    digests = [digest_poison("club", 0), FIRST, CULPRIT]
+    suspects.record_crash("t/9", digests, 1.0, digests)
+    for _ in range(MAX_COMPLETIONS_TO_CLEAR):
+        suspects.record_completion(FIRST, 2.0)
+    for customer in customers:
+        parts = [digest_part(customer, one) for one in (1, 2)]
+        treatment = suspects.treatment(b"new", 3.0, parts)
+        assert treatment is SuspectTreatment.QUARANTINED
+    assert suspects.treatment(b"new", 3.0, (FIRST,)) is not SuspectTreatment.QUARANTINED
+
+
 def test_callers_without_a_key_are_one_customer():
     """Guards against anonymous callers who have a customer's sound calls refused."""
     suspects = Suspects(300.0)
