Let one answer clear only its customer's own crashes of what is refused to all

Until they had crashed servers anew, all customers' calls went out again.

What the crashes of several customers refuse to all is now cleared by an answer only as far as that customer's own crashes go, and as a whole once its target has lived on for a second, or by many more completions than crashes, as before.

The new test fails before, for parts and whole requests.

--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -168,6 +168,7 @@
             self._all_completions[digest] += 1
             if not self._completes_often(digest):
                 crashes -= self._answered_crashes(digest)
+                crashes &= self._crashes_that_one_answer_clears(digest)
         if not crashes:
             return False
         if is_part_digest(digest):
@@ -205,6 +206,17 @@
             needed, MIN_COMPLETIONS_FOR_ANSWERED
         )
 
+    def _crashes_that_one_answer_clears(self, digest: bytes) -> frozenset[str]:
+        """Return the crashes that an answer clears which its target may not survive.
+
+        What several customers' crashes refuse to all is cleared only of the customer's
+        own ones: the target may crash just after the answer.
+        """
+        if self._due_shared_evidence(digest) is None:
+            return self.uncleared_crashes(digest)
+        own = self._table.get(digest)
+        return frozenset() if own is None else own.uncleared_crashes
+
     def has_answered_crashes(self, digest: bytes) -> bool:
         """Return whether targets crashed just after they had answered a suspect."""
         return not self._answered_crashes(digest).isdisjoint(
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -398,6 +398,24 @@
     assert suspects.treatment(b"new", 3.0, (FIRST,)) is not SuspectTreatment.QUARANTINED
 
 
+@pytest.mark.parametrize("make_digest", [digest_part, digest_poison])
+def test_an_answer_for_one_customer_does_not_outweigh_the_crashes_of_all(make_digest):
+    """Guards against an answer, and then a crash, that ends a quarantine for all."""
+    suspects = Suspects(300.0)
+    customers = ("club", "rival", "third", "fourth")
+    digests = [make_digest(customer, 2) for customer in customers]
+    for number, digest in enumerate(digests):
+        suspects.record_crash(f"t/{number}", [digest], 0.0, [digest] * bool(number))
+    fifth = make_digest("fifth", 2)
+    for digest in (digests[3], fifth):
+        suspects.record_completion(digest, 1.0)
+    for digest in (*digests, fifth):
+        assert suspects.refusal_seconds(digest, 1.0) > 0.0
+    assert suspects.record_completion(digests[3], 2.0, has_survived=True)
+    for digest in digests[:2]:
+        assert suspects.refusal_seconds(digest, 2.0) == 0.0
+
+
 def test_callers_without_a_key_are_one_customer():
     """Guards against anonymous callers who have a customer's sound calls refused."""
     suspects = Suspects(300.0)
