Bound a daemon's calls in a planned stop by the grace, as a router's are

A daemon waited for its calls without a bound, whatever its settings said of the time until it is killed: calls were cut without a word, and calls that came after the request to stop were taken however long they might last. It also waited up to 10 s for others to take over what it had to report.

The bound of routers, moved out of the gateway's folder, serves both. A call is taken if calls of its model or service are expected to end in time, else it is not run. What is open shortly before the kill has the outcome unknown, and a stream ends by an error event. Calls that wait are refused before that. Cancelling a completion at an engine that is silent takes 0.3 s at most.

--- a/sesameford/completion_run.py
+++ b/sesameford/completion_run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -40,6 +40,7 @@
 from sesameford.whole_answer import assemble_completion
 
 PROGRESS_EVENTS = 16
+CANCEL_TIMEOUT_SECONDS = 0.3
 
 
 @dataclass(slots=True)
@@ -254,7 +255,12 @@
 
 
 async def _cancel(run: CompletionRun) -> None:
-    await cancel_completion(run.deps.session, run.target, run.attempt.attempt_id)
+    # An engine that doesn't answer must not hold up a planned stop.
+    with suppress(TimeoutError):
+        async with asyncio.timeout(CANCEL_TIMEOUT_SECONDS):
+            await cancel_completion(
+                run.deps.session, run.target, run.attempt.attempt_id
+            )
 
 
 def _silent_at(run: CompletionRun, read_started_at_seconds: float) -> float:
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -23,12 +23,12 @@
 from sesameford.gateway.second_sends import SecondSends
 from sesameford.gateway.service_versions import ServiceVersions
 from sesameford.gateway.share_gate import ShareGate
-from sesameford.gateway.stop_bound import StopBound, make_stop_bound
 from sesameford.gateway.stream_origins import StreamOrigin
 from sesameford.gateway.suspect_calls import SuspectCalls
 from sesameford.gateway.table_proof import TableProof, make_table_proof
 from sesameford.gateway.target_record import Reservation
 from sesameford.held_answers import HeldBytes, make_held_bytes
+from sesameford.stop_bound import StopBound, make_stop_bound
 
 # Default Retry-After: about the time after which a target in backoff is tried again.
 RETRY_AFTER_SECONDS = 0.5
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -53,7 +53,6 @@
     MIN_KNOWN_HEARTBEATS,
     make_service_versions,
 )
-from sesameford.gateway.stop_bound import make_stop_bound
 from sesameford.gateway.stream_origins import make_stream_origins
 from sesameford.gateway.suspect_calls import make_suspect_calls
 from sesameford.gateway.suspect_exchange import make_suspect_exchange
@@ -94,6 +93,7 @@
 from sesameford.regular_run import run_regularly
 from sesameford.settings import DaemonSettings, Peer
 from sesameford.state_machine import StateMachine
+from sesameford.stop_bound import make_stop_bound
 from sesameford.stops import StopLoad, StopStep
 from sesameford.tables import InstanceState
 from sesameford.tree_changes import TreeMachine
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -36,10 +36,10 @@
     record_failed_attempt,
     record_failed_request,
 )
-from sesameford.gateway.stop_bound import StopEndedError
 from sesameford.gateway.stream_resumption import restrict_to_origin
 from sesameford.gateway.target_record import Reservation
 from sesameford.gateway.unserved_calls import record_unserved_call
+from sesameford.stop_bound import StopEndedError
 
 
 async def serve_call(deps: GatewayDeps, request: web.BaseRequest) -> web.StreamResponse:
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -42,6 +42,7 @@
 from sesameford.settings import DaemonSettings
 from sesameford.state_machine import StateMachine
 from sesameford.status import StatusReport
+from sesameford.stop_bound import make_stop_bound
 from sesameford.stops import StopLoad, StopStep
 from sesameford.tables import InstanceState
 from sesameford.target_replication import make_target_replication
@@ -107,6 +108,7 @@
             hub_ids,
         )
         self._stop = PlannedStop()
+        self._stop_bound = make_stop_bound(settings.stop_grace_seconds)
         self.stopped = self._stop.stopped
         self._tls = read_files(settings.tls, source) if settings.tls else None
         self.peers = PeerLinks(
@@ -223,7 +225,14 @@
         tracer = make_tracer(self._provider)
         session = await self._exit.enter_async_context(make_session(contexts.client))
         self._session = session
-        relay = RelayDeps(self.router, session, tracer, self._now, self.outcomes)
+        relay = RelayDeps(
+            self.router,
+            session,
+            tracer,
+            self._now,
+            self.outcomes,
+            stop_bound=self._stop_bound,
+        )
         callers = make_callers_app(
             CallersDeps(
                 relay,
@@ -256,6 +265,7 @@
     def request_stop(self) -> None:
         """Start a planned stop; a repeated request aborts no running work."""
         self._stop.request(self._now())
+        self._stop_bound.start(asyncio.get_running_loop().time())
         self._announce_stop()
 
     def _announce_stop(self) -> None:
@@ -344,12 +354,16 @@
         self._send_target_messages()
         self.tree.tick()
         running = self.router.scheduler.running_attempts()
+        # What is reported to nobody is treated as after a crash.
+        is_over = self._stop_bound.is_over(asyncio.get_running_loop().time())
         load = StopLoad(
             max(running, self.outcomes.open_requests),
             self.router.scheduler.waiting_requests(),
-            self.outcomes.unreported_claims,
+            0 if is_over else self.outcomes.unreported_claims,
+        )
+        delay_seconds = self._stop_bound.shorten(
+            self.router.tree.fleet.balancer_delay_seconds
         )
-        delay_seconds = self.router.tree.fleet.balancer_delay_seconds
         self._stop.advance(load, delay_seconds, now_seconds)
         if self._stop.step is StopStep.FINISHING:
             self.router.refuse_waiting_requests(
--- a/sesameford/relay.py
+++ b/sesameford/relay.py
@@ -32,6 +32,22 @@
         NotRunError: Nothing of it reached a target.
         UnknownOutcomeError: It may have run.
     """
+    request, loop = call.request, asyncio.get_running_loop()
+    began_at_seconds = loop.time()
+    left_seconds = request.deadline_seconds - deps.now()
+    if not deps.stop_bound.may_take(request.resource, left_seconds, began_at_seconds):
+        raise NotRunError("stopping", "this instance is stopping", 503, 1.0)
+    try:
+        return await _serve_taken(deps, http, call)
+    finally:
+        lasted_seconds = loop.time() - began_at_seconds
+        deps.stop_bound.record_duration(request.resource, lasted_seconds)
+
+
+async def _serve_taken(
+    deps: RelayDeps, http: HttpRequest, call: Call
+) -> StreamResponse:
+    """Run a request that a planned stop leaves time for, see ``serve``."""
     keyed = deps.outcomes.keyed
     if keyed is None or call.request.idempotency_key is None:
         caller = CallerStream(http, call.request.request_id, stores_answer=False)
--- a/sesameford/relay_deps.py
+++ b/sesameford/relay_deps.py
@@ -21,6 +21,7 @@
 from sesameford.router import Router
 from sesameford.service_adapter import HOP_BY_HOP_HEADERS
 from sesameford.silence import Probe
+from sesameford.stop_bound import StopBound, make_stop_bound
 from sesameford.tables import Attempt, Outcome, Request, Target, Usage
 
 logger = logging.getLogger(__name__)
@@ -49,6 +50,7 @@
     now: Callable[[], float]
     outcomes: Outcomes = field(default_factory=make_outcomes)
     held_answers: HeldBytes = field(default_factory=make_held_bytes)
+    stop_bound: StopBound = field(default_factory=make_stop_bound)
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
     @contextmanager
--- a/sesameford/request_run.py
+++ b/sesameford/request_run.py
@@ -26,6 +26,7 @@
 )
 from sesameford.service_run import run_call
 from sesameford.silence import make_stream_progress
+from sesameford.stop_bound import StopEndedError
 from sesameford.suspects import SuspectTreatment
 from sesameford.tables import Attempt, Outcome, Target, TargetKind, Usage
 
@@ -39,6 +40,21 @@
         NotRunError: Nothing of the request reached a target.
         UnknownOutcomeError: It may have run.
     """
+    try:
+        async with deps.stop_bound.limit():
+            return await _attempt_until_answered(deps, call, caller)
+    except StopEndedError as error:
+        # Requests that wait are refused sooner, so this one was on its way to a target.
+        detail = "this instance is stopping, and the request may have run"
+        if caller.started:
+            return await caller.end_with_error("stopping", detail)
+        raise UnknownOutcomeError("stopping", detail, 502) from error
+
+
+async def _attempt_until_answered(
+    deps: RelayDeps, call: Call, caller: CallerStream
+) -> StreamResponse:
+    """Make attempts, see ``run_to_outcome``."""
     request = call.request
     _refuse_quarantined(deps, call)
     with deps.tracer.start_as_current_span("wait"):
--- a/sesameford/settings.py
+++ b/sesameford/settings.py
@@ -95,8 +95,7 @@
     all others if ``peers`` is empty. ``founds`` states that the deployment starts for
     the first time, so that the seeds may found its log. ``regions`` maps each data
     centre of the deployment to its region. ``stop_grace_seconds`` is the time from a
-    request to stop until the process is killed, None if nothing kills it; heeded by
-    the platform's routers alone.
+    request to stop until the process is killed, None if nothing kills it.
     """
 
     instance_id: str
--- a/sesameford/gateway/stop_bound.py
+++ b/sesameford/stop_bound.py
@@ -1,8 +1,8 @@
-"""How a planned stop bounds a router's calls: the process is killed after a grace.
+"""How a planned stop bounds calls: the process is killed after a grace.
 
 A call that can't be expected to end before that is refused as not run, at once, so that
-its caller turns to another router. Calls that are still open shortly before the end get
-an answer that says what is known of them, as a killed process answers nothing.
+its caller turns to another instance. Calls that are still open shortly before the end
+get an answer that says what is known of them, as a killed process answers nothing.
 """
 
 import asyncio
@@ -16,10 +16,11 @@
 # takes a busy process some time, however short the grace is.
 RESERVED_PART = 0.125
 MIN_RESERVED_SECONDS = 0.8
-# Calls of a route last as long as the longest of so many recent ones, times a factor.
+# Calls of a resource last as long as the longest of so many recent ones, and longer by
+# a factor.
 RECENT_CALLS = 64
 DURATION_FACTOR = 1.5
-# Fewer calls show too little: each may last as long as its route and caller allow.
+# Fewer calls show too little: each may last as long as it is allowed to.
 MIN_RECENT_CALLS = 8
 
 
@@ -28,7 +29,7 @@
 
 
 class StopBound:
-    """The time that a planned stop leaves to the calls of a router.
+    """The time that a planned stop leaves to the calls of an instance.
 
     All times are of the loop's clock, which ends the calls.
 
@@ -54,27 +55,27 @@
             self._stopping_since_seconds = now_seconds
             self._reschedule()
 
-    def record_duration(self, route_id: str, seconds: float) -> None:
-        """Record how long a call of a route lasted."""
-        recent = self._durations_seconds.get(route_id)
+    def record_duration(self, resource: str, seconds: float) -> None:
+        """Record how long a call of a resource, such as a route, lasted."""
+        recent = self._durations_seconds.get(resource)
         if recent is None:
-            recent = self._durations_seconds[route_id] = deque(maxlen=RECENT_CALLS)
+            recent = self._durations_seconds[resource] = deque(maxlen=RECENT_CALLS)
         recent.append(seconds)
 
     def may_take(
-        self, route_id: str, longest_seconds: float, now_seconds: float
+        self, resource: str, longest_seconds: float, now_seconds: float
     ) -> bool:
         """Return whether a call is expected to end before the stop does.
 
         Args:
-            route_id: The call's route.
-            longest_seconds: How long its route and its caller allow it to last.
+            resource: What it asks for, such as a route.
+            longest_seconds: How long that and its caller allow it to last.
             now_seconds: The present time.
         """
         end_at_seconds = self._end_at_seconds()
         if end_at_seconds is None:
             return True
-        expected_seconds = self._expected_seconds(route_id, longest_seconds)
+        expected_seconds = self._expected_seconds(resource, longest_seconds)
         return now_seconds + expected_seconds <= end_at_seconds
 
     @asynccontextmanager
@@ -97,14 +98,19 @@
                 raise
             raise StopEndedError("the stop leaves no time") from error
 
+    def is_over(self, now_seconds: float) -> bool:
+        """Return whether a stop leaves no time for anything any more."""
+        end_at_seconds = self._end_at_seconds()
+        return end_at_seconds is not None and now_seconds >= end_at_seconds
+
     def shorten(self, seconds: float) -> float:
         """Return a time from the begin of a stop, at most what it leaves to calls."""
         if self._grace_seconds is None:
             return seconds
         return min(seconds, _usable_seconds(self._grace_seconds))
 
-    def _expected_seconds(self, route_id: str, longest_seconds: float) -> float:
-        recent = self._durations_seconds.get(route_id, ())
+    def _expected_seconds(self, resource: str, longest_seconds: float) -> float:
+        recent = self._durations_seconds.get(resource, ())
         if len(recent) < MIN_RECENT_CALLS:
             return longest_seconds
         return min(longest_seconds, DURATION_FACTOR * max(recent))
@@ -127,5 +133,5 @@
 
 
 def make_stop_bound(grace_seconds: float | None = None) -> StopBound:
-    """Return the bound of a router that is not stopping; see ``StopBound``."""
+    """Return the bound of an instance that is not stopping; see ``StopBound``."""
     return StopBound(grace_seconds)
--- a/tests/test_stop_bound.py
+++ b/tests/test_stop_bound.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameford.gateway.stop_bound import (
+from sesameford.stop_bound import (
     DURATION_FACTOR,
     MIN_RECENT_CALLS,
     MIN_RESERVED_SECONDS,
