Say in whole tables for how long each target has sent no heartbeat

A router that had just started sent calls to targets that had crashed before: their rows stay in replicas' tables, and all rows counted as heard at the moment at which they came. Callers got a 503 (wrong-target) where another target had the address by then, and a refused connection else; each such send is one that a second send, and the retry budget, has to make up for.

A whole table now has the time for which each target has been silent, and targets that are silent for too long are left out as at routers that run on. An instance of an earlier release sends no times, and its rows count as heard at once, as before.

The new test fails before.

--- a/sesameford/discovery/heartbeat_table.py
+++ b/sesameford/discovery/heartbeat_table.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from itertools import chain, repeat
 
 from msgspec.structs import replace
 from xxhash import xxh32_intdigest, xxh64_intdigest
@@ -132,8 +133,10 @@
         """Handle a message about targets from another instance."""
         match message:
             case HeartbeatRows():
-                for row in message.rows:
-                    self._merge_row(row, now_seconds)
+                silent = chain(message.silent_milliseconds, repeat(0))
+                for row, milliseconds in zip(message.rows, silent, strict=False):
+                    heard_at_seconds = now_seconds - milliseconds / 1000
+                    self._merge_row(row, now_seconds, heard_at_seconds)
                 if message.is_whole:
                     self.has_all_rows = True
                     self._record_rows_of(sender_id)
@@ -144,11 +147,7 @@
             case RecentHeartbeats():
                 return self._handle_recent_heartbeats(sender_id, message, now_seconds)
             case HeartbeatRowsRequest():
-                rows = tuple(entry.row for entry in self.entries.values())
-                known_milliseconds = self._known_milliseconds(now_seconds)
-                reply = HeartbeatRows(
-                    rows, is_whole=True, known_milliseconds=known_milliseconds
-                )
+                reply = self._make_whole_rows(now_seconds)
                 return [Outgoing(sender_id, reply, urgent=True)]
         return ()
 
@@ -188,7 +187,29 @@
                 del self.entries[target_id]
                 self._target_ids.pop(short_name(target_id), None)
 
-    def _merge_row(self, row: HeartbeatRow, now_seconds: float) -> bool:
+    def _make_whole_rows(self, now_seconds: float) -> HeartbeatRows:
+        """Return all rows, for an instance that may know none of them.
+
+        Targets that crashed keep their rows. An instance that took these for new would
+        send requests to them, or to whatever has their addresses now.
+        """
+        entries = self.entries.values()
+        silent_seconds = (now_seconds - one.last_seen_at_seconds for one in entries)
+        return HeartbeatRows(
+            tuple(entry.row for entry in entries),
+            is_whole=True,
+            known_milliseconds=self._known_milliseconds(now_seconds),
+            silent_milliseconds=tuple(
+                round(max(seconds, 0.0) * 1000) for seconds in silent_seconds
+            ),
+        )
+
+    def _merge_row(
+        self,
+        row: HeartbeatRow,
+        now_seconds: float,
+        heard_at_seconds: float | None = None,
+    ) -> bool:
         """Store a newer row; return whether more than its sequence number changed.
 
         A heartbeat may be delayed and arrive after later ones, or after its sender
@@ -196,9 +217,11 @@
         requests would be sent to an address without a listener. The sequence number
         only grows, and an incarnation that is gone does not come back.
         """
+        if heard_at_seconds is None:
+            heard_at_seconds = now_seconds
         entry = self.entries.get(row.target_id)
         if entry is None or row.incarnation > entry.row.incarnation:
-            self._put(row, now_seconds)
+            self._put(row, now_seconds, heard_at_seconds)
             return True
         if row.incarnation < entry.row.incarnation:
             return False
@@ -208,12 +231,13 @@
         if row.sequence <= entry.row.sequence and not is_end:
             return self._add_version(entry, row)
         row = _with_known_version(row, entry.row)
-        entry.last_seen_at_seconds = now_seconds
+        heard_at_seconds = max(heard_at_seconds, entry.last_seen_at_seconds)
+        entry.last_seen_at_seconds = heard_at_seconds
         if replace(row, sequence=entry.row.sequence) == entry.row:
             # A new sequence number alone is not sent on, and the digest excludes it.
             entry.row = row
             return False
-        self._put(row, now_seconds)
+        self._put(row, now_seconds, heard_at_seconds)
         return True
 
     def _add_version(self, entry: HeartbeatEntry, row: HeartbeatRow) -> bool:
@@ -221,7 +245,7 @@
         if entry.row.software_version or not row.software_version:
             return False
         known = replace(entry.row, software_version=row.software_version)
-        self._put(known, entry.last_seen_at_seconds)
+        self._put(known, entry.last_seen_at_seconds, entry.last_seen_at_seconds)
         return True
 
     def _toggle_in_digests(self, row: HeartbeatRow) -> None:
@@ -229,7 +253,9 @@
         self._digest ^= _row_digest(row)
         self._versions_digest ^= _version_digest(row)
 
-    def _put(self, row: HeartbeatRow, now_seconds: float) -> None:
+    def _put(
+        self, row: HeartbeatRow, now_seconds: float, heard_at_seconds: float
+    ) -> None:
         entry = self.entries.get(row.target_id)
         first_seen_at_seconds = now_seconds
         if entry is not None:
@@ -241,7 +267,7 @@
         cold_until_seconds = now_seconds + row.cold_milliseconds / 1000
         self.entries[row.target_id] = HeartbeatEntry(
             row,
-            now_seconds,
+            heard_at_seconds,
             cold_until_seconds,
             gone_at_seconds,
             first_seen_at_seconds,
--- a/sesameford/messages.py
+++ b/sesameford/messages.py
@@ -83,13 +83,15 @@
     A replica acknowledges a message with a ``token`` by sending the token back. With
     ``is_whole`` the message holds all rows of the sender, which knows all targets of
     the last ``known_milliseconds``. That is negative until it can have heard of all
-    that serve.
+    that serve. For so long as ``silent_milliseconds`` say the targets of the rows have
+    sent no heartbeat; they are empty in messages of an earlier release.
     """
 
     rows: tuple[HeartbeatRow, ...]
     token: int = 0
     is_whole: bool = False
     known_milliseconds: int = 0
+    silent_milliseconds: tuple[int, ...] = ()
 
 
 class HeartbeatRowsAck(Struct, frozen=True, array_like=True, tag="BeatRowsTaken"):
--- a/tests/test_heartbeat_table.py
+++ b/tests/test_heartbeat_table.py
@@ -8,7 +8,8 @@
 from msgspec.structs import replace
 
 from sesameford.discovery.heartbeat_table import make_heartbeat_table
-from sesameford.messages import HeartbeatRow
+from sesameford.gateway.placement import make_placement
+from sesameford.messages import HeartbeatRow, HeartbeatRowsRequest
 from sesameford.tables import TargetState
 
 
@@ -58,6 +59,22 @@
     assert not table.handle_heartbeat(row("t", 2), 1.0)
 
 
+def test_a_router_that_starts_sends_nothing_to_targets_that_crashed_before():
+    """Guards against calls to what now has the addresses of crashed targets."""
+    replica, router = make_heartbeat_table(has_disk=True), make_heartbeat_table()
+    rows = [row(f"t{number}", 1) for number in range(3)]
+    for one in rows:
+        replica.handle_heartbeat(one, 0.0)
+    for number in range(1, 20):
+        replica.handle_heartbeat(replace(rows[0], sequence=1 + number), float(number))
+    (reply,) = replica.handle_message("r1", HeartbeatRowsRequest(), 20.0)
+    router.handle_message("a1", reply.message, 20.0)
+    placement = make_placement(router, "a", 1.0, Random(1))
+    for _ in range(6):
+        chosen = placement.choose("pool", None, None, 0.25, frozenset(), 20.0)
+        assert chosen.target_id == "t0"
+
+
 class BeatTables(RuleBasedStateMachine):
     """Two replicas and a router; heartbeats and leaves go to any replica.
 
