Let targets of the crash machine survive their answers, and wait for a closed connection

The test of requests that never end asked for how its connection had closed before its reader had seen that (once in the same run).

--- a/tests/test_bounded_requests.py
+++ b/tests/test_bounded_requests.py
@@ -58,6 +58,7 @@
             writer.write(piece)
             sent_bytes += len(piece)
             await asyncio.sleep(0.001)
+        await asyncio.wait({closed})
     closed.exception()
     return sent_bytes
 
--- a/tests/test_suspects_machine.py
+++ b/tests/test_suspects_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from sesameford.crash_attribution import CRASHES_TO_QUARANTINE
+from sesameford.gateway.recent_answers import SURVIVAL_SECONDS
 from sesameford.gateway.suspect_exchange import make_suspect_exchange
 from sesameford.gateway.target_crashes import CrashEvidence, ObservedCrash
 from sesameford.in_flight_attempts import TargetCrash
@@ -110,6 +111,7 @@
         self.incarnations = 0
         self.messages = []
         self.observations = []
+        self.survivals = []
         self.crashes = []
         self.late_sends = 0
         self.unknown_crashes = 0
@@ -254,6 +256,7 @@
                     self.proven.append(self.now)
                 self.nodes[name].exchange.record_crash(observed, self.now)
                 self.nodes[name].trial = False
+        self.record_survivals()
         self.deliver()
         for node in self.nodes.values():
             node.exchange.tick(self.now)
@@ -267,6 +270,15 @@
                         )
         self.deliver()
 
+    def record_survivals(self):
+        """Tell routers that targets have lived on after they answered."""
+        due = [one for one in self.survivals if one[0] <= self.now]
+        self.survivals = [one for one in self.survivals if one[0] > self.now]
+        for _, node, digests in due:
+            if self.nodes[node.name] is node:
+                for one in digests:
+                    node.exchange.record_completion(one, self.now, has_survived=True)
+
     def deliver(self):
         due = [one for one in self.messages if one[0] <= self.now]
         self.messages = [one for one in self.messages if one[0] > self.now]
@@ -324,6 +336,8 @@
             else:
                 for one in (digest, *parts):
                     node.exchange.record_completion(one, self.now)
+                survived_at = self.now + SURVIVAL_SECONDS
+                self.survivals.append((survived_at, node, (digest, *parts)))
 
     def may_try(self, node, kind, digest, parts):
         grants = node.exchange.grants
