--- a/tests/test_crashing_parts_fleet.py
+++ b/tests/test_crashing_parts_fleet.py
@@ -5,7 +5,6 @@
 from itertools import count, cycle
 from time import monotonic
 
-import pytest
 from aiohttp import ClientError
 
 from standins.platform_fleet import prompt_headers
@@ -48,7 +47,6 @@
     return ask
 
 
-@pytest.mark.known_red
 async def test_routers_hold_a_crashing_part_back_until_an_operator_lifts_that(
     tmp_path,
 ):
