--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -28,7 +28,6 @@
 the first crash, or start before its update arrives, cost one more target each.
 """
 
-from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import replace
 from enum import StrEnum
@@ -43,8 +42,8 @@
 from sesameford.request_digest import (
     common_digest,
     digest_pair,
-    is_part_digest,
 )
+from sesameford.suspect_completions import make_suspect_completions
 from sesameford.suspect_rows import (
     UPDATE_REPEATS,
     CrashRecord,
@@ -58,15 +57,6 @@
 # One customer alone could have the sound calls of all others refused.
 CUSTOMERS_TO_QUARANTINE_FOR_ALL = 2
 UPDATE_INTERVAL_SECONDS = 1.0
-# A router that saw a part crash targets clears it after as many completions, but after
-# no more than these: one that crashes some targets alone completes on the others. Other
-# routers clear it at once, so that popular parts are clear soon.
-MAX_COMPLETIONS_TO_CLEAR = 3
-# What completes at a router so often, and so many times as often as targets crash, has
-# not crashed them just after its answers: a popular part completes all the time, and
-# where all targets end one after the other, none survives it for long.
-MIN_COMPLETIONS_FOR_ANSWERED = 4
-COMPLETIONS_PER_ANSWERED_CRASH = 2
 # A prompt has at most the pairs of so many of its parts.
 MAX_PAIRED_PARTS = 6
 # After so many trials that crashed, a quarantine has its longest time at once.
@@ -93,16 +83,11 @@
         self, quarantine_seconds: float, max_suspects: int = MAX_SUSPECTS
     ) -> None:
         self._quarantine_seconds = quarantine_seconds
-        self._table = make_suspect_table(max_suspects, self._forget_counts)
+        self._completions = make_suspect_completions()
+        self._table = make_suspect_table(max_suspects, self._completions.forget)
         self._attribution = self._table.attribution
         self._lifted: frozenset[bytes] = frozenset()
         self._newly_quarantined: list[bytes] = []
-        self._completions: Counter[bytes] = Counter()
-        self._survivals: Counter[bytes] = Counter()
-        # ``_completions`` are those since the last crash that was observed here, these
-        # all that came since the first one.
-        self._all_completions: Counter[bytes] = Counter()
-        self._observed_crashes: Counter[bytes] = Counter()
 
     def configure(self, quarantine_seconds: float, lifted: Iterable[bytes]) -> None:
         """Apply the settings: the quarantine's length and the lifted requests."""
@@ -134,10 +119,8 @@
         """
         crashes = frozenset({crash_id})
         nothing = frozenset[str]()
+        self._completions.record_crash(in_flight)
         for digest in in_flight:
-            self._completions.pop(digest, None)
-            self._survivals.pop(digest, None)
-            self._observed_crashes[digest] += 1
             is_trial = trials is None or digest in trials
             record = CrashRecord(
                 crashes,
@@ -164,20 +147,11 @@
         crashes = self.uncleared_crashes(digest)
         if not crashes:
             return False
-        if not has_survived:
-            self._all_completions[digest] += 1
-            if not self._completes_often(digest):
-                crashes -= self._answered_crashes(digest)
-                crashes &= self._crashes_that_one_answer_clears(digest)
-        if not crashes:
+        if not has_survived and not self._completions.record_answer(digest):
+            crashes -= self._answered_crashes(digest)
+            crashes &= self._crashes_that_one_answer_clears(digest)
+        if not crashes or not self._completions.is_enough(digest, has_survived):
             return False
-        if is_part_digest(digest):
-            counts = self._survivals if has_survived else self._completions
-            counts[digest] += 1
-            needed = min(self._observed_crashes[digest], MAX_COMPLETIONS_TO_CLEAR)
-            if counts[digest] < needed:
-                return False
-            del counts[digest]
         self._clear(digest, crashes, now_seconds)
         return True
 
@@ -186,8 +160,7 @@
         crashes = self.uncleared_crashes(digest)
         if not crashes:
             return False
-        self._completions.pop(digest, None)
-        self._survivals.pop(digest, None)
+        self._completions.restart((digest,))
         self._clear(digest, crashes, now_seconds)
         return True
 
@@ -198,14 +171,6 @@
         self._table.merge(digest, record, now_seconds, UPDATE_REPEATS)
         self._mark_quarantines(now_seconds)
 
-    def _completes_often(self, digest: bytes) -> bool:
-        """Return whether a suspect completes far more often here than targets crash."""
-        crashes = self._observed_crashes[digest]
-        needed = COMPLETIONS_PER_ANSWERED_CRASH * crashes
-        return self._all_completions[digest] >= max(
-            needed, MIN_COMPLETIONS_FOR_ANSWERED
-        )
-
     def _crashes_that_one_answer_clears(self, digest: bytes) -> frozenset[str]:
         """Return the crashes that an answer clears which its target may not survive.
 
@@ -534,13 +499,6 @@
         )
         return self._table.merge(update.request_digest, record, now_seconds, repeats)
 
-    def _forget_counts(self, digest: bytes) -> None:
-        """Forget what this router counted of a suspect whose row was dropped."""
-        self._completions.pop(digest, None)
-        self._survivals.pop(digest, None)
-        self._all_completions.pop(digest, None)
-        self._observed_crashes.pop(digest, None)
-
     def _mark_quarantines(self, now_seconds: float) -> None:
         """Set the start of each quarantine that is due and has none."""
         for digest in self._table.tried:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -7,11 +7,13 @@
 from hypothesis import strategies as st
 
 from sesameford.request_digest import digest_part, digest_request
+from sesameford.suspect_completions import (
+    MAX_COMPLETIONS_TO_CLEAR,
+    MIN_COMPLETIONS_FOR_ANSWERED,
+)
 from sesameford.suspect_rows import make_crash_id
 from sesameford.suspect_table import MAX_SUSPECTS_PER_CUSTOMER
 from sesameford.suspects import (
-    MAX_COMPLETIONS_TO_CLEAR,
-    MIN_COMPLETIONS_FOR_ANSWERED,
     Suspects,
     SuspectTreatment,
 )
--- a/tests/test_suspects_machine.py
+++ b/tests/test_suspects_machine.py
@@ -19,9 +19,9 @@
     digest_part,
     digest_request,
 )
+from sesameford.suspect_completions import MAX_COMPLETIONS_TO_CLEAR
 from sesameford.suspect_rows import make_updates
 from sesameford.suspects import (
-    MAX_COMPLETIONS_TO_CLEAR,
     SuspectTreatment,
 )
 
