Make the error of a stopping instance in one place, and look for cleared parts only where asked

Three modules built the same refusal, the third one since the daemon's stop was bounded. Parts that completions have cleared were collected before it was known whether a suspect is alone at its crashes. A heartbeat table's row needs no default for when its target was heard.

--- a/sesameford/callers.py
+++ b/sesameford/callers.py
@@ -27,6 +27,7 @@
 from sesameford.request_digest import digest_request
 from sesameford.router import Router
 from sesameford.service_adapter import is_repeatable
+from sesameford.stop_bound import make_stopping_error
 from sesameford.tables import Outcome, Request, TargetKind
 from sesameford.traces import propagator
 
@@ -206,7 +207,7 @@
     """Return the caller's customer if this instance accepts new requests."""
     customer = authenticate_customer(deps.relay.router, http)
     if not deps.is_open():
-        raise NotRunError("stopping", "this instance is stopping", 503, 1.0)
+        raise make_stopping_error()
     return customer
 
 
--- a/sesameford/crash_attribution.py
+++ b/sesameford/crash_attribution.py
@@ -129,13 +129,15 @@
         if evidence.is_regardless_of_others:
             return True
         common = self.common_suspects(crashes)
-        cleared = self._cleared_parts(crashes)
         is_alone = all(
             self._comes_along(one, evidence.suspect, crash_id)
             for one in common - {evidence.suspect}
             for crash_id in crashes
         )
-        return is_alone and any(
+        if not is_alone:
+            return False
+        cleared = self._cleared_parts(crashes)
+        return any(
             self._tried(evidence, crash_id) - cleared <= common
             for crash_id in evidence.trial_crashes
         )
--- a/sesameford/discovery/heartbeat_table.py
+++ b/sesameford/discovery/heartbeat_table.py
@@ -112,7 +112,7 @@
             The message to all other instances if anything changed.
         """
         self._received_names.add(short_name(row.target_id))
-        if not self._merge_row(row, now_seconds):
+        if not self._merge_row(row, now_seconds, now_seconds):
             return ()
         return [Outgoing(None, HeartbeatRows((row,), token), urgent=True)]
 
@@ -205,10 +205,7 @@
         )
 
     def _merge_row(
-        self,
-        row: HeartbeatRow,
-        now_seconds: float,
-        heard_at_seconds: float | None = None,
+        self, row: HeartbeatRow, now_seconds: float, heard_at_seconds: float
     ) -> bool:
         """Store a newer row; return whether more than its sequence number changed.
 
@@ -217,8 +214,6 @@
         requests would be sent to an address without a listener. The sequence number
         only grows, and an incarnation that is gone does not come back.
         """
-        if heard_at_seconds is None:
-            heard_at_seconds = now_seconds
         entry = self.entries.get(row.target_id)
         if entry is None or row.incarnation > entry.row.incarnation:
             self._put(row, now_seconds, heard_at_seconds)
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -16,7 +16,7 @@
 from sesameford.callers import CallersDeps, make_callers_app
 from sesameford.claims import ClaimsMachine
 from sesameford.effective import EffectiveTree
-from sesameford.errors import NotRunError, SettingsError
+from sesameford.errors import SettingsError
 from sesameford.fencing import FencingMachine
 from sesameford.http_ports import listen, make_session
 from sesameford.inbox import InboxDeps, make_inbox
@@ -42,7 +42,7 @@
 from sesameford.settings import DaemonSettings
 from sesameford.state_machine import StateMachine
 from sesameford.status import StatusReport
-from sesameford.stop_bound import make_stop_bound
+from sesameford.stop_bound import make_stop_bound, make_stopping_error
 from sesameford.stops import StopLoad, StopStep
 from sesameford.tables import InstanceState
 from sesameford.target_replication import make_target_replication
@@ -366,9 +366,7 @@
         )
         self._stop.advance(load, delay_seconds, now_seconds)
         if self._stop.step is StopStep.FINISHING:
-            self.router.refuse_waiting_requests(
-                NotRunError("stopping", "this instance is stopping", 503, 1.0)
-            )
+            self.router.refuse_waiting_requests(make_stopping_error())
 
     def _send_heartbeat(self) -> None:
         now_seconds = self._now()
--- a/sesameford/relay.py
+++ b/sesameford/relay.py
@@ -14,6 +14,7 @@
 from sesameford.keyed import KeyedRequest, KeyedRequests, RunEnd
 from sesameford.relay_deps import Call, RelayDeps
 from sesameford.request_run import run_to_outcome
+from sesameford.stop_bound import make_stopping_error
 from sesameford.tables import Outcome
 
 __all__ = ["Call", "RelayDeps", "serve"]
@@ -36,7 +37,7 @@
     began_at_seconds = loop.time()
     left_seconds = request.deadline_seconds - deps.now()
     if not deps.stop_bound.may_take(request.resource, left_seconds, began_at_seconds):
-        raise NotRunError("stopping", "this instance is stopping", 503, 1.0)
+        raise make_stopping_error()
     try:
         return await _serve_taken(deps, http, call)
     finally:
--- a/sesameford/stop_bound.py
+++ b/sesameford/stop_bound.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from sesameford.errors import SesamefordError
+from sesameford.errors import NotRunError, SesamefordError
 
 # The last part of the grace, in which answers are written and connections closed. That
 # takes a busy process some time, however short the grace is.
@@ -132,6 +132,11 @@
     return max(0.0, grace_seconds - reserved_seconds)
 
 
+def make_stopping_error() -> NotRunError:
+    """Return the error of a request that an instance refuses as it stops."""
+    return NotRunError("stopping", "this instance is stopping", 503, 1.0)
+
+
 def make_stop_bound(grace_seconds: float | None = None) -> StopBound:
     """Return the bound of an instance that is not stopping; see ``StopBound``."""
     return StopBound(grace_seconds)
