Let a survived answer alone clear a request for other customers, and send its rows with grants

What callers saw: one whole request that crashes its servers, sent by four customers one after another, reached servers four times later than 3 s after the third crash (three are allowed).

The second customer's first trial was answered whole, and its server crashed 27 ms later. The answer cleared the first customer's three crashes for all but that customer, so the next two customers learnt it anew. A trial crashed, its router ended the grant, and the next router had its grant 20 ms later and the row of the crash 100 ms later: rows wait for the next tick of the replica, grants do not. It sent at once.

Now an answer clears a whole request of other customers' crashes only once its target has survived it, or as answers by far outnumber crashes, and no other trial runs until then. The end of a trial, and each grant, bring the rows of what is tried, so that the next router decides by what the last trial showed.

The three new tests fail without the change; the state machine plays crashes after whole answers as well (it passes with and without).

--- a/sesameford/gateway/suspect_calls.py
+++ b/sesameford/gateway/suspect_calls.py
@@ -166,7 +166,7 @@
             return True
         return self.crashes.is_not_survived(
             reservation
-        ) and self.exchange.suspects.has_answered_crashes(key)
+        ) and self.exchange.suspects.needs_survival(key)
 
     def record_trial_target(
         self, digests: Iterable[bytes], reservation: Reservation
--- a/sesameford/gateway/suspect_exchange.py
+++ b/sesameford/gateway/suspect_exchange.py
@@ -40,6 +40,8 @@
 RELAYED_REPEATS = 2
 # The rows sent to a peer that may know nothing. Many instances send to a new replica.
 MAX_ROWS_TO_PEER = 512
+# The rows sent with a grant: those of what is tried, and what is found beside it.
+MAX_ROWS_WITH_GRANT = 64
 # How often a replica sends its rows to the next of its peers.
 REFRESH_SECONDS = 1.0
 # How long a router that has just started waits for replicas' rows, from when it first
@@ -188,19 +190,27 @@
             self._send_table(sender_id)
             return False
         if update.trial_router:
+            self._merge(sender_id, update.others, now_seconds)
             self.grants.handle(sender_id, update, now_seconds)
             return True
-        is_relayed = self._is_relay and sender_id not in self._replicas(now_seconds)
-        repeats = RELAYED_REPEATS if is_relayed else 0
         rows = [one for one in (update, *update.others) if one.request_digest]
-        changed = self.suspects.merge_updates(rows, now_seconds, repeats)
-        self._write(changed)
+        changed = self._merge(sender_id, rows, now_seconds)
         is_first_table = update.is_table and sender_id not in self._tables_from
         if is_first_table:
             self._tables_from.add(sender_id)
             logger.info("suspects received", extra={"of": sender_id, "rows": len(rows)})
         return is_first_table or bool(changed)
 
+    def _merge(
+        self, sender_id: str, rows: Sequence[SuspectUpdate], now_seconds: float
+    ) -> Sequence[bytes]:
+        """Merge another instance's rows; return the digests of those that changed."""
+        is_relayed = self._is_relay and sender_id not in self._replicas(now_seconds)
+        repeats = RELAYED_REPEATS if is_relayed else 0
+        changed = self.suspects.merge_updates(rows, now_seconds, repeats)
+        self._write(changed)
+        return changed
+
     def handle_heartbeat(
         self, sender_id: str, incarnation: int, now_seconds: float
     ) -> None:
@@ -316,5 +326,9 @@
         needed_tables: How many replicas' rows a router waits for as it starts.
     """
     suspects = Suspects(quarantine_seconds)
-    grants = make_trial_grants(own_id, is_relay, replicas, send)
+
+    def list_rows(digest: bytes) -> Sequence[SuspectUpdate]:
+        return suspects.updates_of(digest, MAX_ROWS_WITH_GRANT)
+
+    grants = make_trial_grants(own_id, is_relay, replicas, list_rows, send)
     return SuspectExchange(suspects, grants, is_relay, replicas, send, needed_tables)
--- a/sesameford/gateway/trial_grants.py
+++ b/sesameford/gateway/trial_grants.py
@@ -3,14 +3,17 @@
 Two crashes or more may be due to copies that were under way at once. Without a grant
 each router that then gets a copy could try it at the same moment, and lose a target. So
 a router asks the replica with the lowest id, which grants one trial at a time and tells
-all instances of it, and tells the replica when the trial is over. A router that is cut
-off from all replicas tries alone; one that gets no reply refuses the call, as another
-router may be trying it.
+all instances of it, and tells the replica when the trial is over. These messages bring
+the rows of what is tried: the next router would try it before it hears that the last
+trial crashed. A router that is cut off from all replicas tries alone; one that gets no
+reply refuses the call, as another router may be trying it.
 """
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
+
 from sesameford.messages import Outgoing, SuspectUpdate
 
 # A grant ends with its trial, or after this time if its router is gone.
@@ -25,12 +28,14 @@
         own_id: This instance.
         is_replica: Whether it grants trials.
         replicas: Returns the live replicas.
+        list_rows: Returns the rows that this instance has of what is tried.
         send: Sends a message.
     """
 
     own_id: str
     is_replica: bool
     replicas: Callable[[float], Sequence[str]]
+    list_rows: Callable[[bytes], Sequence[SuspectUpdate]]
     send: Callable[[Outgoing], None]
     _routers: dict[bytes, tuple[str, float]] = field(default_factory=dict)
 
@@ -53,7 +58,7 @@
             update = SuspectUpdate(
                 digest, (), False, trial_router=self.own_id, is_trial_over=True
             )
-            self.send(Outgoing(replica, update, urgent=True))
+            self._send_with_rows(replica, update)
 
     def handle(self, sender_id: str, update: SuspectUpdate, now_seconds: float) -> None:
         """Handle a router's message at a replica, or a replica's notice of it."""
@@ -69,7 +74,11 @@
                 return
             self._routers[digest] = (router, now_seconds + GRANT_SECONDS)
         if is_from_router:
-            self.send(Outgoing(None, update, urgent=True))
+            self._send_with_rows(None, update)
+
+    def _send_with_rows(self, receiver_id: str | None, update: SuspectUpdate) -> None:
+        rows = tuple(self.list_rows(update.request_digest))
+        self.send(Outgoing(receiver_id, replace(update, others=rows), urgent=True))
 
     def is_granted(self, digest: bytes, now_seconds: float) -> bool:
         """Return whether this router may try a request now."""
@@ -94,7 +103,8 @@
     own_id: str,
     is_replica: bool,
     replicas: Callable[[float], Sequence[str]],
+    list_rows: Callable[[bytes], Sequence[SuspectUpdate]],
     send: Callable[[Outgoing], None],
 ) -> TrialGrants:
     """Return an instance's state without grants; see ``TrialGrants``."""
-    return TrialGrants(own_id, is_replica, replicas, send)
+    return TrialGrants(own_id, is_replica, replicas, list_rows, send)
--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -42,6 +42,7 @@
 from sesameford.request_digest import (
     common_digest,
     digest_pair,
+    is_part_digest,
 )
 from sesameford.suspect_completions import make_suspect_completions
 from sesameford.suspect_rows import (
@@ -174,18 +175,30 @@
     def _crashes_that_one_answer_clears(self, digest: bytes) -> frozenset[str]:
         """Return the crashes that an answer clears which its target may not survive.
 
-        What several customers' crashes refuse to all is cleared only of the customer's
-        own ones: the target may crash just after the answer.
+        The target may crash just after the answer. So a whole request, and a part that
+        several customers' crashes refuse to all, are cleared only of the customer's own
+        crashes. Most parts that are suspects are innocent, and many calls have them.
         """
-        if self._due_shared_evidence(digest) is None:
+        if is_part_digest(digest) and self._due_shared_evidence(digest) is None:
             return self.uncleared_crashes(digest)
         own = self._table.get(digest)
         return frozenset() if own is None else own.uncleared_crashes
 
-    def has_answered_crashes(self, digest: bytes) -> bool:
-        """Return whether targets crashed just after they had answered a suspect."""
-        return not self._answered_crashes(digest).isdisjoint(
-            self.uncleared_crashes(digest)
+    def needs_survival(self, digest: bytes) -> bool:
+        """Return whether an answer alone does not show that a suspect is innocent.
+
+        Targets crashed just after they had answered it, or it is a whole request that
+        is a suspect for all customers.
+
+        Args:
+            digest: Its digest, or what its trials have in common.
+        """
+        answered = self._answered_crashes(digest)
+        if not answered.isdisjoint(self.uncleared_crashes(digest)):
+            return True
+        return (
+            not is_part_digest(digest)
+            and self._table.shared_evidence(digest) is not None
         )
 
     def _answered_crashes(self, digest: bytes) -> frozenset[str]:
@@ -425,6 +438,17 @@
         """
         return self._table.newest_updates(max_rows)
 
+    def updates_of(self, digest: bytes, max_rows: int) -> Sequence[SuspectUpdate]:
+        """Return updates for an instance that is to decide about one suspect.
+
+        Args:
+            digest: Its digest, or what its trials have in common.
+            max_rows: Bound on the rows.
+        """
+        rows = self._table.rows_alike(digest)
+        listed = [*rows, *self.companions(rows)][:max_rows]
+        return [update for row in listed for update in make_updates(row)]
+
     def schedule_all_updates(self) -> None:
         """Send all rows again, for an instance that is new or was isolated."""
         for row in list(self._table):
--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -11,6 +11,7 @@
 from sesameford.effective import FleetSettings
 from sesameford.gateway.placement import make_placement
 from sesameford.gateway.quarantine_status import list_quarantines
+from sesameford.gateway.recent_answers import SURVIVAL_SECONDS
 from sesameford.gateway.suspect_calls import (
     GRANT_REPLY_SECONDS,
     SuspectRefusedError,
@@ -21,11 +22,14 @@
     RELAYED_REPEATS,
     make_suspect_exchange,
 )
+from sesameford.gateway.target_crashes import CrashEvidence, ObservedCrash
 from sesameford.gateway.target_record import Reservation
 from sesameford.gateway.trial_grants import GRANT_SECONDS, make_trial_grants
+from sesameford.in_flight_attempts import TargetCrash
 from sesameford.messages import SuspectUpdate
 from sesameford.request_digest import common_digest, digest_request, logged_digest
 from sesameford.suspect_log import MAX_LOGGED_DIGESTS, format_digests
+from sesameford.suspects import SuspectTreatment
 
 DIGEST = digest_request("club", "POST", "h", "/x", b"")
 
@@ -188,7 +192,9 @@
 
 def test_a_replica_grants_one_trial_at_a_time():
     sent = []
-    grants = make_trial_grants("a", True, lambda now: (), sent.append)
+    grants = make_trial_grants(
+        "a", True, lambda now: (), lambda digest: (), sent.append
+    )
     for router in ("r1", "r2", "r1"):
         request = SuspectUpdate(DIGEST, (), False, trial_router=router)
         grants.handle(router, request, 1.0)
@@ -203,7 +209,9 @@
 def test_a_grant_lasts_until_its_router_tells_that_the_trial_is_over():
     """A late update of an earlier crash ended it, and a second trial ran beside it."""
     sent = []
-    grants = make_trial_grants("a", True, lambda now: (), sent.append)
+    grants = make_trial_grants(
+        "a", True, lambda now: (), lambda digest: (), sent.append
+    )
     request = SuspectUpdate(DIGEST, (), False, trial_router="r1")
     grants.handle("r1", request, 1.0)
     over = replace(request, is_trial_over=True)
@@ -214,6 +222,58 @@
     assert [one.message for one in sent] == [request, over]
 
 
+def test_a_grant_tells_that_the_trial_before_it_crashed():
+    """Guards against a next trial at a router that has not heard of the last crash."""
+    sent = []
+
+    def make_exchange(name, replicas):
+        return make_suspect_exchange(
+            name, 300.0, not replicas, lambda now: replicas, sent.append
+        )
+
+    replica = make_exchange("a", ())
+    first, second = (make_exchange(name, ("a",)) for name in ("r1", "r2"))
+    key = common_digest(DIGEST)
+    for exchange in (replica, first, second):
+        for number in range(2):
+            exchange.suspects.record_crash(f"t/{number}", [DIGEST], 0.0, trials=[])
+    replica.grants.handle(
+        "r1", SuspectUpdate(key, (), False, trial_router="r1"), now_seconds=1.0
+    )
+    first.handle_update("a", sent.pop().message, 1.0)
+    sent.clear()
+    crash = TargetCrash("t9", 0, (DIGEST,), frozenset((DIGEST,)))
+    first.record_crash(ObservedCrash(crash, CrashEvidence.REFUSED, 0.0), 1.5)
+    (over,) = [one.message for one in sent if one.message.is_trial_over]
+    sent.clear()
+    replica.handle_update("r1", over, 1.5)
+    replica.handle_update(
+        "r2", SuspectUpdate(key, (), False, trial_router="r2"), now_seconds=1.5
+    )
+    second.handle_update("a", sent[-1].message, 1.5)
+    assert second.grants.is_granted(key, 1.5)
+    treatment = second.suspects.treatment(DIGEST, 1.5)
+    assert treatment is SuspectTreatment.QUARANTINED
+
+
+async def test_no_request_is_tried_again_before_its_target_survived_the_answer():
+    """Guards against customers whose trials follow an answer that ends in a crash."""
+    calls, _ = make_router()
+    theirs = digest_request("rival", "POST", "h", "/x", b"")
+    for number in range(2):
+        calls.exchange.suspects.record_crash(f"t/{number}", [theirs], 0.0)
+    reservation = Reservation("t9", "", 7)
+    async with calls.turn(DIGEST, soon()):
+        calls.record_trial_target((DIGEST,), reservation)
+        calls.crashes.record_sent(reservation, DIGEST, True)
+        calls.record_completion(reservation, (DIGEST,), 200)
+    with pytest.raises(SuspectRefusedError) as refused:
+        await run_turn(calls, [], soon(0.01))
+    assert refused.value.reason == "on-trial"
+    calls.record_alive(reservation, 1.0 + 2 * SURVIVAL_SECONDS)
+    assert calls.exchange.suspects.treatment(DIGEST, 1.0) is SuspectTreatment.CLEAR
+
+
 async def test_no_second_trial_runs_until_it_is_known_whether_the_first_crashed():
     """A connection broke, and copies were sent before the crash was proven."""
     calls, _ = make_router()
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -365,7 +365,7 @@
         peer.merge_update(update, 0.0)
     for instance in (suspects, peer):
         assert not instance.record_completion(digest, 1.0)
-        assert instance.has_answered_crashes(digest)
+        assert instance.needs_survival(digest)
     suspects.record_crash("t/2", [digest], 2.0, trials=[digest], answered=[digest])
     parts = (digest,) if digest == CULPRIT else ()
     for update in suspects.make_due_updates(2.0):
@@ -418,6 +418,32 @@
         assert suspects.refusal_seconds(digest, 2.0) == 0.0
 
 
+def test_an_answer_before_a_crash_clears_no_other_customers_crashes():
+    """Guards against customers who each learn anew what crashes just after answers."""
+    suspects = Suspects(300.0)
+    customers = [f"customer-{number}" for number in range(8)]
+    digests = [digest_poison(customer, 0) for customer in customers]
+    crashed = 0
+    for at_seconds, digest in enumerate(digests):
+        for _ in range(5):
+            if suspects.refusal_seconds(digest, float(at_seconds)) > 0.0:
+                continue
+            answered = [digest] * bool(at_seconds)
+            for one in answered:
+                suspects.record_completion(one, float(at_seconds))
+            is_trial = bool(suspects.suspected([digest]))
+            crash_id = f"t/{crashed}"
+            suspects.record_crash(
+                crash_id, [digest], float(at_seconds), [digest] * is_trial, answered
+            )
+            crashed += 1
+    assert crashed <= 2 + 1
+    for _ in range(MAX_COMPLETIONS_TO_CLEAR):
+        suspects.record_completion(digests[0], 20.0, has_survived=True)
+        suspects.record_completion(digests[1], 20.0, has_survived=True)
+    assert not suspects.suspected(digests)
+
+
 def test_callers_without_a_key_are_one_customer():
     """Guards against anonymous callers who have a customer's sound calls refused."""
     suspects = Suspects(300.0)
--- a/tests/test_suspects_machine.py
+++ b/tests/test_suspects_machine.py
@@ -93,7 +93,7 @@
 
 
 class CrashingCalls(RuleBasedStateMachine):
-    """A send crashes its server or completes at once.
+    """A send crashes its server, perhaps after a whole answer, or completes at once.
 
     A router sends as ``SuspectCalls`` does: refused in quarantine, one trial at a time,
     with a replica's grant from the second crash on.
@@ -104,6 +104,7 @@
         self.senders = count()
         self.paths = count()
         self.customers = 1
+        self.answers_first = False
         self.random = Random(1)
         self.now = 100.0
         self.nodes = {}
@@ -309,6 +310,11 @@
         """From now on so many customers send the culprit in turn."""
         self.customers = customers
 
+    @rule(answers_first=st.booleans())
+    def begin_manner(self, answers_first):
+        """From now on servers answer the culprit whole before they crash, or do not."""
+        self.answers_first = answers_first
+
     def treatment(self, node, kind):
         digest, parts = self.digests_of(kind)
         return node.exchange.suspects.treatment(digest, self.now, parts)
@@ -359,22 +365,32 @@
         return not grants.request(key, self.now)
 
     def crash(self, node, kind, digests, evidence_seconds, is_trial):
+        answered = ()
+        trials = node.exchange.suspects.suspected(digests) if is_trial else frozenset()
         if kind == CULPRIT:
+            answered = digests if self.answers_first else ()
+            for one in answered:
+                node.exchange.record_completion(one, self.now)
             allowed = self.allowed_crashes()
             if len(self.crashes) >= allowed and self.is_in_touch(node):
                 late_seconds = self.crashes[allowed - 1] + CONTACT_SECONDS
                 self.late_sends += self.now > late_seconds
             self.crashes.append(self.now)
-            node.trial = is_trial
+            node.trial = is_trial and self.is_undecided(node, digests, answered)
         prefix = CULPRIT_TARGET if kind == CULPRIT else "i"
         name = f"{prefix}{len(self.crashes)}-{len(self.observations)}-{self.now}"
-        trials = node.exchange.suspects.suspected(digests) if is_trial else frozenset()
-        crash = TargetCrash(name, 0, digests, trials)
+        crash = TargetCrash(name, 0, digests, trials, frozenset(answered))
         observed = ObservedCrash(crash, CrashEvidence.REFUSED, evidence_seconds)
         self.observations.append(
             (self.now + evidence_seconds, node.name, node.incarnation, observed)
         )
 
+    def is_undecided(self, node, digests, answered):
+        """Return whether others may not try the culprit until its target survived."""
+        suspects = node.exchange.suspects
+        keys = map(suspects.trial_key, digests)
+        return not answered or any(map(suspects.needs_survival, keys))
+
     # --- what must hold ---------------------------------------------------------
 
     @invariant()
