Close a peer's connection after fewer tiny chunks, and parse what arrives in a body in parts

What callers saw: forty connections that send a heartbeat in chunks of one byte held up a replica so long that it lost its leader, and reads of the configuration waited for an election or got no answer within a second.

Evidence: the replica needs 0.58 s of processor time for the forty, in one turn of its loop.

Cause: in a body all that a read brought was parsed before it was counted (up to 256 KB), and each chunk takes as long to parse as a large one.

The new test fails without the change: 21,333 chunks were parsed.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -17,17 +17,33 @@
 
 logger = logging.getLogger(__name__)
 
-# What a request may have beside its body: its head, and the framing of chunks.
+# What a request may have beside its body: its head, or the framing of chunks.
 MAX_OVERHEAD_BYTES = 32_768
+# The same of the framing where servers and operators call. Each small chunk takes as
+# long to parse as a large one, and replicas whose loops are late lose their leader.
+MAX_PEER_FRAMING_BYTES = 8_192
 
 
 class BoundedHandler(web.RequestHandler):
-    """The library's handler of a connection, which is closed if no request ends."""
+    """The library's handler of a connection, which is closed if no request ends.
 
-    __slots__ = ("_body", "_received_bytes")
+    Args:
+        manager: The library's server.
+        max_framing_bytes: What a body may have beyond one byte of framing for each of
+            its own.
+        kwargs: What else the library's handler takes.
+    """
 
-    def __init__(self, manager: web.Server, **kwargs: Any) -> None:
+    __slots__ = ("_body", "_max_framing_bytes", "_received_bytes")
+
+    def __init__(
+        self,
+        manager: web.Server,
+        max_framing_bytes: int = MAX_OVERHEAD_BYTES,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(manager, **kwargs)
+        self._max_framing_bytes = max_framing_bytes
         # Since the head of the last request was complete, and that request's body.
         self._received_bytes = 0
         self._body: StreamReader | None = None
@@ -37,13 +53,10 @@
         if not data:
             # The library continues with what it held back while a reader was behind.
             super().data_received(data)
-        rest = data
-        while rest:
-            # The library may have paused in a body, and takes what has arrived at once.
-            part_bytes = len(rest) if self._is_in_body() else MAX_PART_BYTES
-            if not self._receive_part(rest[:part_bytes]):
+        part_bytes = min(MAX_PART_BYTES, self._max_framing_bytes)
+        for start in range(0, len(data), part_bytes):
+            if not self._receive_part(data[start : start + part_bytes]):
                 return
-            rest = rest[part_bytes:]
 
     def _is_in_body(self) -> bool:
         return self._body is not None and not self._body.is_eof()
@@ -60,7 +73,9 @@
                 self._received_bytes = 0
                 self._body = body
         body_bytes = 0 if self._body is None else self._body.total_bytes
-        allowed_bytes = MAX_OVERHEAD_BYTES + RECEIVED_BYTES_PER_BODY_BYTE * body_bytes
+        in_body = self._is_in_body()
+        allowed_bytes = self._max_framing_bytes if in_body else MAX_OVERHEAD_BYTES
+        allowed_bytes += RECEIVED_BYTES_PER_BODY_BYTE * body_bytes
         if self._received_bytes <= allowed_bytes:
             return True
         if self.transport is not None:
@@ -72,6 +87,10 @@
         return False
 
 
-def bound_requests(server: web.Server) -> Callable[[], web.RequestHandler]:
+def bound_requests(
+    server: web.Server, max_framing_bytes: int = MAX_OVERHEAD_BYTES
+) -> Callable[[], web.RequestHandler]:
     """Return the protocol factory of a server, with bounds on each connection."""
-    return lambda: BoundedHandler(server, loop=server._loop, **server._kwargs)
+    return lambda: BoundedHandler(
+        server, max_framing_bytes, loop=server._loop, **server._kwargs
+    )
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -15,7 +15,7 @@
     web,
 )
 
-from sesameford.bounded_requests import bound_requests
+from sesameford.bounded_requests import MAX_PEER_FRAMING_BYTES, bound_requests
 from sesameford.connection_guard import GuardCounts, GuardLimits, make_guard
 from sesameford.early_answers import (
     LINGER_SECONDS,
@@ -116,7 +116,7 @@
     )
     await runner.setup()
     assert runner.server is not None
-    make_protocol = bound_requests(runner.server)
+    make_protocol = bound_requests(runner.server, MAX_PEER_FRAMING_BYTES)
     server = _listen_guarded(make_protocol, address, context, limits, counts)
 
     async def stop() -> None:
--- a/tests/test_bounded_requests.py
+++ b/tests/test_bounded_requests.py
@@ -1,15 +1,15 @@
 """Connections of callers, which are closed if their requests never end."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from aiohttp import ClientSession, web
 
-from sesameford.bounded_requests import MAX_OVERHEAD_BYTES
+from sesameford.bounded_requests import MAX_OVERHEAD_BYTES, MAX_PEER_FRAMING_BYTES
 from sesameford.framing import MAX_PART_BYTES
 from sesameford.held_answers import collect_held
-from sesameford.http_ports import listen_calls
+from sesameford.http_ports import listen, listen_calls
 from tools.members import free_ports
 
 LARGE_BYTES = 3_000_000
@@ -35,6 +35,32 @@
         await port.stop()
 
 
+async def test_a_peer_that_sends_tiny_chunks_costs_a_loop_little_time():
+    """Guards against replicas that lose their leader as they parse one faulty peer."""
+    bodies = asyncio.Queue()
+
+    async def answer(request):
+        await bodies.put(request.content)
+        return web.Response(body=await request.content.read())
+
+    app = web.Application()
+    app.router.add_post("/", answer)
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    stop = await listen(app, address, None)
+    host, port = address.split(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(CHUNKED)
+        body = await bodies.get()
+        writer.write(b"1\r\nx\r\n" * 40_000)
+        with suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+    finally:
+        await stop()
+    assert 0 < body.total_bytes < MAX_PEER_FRAMING_BYTES / 2
+
+
 async def test_a_body_larger_than_the_librarys_buffer_arrives_whole():
     """Guards against a body that the library holds back and is never told to go on."""
     async with open_port() as address, ClientSession() as session:
