--- a/sesameford/suspects.py
+++ b/sesameford/suspects.py
@@ -13,9 +13,9 @@
 Each customer has rows of its own, so that none can have another's sound calls refused
 by sending the same request or parts. What crashes show against one for one customer
 makes it a suspect for all: their next calls with it are trials, one at a time for all
-of them. A completion clears it for the others too. Crashes under trials of two
-customers, which no completion has cleared, quarantine it for all. Callers without a key
-are one customer.
+of them. A completion clears it for the others too; that of a whole request only once
+its target has lived on. Crashes under trials of two customers, which no completion has
+cleared, quarantine it for all. Callers without a key are one customer.
 
 A target may also crash just after it has answered a request. Such crashes are cleared
 only by a completion that its target has survived for a time, or by many more
--- a/tests/test_bounded_requests.py
+++ b/tests/test_bounded_requests.py
@@ -51,10 +51,11 @@
     try:
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(CHUNKED)
-        body = await bodies.get()
-        writer.write(b"1\r\nx\r\n" * 40_000)
-        with suppress(ConnectionError):
-            await reader.read()
+        async with asyncio.timeout(ANSWER_SECONDS):
+            body = await bodies.get()
+            writer.write(b"1\r\nx\r\n" * 40_000)
+            with suppress(ConnectionError):
+                await reader.read()
         writer.close()
     finally:
         await stop()
