Bound what a router holds of all callers' bodies together

What callers would see: all calls at a router fail at once, as the process was ended for its memory. Forty callers that send 3.9 MB of a body each and then nothing more grew it by 127 MB in 2 s; a router of a small site may have 150 MB.

Cause: a body was bounded by itself (4 MB), all bodies together were not.

Now bodies have 24 MB together (fleet.held_bodies_limit_bytes) for as long as their calls last.

--- a/sesameford/effective.py
+++ b/sesameford/effective.py
@@ -172,6 +172,7 @@
     queued_limit_bytes: int = 256_000_000
     answer_limit_bytes: int = 16_000_000
     held_answers_limit_bytes: int = 24_000_000
+    held_bodies_limit_bytes: int = 24_000_000
     silence_seconds: float = 10.0
     header_limit_bytes: int = 16_384
     header_timeout_seconds: float = 10.0
--- a/sesameford/gateway/admit.py
+++ b/sesameford/gateway/admit.py
@@ -23,7 +23,7 @@
 from sesameford.gateway.queue_limit import make_queue_limit
 from sesameford.gateway.retry_times import spread_retry_seconds
 from sesameford.gateway.route_table import choose_service
-from sesameford.held_answers import collect_held
+from sesameford.held_answers import HeldPart, collect_held
 from sesameford.operators_http import digest_of_key
 from sesameford.request_digest import digest_part, digest_request
 from sesameford.suspect_log import format_digests
@@ -146,13 +146,22 @@
     call: Call,
     admitted: AdmittedCall,
     arrived_at_seconds: float,
+    held: HeldPart,
 ) -> CallContext:
     """Read the body of an admitted call and return the call's context.
 
+    Args:
+        deps: The router's parts.
+        http: The HTTP request.
+        call: The call without its body.
+        admitted: What was found out about it.
+        arrived_at_seconds: When its head arrived, by the router's clock.
+        held: What the router holds of the body.
+
     Raises:
-        Refusal: The body is too large.
+        Refusal: The body is too large, or others leave no room for it.
     """
-    body = await _read_body(http, admitted.state.tree.fleet.body_limit_bytes)
+    body = await _read_body(http, admitted.state.tree.fleet.body_limit_bytes, held)
     route = admitted.route
     # A caller waits from when it sent the call, not from when it was read. Without this
     # a late router sends calls on after their callers have left.
@@ -354,12 +363,19 @@
     return common
 
 
-async def _read_body(http: web.BaseRequest, limit_bytes: int) -> bytes:
+async def _read_body(http: web.BaseRequest, limit_bytes: int, held: HeldPart) -> bytes:
+    """Return the whole body of a call.
+
+    Raises:
+        Refusal: It is too large, or others leave no room for it.
+    """
     if not http.body_exists:
         return b""
 
     def check(held_bytes: int) -> None:
         if held_bytes > limit_bytes:
             raise Refusal(413, "body-too-large")
+        if not held.resize(held_bytes, limit_bytes):
+            raise Refusal(503, "no-room-for-body", RETRY_AFTER_SECONDS)
 
     return await collect_held(http.content.iter_any(), check)
--- a/sesameford/gateway/call_context.py
+++ b/sesameford/gateway/call_context.py
@@ -96,6 +96,7 @@
     origin_exchange: OriginExchange
     service_versions: ServiceVersions
     held_answers: HeldBytes = field(default_factory=make_held_bytes)
+    held_bodies: HeldBytes = field(default_factory=make_held_bytes)
     queue_limits: dict[str, QueueLimit] = field(default_factory=dict)
     dispatch_limit: DispatchLimit = field(default_factory=make_dispatch_limit)
     returning_calls: ReturningCalls = field(default_factory=make_returning_calls)
--- a/sesameford/tree_fields.py
+++ b/sesameford/tree_fields.py
@@ -295,6 +295,7 @@
         (FleetSettings, "body_limit_bytes"): _integer(1, 1_000_000_000),
         (FleetSettings, "answer_limit_bytes"): _integer(1, 1_000_000_000_000),
         (FleetSettings, "held_answers_limit_bytes"): _integer(0, 1_000_000_000),
+        (FleetSettings, "held_bodies_limit_bytes"): _integer(0, 1_000_000_000),
         (FleetSettings, "weight_store_concurrent_loads"): _integer(1, 10_000),
     }
 )
