Tell targets of the time that is left as a call is written, not before connecting

What callers would see: targets that work for callers who have left, and so less room for others.

Cause: the header with the time left was made before the connection. Connecting may take 0.3 s on a timely loop, and several times that on a late one, as the connect timeout counts lateness in slices.

Evidence: with 0.7 s between the header and the connection, a target was told of 1,999 ms where 1,300 were left. The new test fails without the change.

The header is now set as the library is about to write the first byte, in the place that already checks whether the call may still be sent.

--- a/sesameford/gateway/calls.py
+++ b/sesameford/gateway/calls.py
@@ -84,14 +84,12 @@
 class SendAttempt:
     """The system's data for one target, sent in addition to the caller's request.
 
-    ``left_seconds`` is the time left until the call's deadline. ``copy_from`` is the
-    address of another engine that has the prompt's shared parts in its cache, for the
-    target to copy them instead of reading them.
+    ``copy_from`` is the address of another engine that has the prompt's shared parts in
+    its cache, for the target to copy them instead of reading them.
     """
 
     target_id: str
     customer: str | None
-    left_seconds: float
     resume_after: str | None = None
     copy_from: str | None = None
 
@@ -149,7 +147,10 @@
     Args:
         read_call: Parses method, path with query, and headers; raises
             ``BadCallError``.
-        sent_headers: Returns all headers of a request to a target.
+        sent_headers: Returns the headers of a request to a target, the deadline left
+            out.
+        deadline_header: Returns the header that tells a target how many seconds a call
+            has left as it is written.
         read_answer: Parses status and headers of a target's answer.
         read_request_id: Returns the request id in the headers of a request or an
             answer, None without one.
@@ -160,6 +161,7 @@
 
     read_call: Callable[[str, str, Mapping[str, str], Headers], Call]
     sent_headers: Callable[[Call, SendAttempt], Headers]
+    deadline_header: Callable[[float], tuple[str, str]]
     read_answer: Callable[[int, Headers], AnswerHead]
     read_request_id: Callable[[Mapping[str, str]], str | None]
     generated_answer_headers: Callable[[Call | None], Headers]
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -1,6 +1,6 @@
 """Sends a call to one target; failures show whether the call may have run."""
 
-from asyncio import sleep, timeout_at
+from asyncio import get_running_loop, sleep, timeout_at
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -230,6 +230,15 @@
         until_seconds: float,
         before_write: Callable[[], None],
     ) -> ClientResponse:
+        loop = get_running_loop()
+
+        def complete_headers(headers: CIMultiDict[str]) -> None:
+            before_write()
+            # Connecting takes time, most of all on a late loop: a target told of more
+            # than is left would work for a caller that has gone.
+            name, value = self.wire_adapter.deadline_header(until_seconds - loop.time())
+            headers[name] = value
+
         url = URL(f"http://{address}{call.target}", encoded=True)
         headers = CIMultiDict(self.wire_adapter.sent_headers(call, attempt))
         headers[VERBATIM_TARGET_HEADER] = call.target
@@ -242,7 +251,7 @@
                     data=body or None,
                     allow_redirects=False,
                     skip_auto_headers=SKIPPED_AUTO_HEADERS,
-                    trace_request_ctx=before_write,
+                    trace_request_ctx=complete_headers,
                 )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise SendAttemptError(
@@ -296,13 +305,13 @@
     return f"{type(error).__name__}: {error}"[:200]
 
 
-async def _call_before_write(
+async def _complete_headers(
     session: ClientSession,
     trace: SimpleNamespace,
     params: TraceRequestHeadersSentParams,
 ) -> None:
-    """Call the ``before_write`` of a request; the library calls this before writing."""
-    trace.trace_request_ctx()
+    """Complete the headers of a request; the library calls this before writing."""
+    trace.trace_request_ctx(params.headers)
 
 
 def make_target_session(
@@ -320,7 +329,7 @@
         connect_seconds: The connect timeout.
     """
     trace = TraceConfig()
-    trace.on_request_headers_sent.append(_call_before_write)
+    trace.on_request_headers_sent.append(_complete_headers)
     owners = AnswerOwners(wire_adapter.read_request_id, metrics.record_skipped_answer)
     pool = PoolOptions(idle_seconds, owners)
     return make_session(None, pool, connect_seconds, trace, VerbatimRequest)
--- a/sesameford/gateway/serve.py
+++ b/sesameford/gateway/serve.py
@@ -152,7 +152,6 @@
     attempt = SendAttempt(
         reservation.target_id,
         context.customer,
-        left_seconds,
         resume_after,
         reservation.copy_from,
     )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -481,6 +481,25 @@
         assert desk.runs == 1
 
 
+async def test_a_target_is_told_of_the_time_that_is_left_as_a_call_is_written():
+    """Guards against work for callers that have left, after slow connects."""
+    async with open_desk(Fault.NONE) as desk:
+        adapter = desk.deps.wire_adapter
+
+        def block_loop(call, attempt):
+            headers = adapter.sent_headers(call, attempt)
+            sleep(0.7)
+            return headers
+
+        slow_adapter = replace(adapter, sent_headers=block_loop)
+        sender = replace(desk.deps.sender, wire_adapter=slow_adapter)
+        object.__setattr__(desk.deps, "sender", sender)
+        deadline = {"X-Sesameford-Deadline-Ms": "2000"}
+        assert (await desk.ask("/unsafe/", **deadline))[0] == 200
+        (seen,) = desk.servers[0].received_calls
+    assert 0 < int(seen.headers["x-sesameford-deadline-ms"]) <= 1300
+
+
 async def test_a_call_without_time_left_releases_its_reservation():
     """A caller's timeout ends while its call waits to be sent.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -229,13 +229,14 @@
 def test_headers_to_a_target_and_of_its_answer():
     adapter = make_wire_adapter()
     call = read_call_with(headers())
-    sent = dict(adapter.sent_headers(call, SendAttempt("i-7", "club", 1.25, "4")))
-    assert sent["X-Sesameford-Deadline-Ms"] == "1250"
+    sent = dict(adapter.sent_headers(call, SendAttempt("i-7", "club", "4")))
+    assert "X-Sesameford-Deadline-Ms" not in sent
+    assert adapter.deadline_header(1.25) == ("X-Sesameford-Deadline-Ms", "1250")
     assert sent["X-Sesameford-Expect-Instance"] == "i-7"
     assert sent["X-Sesameford-Tenant"] == "club"
     assert sent["Last-Event-Id"] == "4"
     assert "Kv-Fetch" not in sent
-    copying = SendAttempt("i-7", "club", 1.25, None, "10.0.0.9:80")
+    copying = SendAttempt("i-7", "club", None, "10.0.0.9:80")
     assert dict(adapter.sent_headers(call, copying))["Kv-Fetch"] == "10.0.0.9:80"
     head = adapter.read_answer(503, [("x-sesameford-not-executed", "1")])
     assert head.not_run
