Keep the smaller bound on framing to the control port

The bound of 8 KB of framing held at each port that serves an application, so also for callers of the daemon, whose bodies in tiny chunks are theirs to send. It is an argument of the listener now, which only the platform's control port gives.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -19,9 +19,9 @@
 
 # What a request may have beside its body: its head, or the framing of chunks.
 MAX_OVERHEAD_BYTES = 32_768
-# The same of the framing where servers and operators call. Each small chunk takes as
-# long to parse as a large one, and replicas whose loops are late lose their leader.
-MAX_PEER_FRAMING_BYTES = 8_192
+# The same of the framing at a replica's control port. Each small chunk takes as long to
+# parse as a large one, and replicas whose loops are late lose their leader.
+MAX_CONTROL_FRAMING_BYTES = 8_192
 
 
 class BoundedHandler(web.RequestHandler):
@@ -90,7 +90,12 @@
 def bound_requests(
     server: web.Server, max_framing_bytes: int = MAX_OVERHEAD_BYTES
 ) -> Callable[[], web.RequestHandler]:
-    """Return the protocol factory of a server, with bounds on each connection."""
+    """Return the protocol factory of a server, with bounds on each connection.
+
+    Args:
+        server: The library's server.
+        max_framing_bytes: See ``BoundedHandler``.
+    """
     return lambda: BoundedHandler(
         server, max_framing_bytes, loop=server._loop, **server._kwargs
     )
--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -15,7 +15,7 @@
     web,
 )
 
-from sesameford.bounded_requests import MAX_PEER_FRAMING_BYTES, bound_requests
+from sesameford.bounded_requests import MAX_OVERHEAD_BYTES, bound_requests
 from sesameford.connection_guard import GuardCounts, GuardLimits, make_guard
 from sesameford.early_answers import (
     LINGER_SECONDS,
@@ -88,6 +88,7 @@
     context: SSLContext | None,
     limits: GuardLimits | None = None,
     counts: GuardCounts | None = None,
+    max_framing_bytes: int = MAX_OVERHEAD_BYTES,
 ) -> Callable[[], Awaitable[None]]:
     """Serve an application on an address.
 
@@ -97,6 +98,7 @@
         context: The TLS context, or None.
         limits: The connection limits of the listener.
         counts: The connection counts, updated by the listener.
+        max_framing_bytes: See ``BoundedHandler``.
 
     Returns:
         A function that stops serving.
@@ -116,7 +118,7 @@
     )
     await runner.setup()
     assert runner.server is not None
-    make_protocol = bound_requests(runner.server, MAX_PEER_FRAMING_BYTES)
+    make_protocol = bound_requests(runner.server, max_framing_bytes)
     server = _listen_guarded(make_protocol, address, context, limits, counts)
 
     async def stop() -> None:
