Let the soak know when its own loop, which runs the servers, stood still

Traced in the kept logs: from 45.25 to 46.0 s no process logs anything, no caller sends, no server answers; a router says at 46.118 of one of the calls "written_seconds_ago 0.869" and "left_seconds 3.022", so it was written at 45.249 with what was left then. The servers, which run in the soak's own process, read it 0.8 s later, and the check counted from there. (A stale clock of the router's loop was the other hypothesis; the loop's clock goes on within a turn, measured: 0.5 s of 0.5.)

The soak now records when its loop stands still, and a call that was read in such a stall or just after it counts from its begin. Nothing else is excused: the check still fails by 0.05 s beyond that, as the new test says.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -333,6 +333,23 @@
     assert found == ["id-1 of r was handed too much time"] * is_found
 
 
+@pytest.mark.parametrize(
+    ("stall", "is_found"),
+    [(None, True), ((10.2, 10.95), False), ((10.95, 10.97), True), ((9.0, 10.8), True)],
+)
+def test_the_check_knows_that_servers_read_late(stall, is_found):
+    """A call that is handed 5.6 s arrives while the loop of its server stands still."""
+    server = FakeHeartbeatServer({})
+    call = received(11.0, 1)
+    call.headers[DEADLINE_HEADER] = "5600"
+    server.server.received_calls = [call]
+    sent = [SentRequest("id-1", "safe", "r", 10.0, status=502)]
+    records = Records(sent=sent, servers=[server], deadline_seconds=6.0)
+    records.stalls = [] if stall is None else [Span("loop", *stall)]
+    found = findings(records, FakeFleet())
+    assert found == ["id-1 of r was handed too much time"] * is_found
+
+
 @pytest.mark.parametrize(
     ("sent_at_seconds", "left_early", "is_found"),
     [(9.0, False, False), (10.5, False, True), (10.5, True, False)],
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -94,6 +94,7 @@
     async def run(self) -> list[str]:
         """Run the seed and return the findings."""
         await self._start()
+        watch = asyncio.create_task(self.records.watch_loop())
         self.callers.start()
         end_seconds = monotonic() + self._seconds
         faults: set[asyncio.Task[None]] = set()
@@ -105,6 +106,7 @@
         await asyncio.gather(*faults)
         found = await self._wait_for_recovery()
         await self.callers.stop()
+        watch.cancel()
         await asyncio.gather(*self._replacements)
         found += await self._check_read_back()
         return found + findings(self.records, self.fleet)
--- a/tools/platform_soak_records.py
+++ b/tools/platform_soak_records.py
@@ -1,5 +1,6 @@
 """What the callers, servers and faults of the soak recorded."""
 
+import asyncio
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -14,6 +15,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # A fault that ended this shortly before a request may still affect it.
 AFTERMATH_SECONDS = 3.0
+# How often the loop of callers and servers is watched, and how late it is in a stall.
+WATCH_SECONDS = 0.05
+MIN_STALL_SECONDS = 0.05
 
 
 @dataclass(slots=True)
@@ -65,7 +69,10 @@
 
 @dataclass(slots=True)
 class Records:
-    """Everything that was recorded in the run of one seed."""
+    """Everything that was recorded in the run of one seed.
+
+    In ``stalls`` the loop stood still that runs callers and servers.
+    """
 
     sent: list[SentRequest] = field(default_factory=list)
     servers: list[HeartbeatServer] = field(default_factory=list)
@@ -77,6 +84,7 @@
     refused_changes: list[str] = field(default_factory=list)
     evacuations: list[Span] = field(default_factory=list)
     pauses: list[Span] = field(default_factory=list)
+    stalls: list[Span] = field(default_factory=list)
     newest_version: int = 0
     changes_in_progress: int = 0
     is_outcome_unknown: bool = False
@@ -157,6 +165,15 @@
             ),
         }
 
+    async def watch_loop(self) -> None:
+        """Record the stalls of the loop that runs this."""
+        while True:
+            before_seconds = monotonic()
+            await asyncio.sleep(WATCH_SECONDS)
+            now_seconds = monotonic()
+            if now_seconds - before_seconds > WATCH_SECONDS + MIN_STALL_SECONDS:
+                self.stalls.append(Span("loop", before_seconds, now_seconds))
+
     def is_excused(
         self, router: str, server_id: str, from_seconds: float, to_seconds: float
     ) -> bool:
--- a/tools/send_checks.py
+++ b/tools/send_checks.py
@@ -11,6 +11,8 @@
 DEADLINE_HEADER = "x-sesameford-deadline-ms"
 # A target may be handed so much more time than the caller has left.
 MAX_EXTRA_SECONDS = 0.5
+# A server reads what arrived in a stall of its loop within this time after it.
+READ_SECONDS = 0.1
 
 
 def calls_beyond_attempts(records: Records) -> Iterator[str]:
@@ -30,19 +32,32 @@
     for server in records.servers:
         for call in server.server.received_calls:
             sent = sent_by_id.get(call.request_id)
-            if sent is None or _is_in_time(sent, call, records.deadline_seconds):
+            if sent is None or _is_in_time(records, sent, call):
                 continue
             span = (sent.at_seconds, call.arrived_at_seconds)
             if not records.is_excused(sent.router, server.server.target_id, *span):
                 yield f"{call.request_id} of {sent.router} was handed too much time"
 
 
-def _is_in_time(sent: SentRequest, call: ReceivedCall, deadline_seconds: float) -> bool:
+def _is_in_time(records: Records, sent: SentRequest, call: ReceivedCall) -> bool:
     text = call.headers.get(DEADLINE_HEADER)
     if text is None:
         return False
-    ends_at_seconds = call.arrived_at_seconds + float(text) / 1000
-    return ends_at_seconds <= sent.at_seconds + deadline_seconds + MAX_EXTRA_SECONDS
+    ends_at_seconds = _first_arrival_seconds(records, call) + float(text) / 1000
+    until_seconds = sent.at_seconds + records.deadline_seconds
+    return ends_at_seconds <= until_seconds + MAX_EXTRA_SECONDS
+
+
+def _first_arrival_seconds(records: Records, call: ReceivedCall) -> float:
+    """Return since when a call may have lain unread at its server."""
+    stalls = [
+        stall.from_seconds
+        for stall in records.stalls
+        if stall.from_seconds
+        <= call.arrived_at_seconds
+        <= stall.to_seconds + READ_SECONDS
+    ]
+    return min(stalls, default=call.arrived_at_seconds)
 
 
 def calls_cut_in_a_stop(records: Records) -> Iterator[str]:
