Name a test and a comment of deadlines in the field's terms

Read again as a newcomer: "told of" the time that is left is no term of the field. No behaviour and no assertion changes; the test passes under its new name.

--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -234,7 +234,7 @@
 
         def complete_headers(headers: CIMultiDict[str]) -> None:
             before_write()
-            # Connecting takes time, most of all on a late loop: a target told of more
+            # Connecting takes time, most of all on a late loop: a target that gets more
             # than is left would work for a caller that has gone.
             name, value = self.wire_adapter.deadline_header(until_seconds - loop.time())
             headers[name] = value
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -481,7 +481,7 @@
         assert desk.runs == 1
 
 
-async def test_a_target_is_told_of_the_time_that_is_left_as_a_call_is_written():
+async def test_a_target_gets_the_time_that_is_left_as_a_call_is_written():
     """Guards against work for callers that have left, after slow connects."""
     async with open_desk(Fault.NONE) as desk:
         adapter = desk.deps.wire_adapter
