Name the account of held bytes for what it holds, answers and bodies

HeldPart kept the account of all as "answers", and its words spoke of answers alone, since bodies of callers and of the control port came to use it. Names and comments only, no behaviour and no assertion changes: lint and types are clean, and the 61 tests of held bodies, bounded requests and endless answers that were run pass.

--- a/sesameford/held_answers.py
+++ b/sesameford/held_answers.py
@@ -40,23 +40,23 @@
 class HeldPart:
     """What an instance holds of one answer or body."""
 
-    def __init__(self, answers: HeldBytes, limit_bytes: int) -> None:
-        self._answers = answers
+    def __init__(self, total: HeldBytes, limit_bytes: int) -> None:
+        self._total = total
         self._limit_bytes = limit_bytes
         self._held_bytes = 0
 
     def resize(self, held_bytes: int, max_bytes: int = MAX_HELD_BYTES) -> bool:
-        """Set what is held of the answer, and return whether there is room for it.
+        """Set what is held, and return whether there is room for it.
 
         Args:
             held_bytes: The bytes held from now on.
-            max_bytes: The most that this answer may hold.
+            max_bytes: The most that this answer or body may hold.
         """
-        self._answers.held_bytes += held_bytes - self._held_bytes
+        self._total.held_bytes += held_bytes - self._held_bytes
         self._held_bytes = held_bytes
         if held_bytes <= MIN_HELD_BYTES:
             return True
-        has_room = self._answers.held_bytes <= self._limit_bytes
+        has_room = self._total.held_bytes <= self._limit_bytes
         return has_room and held_bytes <= max_bytes
 
     def release(self) -> None:
