Keep small what waits unread at the links' port

Cause: the kernel keeps what a connection sends until it is read, and at this port alone with its usual buffers, 127 KB for each connection, accepted or not. The bound on connections and messages begins with reading.

test_foreign_peers_fill_no_memory_while_a_router_stands_still failed before (102 MB).

--- a/sesameford/listener.py
+++ b/sesameford/listener.py
@@ -40,6 +40,8 @@
 # What may arrive at a connection before it is read; the kernel doubles it. A crowd of
 # callers would else fill a process's memory with bytes that it has not even seen.
 RECEIVE_BUFFER_BYTES = 4_096
+# Linux has this option since 5.14; ``socket`` has no name for it.
+SO_BUF_LOCK = 72
 # Without free file descriptors no connection can be accepted until others close.
 ACCEPT_RETRY_SECONDS = 0.1
 
@@ -296,7 +298,7 @@
     shed: Shedder | None = None,
     max_waiting: int = MAX_WAITING_CONNECTIONS,
     free_places: FreePlaces = lambda: MAX_FREE_PLACES,
-    receive_buffer_bytes: int | None = RECEIVE_BUFFER_BYTES,
+    may_buffers_grow: bool = False,
 ) -> Listener:
     """Listen on an address; call this on the running event loop.
 
@@ -311,8 +313,8 @@
             whether that was possible. Without it all are opened.
         max_waiting: How many accepted connections may wait to be opened.
         free_places: Bounds those that are being opened as well.
-        receive_buffer_bytes: What may arrive at a connection before it is read, None
-            for the system's usual size.
+        may_buffers_grow: Whether the kernel enlarges the receive buffer of a
+            connection whose bytes are read, for long messages over long distances.
 
     Raises:
         OSError: The address can't be listened on.
@@ -320,9 +322,7 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listening = socket.create_server((host, port), family=family, backlog=max_backlog)
     listening.setblocking(False)
-    if receive_buffer_bytes is not None:
-        # Accepted connections have the same buffer.
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    _set_receive_buffer(listening, may_buffers_grow)
     return Listener(
         make_protocol,
         listening,
@@ -332,3 +332,23 @@
         min(max(max_waiting, 1), MAX_WAITING_CONNECTIONS),
         free_places,
     )
+
+
+def _set_receive_buffer(listening: socket.socket, may_grow: bool) -> None:
+    """Set what may arrive at a connection that is accepted, before it is read."""
+    if may_grow and not _unlock_buffers(listening):
+        # A fixed size would hold up long messages over long distances.
+        return
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    if may_grow:
+        _unlock_buffers(listening)
+
+
+def _unlock_buffers(listening: socket.socket) -> bool:
+    """Let the kernel change the size of buffers; return whether it knows of that."""
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, SO_BUF_LOCK, 0)
+    except OSError as error:
+        logger.warning("receive buffers keep the system's size: %s", error)
+        return False
+    return True
--- a/sesameford/peer_listener.py
+++ b/sesameford/peer_listener.py
@@ -113,7 +113,7 @@
             MAX_BACKLOG,
             max_waiting=MAX_WAITING_CONNECTIONS,
             free_places=self._free_places,
-            receive_buffer_bytes=None,
+            may_buffers_grow=True,
         ).close
 
     def close(self) -> None:
--- a/tests/test_crowds_processes.py
+++ b/tests/test_crowds_processes.py
@@ -1,6 +1,7 @@
 """Crowds of clients that don't behave, at real programs with little memory."""
 
 import asyncio
+import signal
 
 import pytest
 
@@ -46,6 +47,7 @@
 FIRST_CHANGES = 30
 LATER_CHANGES = 40
 DECLARE_SECONDS = 20.0
+STILL_SECONDS = 0.5
 
 MEMORY_CROWDS = {
     "6 KB in chunks of a byte": Crowd("front", 300, CALL + CHUNKED, TINY, 6),
@@ -203,6 +205,23 @@
     await check_crowd(tmp_path, net, FOREIGN_PEERS[name])
 
 
+async def test_foreign_peers_fill_no_memory_while_a_router_stands_still(tmp_path):
+    """Guards against a kernel that keeps for a late program what peers send it."""
+    limits = {"memory_mb": MEMORY_MEGABYTES}
+    crowd = FOREIGN_PEERS["short messages, no end"]
+    async with open_fleet(tmp_path, 106, limits) as fleet:
+        process = fleet.routers[0].process
+        playing = asyncio.create_task(play_crowd(fleet, crowd))
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(STILL_SECONDS)
+        process.send_signal(signal.SIGCONT)
+        play = await playing
+        assert fleet.unplanned_exits == []
+    assert play.is_alive
+    assert play.peak_bytes < MEMORY_MEGABYTES * 1_000_000
+    assert play.status_afterwards == 200
+
+
 async def test_foreign_peers_leave_room_for_other_connections(tmp_path):
     """Guards against processes of the network that take a router's descriptors."""
     crowd = Crowd("links", 1_500, b"")
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,8 +1,12 @@
 """Accepting many connections on loopback."""
 
 import asyncio
+import fcntl
 import os
 import socket
+import sys
+import termios
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -16,6 +20,8 @@
 )
 
 CALLERS = 200
+PIECE = b"x" * 60_000
+SMALL_BUFFER_BYTES = 16_384
 
 
 class CountingProtocol(asyncio.Protocol):
@@ -60,6 +66,43 @@
     assert count_accepted(8) == CALLERS
 
 
+def send_until_full(connection):
+    """Return how many bytes were sent until the other side takes no more."""
+    connection.setblocking(False)
+    sent_bytes = 0
+    with suppress(BlockingIOError):
+        while True:
+            sent_bytes += connection.send(PIECE)
+    return sent_bytes
+
+
+def read_all(connection, size_bytes):
+    while size_bytes:
+        size_bytes -= len(connection.recv(65_536))
+
+
+async def test_little_waits_at_a_connection_until_it_is_read():
+    """Guards against a kernel that keeps for a late program what peers send it."""
+    listener = make_listener(
+        CountingProtocol, "127.0.0.1", 0, None, 16, may_buffers_grow=True
+    )
+    address = listener.sockets[0].getsockname()
+    with (
+        socket.create_connection(address) as sender,
+        listener.sockets[0].dup() as listening,
+    ):
+        connection, _ = listening.accept()
+        with connection:
+            sent_bytes = send_until_full(sender)
+            unread = fcntl.ioctl(connection, termios.FIONREAD, b"\0" * 4)
+            assert int.from_bytes(unread, sys.byteorder) <= SMALL_BUFFER_BYTES
+            connection.setblocking(True)
+            await asyncio.to_thread(read_all, connection, sent_bytes)
+            grown = connection.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            assert grown > SMALL_BUFFER_BYTES
+    listener.close()
+
+
 async def test_nothing_is_accepted_after_the_close():
     listener = make_listener(CountingProtocol, "127.0.0.1", 0, None, 16)
     address = listener.sockets[0].getsockname()
