Bound what is held of answers by the machine's memory, too

Cause: answers are held to their end within a limit of 24 MB that knows no machine, beside the account of connections, which does.

All answers together have half of what connections may hold on the machine now, and the operators' limit as before where that is lower.

--- a/sesameford/connection_memory.py
+++ b/sesameford/connection_memory.py
@@ -25,6 +25,8 @@
 DEFAULT_LIMIT_BYTES = 128_000_000
 # Requests at targets can't be evicted, so they leave a part to the others.
 RUNNING_FRACTION = 0.7
+# Answers that are held to their end are beside the limit, in a part of the other part.
+ANSWERS_FRACTION = 0.5
 # One that holds less is never refused for what the others hold.
 SMALL_REQUEST_BYTES = 100_000
 # After it has run full, so much of the limit is held, so that it isn't full at once.
@@ -173,6 +175,10 @@
         objects_bytes = objects_of_connections(connections)
         self._configured_limit_bytes = objects_bytes + requests_limit_bytes
 
+    def answers_limit_bytes(self) -> int:
+        """Return what all answers may hold that are read to their end."""
+        return int(ANSWERS_FRACTION * self.machine_limit_bytes)
+
     def has_room_to_run(self) -> bool:
         """Return whether another request may begin to run."""
         return self._running_bytes <= RUNNING_FRACTION * self.limit_bytes
--- a/sesameford/gateway/gateway_node.py
+++ b/sesameford/gateway/gateway_node.py
@@ -16,6 +16,7 @@
 from aiohttp import ClientSession
 
 from sesameford.claims import ClaimsMachine
+from sesameford.connection_memory import ConnectionMemory
 from sesameford.discovery.founding_mark import is_founder
 from sesameford.discovery.heartbeat_table import HeartbeatTable, make_heartbeat_table
 from sesameford.discovery.roster import Contact, make_roster
@@ -58,6 +59,7 @@
 from sesameford.gateway.suspect_exchange import make_suspect_exchange
 from sesameford.gateway.suspect_files import make_suspect_files
 from sesameford.gateway.target_heartbeats import make_target_heartbeats
+from sesameford.held_answers import make_held_bytes
 from sesameford.link_key import load_link_key
 from sesameford.load_messages import (
     FleetLoad,
@@ -289,13 +291,13 @@
         logger.info("started", extra={"incarnation": self.incarnation})
 
     def make_gateway(
-        self, is_crowded: Callable[[], bool], has_room: Callable[[], bool]
+        self, is_crowded: Callable[[], bool], memory: ConnectionMemory
     ) -> GatewayDeps:
         """Return the dependencies of callers' requests; needs a running event loop.
 
         Args:
             is_crowded: Returns whether few free connections for callers are left.
-            has_room: Returns whether there is memory for more calls at once.
+            memory: The account of what callers' connections hold.
         """
         loop = asyncio.get_running_loop()
         self._session = make_target_session(
@@ -320,7 +322,8 @@
             self._suspect_calls,
             self.origin_exchange,
             self._service_versions,
-            has_room,
+            memory.has_room_to_run,
+            make_held_bytes(memory.answers_limit_bytes),
             dispatch_limit=self._dispatch_limit,
             table_proof=self.load.table_proof,
             stop_bound=self._stop_bound,
--- a/sesameford/held_answers.py
+++ b/sesameford/held_answers.py
@@ -18,9 +18,15 @@
 
 
 class HeldBytes:
-    """The bytes that one instance holds, over all answers or bodies."""
+    """The bytes that one instance holds, over all answers or bodies.
 
-    def __init__(self) -> None:
+    Args:
+        machine_limit_bytes: Returns what its machine has room for, whatever limit the
+            operators set; None if that is not known.
+    """
+
+    def __init__(self, machine_limit_bytes: Callable[[], int] | None) -> None:
+        self._machine_limit_bytes = machine_limit_bytes
         self.held_bytes = 0
 
     @contextmanager
@@ -30,6 +36,8 @@
         Args:
             limit_bytes: What all may hold together.
         """
+        if self._machine_limit_bytes is not None:
+            limit_bytes = min(limit_bytes, self._machine_limit_bytes())
         held = HeldPart(self, limit_bytes)
         try:
             yield held
@@ -85,6 +93,12 @@
         collected.clear()
 
 
-def make_held_bytes() -> HeldBytes:
-    """Return the account of a router that holds nothing."""
-    return HeldBytes()
+def make_held_bytes(
+    machine_limit_bytes: Callable[[], int] | None = None,
+) -> HeldBytes:
+    """Return the account of a router that holds nothing.
+
+    Args:
+        machine_limit_bytes: Returns what its machine has room for, None if unknown.
+    """
+    return HeldBytes(machine_limit_bytes)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -42,6 +42,7 @@
     SHED = "does not run it and says so"
     BUSY = "does not run it and answers 503 without saying so"
     ERROR = "runs and fails"
+    LATE_END = "keeps the last byte of its answer back"
 
 
 class CrashManner(StrEnum):
@@ -91,7 +92,8 @@
 class PlatformServer:
     """One incarnation of a server; ``runs`` counts executions by request id.
 
-    It waits ``pause_seconds`` before an answer and before each event.
+    It waits ``pause_seconds`` before an answer and before each event. A plain answer
+    has ``padding_bytes`` more than its text.
     ``peer_disconnects`` counts connections that the other side closed. Each 503 of its
     own has ``retry_after``, if set, and while ``is_draining`` all answers say so. A
     call for which ``crashes`` returns true ends the server in its ``crash_manner``, and
@@ -106,6 +108,7 @@
     software_version: str = "v1"
     events: int = EVENTS
     pause_seconds: float = 0.0
+    padding_bytes: int = 0
     retry_after: str | None = None
     is_draining: bool = False
     last_arrival_seconds: float = 0.0
@@ -289,7 +292,7 @@
     async def _plain(self, call: ReceivedCall, writer: asyncio.StreamWriter) -> bool:
         await asyncio.sleep(self.pause_seconds)
         status = 500 if self.fault is Fault.ERROR else 200
-        body = b"answer to " + call.body
+        body = b"answer to " + call.body + bytes(self.padding_bytes)
         if self.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
             writer.write(self._head(status, call, {"Connection": "close"}) + body)
             await writer.drain()
@@ -299,6 +302,10 @@
                 reset_connection(writer)
             return False
         answer = self._head(status, call, {"Content-Length": str(len(body))}) + body
+        if self.fault is Fault.LATE_END:
+            writer.write(answer[:-1])
+            answer = answer[-1:]
+            await asyncio.sleep(self.pause_seconds)
         writer.write(answer)
         await writer.drain()
         if self.fault is Fault.TWICE:
--- a/tests/test_crowds_processes.py
+++ b/tests/test_crowds_processes.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from standins.platform_server import Fault
 from tests.crowd_fixture import (
     SEND_SECONDS,
     Crowd,
+    ask,
     open_fleet,
     play_crowd,
     resident_bytes,
@@ -18,6 +20,7 @@
 
 # A program needs some 50 MB for itself; the smallest machine of any sheet has 88 MB.
 MEMORY_MEGABYTES = 72
+SMALLEST_MEMORY_MEGABYTES = 88
 # That of the deployments' usual routers.
 LARGER_MEMORY_MEGABYTES = 150
 MAX_FDS = 1_000
@@ -49,6 +52,10 @@
 LATER_CHANGES = 40
 DECLARE_SECONDS = 20.0
 STILL_SECONDS = 0.5
+# An answer of up to 1 MB is held to its end.
+LARGE_ANSWER_BYTES = 900_000
+LARGE_ANSWERS = 60
+ANSWER_PAUSE_SECONDS = 1.0
 
 MEMORY_CROWDS = {
     "6 KB in chunks of a byte": Crowd("front", 300, CALL + CHUNKED, TINY, 6),
@@ -160,6 +167,26 @@
     assert play.status_afterwards == 200
 
 
+async def test_large_answers_beside_a_crowd_fill_no_memory(tmp_path):
+    """Guards against answers that are held beside all that callers' bodies may hold."""
+    limits = {"memory_mb": SMALLEST_MEMORY_MEGABYTES}
+    async with open_fleet(tmp_path, 108, limits) as fleet:
+        crowd = MEMORY_CROWDS["4 MB but a byte"]
+        playing = asyncio.create_task(play_crowd(fleet, crowd, asked=0))
+        await asyncio.sleep(SEND_SECONDS / 2)
+        server = fleet.servers[0].server
+        server.fault = Fault.LATE_END
+        server.padding_bytes = LARGE_ANSWER_BYTES
+        server.pause_seconds = ANSWER_PAUSE_SECONDS
+        calls = [ask(fleet, f"ordinary-{number}") for number in range(LARGE_ANSWERS)]
+        statuses = await asyncio.gather(*calls)
+        play = await playing
+        assert fleet.unplanned_exits == []
+    assert play.is_alive
+    assert play.peak_bytes < SMALLEST_MEMORY_MEGABYTES * 1_000_000
+    assert 200 in statuses
+
+
 async def test_a_crowd_holds_up_no_planned_stop(tmp_path):
     """Guards against a router that is killed at the end of its grace by a crowd."""
     crowd = MEMORY_CROWDS["4 MB but a byte"]
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -7,6 +7,7 @@
 
 from aiohttp import ClientSession, TCPConnector
 
+from sesameford.connection_memory import make_connection_memory
 from sesameford.gateway.gateway_node import make_gateway_node
 from sesameford.gateway.serve import serve_call
 from sesameford.http_ports import listen, listen_calls
@@ -63,7 +64,7 @@
             stack.push_async_callback(stop)
         else:
             handler = partial(
-                serve_call, node.make_gateway(lambda: False, lambda: True)
+                serve_call, node.make_gateway(lambda: False, make_connection_memory())
             )
             port = await listen_calls(handler, self.address(number, FRONT_PORT))
             stack.push_async_callback(port.stop)
