Bound what a daemon holds of answers by its machine's memory

Seen: a daemon of 100 MB has 179.7 MB where 20 callers ask for answers of 3 MB.

Cause: it holds answers to their end, 256 MB together, whatever its machine; its connections alone knew memory_megabytes.

Where that is set, half of what connections may hold bounds answers now, as at a router; one by itself always has room, so a single large answer is passed on in calm.

test_large_answers_fill_no_memory_of_a_daemon failed before.

--- a/sesameford/held_answers.py
+++ b/sesameford/held_answers.py
@@ -29,6 +29,12 @@
         self._machine_limit_bytes = machine_limit_bytes
         self.held_bytes = 0
 
+    def has_room_on_machine(self) -> bool:
+        """Return whether the machine has room for what is held."""
+        if self._machine_limit_bytes is None:
+            return True
+        return self.held_bytes <= self._machine_limit_bytes()
+
     @contextmanager
     def hold(self, limit_bytes: int) -> Iterator["HeldPart"]:
         """Account for one answer or body as long as the context lasts.
@@ -36,8 +42,6 @@
         Args:
             limit_bytes: What all may hold together.
         """
-        if self._machine_limit_bytes is not None:
-            limit_bytes = min(limit_bytes, self._machine_limit_bytes())
         held = HeldPart(self, limit_bytes)
         try:
             yield held
@@ -65,6 +69,9 @@
         if held_bytes <= MIN_HELD_BYTES:
             return True
         has_room = self._total.held_bytes <= self._limit_bytes
+        # One that is alone may be as large as any, whatever the machine.
+        is_alone = self._total.held_bytes == held_bytes
+        has_room = has_room and (is_alone or self._total.has_room_on_machine())
         return has_room and held_bytes <= max_bytes
 
     def release(self) -> None:
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -20,6 +20,7 @@
 from sesameford.errors import SettingsError
 from sesameford.fencing import FencingMachine
 from sesameford.guard_limits import limits_of_descriptors
+from sesameford.held_answers import make_held_bytes
 from sesameford.http_ports import listen, make_session
 from sesameford.inbox import InboxDeps, make_inbox
 from sesameford.instance_status import InstanceSummary, make_status, quarantine_of
@@ -243,7 +244,12 @@
             tracer,
             self._now,
             self.outcomes,
-            stop_bound=self._stop_bound,
+            make_held_bytes(
+                None
+                if self._settings.memory_megabytes is None
+                else self._connection_memory.answers_limit_bytes
+            ),
+            self._stop_bound,
         )
         callers = make_callers_app(
             CallersDeps(
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -1,11 +1,21 @@
 """Crowds of clients that don't behave, at a real daemon with little memory."""
 
+import asyncio
 import os
 from dataclasses import replace
 
 import pytest
+from aiohttp import ClientError, ClientSession, TCPConnector, web
+from aiohttp.test_utils import TestServer
 
-from tests.crowd_fixture import Crowd, play_crowd_at
+from sesameford.operators_http import digest_of_key
+from standins.announce import Announcement, Announcer
+from tests.crowd_fixture import (
+    START_SECONDS,
+    Crowd,
+    peak_resident_bytes,
+    play_crowd_at,
+)
 from tests.daemon_crowd_fixture import CALLERS_KEY, open_daemon
 from tests.test_crowds_processes import (
     CHUNK,
@@ -24,6 +34,11 @@
 # A daemon needs some 80 MB for itself.
 MEMORY_MEGABYTES = 100
 MAX_DESCRIPTORS = 1_000
+PLATFORM_KEY = "the-platforms-key"
+LARGE_ANSWER_BYTES = 3_000_000
+LARGE_ANSWERS = 20
+LEASE_SECONDS = 3.0
+ANSWER_PAUSE_SECONDS = 1.0
 CALL = b"POST /services/roster/x HTTP/1.1\r\nHost: x\r\n"
 CALL += b"Authorization: Bearer %b\r\n" % CALLERS_KEY.encode()
 CHANGE = b"POST /tree/changes HTTP/1.1\r\nHost: x\r\n"
@@ -89,6 +104,63 @@
     assert set(play.statuses_meanwhile) == {200}
 
 
+async def answer_large(http):
+    """Send a large answer, all but its last byte, and that one later."""
+    answer = web.StreamResponse()
+    answer.content_length = LARGE_ANSWER_BYTES
+    await answer.prepare(http)
+    await answer.write(bytes(LARGE_ANSWER_BYTES - 1))
+    await asyncio.sleep(ANSWER_PAUSE_SECONDS)
+    await answer.write(b"x")
+    return answer
+
+
+async def ask_for_large(daemon, session):
+    """Return the status of a call whose answer is large, 0 for a cut one."""
+    url = f"http://{daemon.address_of('callers')}/services/roster/x"
+    headers = {"Authorization": f"Bearer {CALLERS_KEY}"}
+    try:
+        async with session.get(url, headers=headers) as answer:
+            await answer.read()
+            return answer.status
+    except (ClientError, OSError, TimeoutError):
+        # No answer is an outcome that the test counts.
+        return 0
+
+
+async def test_large_answers_fill_no_memory_of_a_daemon(tmp_path):
+    """Guards against answers that are held to their end beyond a machine's memory."""
+    limits = {
+        "memory_megabytes": MEMORY_MEGABYTES,
+        "platform_key_digest": digest_of_key(PLATFORM_KEY),
+    }
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer_large)
+    async with (
+        open_daemon(tmp_path, 119, False, **limits) as daemon,
+        TestServer(app) as server,
+        ClientSession(connector=TCPConnector(limit=0)) as session,
+    ):
+        url = str(server.make_url("")).rstrip("/")
+        announcement = Announcement(
+            "t1", 1, "service", ("roster",), url, "a", LARGE_ANSWERS, LEASE_SECONDS
+        )
+        operators = [f"http://{daemon.address_of('operators')}"]
+        announcer = Announcer(announcement, operators, PLATFORM_KEY)
+        announcing = asyncio.create_task(announcer.run(session))
+        async with asyncio.timeout(START_SECONDS):
+            while await ask_for_large(daemon, session) != 200:
+                await asyncio.sleep(0.1)
+        calls = [ask_for_large(daemon, session) for _ in range(LARGE_ANSWERS)]
+        statuses = await asyncio.gather(*calls)
+        announcing.cancel()
+        peak_bytes = peak_resident_bytes(daemon.process.pid)
+        assert daemon.process.returncode is None
+        assert await ask_for_large(daemon, session) == 200
+    assert 200 in statuses
+    assert peak_bytes < MEMORY_MEGABYTES * 1_000_000
+
+
 async def test_a_daemon_whose_log_nobody_reads_answers(tmp_path):
     """Guards against clients whose errors fill a log until the daemon waits for it."""
     reader, writer = os.pipe()
