Begin a request that was sent ahead only if there is room

Seen: 1,200 callers who send refused requests in series and read no answer bring a router of 88 MB to 97.7 to 102.8 MB (6 of 6 plays); ordinary callers get a 503 meanwhile.

Cause: a connection with a request that may be at a target is never evicted, and the next request of such a caller began in the moment in which the one before ended.

Callers who wait for their answers, and all who find room, see no difference.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -76,6 +76,7 @@
         "_drops_input",
         "_framing",
         "_has_large_buffer",
+        "_has_read_ahead",
         "_is_busy",
         "_is_waiting_for_turn",
         "_kept_head_bytes",
@@ -112,6 +113,8 @@
         # After a body that was refused or can't be parsed, its end is not known.
         self._drops_input = False
         self._has_large_buffer = False
+        # Whether the next request came before the answer to the one before it.
+        self._has_read_ahead = False
         self._is_waiting_for_turn = False
         # What the present request holds, what of it was parsed, and what has come
         # without a byte of a body.
@@ -210,6 +213,9 @@
         is_usual = head_bytes <= USUAL_REQUEST_BYTES
         if not (is_usual or self._has_room_for_head(head_bytes)):
             return False
+        # Who sends many requests ahead would always have one that can't be evicted.
+        if self._has_read_ahead and not self._has_room():
+            return False
         if not self._has_turn(is_usual):
             return False
         if not self._is_answered_early(head_bytes):
@@ -226,6 +232,7 @@
 
     def parse_whole_head(self, head: bytes) -> None:
         """Pass a whole head to the library."""
+        self._has_read_ahead = False
         if len(head) > USUAL_REQUEST_BYTES:
             self._turns.record_parsed(len(head))
         requests = self._request_count
@@ -404,6 +411,7 @@
     def _end_request(self) -> None:
         """Go on with the next request."""
         self._is_busy = False
+        self._has_read_ahead = bool(self._received)
         self._request_bytes = 0
         self._connection.end_request()
         if self.transport is None:
--- a/tests/test_crowds_processes.py
+++ b/tests/test_crowds_processes.py
@@ -167,6 +167,19 @@
     assert play.status_afterwards == 200
 
 
+async def test_requests_sent_ahead_fill_no_memory(tmp_path):
+    """Guards against callers who always have a request that can't be evicted."""
+    crowd = DEAR_CROWDS["many refused requests in series, no answer is read"]
+    crowd = replace(crowd, connections=1_200)
+    limits = {"memory_mb": SMALLEST_MEMORY_MEGABYTES}
+    async with open_fleet(tmp_path, 109, limits) as fleet:
+        play = await play_crowd(fleet, crowd, tries=TRIES)
+        assert fleet.unplanned_exits == []
+    assert play.is_alive
+    assert play.peak_bytes < SMALLEST_MEMORY_MEGABYTES * 1_000_000
+    assert play.status_afterwards == 200
+
+
 async def test_large_answers_beside_a_crowd_fill_no_memory(tmp_path):
     """Guards against answers that are held beside all that callers' bodies may hold."""
     limits = {"memory_mb": SMALLEST_MEMORY_MEGABYTES}
