Leave a daemon the memory that it needs for itself

Cause: the limit of what connections hold left 60 MB to the program, which is what the platform's programs need; a daemon has 80 MB before its first caller.

--- a/sesameford/connection_memory.py
+++ b/sesameford/connection_memory.py
@@ -17,6 +17,7 @@
 BYTES_PER_MEGABYTE = 1_000_000
 # What a program needs for itself, with the tables of a large deployment.
 PROGRAM_BYTES = 60_000_000
+DAEMON_BYTES = 80_000_000
 # The other part of what is left is for objects around the bytes, for the copy that is
 # made of a whole body, and for bytes that wait in the sockets.
 HELD_FRACTION = 0.6
@@ -56,7 +57,10 @@
 
 
 def limit_of_memory(
-    memory_megabytes: float | None, connections: int = 0, has_tls: bool = False
+    memory_megabytes: float | None,
+    connections: int = 0,
+    has_tls: bool = False,
+    program_bytes: int = PROGRAM_BYTES,
 ) -> int:
     """Return what all connections may hold in a process.
 
@@ -65,11 +69,12 @@
             connections have room beside the usual limit.
         connections: How many may be open.
         has_tls: Whether they use TLS.
+        program_bytes: What the process needs for itself.
     """
     if memory_megabytes is None:
         return DEFAULT_LIMIT_BYTES + objects_of_connections(connections, has_tls)
     memory_bytes = memory_megabytes * BYTES_PER_MEGABYTE
-    spare_bytes = HELD_FRACTION * (memory_bytes - PROGRAM_BYTES)
+    spare_bytes = HELD_FRACTION * (memory_bytes - program_bytes)
     return max(int(spare_bytes), MIN_LIMIT_BYTES)
 
 
--- a/sesameford/instance.py
+++ b/sesameford/instance.py
@@ -15,7 +15,11 @@
 
 from sesameford.callers import CallersDeps, make_callers_app
 from sesameford.claims import ClaimsMachine
-from sesameford.connection_memory import limit_of_memory, make_connection_memory
+from sesameford.connection_memory import (
+    DAEMON_BYTES,
+    limit_of_memory,
+    make_connection_memory,
+)
 from sesameford.effective import EffectiveTree
 from sesameford.errors import SettingsError
 from sesameford.fencing import FencingMachine
@@ -217,6 +221,7 @@
             settings.memory_megabytes,
             PORTS_FOR_CALLERS * self._port_limits.connections,
             settings.tls is not None,
+            DAEMON_BYTES,
         )
         self._connection_memory = make_connection_memory(limit_bytes)
         self._tasks: list[asyncio.Task[None]] = []
