Count what waits in the sockets of connections that are not read

Seen: 1,500 callers with tiny chunks bring a daemon of 100 MB to 102 and 103 MB.

Cause: where a connection has to wait for its turn or for room, the kernel keeps 8 KB of what comes, which count against a machine's memory, and the account did not know of them.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -346,12 +346,16 @@
             # What its handler has read is free once the handler has ended.
             return
         held_bytes = len(self._received)
+        if self._buffer_paused or self._reading_paused:
+            # What the kernel keeps until it is read; it doubles the size.
+            held_bytes += 2 * RECEIVE_BUFFER_BYTES
         if self._body is not None:
             self._connection.set_stage(Stage.BODY)
             held_bytes += self._request_bytes + self._body.total_bytes
             held_bytes += self._framing.held_bytes
         elif self._is_busy or self.writing_paused:
-            if held_bytes > MAX_READ_AHEAD_BYTES and not self._buffer_paused:
+            is_ahead = len(self._received) > MAX_READ_AHEAD_BYTES
+            if is_ahead and not self._buffer_paused:
                 self._pause_reading_for_buffer()
         elif self._received:
             self._connection.set_stage(Stage.HEAD)
@@ -427,6 +431,7 @@
         is_ahead = len(self._received) > MAX_READ_AHEAD_BYTES
         if self._buffer_paused and not self._is_waiting_for_turn and not is_ahead:
             self._resume_reading_for_buffer()
+            self._account()
 
     def resume_writing(self) -> None:
         """Go on with the next request, if it waited for its caller to read."""
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -104,6 +104,15 @@
     assert set(play.statuses_meanwhile) == {200}
 
 
+@pytest.mark.parametrize(("net", "has_tls"), [(120, False), (121, True)])
+async def test_a_larger_crowd_fills_no_memory_of_a_daemon(net, has_tls, tmp_path):
+    """Guards against a daemon that counts on more memory than it leaves to others."""
+    crowd = replace(MEMORY_CROWDS["6 KB in chunks of a byte"], connections=1_500)
+    limits = {"memory_megabytes": MEMORY_MEGABYTES}
+    play = await check_crowd(tmp_path, net, crowd, has_tls, has_tls, **limits)
+    assert play.peak_bytes < MEMORY_MEGABYTES * 1_000_000
+
+
 async def answer_large(http):
     """Send a large answer, all but its last byte, and that one later."""
     answer = web.StreamResponse()
