Send a large body after its head, without a copy of it

Cause: the HTTP library joins a body to the head of its request, and the copy stays until the target has read it, beside the body that is kept for another try.

--- a/sesameford/verbatim_request.py
+++ b/sesameford/verbatim_request.py
@@ -1,4 +1,4 @@
-"""Requests whose target is sent byte for byte.
+"""Requests whose target is sent byte for byte, and large bodies without a copy.
 
 A URL of the HTTP library drops an empty query, as in ``/a?``, and what follows a ``#``.
 A target that heeds either would run another request than its caller sent.
@@ -7,7 +7,8 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, cast
 
-from aiohttp import ClientRequest, ClientResponse
+from aiohttp import ClientRequest, ClientResponse, Payload
+from aiohttp.abc import AbstractStreamWriter
 from yarl import URL
 
 if TYPE_CHECKING:
@@ -17,6 +18,10 @@
 VERBATIM_TARGET_HEADER = "X-Internal-Verbatim-Target"
 
 
+# A small body goes into one packet with its head.
+MAX_JOINED_BODY_BYTES = 65_536
+
+
 class VerbatimRequest(ClientRequest):
     """Sends the target in ``VERBATIM_TARGET_HEADER``, the path with the query."""
 
@@ -32,3 +37,18 @@
             return await super().send(conn)
         finally:
             self.url = url
+
+    async def write_bytes(
+        self,
+        writer: AbstractStreamWriter,
+        conn: "Connection",
+        content_length: int | None = None,
+    ) -> None:
+        """Write the body, which the library would copy to join a large one to its head.
+
+        The copy would stay until the target has read it all.
+        """
+        body_bytes = self.body.size if isinstance(self.body, Payload) else 0
+        if (body_bytes or 0) > MAX_JOINED_BODY_BYTES:
+            writer.send_headers()
+        await super().write_bytes(writer, conn, content_length)
