Let connections that wait for room wait in one queue

Seen: 1,500 callers with 3,800 fields and a part of a body keep a router of 150 MB from all others: 503, overloaded, while they stay, and for 14 s after they have gone.

Cause: each connection without room looked for it every 10 ms by itself, and read its head anew for that, so that the loop did nothing else. And a connection that waits isn't read, so nobody noticed that its caller had gone, and its head was parsed for nobody.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -45,8 +45,8 @@
 BYTES_PER_HEAD_BYTE = 6
 # The tasks and objects of a request whose handler has begun.
 HANDLED_REQUEST_BYTES = 12_000
-# Evicted ones free what they hold within a few turns of the loop.
-ROOM_RETRY_SECONDS = 0.01
+# The state of an open connection, in the first byte of what the kernel tells of it.
+TCP_ESTABLISHED = 1
 # What may arrive of a large body before it is read; the kernel doubles it.
 BODY_RECEIVE_BUFFER_BYTES = 65_536
 # The rest of a request that was refused for the room of its body is not read.
@@ -80,6 +80,7 @@
         "_is_busy",
         "_is_waiting_for_turn",
         "_kept_head_bytes",
+        "_lacks_room",
         "_overhead_bytes",
         "_parsed_bytes",
         "_received",
@@ -116,6 +117,7 @@
         # Whether the next request came before the answer to the one before it.
         self._has_read_ahead = False
         self._is_waiting_for_turn = False
+        self._lacks_room = False
         # What the present request holds, what of it was parsed, and what has come
         # without a byte of a body.
         self._request_bytes = 0
@@ -194,13 +196,33 @@
 
     def _wait_for_room(self) -> None:
         self._hold_back()
-        self._loop.call_later(ROOM_RETRY_SECONDS, self._take_turn)
+        self._lacks_room = True
+        self._connection.memory.room_queue.wait(self._take_room)
+
+    def _take_room(self) -> bool:
+        """Go on if there is room now; return whether there was."""
+        self._lacks_room = False
+        self._take_turn()
+        return not self._lacks_room
 
     def _take_turn(self) -> None:
+        if self._has_peer_left():
+            self._received.clear()
+            if self.transport is not None:
+                self.transport.abort()
+            return
         self._is_waiting_for_turn = False
         self._go_on()
         self._read_on()
 
+    def _has_peer_left(self) -> bool:
+        """Return whether the caller has closed a connection that was not read."""
+        if self.transport is None:
+            return True
+        connection = self.transport.get_extra_info("socket")
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state[0] != TCP_ESTABLISHED
+
     def _parse_head(self) -> bool:
         """Parse the next head; return whether it has come in whole."""
         self._overhead_bytes += self._received.strip_empty_lines()
--- a/sesameford/connection_memory.py
+++ b/sesameford/connection_memory.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from sesameford.errors import SesamefordError
+from sesameford.room_queue import make_room_queue
 
 logger = logging.getLogger(__name__)
 
@@ -138,6 +139,8 @@
         self._configured_limit_bytes: int | None = None
         self.held_bytes = 0
         self.evicted = 0
+        # The connections that go on once there is room.
+        self.room_queue = make_room_queue()
         self._running_bytes = 0
         # What connections are about to free, as soon as the loop gets to it.
         self._evicting_bytes = 0
--- a/tests/test_crowds_processes.py
+++ b/tests/test_crowds_processes.py
@@ -167,6 +167,19 @@
     assert play.status_afterwards == 200
 
 
+async def test_a_crowd_that_waits_for_room_leaves_the_loop_to_others(tmp_path):
+    """Guards against a process that looks for room all the time and answers nobody."""
+    crowd = DEAR_CROWDS["3,800 fields and a part of a body"]
+    crowd = replace(crowd, connections=1_500)
+    limits = {"memory_mb": LARGER_MEMORY_MEGABYTES}
+    async with open_fleet(tmp_path, 110, limits) as fleet:
+        play = await play_crowd(fleet, crowd, tries=TRIES)
+        assert fleet.unplanned_exits == []
+    assert play.is_alive
+    assert play.peak_bytes < LARGER_MEMORY_MEGABYTES * 1_000_000
+    assert play.status_afterwards == 200
+
+
 async def test_requests_sent_ahead_fill_no_memory(tmp_path):
     """Guards against callers who always have a request that can't be evicted."""
     crowd = DEAR_CROWDS["many refused requests in series, no answer is read"]
