Decode no bodies of requests

Cause: the HTTP library decodes bodies by default, at all ports but the callers' of a router. A call that a daemon forwards reached its target decoded, with a header that said it was not.

Nothing decodes them now.

--- a/sesameford/http_ports.py
+++ b/sesameford/http_ports.py
@@ -122,6 +122,8 @@
         app,
         handler_cancellation=True,
         access_log=None,
+        # Decoded, a small body may be a thousand times as large.
+        auto_decompress=False,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
         keepalive_timeout=IDLE_TIMEOUT_SECONDS,
--- a/tests/test_crowds_processes.py
+++ b/tests/test_crowds_processes.py
@@ -1,6 +1,7 @@
 """Crowds of clients that don't behave, at real programs with little memory."""
 
 import asyncio
+import gzip
 import signal
 from dataclasses import replace
 
@@ -32,6 +33,7 @@
 UNROUTED = CALL.replace(b"/safe/", b"/other/")
 HEARTBEAT = b"PUT /v1/instances/i-1 HTTP/1.1\r\nHost: x\r\n"
 READINESS = b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\n"
+CONFIGURATION = b"PUT /v1/config HTTP/1.1\r\nHost: x\r\n"
 METRICS = b"GET /metrics HTTP/1.1\r\nHost: x\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 # The messaging library's greeting of a sender, and the length of a message.
@@ -46,6 +48,10 @@
 FIELDS = b"".join(b"X%d: y\r\n" % number for number in range(400))
 MANY_FIELDS = b"a:\r\n" * 3_800
 LARGE = b"Content-Length: 4000001\r\n\r\n"
+# Sixty thousand bytes that are sixty million to who decodes them.
+COMPRESSED = gzip.compress(bytes(60_000_000))
+COMPRESSED_HEAD = CONFIGURATION + b"Content-Encoding: gzip\r\n"
+COMPRESSED_HEAD += b"Content-Length: %d\r\n\r\n" % len(COMPRESSED)
 LONG_KEY = "x" * 1_900
 LARGE_CONFIGURATION_BYTES = 1_400_000
 FIRST_CHANGES = 30
@@ -88,6 +94,7 @@
     "heads of 15 KB at the metrics": Crowd(
         "metrics", 1_200, METRICS + b"X: ", KILOBYTE, 15
     ),
+    "compressed configurations": Crowd("control", 60, COMPRESSED_HEAD + COMPRESSED),
 }
 # What the limits of a head allow, and what would be dear for lack of another bound.
 DEAR_CROWDS = {
