Don't ask the kernel about a connection that is closing

Read, not seen: between an abort and the loss of a connection its descriptor is closed, and may be another connection's already, while its turn or the room that it waits for may come. Asking the kernel for its state would raise an error in the loop, or tell of somebody else.

A closing connection drops what it holds back, and nothing more: an answer that is still being written goes out.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -6,6 +6,7 @@
 memory, with all that other callers have open there.
 """
 
+import asyncio
 import logging
 import socket
 from collections.abc import Callable
@@ -59,6 +60,13 @@
     return HANDLED_REQUEST_BYTES + BYTES_PER_HEAD_BYTE * len(head) + fields_bytes
 
 
+def _has_peer_left(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the caller has closed a connection that is not being read."""
+    connection = transport.get_extra_info("socket")
+    state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return bool(state[0] != TCP_ESTABLISHED)
+
+
 class BoundedHandler(web.RequestHandler):
     """The library's handler of a connection, which gets heads and bodies by themselves.
 
@@ -206,23 +214,17 @@
         return not self._lacks_room
 
     def _take_turn(self) -> None:
-        if self._has_peer_left():
+        if self.transport is None or self.transport.is_closing():
+            self._received.clear()
+            return
+        if _has_peer_left(self.transport):
             self._received.clear()
-            if self.transport is not None:
-                self.transport.abort()
+            self.transport.abort()
             return
         self._is_waiting_for_turn = False
         self._go_on()
         self._read_on()
 
-    def _has_peer_left(self) -> bool:
-        """Return whether the caller has closed a connection that was not read."""
-        if self.transport is None:
-            return True
-        connection = self.transport.get_extra_info("socket")
-        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        return state[0] != TCP_ESTABLISHED
-
     def _parse_head(self) -> bool:
         """Parse the next head; return whether it has come in whole."""
         self._overhead_bytes += self._received.strip_empty_lines()
