Let an error at one waiting connection hold nobody up

Read, not seen: connections that wait for their turn to parse, or for room, are called one after the other, and an error in one of these calls ended the round without scheduling the next: all others would wait until somebody else began to wait.

The next round is scheduled in any case; the error is logged by the loop. Heads of many fields have a queue of their own, so that a crowd of them delays no body that waits for room.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -22,6 +22,7 @@
 from sesameford.listener import RECEIVE_BUFFER_BYTES
 from sesameford.receive_turns import ReceiveTurns
 from sesameford.request_buffer import make_request_buffer
+from sesameford.room_queue import RoomQueue
 
 logger = logging.getLogger(__name__)
 
@@ -183,9 +184,10 @@
 
     def _has_room(self) -> bool:
         """Return whether more may be held; else wait until others were evicted."""
-        if not self._connection.memory.is_full:
+        memory = self._connection.memory
+        if not memory.is_full:
             return True
-        self._wait_for_room()
+        self._wait_for_room(memory.room_queue)
         return False
 
     def _has_room_for_head(self, head_bytes: int) -> bool:
@@ -194,7 +196,7 @@
         cost_bytes = head_cost_bytes(self._received.peek(head_bytes))
         if memory.may_run(cost_bytes) and memory.has_room_for(cost_bytes):
             return True
-        self._wait_for_room()
+        self._wait_for_room(memory.head_room_queue)
         return False
 
     def _hold_back(self) -> None:
@@ -202,10 +204,10 @@
         self._is_waiting_for_turn = True
         self._pause_reading_for_buffer()
 
-    def _wait_for_room(self) -> None:
+    def _wait_for_room(self, queue: RoomQueue) -> None:
         self._hold_back()
         self._lacks_room = True
-        self._connection.memory.room_queue.wait(self._take_room)
+        queue.wait(self._take_room)
 
     def _take_room(self) -> bool:
         """Go on if there is room now; return whether there was."""
--- a/sesameford/connection_memory.py
+++ b/sesameford/connection_memory.py
@@ -139,8 +139,10 @@
         self._configured_limit_bytes: int | None = None
         self.held_bytes = 0
         self.evicted = 0
-        # The connections that go on once there is room.
+        # The connections that go on once there is room, and those that need room for
+        # a head of many fields, which may be more than bodies wait for.
         self.room_queue = make_room_queue()
+        self.head_room_queue = make_room_queue()
         self._running_bytes = 0
         # What connections are about to free, as soon as the loop gets to it.
         self._evicting_bytes = 0
--- a/sesameford/receive_turns.py
+++ b/sesameford/receive_turns.py
@@ -44,13 +44,16 @@
     def _start_turn(self) -> None:
         self._is_scheduled = False
         self._spent_bytes = 0
-        # Those that wait again meanwhile get their next part in a later round.
-        for _ in range(len(self._waiting)):
-            if not self.may_parse():
-                break
-            self._waiting.popleft()()
-        if self._waiting:
-            self._schedule()
+        try:
+            # Those that wait again meanwhile get their next part in a later round.
+            for _ in range(len(self._waiting)):
+                if not self.may_parse():
+                    break
+                self._waiting.popleft()()
+        finally:
+            # An error at one connection would else hold up all the others for good.
+            if self._waiting:
+                self._schedule()
 
 
 def make_receive_turns() -> ReceiveTurns:
--- a/sesameford/room_queue.py
+++ b/sesameford/room_queue.py
@@ -37,12 +37,15 @@
     def _retry(self) -> None:
         self._is_scheduled = False
         refused = 0
-        for _ in range(len(self._waiting)):
-            if refused == MAX_REFUSED_PER_RETRY:
-                break
-            refused += not self._waiting.popleft()()
-        if self._waiting:
-            self._schedule()
+        try:
+            for _ in range(len(self._waiting)):
+                if refused == MAX_REFUSED_PER_RETRY:
+                    break
+                refused += not self._waiting.popleft()()
+        finally:
+            # An error at one connection would else hold up all the others for good.
+            if self._waiting:
+                self._schedule()
 
 
 def make_room_queue() -> RoomQueue:
--- a/tests/test_receive_turns.py
+++ b/tests/test_receive_turns.py
@@ -6,6 +6,7 @@
 
 CONNECTIONS = 6
 PARTS = 3
+WAIT_SECONDS = 5.0
 
 
 async def play(part_bytes):
@@ -22,7 +23,7 @@
 
     for connection in range(CONNECTIONS):
         turns.wait(lambda connection=connection: parse(connection))
-    async with asyncio.timeout(5):
+    async with asyncio.timeout(WAIT_SECONDS):
         while any(left.values()):
             await asyncio.sleep(0)
             order.append([])
@@ -46,3 +47,21 @@
     """Guards against small parts of one connection that fill a turn."""
     for turn in await play(1):
         assert len(turn) == len(set(turn))
+
+
+async def test_an_error_at_one_holds_nobody_up():
+    """Guards against one faulty connection that leaves all others waiting for good."""
+    turns = make_receive_turns()
+    went_on = asyncio.Event()
+
+    def fail():
+        raise ValueError("faulty")
+
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: errors.append(context))
+    turns.wait(fail)
+    turns.wait(went_on.set)
+    async with asyncio.timeout(WAIT_SECONDS):
+        await went_on.wait()
+    assert len(errors) == 1
--- a/tests/test_room_queue.py
+++ b/tests/test_room_queue.py
@@ -42,3 +42,25 @@
     """Guards against a large request that keeps small ones from the room they find."""
     asked = await play(MAX_REFUSED_PER_RETRY, CONNECTIONS)
     assert set(asked) == set(range(CONNECTIONS))
+
+
+async def test_an_error_at_one_holds_nobody_up():
+    """Guards against one faulty connection that leaves all others waiting for good."""
+    queue = make_room_queue()
+    went_on = asyncio.Event()
+
+    def fail():
+        raise ValueError("faulty")
+
+    def go_on():
+        went_on.set()
+        return True
+
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: errors.append(context))
+    queue.wait(fail)
+    queue.wait(go_on)
+    async with asyncio.timeout(WAIT_SECONDS):
+        await went_on.wait()
+    assert len(errors) == 1
