--- a/review/lib-2/small_fleet.py
+++ b/review/lib-2/small_fleet.py
@@ -177,7 +177,8 @@
     def last_line(self) -> str:
         """Return the last line that the present process has logged."""
         lines = (self.folder / f"{self.starts}.log").read_text().splitlines()
-        return lines[-1][:300] if lines else ""
+        line = lines[-1] if lines else ""
+        return line.replace(f"{self.fleet.folder}/", "")[:300]
 
 
 class Answer:
