Refuse answers whose status is no status

What callers saw: a server in trouble answered 000. Callers got 0 as the status, with the server's signature and the whole body, on safe, unsafe and stream routes; so with 001 and 099, and with 600 and 999 on all but safe routes. A 101, which nobody asked for, left them without an end. The daemon passed the same on as answers that ran, stored them under an idempotency key where it could write them, and wrote "HTTP/1.1 0" where it could not. The operators' tool took 000 for the answer of an instance.

Cause: the HTTP library takes any three digits for a status, 101 also without an upgrade, and nothing of ours looked at a head before it counted. Statuses are compared by ranges later, and what is in none of them was passed on. The tool used the library's own connections.

A stream that is resumed at such a server was cut already, and keeps its test.

Change: each connection checks the status line of each head, final or interim, as the bytes came, before the library gets the end of that head: HTTP/1.x, 100 to 599, not 101. A head that the library ends elsewhere is refused too. The call fails as broken (502, or another target if it may be repeated), and the target is probed, as the connection is closed. The tool's connections check the same.

Why it works: all readers of answers, the router, the daemon's adapters, its orders and the tool, read through this one connection class; no code behind it gets a head that was not checked. A reason is not checked, it goes nowhere.

A head that arrives in more than 32 pieces no longer counts as too many heads: they are counted where they end.

--- a/sesameford/control_client.py
+++ b/sesameford/control_client.py
@@ -8,10 +8,11 @@
 from time import monotonic
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientError, ClientSession, ClientTimeout
 from msgspec import DecodeError, Struct, json
 
 from sesameford.errors import SesamefordError
+from sesameford.target_connections import make_connector
 
 REQUEST_TIMEOUT_SECONDS = 30.0
 RETRY_INTERVAL_SECONDS = 0.25
@@ -141,7 +142,8 @@
             context = create_default_context(cafile=authority_file)
         except OSError as error:
             raise ControlError(f"{authority_file}: {error}", exit_code=2) from error
-    async with ClientSession(connector=TCPConnector(ssl=context)) as session:
+    # An instance in trouble must not pass for one that answered, nor may a proxy.
+    async with ClientSession(connector=make_connector(context, None)) as session:
         yield Client(session, servers, key, timeout_seconds)
 
 
--- a/sesameford/gateway/forward.py
+++ b/sesameford/gateway/forward.py
@@ -21,6 +21,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from sesameford.answer_heads import MalformedHeadError
 from sesameford.errors import SesamefordError
 from sesameford.framing import Framing, framing_of
 from sesameford.gateway.calls import AnswerHead, Call, SendAttempt, WireAdapter
@@ -265,6 +266,11 @@
             raise SendAttemptError(SendOutcome.FOREIGN, str(error)) from error
         except EndlessAnswerError as error:
             raise SendAttemptError(SendOutcome.TOO_LONG, str(error)) from error
+        except MalformedHeadError as error:
+            # The connection is closed. Only a probe shows if the target lives on.
+            raise SendAttemptError(
+                SendOutcome.BROKEN, _describe_error(error), is_connection_lost=True
+            ) from error
         except (ClientConnectionError, ClientError, OSError) as error:
             # A part of the call may have arrived. Only the target could report that
             # it did not run, and this connection delivers nothing more.
--- a/sesameford/target_answers.py
+++ b/sesameford/target_answers.py
@@ -2,7 +2,7 @@
 
 A target may send an answer late: where the answer to the next request on its connection
 is expected. The request id in an answer shows whose it is. A server in trouble may also
-send bytes without end, in a head, a body or behind an answer.
+send bytes without end, in a head, a body or behind an answer, and heads that are none.
 """
 
 import logging
@@ -17,6 +17,7 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from sesameford.answer_heads import MalformedHeadError, check_head, find_head_end
 from sesameford.framing import MAX_PART_BYTES, RECEIVED_BYTES_PER_BODY_BYTE
 
 if TYPE_CHECKING:
@@ -28,9 +29,9 @@
 
 # The body of another request's answer that is read to get to the own answer behind it.
 MAX_SKIPPED_BYTES = 4_000_000
-# Heads end with it, and bodies in chunks.
+# Bodies in chunks end with it.
 _EMPTY_LINE = b"\r\n\r\n"
-# Interim answers, answers to other requests and empty lines before one answer.
+# Interim answers and answers to other requests before one answer.
 MAX_HEADS = 32
 # What an answer may have beside its body: its head, and the framing of chunks.
 MAX_FRAMING_BYTES = 131_072
@@ -72,7 +73,8 @@
     framed as if it were complete.
 
     A server in trouble may send bytes without end that are no part of a body. The
-    library reads them until the deadline, and holds the heads of interim answers.
+    library reads them until the deadline, and holds the heads of interim answers. It
+    also takes heads that are not as HTTP says, so each one is checked before.
 
     Args:
         owners: How answers are told apart.
@@ -86,6 +88,8 @@
         self._request_id: str | None = ""
         # What arrived while the reader was behind.
         self._unparsed = b""
+        # What has arrived of a head that goes on.
+        self._head = bytearray()
         self._heads = 0
         self._received_bytes = 0
         self._body: StreamReader | None = None
@@ -108,6 +112,7 @@
         self._request_id = request_id
         self._heads = self._received_bytes = self._earlier_body_bytes = 0
         self._body = None
+        self._head.clear()
         self._has_own_head = False
         if request.method == HTTPMethod.HEAD:
             # Its answer has a length and no body. If it came once more, the next
@@ -138,13 +143,21 @@
         Each head and each body goes by itself, so that an error in what follows does
         not fail it.
         """
+        if self._parser is None:
+            # The library keeps the bytes, and passes them in here with its parser.
+            super().data_received(data)
+            return
         if not data:
             # The reader has caught up, and the parser goes on with what it holds.
             super().data_received(data)
             self._fail_malformed_body()
         self._unparsed += data
         while self._unparsed and not self._reading_paused:
-            part, self._unparsed = self._split(self._unparsed)
+            try:
+                part, self._unparsed = self._split(self._unparsed)
+            except MalformedHeadError as error:
+                self._give_up(error)
+                return
             if not part:
                 self._close_behind_answer()
                 return
@@ -152,15 +165,19 @@
             super().data_received(part)
             self._fail_malformed_body()
             if max(self._heads, len(self._buffer)) > MAX_HEADS:
-                self._give_up("too many heads")
+                self._give_up(EndlessAnswerError("too many heads"))
             elif self._framing_bytes() > MAX_FRAMING_BYTES:
-                self._give_up("too many bytes that are no body")
+                self._give_up(EndlessAnswerError("too many bytes that are no body"))
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Queue a head and its body; the library calls this when a head has arrived."""
         message, body = data
+        if self._head:
+            # The library sees the end of a head where none has been checked.
+            self._give_up(MalformedHeadError("its end can't be told"))
+            return
         if self._body is not None:
             self._earlier_body_bytes += self._body.total_bytes
         self._body = body
@@ -182,12 +199,13 @@
         Returns:
             What belongs to the present head or body, nothing behind the own answer, and
             the rest.
+
+        Raises:
+            MalformedHeadError: A head ends that is none.
         """
         if self._payload is None or self._payload.is_eof():
-            if self._has_own_head:
-                return b"", data
-            self._heads += 1
-        elif self._left_body_bytes is not None:
+            return (b"", data) if self._has_own_head else self._split_head(data)
+        if self._left_body_bytes is not None:
             at = self._left_body_bytes
             self._left_body_bytes -= min(at, len(data))
             return data[:at], data[at:]
@@ -195,6 +213,27 @@
         at = MAX_PART_BYTES if end < 0 else end + len(_EMPTY_LINE)
         return data[:at], data[at:]
 
+    def _split_head(self, data: bytes) -> tuple[bytes, bytes]:
+        """Split bytes where the present head ends, and check it there.
+
+        Returns:
+            What belongs to it, not more than the library is passed at once, and the
+            rest.
+
+        Raises:
+            MalformedHeadError: It is none.
+        """
+        known_bytes = len(self._head)
+        self._head += data[:MAX_PART_BYTES]
+        end = find_head_end(self._head, known_bytes)
+        if end is None:
+            return data[:MAX_PART_BYTES], data[MAX_PART_BYTES:]
+        check_head(bytes(self._head[:end]))
+        self._head.clear()
+        self._heads += 1
+        at = end - known_bytes
+        return data[:at], data[at:]
+
     def _framing_bytes(self) -> int:
         """Return by how many bytes more arrived than the bodies so far explain."""
         body_bytes = self._earlier_body_bytes
@@ -213,9 +252,8 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _give_up(self, detail: str) -> None:
-        """Close the connection, and fail the exchange without a lost connection."""
-        error = EndlessAnswerError(detail)
+    def _give_up(self, error: ClientError) -> None:
+        """Close the connection, and fail the exchange with an error."""
         body, transport = self._payload, self.transport
         # The library would replace the error when it learns that the connection ended.
         self._parser = self._payload = None
--- a/sesameford/target_connections.py
+++ b/sesameford/target_connections.py
@@ -79,7 +79,7 @@
 
 
 def make_connector(ssl: SSLContext | bool, pool: PoolOptions | None) -> TCPConnector:
-    """Return a connector for targets; call it on the running loop.
+    """Return a connector that checks answers; call it on the running loop.
 
     Args:
         ssl: A context for TLS, or True for the default one.
