Refuse answers with lines that are no fields

What callers saw: a head with a blank before a colon, in the names Connection, Content-Length, Proxy-Connection and Upgrade, was a 200 for them, with the line passed on, or with the body cut to the length in the malformed line. With "Transfer-Encoding :" a plain route got the chunks' content, and a resumed stream went on behind such a head. A control byte in a value (other than a tab) ended the caller's connection without an answer, on stream routes with a 500 of the HTTP library. A blank before the first field was passed over.

Cause: the library's parser is lenient with answers. It reads the five names that frame a message by themselves, with blanks behind them, and takes control bytes in values; its writer then refused these, after the caller's answer began.

Blanks, tabs, control bytes and bytes above 127 in or behind any other name, a missing colon or name, NUL and a bare carriage return were refused already and keep their tests.

Change: the check of a head goes over its fields as well, before the library gets the head's end: names are tokens, values have no control bytes but tabs, a continued line follows a field. The call fails as broken, as with a status that is none.

Why it works: no line decides on the framing before it was checked.

--- a/sesameford/answer_heads.py
+++ b/sesameford/answer_heads.py
@@ -18,6 +18,13 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.\d (?P<status>[1-5]\d\d)(?: [^\r\n]*)?\r?")
 # The end of HTTP on a connection, which no request here asks for.
 _SWITCHING_PROTOCOLS = b"101"
+_VALUE = rb"[^\x00-\x08\x0a-\x1f\x7f]*+"
+# A line that begins with a blank continues the value before it.
+_FIELD = (
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:" + _VALUE + rb"(?:\r?\n[ \t]" + _VALUE + rb")*+"
+)
+_FIELDS = re.compile(rb"(?:" + _FIELD + rb"\r?\n)*+")
+_EMPTY_LINES = frozenset({b"\r\n", b"\n"})
 
 
 class MalformedHeadError(ClientError):
@@ -46,7 +53,13 @@
     Raises:
         MalformedHeadError: A caller must not get this answer.
     """
-    status_line = head.lstrip(b"\r\n").partition(b"\n")[0]
+    status_line, _, lines = head.lstrip(b"\r\n").partition(b"\n")
     found = _STATUS_LINE.fullmatch(status_line)
     if found is None or found["status"] == _SWITCHING_PROTOCOLS:
         raise MalformedHeadError(f"status line {status_line[:MAX_DETAIL_BYTES]!r}")
+    fields = _FIELDS.match(lines)
+    assert fields is not None
+    rest = lines[fields.end() :]
+    if rest not in _EMPTY_LINES:
+        line = rest.partition(b"\n")[0]
+        raise MalformedHeadError(f"field {line[:MAX_DETAIL_BYTES]!r}")
