Test that answers of other protocols are refused

Cause: the HTTP library takes status lines of HTTP/0.9, HTTP/2.0, RTSP and ICE for those of an answer; callers got a 200.

--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -66,6 +66,16 @@
         assert (answer.status, answer.body) == (200, EVENT_1)
 
 
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("version", [b"HTTP/0.9", b"HTTP/2.0", b"RTSP/1.0", b"ICE/1.0"])
+async def test_an_answer_of_another_protocol_is_no_answer(version, path):
+    """Guards against bytes of another protocol that pass for an answer."""
+    whole = with_status(200).replace(b"HTTP/1.1", version)
+    async with open_raw_desk(answer_bytes(whole)) as desk:
+        answer = await ask_raw(desk, path)
+    assert (answer.status, answer.seen) == (502, Seen.WHOLE)
+
+
 @pytest.mark.parametrize("status", STATUSES)
 @pytest.mark.parametrize("path", ["/unsafe/permit", "/stream/draft"])
 async def test_each_status_passes_on(status, path):
