Let no reset behind an early answer pass for its end

What callers saw: a server answered a long upload at once, with a 200 and no length, sent a part of the body and ended the connection while the upload was under way. They got that part as a whole answer, with the server's signature, on safe, unsafe and stream routes; a 500 alike on unsafe and stream routes.

Cause: what a connection does at its end was told by what the router noticed first. A server that sends its end and closes resets the connection as more of the upload arrives. If the router's kernel had taken all of the upload by then (1 MB), the end was read, the connection closed, and the reset never seen: the part counted as whole. If not (4 MB), the rest could not be written, and the answer was cut. Beside that, a connection that the library closes by itself, as its writer does when it fails, ended an answer without a length as whole.

Traced: the events of the loop were the end, then the close without an error. A plain reset, a close with unread bytes, one at once, and answers in chunks or with a length were cut already and keep their tests.

Change: an answer without a length is whole only if its server ended the connection. The question to the kernel that requests already asked stands in tcp_state.

What remains: a server whose kernel has all of the upload and that closes unread later than that behind its end looks as if it had read it.

--- a/sesameford/bounded_requests.py
+++ b/sesameford/bounded_requests.py
@@ -23,6 +23,7 @@
 from sesameford.receive_turns import ReceiveTurns
 from sesameford.request_buffer import make_request_buffer
 from sesameford.room_queue import RoomQueue
+from sesameford.tcp_state import TCP_ESTABLISHED, read_state
 
 logger = logging.getLogger(__name__)
 
@@ -47,8 +48,6 @@
 BYTES_PER_HEAD_BYTE = 6
 # The tasks and objects of a request whose handler has begun.
 HANDLED_REQUEST_BYTES = 12_000
-# The state of an open connection, in the first byte of what the kernel tells of it.
-TCP_ESTABLISHED = 1
 # What may arrive of a large body before it is read; the kernel doubles it.
 BODY_RECEIVE_BUFFER_BYTES = 65_536
 # The rest of a request that was refused for the room of its body is not read.
@@ -63,9 +62,7 @@
 
 def _has_peer_left(transport: asyncio.BaseTransport) -> bool:
     """Return whether the caller has closed a connection that is not being read."""
-    connection = transport.get_extra_info("socket")
-    state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-    return bool(state[0] != TCP_ESTABLISHED)
+    return read_state(transport) != TCP_ESTABLISHED
 
 
 class BoundedHandler(web.RequestHandler):
--- a/sesameford/target_answers.py
+++ b/sesameford/target_answers.py
@@ -19,6 +19,8 @@
 
 from sesameford.answer_heads import MalformedHeadError, check_head, find_head_end
 from sesameford.framing import MAX_PART_BYTES, RECEIVED_BYTES_PER_BODY_BYTE
+from sesameford.upload_watch import Delivery, UploadWatch, make_upload_watch
+from sesameford.verbatim_request import count_body_bytes
 
 if TYPE_CHECKING:
     from asyncio import AbstractEventLoop
@@ -69,8 +71,8 @@
     """Delivers to each exchange its own answer alone, and only if it is whole.
 
     An answer without a length ends with its connection. The library accepts any end,
-    even a reset in the middle of the body. The caller would get a part of the answer,
-    framed as if it were complete.
+    even a reset in the middle of the body, or one that this side made. The caller would
+    get a part of the answer, framed as if it were complete.
 
     A server in trouble may send bytes without end that are no part of a body. The
     library reads them until the deadline, and holds the heads of interim answers. It
@@ -97,6 +99,10 @@
         self._has_own_head = False
         # None if the length of the present body is not known.
         self._left_body_bytes: int | None = None
+        self._ends_with_connection = False
+        self._upload_bytes = 0
+        self._has_peer_ended = False
+        self._upload_watch: UploadWatch | None = None
 
     def begin_exchange(self, request: "ClientRequest") -> bool:
         """Take a request whose answer is to be read next.
@@ -110,6 +116,7 @@
             return False
         self._request_ids.append(request_id)
         self._request_id = request_id
+        self._upload_bytes = count_body_bytes(request)
         self._heads = self._received_bytes = self._earlier_body_bytes = 0
         self._body = None
         self._head.clear()
@@ -184,6 +191,7 @@
         self._has_own_head = self._has_own_head or self._is_own(message)
         length = None if message.chunked else message.headers.get("Content-Length")
         self._left_body_bytes = None if length is None else int(length)
+        self._ends_with_connection = length is None and not message.chunked
         super().feed_data(data, size)
 
     def _fail_malformed_body(self) -> None:
@@ -297,13 +305,51 @@
                 raise ForeignAnswerError(f"{description}, too long to skip")
         self._owners.record_skipped()
 
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Keep a connection on which an upload may be under way.
+
+        Returns:
+            Whether the connection stays open for what is still to be sent.
+        """
+        super().eof_received()
+        self._has_peer_ended = True
+        transport = self.transport
+        ends_answer = self._ends_with_connection and self._is_body_open()
+        if transport is None or not (ends_answer and self._upload_bytes):
+            return False
+        if transport.get_extra_info("ssl_object") is not None:
+            # It can't be closed by half.
+            return False
+        self._upload_watch = make_upload_watch(transport, self._loop, self._end_upload)
+        self._upload_watch.start(self._upload_bytes)
+        return True
+
+    def _end_upload(self, delivery: Delivery) -> None:
+        """End an answer by what became of the upload that it answers."""
+        if delivery is Delivery.RESET:
+            self._fail_body("reset behind its end")
+        if self.transport is not None:
+            self.transport.close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Mark an incomplete body as broken before the library ends it."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"reset: {exc}"))
+        if self._upload_watch is not None:
+            self._upload_watch.close()
+        if exc is not None:
+            self._fail_body(f"reset: {exc}")
+        elif not self._has_peer_ended:
+            self._fail_body("closed before its end")
         super().connection_lost(exc)
 
+    def _is_body_open(self) -> bool:
+        return self._body is not None and not self._body.is_eof()
+
+    def _fail_body(self, detail: str) -> None:
+        """Fail a body that goes on, unless it has failed before."""
+        body = self._body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(ClientPayloadError(detail))
+
 
 def _is_interim(message: RawResponseMessage) -> bool:
     return 100 <= message.code < 200 and not message.upgrade
--- a/sesameford/verbatim_request.py
+++ b/sesameford/verbatim_request.py
@@ -48,7 +48,12 @@
 
         The copy would stay until the target has read it all.
         """
-        body_bytes = self.body.size if isinstance(self.body, Payload) else 0
-        if (body_bytes or 0) > MAX_JOINED_BODY_BYTES:
+        if count_body_bytes(self) > MAX_JOINED_BODY_BYTES:
             writer.send_headers()
         await super().write_bytes(writer, conn, content_length)
+
+
+def count_body_bytes(request: ClientRequest) -> int:
+    """Return the length of a request's body, 0 if that is not known."""
+    body = request.body
+    return (body.size or 0) if isinstance(body, Payload) else 0
