--- a/sesameford/target_answers.py
+++ b/sesameford/target_answers.py
@@ -183,7 +183,7 @@
         message, body = data
         if self._head:
             # The library sees the end of a head where none has been checked.
-            self._give_up(MalformedHeadError("its end can't be told"))
+            self._give_up(MalformedHeadError("its end is ambiguous"))
             return
         if self._body is not None:
             self._earlier_body_bytes += self._body.total_bytes
--- a/tests/test_answered_uploads.py
+++ b/tests/test_answered_uploads.py
@@ -195,7 +195,7 @@
 
 
 class MuteTransport:
-    """A transport whose kernel tells nothing of its connection."""
+    """A transport whose kernel reports nothing about its connection."""
 
     def get_write_buffer_size(self):
         return 0
@@ -204,7 +204,7 @@
         raise OSError("not supported")
 
 
-def test_an_upload_of_which_the_kernel_tells_nothing_counts_as_delivered(caplog):
-    """Guards against failing answers for what such a kernel does not tell."""
+def test_an_upload_of_unknown_state_counts_as_delivered(caplog):
+    """Guards against failing answers for what such a kernel does not report."""
     assert read_delivery(MuteTransport()) is Delivery.DELIVERED
     assert "not supported" in caplog.text
--- a/tests/test_tcp_state.py
+++ b/tests/test_tcp_state.py
@@ -1,4 +1,4 @@
-"""What the kernel tells of connections to peers that read late, leave or reset."""
+"""What the kernel reports about connections to peers that read late, leave or reset."""
 
 import asyncio
 import socket
@@ -56,7 +56,7 @@
     await wait_until(lambda: count_unacknowledged_bytes(transport) == 0)
 
 
-async def test_a_reset_is_told_from_an_end(connected):
+async def test_a_reset_differs_from_an_orderly_end(connected):
     """Guards against a reset that looks like a peer that has sent its last byte."""
     transport, peer = connected
     assert read_state(transport) == TCP_ESTABLISHED
