Receive some of the answers in each turn of the loop

A router that passes its memory is ended with all that its callers have open there.

Cause: a loop that is late finds parts of many answers at once. Each connection to a target passes all that it finds, and no reader runs before the last one has. What is held of answers has a bound, what nobody has taken yet had none but the number of calls.

Counted in the router, 8.0 MB had arrived at 32 connections, a full read each, beside 8.2 MB held.

Then all connections of the connector are paused until the woken readers have run; those that have read wait until a turn is not full, so each gets its part before another gets two. The library's own flow control stays as it is.

The bounds are as they were.

--- a/sesameford/target_answers.py
+++ b/sesameford/target_answers.py
@@ -18,12 +18,13 @@
 from aiohttp.streams import StreamReader
 
 from sesameford.answer_heads import MalformedHeadError, check_head, find_head_end
+from sesameford.answer_turns import AnswerTurns
 from sesameford.framing import MAX_PART_BYTES, RECEIVED_BYTES_PER_BODY_BYTE
 from sesameford.upload_watch import Delivery, UploadWatch, make_upload_watch
 from sesameford.verbatim_request import count_body_bytes
 
 if TYPE_CHECKING:
-    from asyncio import AbstractEventLoop
+    from asyncio import AbstractEventLoop, BaseTransport
 
     from aiohttp import ClientRequest
 
@@ -80,12 +81,17 @@
 
     Args:
         owners: How answers are told apart.
+        turns: Which connections read in a turn of the loop.
         loop: The running loop.
     """
 
-    def __init__(self, owners: AnswerOwners, loop: "AbstractEventLoop") -> None:
+    def __init__(
+        self, owners: AnswerOwners, turns: AnswerTurns, loop: "AbstractEventLoop"
+    ) -> None:
         super().__init__(loop=loop)
         self._owners = owners
+        self._turns = turns
+        self._waits_for_turn = False
         self._request_ids: deque[str | None] = deque(maxlen=REMEMBERED_REQUESTS)
         self._request_id: str | None = ""
         # What arrived while the reader was behind.
@@ -104,6 +110,11 @@
         self._has_peer_ended = False
         self._upload_watch: UploadWatch | None = None
 
+    def connection_made(self, transport: "BaseTransport") -> None:
+        """Take turns with the other connections."""
+        super().connection_made(transport)
+        self._turns.add(self)
+
     def begin_exchange(self, request: "ClientRequest") -> bool:
         """Take a request whose answer is to be read next.
 
@@ -150,6 +161,7 @@
         Each head and each body goes by itself, so that an error in what follows does
         not fail it.
         """
+        self._turns.record_received(self, len(data))
         if self._parser is None:
             # The library keeps the bytes, and passes them in here with its parser.
             super().data_received(data)
@@ -176,6 +188,30 @@
             elif self._framing_bytes() > MAX_FRAMING_BYTES:
                 self._give_up(EndlessAnswerError("too many bytes that are no body"))
 
+    def pause_for_turn(self) -> bool:
+        """Read nothing more until a later turn; see ``PausableConnection``."""
+        transport = self.transport
+        if self._waits_for_turn or self._has_peer_ended:
+            return False
+        if transport is None or transport.is_closing():
+            return False
+        self._waits_for_turn = True
+        self._pause_transport_reading()
+        return True
+
+    def resume_for_turn(self) -> None:
+        """Read on, unless the reader is behind."""
+        self._waits_for_turn = False
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Read on in this connection's turn; the library calls this, too."""
+        transport = self.transport
+        if self._waits_for_turn or transport is None or transport.is_closing():
+            return
+        super()._resume_transport_reading()
+
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
@@ -333,6 +369,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Mark an incomplete body as broken before the library ends it."""
+        self._turns.discard(self)
         if self._upload_watch is not None:
             self._upload_watch.close()
         if exc is not None:
--- a/sesameford/target_connections.py
+++ b/sesameford/target_connections.py
@@ -10,6 +10,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from sesameford.answer_turns import make_answer_turns
 from sesameford.connect_timeout import connect_timeout
 from sesameford.target_answers import SINGLE_EXCHANGE, AnswerOwners, TargetConnection
 
@@ -98,6 +99,6 @@
     # The library has no public way to set the protocol of its connections.
     connector._factory = cast(
         "partial[ResponseHandler]",
-        partial(TargetConnection, owners, loop=connector._loop),
+        partial(TargetConnection, owners, make_answer_turns(), loop=connector._loop),
     )
     return connector
--- a/tests/test_answered_uploads.py
+++ b/tests/test_answered_uploads.py
@@ -13,6 +13,7 @@
 import pytest
 from aiohttp import ClientPayloadError
 
+from sesameford.answer_turns import make_answer_turns
 from sesameford.target_answers import SINGLE_EXCHANGE, TargetConnection
 from sesameford.upload_watch import Delivery, read_delivery
 from standins.platform_server import reset_connection
@@ -180,7 +181,7 @@
 
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
     _, connection = await loop.create_connection(
-        lambda: TargetConnection(SINGLE_EXCHANGE, loop),
+        lambda: TargetConnection(SINGLE_EXCHANGE, make_answer_turns(), loop),
         *server.sockets[0].getsockname(),
     )
     connection.set_response_params(read_until_eof=True)
--- a/tests/test_crowds_processes.py
+++ b/tests/test_crowds_processes.py
@@ -61,6 +61,8 @@
 # An answer of up to 1 MB is held to its end.
 LARGE_ANSWER_BYTES = 900_000
 LARGE_ANSWERS = 60
+SEVERAL_SERVERS = 4
+MANY_LARGE_ANSWERS = 200
 ANSWER_PAUSE_SECONDS = 1.0
 
 MEMORY_CROWDS = {
@@ -186,19 +188,21 @@
     await check_crowd(tmp_path, 109, crowd, TRIES, SMALLEST_MEMORY_MEGABYTES)
 
 
-async def test_large_answers_beside_a_crowd_fill_no_memory(tmp_path):
-    """Guards against answers that are held beside all that callers' bodies may hold."""
+async def check_large_answers(folder, net, servers, calls):
+    """Have servers answer calls with large bodies beside a crowd, all at once."""
     limits = {"memory_mb": SMALLEST_MEMORY_MEGABYTES}
-    async with open_fleet(tmp_path, 108, limits) as fleet:
+    async with open_fleet(folder, net, limits) as fleet:
+        for _ in range(servers - 1):
+            await fleet.add_server()
         crowd = MEMORY_CROWDS["4 MB but a byte"]
         playing = asyncio.create_task(play_crowd(fleet, crowd, asked=0))
         await asyncio.sleep(SEND_SECONDS / 2)
-        server = fleet.servers[0].server
-        server.fault = Fault.LATE_END
-        server.padding_bytes = LARGE_ANSWER_BYTES
-        server.pause_seconds = ANSWER_PAUSE_SECONDS
-        calls = [ask(fleet, f"ordinary-{number}") for number in range(LARGE_ANSWERS)]
-        statuses = await asyncio.gather(*calls)
+        for one in fleet.servers:
+            one.server.fault = Fault.LATE_END
+            one.server.padding_bytes = LARGE_ANSWER_BYTES
+            one.server.pause_seconds = ANSWER_PAUSE_SECONDS
+        asked = [ask(fleet, f"ordinary-{number}") for number in range(calls)]
+        statuses = await asyncio.gather(*asked)
         play = await playing
         assert fleet.unplanned_exits == []
     assert play.is_alive
@@ -206,6 +210,16 @@
     assert 200 in statuses
 
 
+async def test_large_answers_beside_a_crowd_fill_no_memory(tmp_path):
+    """Guards against answers that are held beside all that callers' bodies may hold."""
+    await check_large_answers(tmp_path, 108, servers=1, calls=LARGE_ANSWERS)
+
+
+async def test_large_answers_that_come_at_once_fill_no_memory(tmp_path):
+    """Guards against parts of answers that nobody has taken, beside those held."""
+    await check_large_answers(tmp_path, 111, SEVERAL_SERVERS, MANY_LARGE_ANSWERS)
+
+
 async def test_a_crowd_holds_up_no_planned_stop(tmp_path):
     """Guards against a router that is killed at the end of its grace by a crowd."""
     crowd = MEMORY_CROWDS["4 MB but a byte"]
