--- a/tests/test_answer_turns.py
+++ b/tests/test_answer_turns.py
@@ -5,10 +5,13 @@
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
 
+import pytest
 from aiohttp import ClientSession
 
 from sesameford.answer_turns import MAX_TURN_BYTES, SMALL_READ_BYTES, make_answer_turns
 from sesameford.target_connections import make_connector
+from sesameford.tls import make_client_context, make_server_context
+from tests.authority import Authority
 
 CONNECTIONS = 6
 ROUNDS = 3
@@ -92,8 +95,9 @@
 class LateServers(threading.Thread):
     """Servers that send the bodies of all answers at once, in a loop of their own."""
 
-    def __init__(self):
+    def __init__(self, context):
         super().__init__()
+        self._context = context
         self._loop = asyncio.new_event_loop()
         self._writers = []
         self._listeners = []
@@ -107,7 +111,9 @@
 
     async def _listen(self):
         for _ in range(ANSWERS):
-            server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+            server = await asyncio.start_server(
+                self._answer, "127.0.0.1", 0, ssl=self._context
+            )
             self._listeners.append(server)
 
     async def _answer(self, reader, writer):
@@ -118,7 +124,8 @@
     @property
     def urls(self):
         ports = [one.sockets[0].getsockname()[1] for one in self._listeners]
-        return [f"http://127.0.0.1:{port}/" for port in ports]
+        scheme = "http" if self._context is None else "https"
+        return [f"{scheme}://127.0.0.1:{port}/" for port in ports]
 
     def send_bodies(self):
         for writer in self._writers:
@@ -138,14 +145,14 @@
 
 
 @asynccontextmanager
-async def open_answers():
+async def open_answers(tls):
     """Yield the servers, and the responses whose heads have come and no body."""
-    servers = LateServers()
+    servers = LateServers(tls and make_server_context(tls))
     servers.start()
     servers.started.wait(WAIT_SECONDS)
     try:
         async with AsyncExitStack() as stack:
-            connector = make_connector(True, None)
+            connector = make_connector(make_client_context(tls) if tls else True, None)
             session = await stack.enter_async_context(
                 ClientSession(connector=connector)
             )
@@ -158,9 +165,11 @@
         servers.stop()
 
 
-async def test_a_late_loop_holds_little_that_nobody_has_taken():
+@pytest.mark.parametrize("has_tls", [False, True])
+async def test_a_late_loop_holds_little_that_nobody_has_taken(has_tls, tmp_path):
     """Guards against a router that passes its memory by answers it finds at once."""
-    async with open_answers() as (servers, responses):
+    tls = Authority(tmp_path, "ours").identity("e0") if has_tls else None
+    async with open_answers(tls) as (servers, responses):
         taken_bytes = dict.fromkeys(range(ANSWERS), 0)
         peak_bytes = 0
 
