Check broken heads at daemon, tool and resumed streams by one function each

Cause: each of three checks stood twice in the file, once for statuses and once for fields.

Result: as many tests with the same assertions, 12 lines fewer.

--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -21,6 +21,7 @@
 
 PATHS = ("/unsafe/permit", "/safe/permit", "/stream/draft", "/stream/resumed/draft")
 LENGTH = f"Content-Length: {len(EVENT_1)}"
+STREAM = "Content-Type: text/event-stream"
 
 
 def answer_bytes(whole):
@@ -91,16 +92,15 @@
     assert answer.seen is Seen.WHOLE
 
 
-async def test_a_stream_is_cut_if_its_rest_has_no_status():
-    """Guards against a resumed answer that takes its end from a broken one."""
-    first = raw_head("ID", more=("Content-Type: text/event-stream",)) + EVENT_1
+async def check_a_stream_is_cut_at(rest):
+    """Break a stream off inside its second event, and answer its resumption so."""
+    first = raw_head("ID", more=(STREAM,)) + EVENT_1 + EVENT_2[:9]
 
     async def breaks_off(server, request_id, writer):
-        writer.write(first.replace(b"ID", request_id.encode()) + EVENT_2[:9])
+        writer.write(first.replace(b"ID", request_id.encode()))
         return False
 
-    broken = answer_bytes(with_status("000"))
-    async with open_raw_desk(breaks_off, broken) as desk:
+    async with open_raw_desk(breaks_off, answer_bytes(rest)) as desk:
         for _ in range(6):
             answer = await ask_raw(desk, "/stream/resumed/draft")
             if answer.body:
@@ -108,6 +108,11 @@
     assert (answer.status, answer.body, answer.seen) == (200, EVENT_1, Seen.CUT)
 
 
+async def test_a_stream_is_cut_if_its_rest_has_no_status():
+    """Guards against a resumed answer that takes its end from a broken one."""
+    await check_a_stream_is_cut_at(with_status("000"))
+
+
 def answer_http(whole):
     """Return a handler of the daemon's stand-ins that sends the same bytes."""
 
@@ -119,13 +124,11 @@
     return handle
 
 
-@pytest.mark.parametrize("status", NO_STATUSES)
-async def test_a_daemon_stores_no_answer_without_a_status(status):
-    """Guards against a broken answer that a resend of the call would get again."""
-    handler = answer_http(with_status(status))
+async def check_a_daemon_stores_nothing_of(whole):
+    """Have a service send these bytes; neither the call nor its resend gets them."""
     headers = {**GOOD_KEY, "Idempotency-Key": "permit-1"}
     async with open_world() as world:
-        await world.add_handler("broken", handler)
+        await world.add_handler("broken", answer_http(whole))
         client = world.routers[0].client
         for expected_status in (502, 409):
             answer = await client.post("/services/roster/permit", headers=headers)
@@ -133,6 +136,12 @@
             assert answer.headers["Sesameford-Outcome"] == "unknown"
 
 
+@pytest.mark.parametrize("status", NO_STATUSES)
+async def test_a_daemon_stores_no_answer_without_a_status(status):
+    """Guards against a broken answer that a resend of the call would get again."""
+    await check_a_daemon_stores_nothing_of(with_status(status))
+
+
 @pytest.mark.parametrize("status", NO_STATUSES)
 async def test_adapters_of_the_daemon_take_no_number_that_is_no_status(status):
     """Guards against an attempt that counts as answered by a server in trouble."""
@@ -145,10 +154,7 @@
             await send_request(session, "POST", url, b"notes", {})
 
 
-@pytest.mark.parametrize("status", NO_STATUSES)
-async def test_the_operators_tool_takes_no_number_that_is_no_status(status):
-    """Guards against a change that an operator takes for answered."""
-    whole = with_status(status, ("Content-Length: 2",))[: -len(EVENT_1)] + b"{}"
+async def check_the_operators_tool_refuses(whole):
     async with (
         open_cutting_port(len(whole), whole) as url,
         open_client([url], "key", timeout_seconds=0.0, authority_file=None) as client,
@@ -157,6 +163,13 @@
             await client.request("GET", "/")
 
 
+@pytest.mark.parametrize("status", NO_STATUSES)
+async def test_the_operators_tool_takes_no_number_that_is_no_status(status):
+    """Guards against a change that an operator takes for answered."""
+    whole = with_status(status, ("Content-Length: 2",))[: -len(EVENT_1)] + b"{}"
+    await check_the_operators_tool_refuses(whole)
+
+
 # The library's parser knows these names, and reads them by itself.
 KNOWN_NAMES = (
     "Connection",
@@ -245,20 +258,8 @@
 
 async def test_a_stream_is_cut_if_the_head_of_its_rest_is_malformed():
     """Guards against events behind a head that no caller may get."""
-    stream = ("Content-Type: text/event-stream",)
-    first = raw_head("ID", more=stream) + EVENT_1 + EVENT_2[:9]
-    rest = raw_head("ID", more=(*stream, f"Content-Length : {len(EVENT_2)}")) + EVENT_2
-
-    async def breaks_off(server, request_id, writer):
-        writer.write(first.replace(b"ID", request_id.encode()))
-        return False
-
-    async with open_raw_desk(breaks_off, answer_bytes(rest)) as desk:
-        for _ in range(6):
-            answer = await ask_raw(desk, "/stream/resumed/draft")
-            if answer.body:
-                break
-    assert (answer.status, answer.body, answer.seen) == (200, EVENT_1, Seen.CUT)
+    length = f"Content-Length : {len(EVENT_2)}"
+    await check_a_stream_is_cut_at(raw_head("ID", more=(STREAM, length)) + EVENT_2)
 
 
 OWN_LINE = b"X-Sesameford-Attempt-Id: ID\r\n"
@@ -319,24 +320,11 @@
 )
 async def test_a_daemon_stores_no_answer_with_a_malformed_field(field, length):
     """Guards against a broken answer that a resend of the call would get again."""
-    headers = {**GOOD_KEY, "Idempotency-Key": "permit-1"}
-    async with open_world() as world:
-        whole = with_field(field, length=length)
-        await world.add_handler("broken", answer_http(whole))
-        client = world.routers[0].client
-        for expected_status in (502, 409):
-            answer = await client.post("/services/roster/permit", headers=headers)
-            assert answer.status == expected_status
-            assert answer.headers["Sesameford-Outcome"] == "unknown"
+    await check_a_daemon_stores_nothing_of(with_field(field, length=length))
 
 
 @pytest.mark.parametrize("name", KNOWN_NAMES)
 async def test_the_operators_tool_takes_no_malformed_field(name):
     """Guards against a change that an operator takes for answered."""
     whole = raw_head("a", more=(f"{name} : 2", "Content-Length: 2")) + b"{}"
-    async with (
-        open_cutting_port(len(whole), whole) as url,
-        open_client([url], "key", timeout_seconds=0.0, authority_file=None) as client,
-    ):
-        with pytest.raises(ControlError):
-            await client.request("GET", "/")
+    await check_the_operators_tool_refuses(whole)
